--- /dev/null
+++ b/src/filter/index.ts
@@ -0,0 +1,1 @@
+export { composeFilters, type Filter, type Next } from "./chain.js";
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -36,6 +36,9 @@
   type PeerHello,
   type ProbeResult,
   type PeerClient,
+  type Outcome,
+  type Conversation,
+  type GroupGateway,
 } from "./ports.js";
 export { type RequestTraits, type IdempotencyKey, type Request } from "./request.js";
 export {
--- a/src/model/ports.ts
+++ b/src/model/ports.ts
@@ -1,8 +1,10 @@
 import type { Json } from "./json.js";
 import type { Mark } from "./mark.js";
 import type { Group, Target, Vm } from "./place.js";
+import type { Request } from "./request.js";
 import type { ControlResult } from "./target.js";
 import type { Term } from "./term.js";
+import type { Verdict } from "./verdict.js";
 
 /** Time as the core sees it. `now` never goes back; milliseconds from an arbitrary start. */
 export interface Clock {
@@ -142,3 +144,39 @@
   /** Pushes a configuration; answers with the revision then in force at the peer. */
   pushConfiguration(vm: Vm, configuration: Json, timeoutMs: number): Promise<StoreRead<number>>;
 }
+
+/** What came of one request, or of one batch of an interactive transaction. */
+export type Outcome =
+  | {
+      readonly type: "answered";
+      /** `T` and `E` keep the conversation on its connection; `I` ends the transaction. */
+      readonly status: "I" | "T" | "E";
+      /** What the session must see from now on; absent when nothing new is to be seen. */
+      readonly mark?: Mark;
+      readonly servedBy: { readonly target: string; readonly role: "primary" | "replica" };
+    }
+  | { readonly type: "failed"; readonly verdict: Verdict; readonly message: string };
+
+/**
+ * One caller's exchange with a group's owner: a single request, or a transaction that stays on one
+ * connection from the first batch to the last.
+ */
+export interface Conversation {
+  /**
+   * Runs one batch of whole frontend messages, up to and with its `Sync` or `Query`. The answer
+   * goes to `sink` without `ReadyForQuery`. Never rejects. One call at a time.
+   */
+  run(
+    request: Request,
+    messages: Uint8Array,
+    sink: MessageSink,
+    signal: AbortSignal,
+  ): Promise<Outcome>;
+  /** Ends it; an open transaction is rolled back by closing its connection. */
+  close(): void;
+}
+
+/** Opens conversations with groups, at this process or at the owner's. */
+export interface GroupGateway {
+  open(group: string): Conversation;
+}
