Read settings, rules and roster from YAML, all faults at once

Cause: operators and proxies need checked files before anything can start. Ruled out: zod's own messages (no line, unions say nothing of their parts) and stopping at the first fault. Change: src/settings with zod schemas over yaml's nodes; each fault has file:line:column and path, unknown keys their nearest known one, ranges units. Rules get semantic checks and a warning where an earlier rule covers a later one.

--- /dev/null
+++ b/src/settings/check.ts
@@ -0,0 +1,56 @@
+import type { z } from "zod";
+import type { Path, SettingsDocument } from "./document.js";
+import type { Loaded, SettingsFault } from "./fault.js";
+
+type Issue = z.core.$ZodIssue;
+
+/** Checks a document against a schema and gives its value, or all faults in order of line. */
+export function checkDocument<T>(document: SettingsDocument, schema: z.ZodType<T>): Loaded<T> {
+  if (document.faults.length > 0) return { type: "faulty", faults: document.faults };
+  const result = schema.safeParse(document.value ?? {});
+  if (result.success) return { type: "loaded", value: result.data, warnings: [] };
+  return refuseFaults(result.error.issues.flatMap((issue) => mapIssue(document, issue)));
+}
+
+/** Refuses a file for its faults, in order of line. */
+export function refuseFaults(faults: readonly SettingsFault[]): {
+  readonly type: "faulty";
+  readonly faults: readonly SettingsFault[];
+} {
+  return {
+    type: "faulty",
+    faults: [...faults].sort((a, b) => a.line - b.line || a.column - b.column),
+  };
+}
+
+function mapIssue(
+  document: SettingsDocument,
+  issue: Issue,
+  parent: Path = [],
+): readonly SettingsFault[] {
+  const path = [...parent, ...issue.path.filter((s) => typeof s !== "symbol")];
+  const value = findValue(document.value, path);
+  if (issue.code === "invalid_union" && typeof value === "object") {
+    // A union's last choice is its structured one: its own faults say more than the union's.
+    const last = issue.errors.at(-1) ?? [];
+    return last.flatMap((inner) => mapIssue(document, inner, path));
+  }
+  if (issue.code === "unrecognized_keys") {
+    const messages = issue.message.split("\n");
+    return issue.keys.map((key, i) =>
+      document.describeFault([...path, key], messages[i] ?? "unknown key", "key"),
+    );
+  }
+  const isMissing = value === undefined && issue.code !== "custom";
+  return [document.describeFault(path, isMissing ? "is missing" : issue.message)];
+}
+
+function findValue(value: unknown, path: Path): unknown {
+  return path.reduce<unknown>(
+    (found, segment) =>
+      typeof found === "object" && found !== null
+        ? (found as Record<string | number, unknown>)[segment]
+        : undefined,
+    value,
+  );
+}
--- /dev/null
+++ b/src/settings/configuration.ts
@@ -0,0 +1,170 @@
+import { z } from "zod";
+import {
+  priorities,
+  type Condition,
+  type Rule,
+  type RuleAction,
+  type Team,
+} from "../model/index.js";
+import { checkDocument, refuseFaults } from "./check.js";
+import { findCovering } from "./cover.js";
+import { openDocument, type SettingsDocument } from "./document.js";
+import type { Loaded, SettingsFault } from "./fault.js";
+import { defineCount, defineDuration, defineName, defineObject, defineWord } from "./fields.js";
+import { findNearest } from "./nearest.js";
+
+/** Roster and rules without a revision. */
+export interface ConfigurationDraft {
+  readonly teams: readonly Team[];
+  readonly rules: readonly Rule[];
+}
+
+/** What the operators' file holds. */
+export interface ConfigurationFile extends ConfigurationDraft {
+  /** The revision that the file was edited from, as `radishwalk get` wrote it. */
+  readonly revision?: number;
+}
+
+const maxAttempts = 10;
+
+const names = z
+  .union([defineName().transform((name) => [name]), z.array(defineName()).min(1)], {
+    error: "must be a name or a list of names",
+  })
+  .optional();
+
+const condition = defineObject({
+  teams: names,
+  plan: defineWord(["trial", "paying"]).optional(),
+  groups: names,
+  kinds: names,
+  effect: defineWord(["read", "write"]).optional(),
+  tables: names,
+  transaction: z.boolean({ error: "must be true or false" }).optional(),
+});
+
+const serve = defineObject({
+  route: defineWord(["primary", "replica"]),
+  stale: defineDuration("1ms", "24h").optional(),
+  class: defineWord(priorities),
+  deadline: defineDuration("10ms", "10m"),
+  queue: defineDuration("0ms", "10m"),
+  retry: defineCount("attempts", 0, maxAttempts).default(0),
+  acknowledge: defineWord(["replicated", "witnessed"]).default("replicated"),
+});
+
+const refuse = defineObject({
+  retryAfter: defineDuration("0ms", "24h"),
+  reason: z.string({ error: "must be a text for the caller" }).min(1),
+});
+
+const file = defineObject({
+  revision: defineCount("revisions", 0, Number.MAX_SAFE_INTEGER).optional(),
+  teams: z.array(defineObject({ name: defineName(), plan: defineWord(["trial", "paying"]) }), {
+    error: "must be a list of teams",
+  }),
+  rules: z.array(
+    defineObject({
+      name: defineName(),
+      when: condition.prefault({}),
+      then: defineObject({ serve: serve.optional(), refuse: refuse.optional() }),
+    }),
+    { error: "must be a list of rules" },
+  ),
+});
+
+type RuleText = z.output<typeof file>["rules"][number];
+
+/** Reads teams and rules. Warns of a rule that an earlier one leaves nothing to match. */
+export function loadConfigurationFile(text: string, source: string): Loaded<ConfigurationFile> {
+  const document = openDocument(text, source);
+  const loaded = checkDocument(document, file);
+  if (loaded.type === "faulty") return loaded;
+  const { revision, teams, rules } = loaded.value;
+  const faults = [
+    ...findRepeats(document, "teams", teams),
+    ...findRepeats(document, "rules", rules),
+    ...rules.flatMap((rule, i) => checkRule(document, rule, i, teams)),
+  ];
+  if (faults.length > 0) return refuseFaults(faults);
+  const draft = { teams, rules: rules.map(toRule) };
+  return {
+    type: "loaded",
+    value: revision === undefined ? draft : { ...draft, revision },
+    warnings: findCovered(document, draft),
+  };
+}
+
+function findRepeats(
+  document: SettingsDocument,
+  list: "teams" | "rules",
+  entries: readonly { readonly name: string }[],
+): readonly SettingsFault[] {
+  return entries.flatMap(({ name }, i) =>
+    entries.findIndex((entry) => entry.name === name) < i
+      ? [document.describeFault([list, i, "name"], `${name} stands twice`)]
+      : [],
+  );
+}
+
+function checkRule(
+  document: SettingsDocument,
+  rule: RuleText,
+  index: number,
+  teams: readonly Team[],
+): readonly SettingsFault[] {
+  const known = teams.map((team) => team.name);
+  const faults = (rule.when.teams ?? [])
+    .filter((name) => !known.includes(name))
+    .map((name) => {
+      const nearest = findNearest(name, known);
+      const hint = nearest === undefined ? "" : `; did you mean ${nearest}?`;
+      return document.describeFault(["rules", index, "when", "teams"], `no team ${name}${hint}`);
+    });
+  const { serve, refuse } = rule.then;
+  if ((serve === undefined) === (refuse === undefined)) {
+    const message = "must have either serve or refuse";
+    faults.push(document.describeFault(["rules", index, "then"], message));
+  }
+  if (serve?.route === "primary" && serve.stale !== undefined) {
+    const message = "a primary's data has no age; use route replica";
+    faults.push(document.describeFault(["rules", index, "then", "serve", "stale"], message));
+  }
+  return faults;
+}
+
+function findCovered(
+  document: SettingsDocument,
+  draft: ConfigurationDraft,
+): readonly SettingsFault[] {
+  return draft.rules.flatMap((rule, i) => {
+    const covering = findCovering(draft.rules.slice(0, i), rule, draft.teams);
+    if (covering === undefined) return [];
+    const message = `can never match: ${covering.name} stands before and matches all it matches`;
+    return [document.describeFault(["rules", i, "name"], message)];
+  });
+}
+
+function toRule({ name, when, then }: RuleText): Rule {
+  return { name, when: toCondition(when), then: toAction(then) };
+}
+
+function toCondition(when: RuleText["when"]): Condition {
+  return Object.fromEntries(Object.entries(when).filter(([, value]) => value !== undefined));
+}
+
+function toAction({ serve, refuse }: RuleText["then"]): RuleAction {
+  if (serve === undefined) {
+    return { type: "refuse", retryAfterMs: refuse?.retryAfter ?? 0, reason: refuse?.reason ?? "" };
+  }
+  return {
+    type: "serve",
+    route:
+      serve.stale === undefined ? { type: serve.route } : { type: "stale", maxAgeMs: serve.stale },
+    priority: serve.class,
+    deadlineMs: serve.deadline,
+    maxQueueMs: serve.queue,
+    retry: { attempts: serve.retry },
+    acknowledgement: serve.acknowledge,
+  };
+}
--- /dev/null
+++ b/src/settings/cover.ts
@@ -0,0 +1,38 @@
+import type { Condition, Rule, Team } from "../model/index.js";
+
+/** Finds the first of `earlier` that matches whatever `rule` matches. */
+export function findCovering(
+  earlier: readonly Rule[],
+  rule: Rule,
+  teams: readonly Team[],
+): Rule | undefined {
+  return earlier.find((other) => isCovering(other.when, rule.when, teams));
+}
+
+function isCovering(wide: Condition, narrow: Condition, teams: readonly Team[]): boolean {
+  return (
+    isSubset(narrow.teams, wide.teams) &&
+    isSubset(narrow.groups, wide.groups) &&
+    isSubset(narrow.kinds, wide.kinds) &&
+    isSubset(narrow.tables, wide.tables) &&
+    isSame(narrow.effect, wide.effect) &&
+    isSame(narrow.transaction, wide.transaction) &&
+    (isSame(narrow.plan, wide.plan) || isOfPlan(narrow.teams, wide.plan, teams))
+  );
+}
+
+function isSubset(narrow: readonly string[] | undefined, wide: readonly string[] | undefined) {
+  return wide === undefined || (narrow?.every((name) => wide.includes(name)) ?? false);
+}
+
+function isSame<T>(narrow: T | undefined, wide: T | undefined): boolean {
+  return wide === undefined || narrow === wide;
+}
+
+function isOfPlan(
+  names: readonly string[] | undefined,
+  plan: Team["plan"] | undefined,
+  teams: readonly Team[],
+): boolean {
+  return names?.every((name) => teams.find((t) => t.name === name)?.plan === plan) ?? false;
+}
--- /dev/null
+++ b/src/settings/document.ts
@@ -0,0 +1,62 @@
+import { isMap, isNode, isScalar, isSeq, LineCounter, parseDocument, type Document } from "yaml";
+import type { SettingsFault } from "./fault.js";
+
+/** Keys and indices from the top of a document. */
+export type Path = readonly (string | number)[];
+
+/** A parsed YAML text that can tell where each of its values stands. */
+export interface SettingsDocument {
+  readonly value: unknown;
+  /** Faults of the YAML itself. */
+  readonly faults: readonly SettingsFault[];
+  /** Describes a fault at the value of `path`, or at its key, or at the nearest parent. */
+  describeFault(path: Path, message: string, at?: "key" | "value"): SettingsFault;
+}
+
+/** Reads one YAML text. */
+export function openDocument(text: string, source: string): SettingsDocument {
+  const lines = new LineCounter();
+  const document = parseDocument(text, { lineCounter: lines, prettyErrors: false });
+  const describe = (offset: number, path: Path, message: string): SettingsFault => {
+    const { line, col } = lines.linePos(offset);
+    return { source, line: Math.max(1, line), column: col, path: formatPath(path), message };
+  };
+  const faults = document.errors.map((error) => describe(error.pos[0], [], error.message));
+  return {
+    value: faults.length === 0 ? (document.toJS() as unknown) : undefined,
+    faults,
+    describeFault: (path, message, at = "value") =>
+      describe(findOffset(document, path, at), path, message),
+  };
+}
+
+function findOffset(document: Document, path: Path, at: "key" | "value"): number {
+  let node: unknown = document.contents;
+  let offset = readStart(node) ?? 0;
+  for (const [depth, segment] of path.entries()) {
+    const isLast = depth === path.length - 1;
+    if (isMap(node)) {
+      const pair = node.items.find((item) => isScalar(item.key) && item.key.value === segment);
+      if (pair === undefined) return offset;
+      const key = readStart(pair.key) ?? offset;
+      offset = isLast && at === "key" ? key : (readStart(pair.value) ?? key);
+      node = pair.value;
+    } else if (isSeq(node)) {
+      node = node.items[Number(segment)];
+      offset = readStart(node) ?? offset;
+    }
+  }
+  return offset;
+}
+
+function readStart(node: unknown): number | undefined {
+  return isNode(node) ? node.range?.[0] : undefined;
+}
+
+function formatPath(path: Path): string {
+  return path
+    .map((segment, i) =>
+      typeof segment === "number" ? `[${segment}]` : i === 0 ? segment : `.${segment}`,
+    )
+    .join("");
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,18 @@
+export { parseAddress, formatAddress } from "./address.js";
+export {
+  type ConfigurationFile,
+  type ConfigurationDraft,
+  loadConfigurationFile,
+} from "./configuration.js";
+export { parseDuration, formatDuration } from "./duration.js";
+export { type Loaded, type SettingsFault, formatFault } from "./fault.js";
+export { findNearest } from "./nearest.js";
+export {
+  type CallerLimits,
+  type Deadlines,
+  type ProxySettings,
+  type SessionKey,
+  type TlsSettings,
+  loadProxySettings,
+} from "./proxy.js";
+export { renderConfigurationFile } from "./render.js";
