Write numbered events with pino, count with prom-client, serve the health page

Cause: operators need to see decisions, the two measures and readiness. Ruled out: a hand-kept catalogue (drifts), a synchronous log destination (each line would stall the statements), unbounded group labels.

--- /dev/null
+++ b/src/log/pino.ts
@@ -0,0 +1,70 @@
+import { pino, type DestinationStream, type Logger as Pino } from "pino";
+import type { Disposable } from "../model/index.js";
+import type { Level, LogEvent, LogFields, Logger } from "./event.js";
+
+const flushBytes = 4096;
+const flushIntervalMs = 500;
+const standardOutput = 1;
+
+/** A destination that can be emptied at once, as pino's own. */
+export interface LogDestination extends DestinationStream {
+  flushSync?(): void;
+}
+
+/** How a `PinoLogger` writes. */
+export interface PinoLoggerOptions {
+  readonly level: Level;
+  /** Goes with every line, such as the VM's name. */
+  readonly base: LogFields;
+  /** Standard output, written in the background, unless given. */
+  readonly destination?: LogDestination;
+}
+
+/**
+ * Writes events as JSON lines with their number, name, text and fields. The fields `level`, `time`,
+ * `msg`, `event` and `name` are the line's own.
+ */
+export class PinoLogger implements Logger, Disposable {
+  private readonly destination: LogDestination;
+  private readonly pino: Pino;
+  private readonly flushAtExit = (): void => {
+    this.flush();
+  };
+
+  constructor(options: PinoLoggerOptions) {
+    this.destination = options.destination ?? openStandardOutput();
+    this.pino = pino(
+      { level: options.level, base: options.base, timestamp: pino.stdTimeFunctions.isoTime },
+      this.destination,
+    );
+    process.on("exit", this.flushAtExit);
+  }
+
+  write(event: LogEvent, fields: LogFields = {}): void {
+    if (!this.pino.isLevelEnabled(event.level)) return;
+    this.pino[event.level]({ event: event.id, name: event.name, ...fields }, event.text);
+  }
+
+  /** Writes out what is still in memory. */
+  flush(): void {
+    try {
+      this.destination.flushSync?.();
+    } catch {
+      // The destination was not open yet; nothing was written to it either.
+    }
+  }
+
+  dispose(): void {
+    process.off("exit", this.flushAtExit);
+    this.flush();
+  }
+}
+
+function openStandardOutput(): LogDestination {
+  return pino.destination({
+    dest: standardOutput,
+    sync: false,
+    minLength: flushBytes,
+    periodicFlush: flushIntervalMs,
+  });
+}
--- /dev/null
+++ b/src/metric/health.ts
@@ -0,0 +1,108 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Address, Disposable, Json } from "../model/index.js";
+import type { Metrics } from "./metrics.js";
+
+/** What readiness depends on. */
+export interface HealthState {
+  /** A configuration of the store or a peer is in force. */
+  readonly configurationKnown: boolean;
+  readonly leaving: boolean;
+}
+
+/** What a `HealthServer` shows. */
+export interface HealthServerOptions {
+  readonly metrics: Metrics;
+  getState(): HealthState;
+  /** What the process says of itself to operators, on `/report`. */
+  report(): Json | Promise<Json>;
+  /** Begins a drain, on `POST /drain`; absent where the process does not take it over HTTP. */
+  drain?(): void;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly type: string;
+  readonly body: string;
+}
+
+const requestTimeoutMs = 5000;
+const maxConnections = 100;
+
+/**
+ * Plain HTTP for the balancer and operators. Its address must be reachable from their network only:
+ * it asks for no credentials.
+ */
+export class HealthServer implements Disposable {
+  private readonly server: Server;
+
+  constructor(private readonly options: HealthServerOptions) {
+    this.server = createServer((request, response) => void this.handle(request, response));
+    this.server.requestTimeout = requestTimeoutMs;
+    this.server.headersTimeout = requestTimeoutMs;
+    this.server.maxConnections = maxConnections;
+  }
+
+  /** Listens and gives the address, with the port that was taken when 0 was asked for. */
+  listen({ host, port }: Address): Promise<Address> {
+    return new Promise((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, () => {
+        resolve({ host, port: (this.server.address() as AddressInfo).port });
+      });
+    });
+  }
+
+  dispose(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => {
+        resolve();
+      });
+      this.server.closeAllConnections();
+    });
+  }
+
+  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const reply = await this.reply(request).catch((error: unknown) =>
+      replyJson(500, { error: String(error) }),
+    );
+    response.writeHead(reply.status, { "content-type": reply.type });
+    response.end(reply.body);
+  }
+
+  private async reply(request: IncomingMessage): Promise<Reply> {
+    const { metrics } = this.options;
+    switch (`${request.method ?? ""} ${request.url ?? ""}`) {
+      case "GET /metrics":
+        return { status: 200, type: metrics.contentType, body: await metrics.render() };
+      case "GET /health":
+        return replyJson(200, { status: "alive" });
+      case "GET /ready":
+        return this.replyReadiness();
+      case "GET /report":
+        return replyJson(200, await this.options.report());
+      case "POST /drain":
+        if (this.options.drain === undefined)
+          return replyJson(404, { error: "no drain over HTTP here" });
+        this.options.drain();
+        return replyJson(202, { status: "draining" });
+      default:
+        return replyJson(404, { error: "no such page" });
+    }
+  }
+
+  private replyReadiness(): Reply {
+    const { configurationKnown, leaving } = this.options.getState();
+    const reasons = [
+      ...(configurationKnown ? [] : ["no configuration is known"]),
+      ...(leaving ? ["leaving"] : []),
+    ];
+    return reasons.length === 0
+      ? replyJson(200, { status: "ready" })
+      : replyJson(503, { status: "not ready", reasons });
+  }
+}
+
+function replyJson(status: number, body: Json): Reply {
+  return { status, type: "application/json", body: `${JSON.stringify(body)}\n` };
+}
--- /dev/null
+++ b/src/metric/index.ts
@@ -0,0 +1,8 @@
+export { HealthServer, type HealthServerOptions, type HealthState } from "./health.js";
+export {
+  createMetrics,
+  type ConnectionState,
+  type FailoverSample,
+  type Metrics,
+  type RequestSample,
+} from "./metrics.js";
--- /dev/null
+++ b/test/metric/metric.test.ts
@@ -0,0 +1,61 @@
+import { expect, test } from "@jest/globals";
+import { createMetrics, HealthServer, type HealthState } from "../../src/metric/index.js";
+import { assertInvariant, invariants } from "../../src/model/index.js";
+
+test("the two measures and every invariant are there by name from the start", async () => {
+  const page = await createMetrics().render();
+  expect(page).toContain("radishwalk_replica_read_ratio 0");
+  expect(page).toContain("# TYPE radishwalk_failover_gap_seconds histogram");
+  for (const invariant of invariants) {
+    expect(page).toContain(`radishwalk_invariant_violations_total{invariant="${invariant}"} 0`);
+  }
+});
+
+test("the ratio follows the reads, and groups beyond the bound count together", async () => {
+  const metrics = createMetrics();
+  for (let i = 0; i < 300; i++) metrics.recordRead(`g${i}`, i % 4 === 0 ? "primary" : "replica");
+  const page = await metrics.render();
+  expect(page).toContain("radishwalk_replica_read_ratio 0.75");
+  expect(page).toContain('radishwalk_reads_total{group="other",role="replica"} 75');
+});
+
+test("a broken invariant is counted and told, until the handler is given back", async () => {
+  const metrics = createMetrics();
+  const told: string[] = [];
+  const observed = metrics.observeViolations((invariant) => void told.push(invariant));
+  assertInvariant("atMostOnce", false, () => "twice");
+  await observed.dispose();
+  expect(told).toEqual(["atMostOnce"]);
+  expect(await metrics.render()).toContain('total{invariant="atMostOnce"} 1');
+  expect(() => {
+    assertInvariant("atMostOnce", false, () => "twice");
+  }).toThrow("atMostOnce");
+});
+
+// The balancer sends callers to a proxy whose page says ready.
+// A new proxy does not know the rules yet, a leaving one must get no new callers;
+// both live, so only /ready may say no.
+test("ready only with a configuration and not while leaving", async () => {
+  let state: HealthState = { configurationKnown: false, leaving: false };
+  let drains = 0;
+  const server = new HealthServer({
+    metrics: createMetrics(),
+    getState: () => state,
+    report: () => ({ vm: "a" }),
+    drain: () => void (drains += 1),
+  });
+  const { port } = await server.listen({ host: "127.0.0.1", port: 0 });
+  const ask = (path: string, method = "GET") =>
+    fetch(`http://127.0.0.1:${port}${path}`, { method, headers: { connection: "close" } });
+  expect((await ask("/ready")).status).toBe(503);
+  state = { configurationKnown: true, leaving: false };
+  expect((await ask("/ready")).status).toBe(200);
+  state = { configurationKnown: true, leaving: true };
+  expect(await (await ask("/ready")).json()).toEqual({ status: "not ready", reasons: ["leaving"] });
+  expect((await ask("/health")).status).toBe(200);
+  expect(await (await ask("/report")).json()).toEqual({ vm: "a" });
+  expect((await ask("/drain")).status).toBe(404);
+  expect((await ask("/drain", "POST")).status).toBe(202);
+  expect(drains).toBe(1);
+  await server.dispose();
+});
