Let a peer's hello carry news of other VMs

Cause: with a fixed number of probes a second and VM, one observer alone needs an hour to visit 3,800 VMs; suspicion, refutation and leaving have to spread. Ruled out: more probes (bytes grow with the fleet), a second kind of message. Change: optional PeerHello.news (VmNews: vm, incarnation, state). The peer service has to carry it; without it small fleets still work, each probing all others. Conclusion: additive; nothing else in the model changes.

--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -33,6 +33,7 @@
   type StoreWrite,
   type StoreChange,
   type ObjectStore,
+  type VmNews,
   type PeerHello,
   type ProbeResult,
   type PeerClient,
--- a/src/model/ports.ts
+++ b/src/model/ports.ts
@@ -117,6 +117,13 @@
   listGroups(): Promise<StoreRead<readonly Group[]>>;
 }
 
+/** What one VM has heard of another, passed on with the next messages. */
+export interface VmNews {
+  readonly vm: Vm;
+  readonly incarnation: string;
+  readonly state: "alive" | "suspect" | "leaving" | "down";
+}
+
 /** What a process says of itself to a peer; every peer message carries it. */
 export interface PeerHello {
   readonly vm: string;
@@ -125,6 +132,8 @@
   readonly state: "starting" | "ready" | "leaving";
   /** The greatest configuration revision it has in force. */
   readonly revision: number;
+  /** What it has heard of other VMs lately, itself first. */
+  readonly news?: readonly VmNews[];
 }
 
 /** What a peer answers to a probe on behalf of another. */
