Keep the configuration in force, relay it, and edit it by conditional update

Cause: an accepted change has to be in force everywhere within seconds and stay, while the store is down, slow, older than before, or loses answers. Change: controller/configuration (adoption, deltas, three-way merge, edit plan, relay trees) and fleet (ConfigurationKeeper, ConfigurationEditor). Two relays in each data centre watch; deltas go down two trees; hellos and rare reads close gaps. A change id remembered in the object recognises a lost answer; revisions replaced are kept as bases; a new revision follows the fleet's where the store is older.

--- /dev/null
+++ b/src/controller/configuration/index.ts
@@ -0,0 +1,24 @@
+export {
+  decodeConfiguration,
+  decodeStored,
+  decodeMessage,
+  encodeMessage,
+  type ConfigurationMessage,
+  type ConfigurationUpdate,
+  type StoredConfiguration,
+} from "./decode.js";
+export { applyDelta, buildDelta, type ConfigurationDelta } from "./delta.js";
+export { encodeCanonical, isSameValue } from "./canonical.js";
+export { hashText } from "./hash.js";
+export { planEdit, rememberedChanges, type Edit, type EditPlan } from "./edit.js";
+export { mergeDrafts, type Draft, type Merge, type MergeConflict } from "./merge.js";
+export {
+  applyConfigurationEvent,
+  firstConfigurationState,
+  type ConfigurationAlarm,
+  type ConfigurationEffect,
+  type ConfigurationEvent,
+  type ConfigurationSource,
+  type ConfigurationState,
+} from "./state.js";
+export { chooseRelays, isRelay, listChildren, treeOptions, type TreeOptions } from "./tree.js";
--- /dev/null
+++ b/src/controller/configuration/merge.ts
@@ -0,0 +1,69 @@
+import type { Configuration, Rule, Team } from "../../model/index.js";
+import { isSameValue } from "./canonical.js";
+import { mergeOrders } from "./order.js";
+
+/** Roster and rules, of any revision or none. */
+export type Draft = Pick<Configuration, "teams" | "rules">;
+
+/** A place where two editors' changes can't both hold. */
+export type MergeConflict =
+  | { readonly type: "team" | "rule"; readonly name: string }
+  /** Both changed the order of rules, or put rules that overlap in the same place. */
+  | { readonly type: "order"; readonly names: readonly string[] }
+  /** A rule of one names a team that the other removed. */
+  | { readonly type: "missingTeam"; readonly rule: string; readonly team: string };
+
+/** The result of a merge: both changes, or every place where they clash. */
+export type Merge =
+  | { readonly type: "merged"; readonly draft: Draft }
+  | { readonly type: "conflict"; readonly conflicts: readonly MergeConflict[] };
+
+/**
+ * Merges two changes of `base`. Entries that only one side touched are taken from that side; an
+ * entry that both changed differently is a conflict, so no edit is ever dropped in silence.
+ */
+export function mergeDrafts(base: Draft, mine: Draft, theirs: Draft): Merge {
+  const teams = mergeEntries<Team>("team", base.teams, mine.teams, theirs.teams);
+  const rules = mergeEntries<Rule>("rule", base.rules, mine.rules, theirs.rules);
+  const order = mergeOrders(base.rules, mine.rules, theirs.rules);
+  const clashes = [...teams.conflicts, ...rules.conflicts];
+  if (order.type === "conflict") clashes.push({ type: "order", names: order.names });
+  if (clashes.length > 0 || order.type === "conflict") {
+    return { type: "conflict", conflicts: clashes };
+  }
+  const draft: Draft = {
+    teams: [...teams.entries.values()],
+    rules: order.names.flatMap((name) => rules.entries.get(name) ?? []),
+  };
+  const missing = findMissingTeams(draft);
+  return missing.length > 0 ? { type: "conflict", conflicts: missing } : { type: "merged", draft };
+}
+
+function mergeEntries<T extends Team | Rule>(
+  type: "team" | "rule",
+  base: readonly T[],
+  mine: readonly T[],
+  theirs: readonly T[],
+): { readonly entries: ReadonlyMap<string, T>; readonly conflicts: MergeConflict[] } {
+  const find = (entries: readonly T[]) => new Map(entries.map((entry) => [entry.name, entry]));
+  const [inBase, inMine, inTheirs] = [find(base), find(mine), find(theirs)];
+  const entries = new Map<string, T>();
+  const conflicts: MergeConflict[] = [];
+  for (const name of new Set([...inTheirs.keys(), ...inMine.keys()])) {
+    const [before, own, other] = [inBase.get(name), inMine.get(name), inTheirs.get(name)];
+    const isMine = isSameValue(before, other) || isSameValue(own, other);
+    if (!isMine && !isSameValue(before, own)) conflicts.push({ type, name });
+    const chosen = isMine ? own : other;
+    if (chosen !== undefined) entries.set(name, chosen);
+  }
+  return { entries, conflicts };
+}
+
+function findMissingTeams(draft: Draft): readonly MergeConflict[] {
+  const known = new Set(draft.teams.map(({ name }) => name));
+  return draft.rules.flatMap((rule) =>
+    (rule.when.teams ?? [])
+      .filter((team) => !known.has(team))
+      .map((team) => ({ type: "missingTeam" as const, rule: rule.name, team })),
+  );
+}
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,7 @@
+export {
+  ConfigurationKeeper,
+  type ConfigurationKeeperOptions,
+  type ConfigurationListener,
+} from "./configuration.js";
+export { ConfigurationEditor, type EditResult, type EditorOptions } from "./editor.js";
+export { configurationKind, configurationName, historyKind } from "./kinds.js";
--- /dev/null
+++ b/src/fleet/push.ts
@@ -0,0 +1,23 @@
+import type { Clock, Json, PeerClient, Random, Vm } from "../model/index.js";
+import { canSleep, drawPause } from "./loop.js";
+
+const pushRetryMs = 300;
+
+/**
+ * Pushes a configuration message and tries once more; gives the revision in force at the peer. A
+ * second failure is left to the other tree and to the peer's next message.
+ */
+export async function pushMessage(
+  ports: { readonly peers: PeerClient; readonly clock: Clock; readonly random: Random },
+  vm: Vm,
+  message: Json,
+  timeoutMs: number,
+  signal: AbortSignal,
+): Promise<number | undefined> {
+  const { peers, clock, random } = ports;
+  const first = await peers.pushConfiguration(vm, message, timeoutMs);
+  if (first.type === "found") return first.value;
+  if (!(await canSleep(clock, drawPause(random, pushRetryMs), signal))) return undefined;
+  const second = await peers.pushConfiguration(vm, message, timeoutMs);
+  return second.type === "found" ? second.value : undefined;
+}
--- a/src/log/events/fleet.ts
+++ b/src/log/events/fleet.ts
@@ -62,6 +62,12 @@
     level: "info",
     text: "the store did not answer at start; the greatest revision of the peers was taken",
   },
+  revisionClash: {
+    id: 5011,
+    name: "revision-clash",
+    level: "error",
+    text: "two configurations bear one revision; the one in force is kept",
+  },
   vmJoined: {
     id: 5101,
     name: "vm-joined",
--- /dev/null
+++ b/test/fleet/fakes.ts
@@ -0,0 +1,196 @@
+import type {
+  Clock,
+  Json,
+  ObjectStore,
+  Random,
+  StoreChange,
+  StoredObject,
+  StoreRead,
+  StoreWrite,
+  Vm,
+} from "../../src/model/index.js";
+
+/** Lets all that is ready run, without time passing. */
+export const settle = async () => {
+  for (let i = 0; i < 20; i++) await Promise.resolve();
+  await new Promise((resolve) => setImmediate(resolve));
+};
+
+interface Sleeper {
+  readonly at: number;
+  readonly wake: () => void;
+}
+
+/** Time that passes only when a test says so. */
+export class FakeClock implements Clock {
+  time = 0;
+  private sleepers: Sleeper[] = [];
+
+  now() {
+    return this.time;
+  }
+
+  sleep(ms: number, signal?: AbortSignal) {
+    return new Promise<void>((wake, reject) => {
+      const sleeper = { at: this.time + ms, wake };
+      this.sleepers.push(sleeper);
+      signal?.addEventListener("abort", () => {
+        this.sleepers = this.sleepers.filter((s) => s !== sleeper);
+        reject(signal.reason as Error);
+      });
+    });
+  }
+
+  async advance(ms: number) {
+    const end = this.time + ms;
+    for (;;) {
+      await settle();
+      const due = this.sleepers.filter((s) => s.at <= end).sort((a, b) => a.at - b.at)[0];
+      if (due === undefined) break;
+      this.time = Math.max(this.time, due.at);
+      this.sleepers = this.sleepers.filter((s) => s !== due);
+      due.wake();
+    }
+    this.time = end;
+  }
+
+  /** Time that passes while the process stands still: nothing due runs until afterwards. */
+  skip(ms: number) {
+    this.time += ms;
+  }
+}
+
+/** Numbers that repeat with the seed. */
+export const makeRandom = (seed: number): Random => {
+  let state = seed >>> 0;
+  const draw = () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
+    return state / 2 ** 32;
+  };
+  return { draw };
+};
+
+type PutFault = "none" | "conflictOnce" | "lostBefore" | "lostAfter" | "down";
+
+/** The platform's store with switches for its faults. */
+export class FakeStore implements ObjectStore {
+  isDown = false;
+  vms: readonly Vm[] = [];
+  calls = 0;
+  /** Faults of the next puts, in order. */
+  putFaults: PutFault[] = [];
+  /** Runs after each call has taken effect, before its answer is seen. */
+  onCall: () => Promise<void> = () => Promise.resolve();
+  private objects = new Map<string, StoredObject>();
+  private version = 0;
+  private watches: { handle: (change: StoreChange) => void; end: () => void; kind: string }[] = [];
+
+  async get(kind: string, name: string): Promise<StoreRead<StoredObject>> {
+    await this.begin();
+    if (this.isDown) return { type: "unavailable", reason: "down" };
+    const value = this.objects.get(`${kind}/${name}`);
+    return value === undefined ? { type: "absent" } : { type: "found", value };
+  }
+
+  async list(kind: string): Promise<StoreRead<readonly StoredObject[]>> {
+    await this.begin();
+    if (this.isDown) return { type: "unavailable", reason: "down" };
+    return { type: "found", value: [...this.objects.values()].filter((o) => o.kind === kind) };
+  }
+
+  async put(kind: string, name: string, value: Json, version: number): Promise<StoreWrite> {
+    const fault = this.isDown ? "down" : (this.putFaults.shift() ?? "none");
+    if (fault === "lostBefore") return { type: "unknown", reason: "timeout" };
+    if (fault === "down") return { type: "unavailable", reason: "down" };
+    const held = this.objects.get(`${kind}/${name}`);
+    if (fault === "conflictOnce" || (held?.version ?? 0) !== version) return { type: "conflict" };
+    const object = { kind, name, version: ++this.version, value };
+    this.objects.set(`${kind}/${name}`, object);
+    for (const watch of this.watches.filter((w) => w.kind === kind)) {
+      watch.handle({ type: "changed", object });
+    }
+    await this.begin();
+    if (fault === "lostAfter") return { type: "unknown", reason: "answer lost" };
+    return { type: "written", object };
+  }
+
+  remove(): Promise<StoreWrite> {
+    return Promise.resolve({ type: "conflict" });
+  }
+
+  watch(
+    kind: string,
+    _after: number,
+    handle: (change: StoreChange) => void,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (this.isDown) return Promise.resolve();
+    return new Promise((end) => {
+      const watch = { kind, handle, end };
+      this.watches.push(watch);
+      signal.addEventListener("abort", () => {
+        this.watches = this.watches.filter((w) => w !== watch);
+        end();
+      });
+    });
+  }
+
+  listVms(): Promise<StoreRead<readonly Vm[]>> {
+    if (this.isDown) return Promise.resolve({ type: "unavailable", reason: "down" });
+    return Promise.resolve({ type: "found", value: this.vms });
+  }
+
+  listGroups(): Promise<StoreRead<never[]>> {
+    return Promise.resolve({ type: "found", value: [] });
+  }
+
+  /** Breaks watches; `silent` ones just never say anything again. */
+  breakWatches(silent = false) {
+    const broken = this.watches;
+    this.watches = [];
+    if (silent) return;
+    for (const { handle, end } of broken) {
+      handle({ type: "broken", reason: "reset" });
+      end();
+    }
+  }
+
+  countWatches() {
+    return this.watches.length;
+  }
+
+  /** Goes back to an older copy, as a restore from a backup does. */
+  copy() {
+    return new Map(this.objects);
+  }
+
+  restore(objects: Map<string, StoredObject>) {
+    this.objects = new Map(objects);
+  }
+
+  private async begin() {
+    this.calls += 1;
+    await this.onCall();
+  }
+}
+
+/** What the links between VMs do. */
+export class FakeNetwork {
+  /** Ordered pairs `a>b` that are cut. */
+  readonly cuts = new Set<string>();
+
+  isCut(a: string, b: string) {
+    return this.cuts.has(`${a}>${b}`) || this.cuts.has(`${b}>${a}`);
+  }
+
+  cut(a: readonly string[], b: readonly string[]) {
+    for (const x of a) for (const y of b) this.cuts.add(`${x}>${y}`);
+  }
+}
+
+export const makeVm = (name: string, dataCentre = "dc1", i = 1): Vm => ({
+  name,
+  dataCentre,
+  peer: { host: `10.0.0.${i}`, port: 7432 },
+  state: "live",
+});
--- /dev/null
+++ b/test/fleet/merge.test.ts
@@ -0,0 +1,84 @@
+import { expect, test } from "@jest/globals";
+import {
+  applyDelta,
+  buildDelta,
+  mergeDrafts,
+  type Draft,
+} from "../../src/controller/configuration/index.js";
+import { draft, refuse, team } from "./builders.js";
+
+const base = draft([team("a"), team("b")], [refuse("r1", { teams: ["a"] }), refuse("r2")]);
+const names = (d: Draft) => d.rules.map((r) => r.name);
+
+test("changes of different entries are both kept", () => {
+  const mine = draft([...base.teams, team("c", "trial")], base.rules);
+  const theirs = draft([team("a", "trial"), team("b")], [refuse("r1", { teams: ["a"] }, "later")]);
+  expect(mergeDrafts(base, mine, theirs)).toEqual({
+    type: "merged",
+    draft: { teams: [team("a", "trial"), team("b"), team("c", "trial")], rules: theirs.rules },
+  });
+});
+
+test.each([
+  ["the same team", draft([team("a", "trial"), team("b")], base.rules)],
+  ["a team that the other removed", draft([team("b")], [refuse("r2")])],
+])("%s changed differently by both is a conflict", (_, theirs) => {
+  const mine = draft([{ name: "a", plan: "trial" }, team("b")], base.rules);
+  const other = theirs.teams.length === 2 ? draft([team("b")], [refuse("r2")]) : theirs;
+  const merge = mergeDrafts(base, mine, other);
+  expect(merge).toEqual({ type: "conflict", conflicts: [{ type: "team", name: "a" }] });
+});
+
+// Two operators each add a rule at the same place; only the first match counts.
+// Where a request could meet both rules, their order would decide its fate,
+// and neither operator chose it: that is a conflict, not a merge.
+test("rules added at one place merge only where their order means nothing", () => {
+  const add = (rule: ReturnType<typeof refuse>) => draft(base.teams, [...base.rules, rule]);
+  const apart = mergeDrafts(
+    base,
+    add(refuse("m", { kinds: ["x"] }, "mine")),
+    add(refuse("t", { kinds: ["y"] }, "theirs")),
+  );
+  expect(apart.type === "merged" && names(apart.draft)).toEqual(["r1", "r2", "t", "m"]);
+  const together = mergeDrafts(
+    base,
+    add(refuse("m", { plan: "trial" }, "mine")),
+    add(refuse("t", { kinds: ["y"] }, "theirs")),
+  );
+  expect(together).toEqual({
+    type: "conflict",
+    conflicts: [{ type: "order", names: ["t", "m"] }],
+  });
+});
+
+test("a rule that names a team the other editor removed is a conflict", () => {
+  const mine = draft(base.teams, [...base.rules, refuse("r3", { teams: ["b"] })]);
+  const theirs = draft([team("a")], base.rules);
+  expect(mergeDrafts(base, mine, theirs)).toEqual({
+    type: "conflict",
+    conflicts: [{ type: "missingTeam", rule: "r3", team: "b" }],
+  });
+});
+
+test("one side's new order is kept beside the other's new content", () => {
+  const mine = draft(base.teams, [...base.rules].reverse());
+  const theirs = draft([...base.teams, team("c")], base.rules);
+  const merge = mergeDrafts(base, mine, theirs);
+  expect(merge.type === "merged" && names(merge.draft)).toEqual(["r2", "r1"]);
+});
+
+test("a delta gives the revision it was built from, and nothing on another base", () => {
+  const before = { revision: 4, changeId: "x", ...base };
+  const after = {
+    revision: 5,
+    changeId: "y",
+    teams: [team("b", "trial"), team("c")],
+    rules: [refuse("r3"), refuse("r2")],
+  };
+  const delta = buildDelta(before, after);
+  expect(applyDelta(before, delta)).toMatchObject({ type: "applied", state: after });
+  expect(applyDelta({ ...before, revision: 3 }, delta)).toEqual({
+    type: "failed",
+    failure: "wrongBase",
+  });
+});
