--- /dev/null
+++ b/src/owner/answer.ts
@@ -0,0 +1,145 @@
+import type { MessageSink } from "../model/index.js";
+
+const headerBytes = 5;
+const commandComplete = "C".charCodeAt(0);
+const errorResponse = "E".charCodeAt(0);
+const sqlStateField = "C".charCodeAt(0);
+
+/** The most that a held answer may take before its request is given up, in bytes. */
+export const maxHeldBytes = 16 * 1024 * 1024;
+
+/** Reads the tag of a `CommandComplete`, such as `INSERT 0 1`; `undefined` for other messages. */
+export function readCommandTag(message: Uint8Array): string | undefined {
+  if (message[0] !== commandComplete) return undefined;
+  return readText(message, headerBytes).text;
+}
+
+/** Reads the SQLSTATE of an `ErrorResponse`; `undefined` for other messages. */
+export function readSqlState(message: Uint8Array): string | undefined {
+  if (message[0] !== errorResponse) return undefined;
+  let at = headerBytes;
+  while (at < message.length && message[at] !== 0) {
+    const field = message[at];
+    const { text, end } = readText(message, at + 1);
+    if (field === sqlStateField) return text;
+    at = end + 1;
+  }
+  return undefined;
+}
+
+function readText(message: Uint8Array, start: number): { text: string; end: number } {
+  const zero = message.indexOf(0, start);
+  const end = zero < 0 ? message.length : zero;
+  return { text: Buffer.from(message.subarray(start, end)).toString("utf8"), end };
+}
+
+/** Thrown into an exchange whose held answer grew past `maxHeldBytes`. */
+export class HeldAnswerTooLargeError extends Error {
+  override readonly name = "HeldAnswerTooLargeError";
+}
+
+/** What of an answer is held back: nothing, everything from its first outcome on, or all of it. */
+export type Holding = "none" | "outcome" | "all";
+
+/**
+ * Hands an answer on up to its first outcome (a `CommandComplete` or an `ErrorResponse`) and holds
+ * the rest. A caller that saw the outcome of a write takes it for acknowledged; were the primary
+ * superseded by then, the write could be lost after all. Rows before it acknowledge nothing.
+ */
+export class HeldAnswer {
+  private readonly held: Uint8Array[] = [];
+  private heldBytes = 0;
+  private passedCount = 0;
+  private readonly tagList: string[] = [];
+  private state: string | undefined;
+
+  constructor(
+    private readonly sink: MessageSink,
+    private readonly holding: Holding,
+  ) {}
+
+  /** Whether the caller may have seen a part of the answer. */
+  get hasPassed(): boolean {
+    return this.passedCount > 0;
+  }
+
+  /** The tags of the commands that completed. */
+  get tags(): readonly string[] {
+    return this.tagList;
+  }
+
+  /** The SQLSTATE of the target's error, if it answered with one. */
+  get sqlState(): string | undefined {
+    return this.state;
+  }
+
+  /** What is held now, as one run of whole messages. */
+  get heldMessages(): Uint8Array {
+    return Buffer.concat(this.held);
+  }
+
+  readonly take: MessageSink = (message) => {
+    const tag = readCommandTag(message);
+    if (tag !== undefined) this.tagList.push(tag);
+    this.state = readSqlState(message) ?? this.state;
+    if (this.isHeld()) {
+      this.hold(message);
+      return;
+    }
+    this.passedCount += 1;
+    return this.sink(message);
+  };
+
+  /** Hands on what was held. */
+  async release(): Promise<void> {
+    for (const message of this.held.splice(0)) {
+      this.passedCount += 1;
+      await this.sink(message);
+    }
+    this.heldBytes = 0;
+  }
+
+  /** Drops what was held; the caller hears of a verdict instead. */
+  drop(): void {
+    this.held.length = 0;
+    this.heldBytes = 0;
+    this.tagList.length = 0;
+    this.state = undefined;
+  }
+
+  private isHeld(): boolean {
+    switch (this.holding) {
+      case "none":
+        return false;
+      case "outcome":
+        return this.tagList.length > 0 || this.state !== undefined;
+      case "all":
+        return true;
+    }
+  }
+
+  private hold(message: Uint8Array): void {
+    this.heldBytes += message.length;
+    if (this.heldBytes > maxHeldBytes) throw new HeldAnswerTooLargeError();
+    this.held.push(Uint8Array.from(message));
+  }
+}
+
+/** Splits a run of whole messages into its messages. */
+export function splitMessages(run: Uint8Array): readonly Uint8Array[] {
+  const view = Buffer.from(run.buffer, run.byteOffset, run.byteLength);
+  const messages: Uint8Array[] = [];
+  for (let at = 0; at + headerBytes <= view.length;) {
+    const end = at + 1 + view.readInt32BE(at + 1);
+    messages.push(view.subarray(at, end));
+    at = end;
+  }
+  return messages;
+}
+
+/** The message types of a run, such as `PBDES`: the form in which a statement was sent. */
+export function describeShape(run: Uint8Array): string {
+  return splitMessages(run)
+    .map((message) => String.fromCharCode(message[0] ?? 0))
+    .join("");
+}
--- /dev/null
+++ b/src/owner/context.ts
@@ -0,0 +1,45 @@
+import type {
+  Outcome,
+  Request,
+  NotRunReason,
+  Target,
+  TargetSession,
+  Term,
+} from "../model/index.js";
+import type { HeldAnswer } from "./answer.js";
+
+/** Where a request runs: a target in its role, and the connection that carries it. */
+export interface Place {
+  readonly target: Target;
+  readonly role: "primary" | "replica";
+  /** The term in which the owner took the target for the primary when the request was placed. */
+  readonly term: Term | undefined;
+  readonly session: TargetSession;
+}
+
+/** A request on its way through the owner's filters. */
+export interface ServeContext {
+  readonly request: Request;
+  readonly messages: Uint8Array;
+  readonly answer: HeldAnswer;
+  /** Aborts at the request's deadline, or when its caller goes away. */
+  readonly signal: AbortSignal;
+  readonly attempt: number;
+  readonly place?: Place;
+}
+
+/** The place of a request that was given one; filters after the routing rely on it. */
+export function getPlace(context: ServeContext): Place {
+  if (context.place === undefined) throw new Error("the request was not given a target yet");
+  return context.place;
+}
+
+/** Builds the outcome of a request that has not run and will not. */
+export function refuse(reason: NotRunReason, retryAfterMs: number, message: string): Outcome {
+  return { type: "failed", verdict: { type: "notRun", reason, retryAfterMs }, message };
+}
+
+/** Builds the outcome of a request of which nobody can tell whether it ran. */
+export function failUnknown(reason: string): Outcome {
+  return { type: "failed", verdict: { type: "mayHaveRun", reason }, message: reason };
+}
--- /dev/null
+++ b/src/owner/filters/confirm.ts
@@ -0,0 +1,91 @@
+import type { Filter } from "../../filter/index.js";
+import { assertInvariant, compareTerms, type Mark, type Outcome } from "../../model/index.js";
+import { ownerEvents } from "../../log/events/owner.js";
+import type { Logger } from "../../log/index.js";
+import { failUnknown, getPlace, refuse, type ServeContext } from "../context.js";
+
+/** SQLSTATEs with which a target that is no longer primary refuses a write. */
+const refusedByReplica: ReadonlySet<string> = new Set(["25006", "57P01", "57P02", "57P03"]);
+
+/** When a write that met a superseded primary may be tried again, in milliseconds. */
+const supersededRetryMs = 200;
+
+/** What became of a committed write's confirmation. */
+export type Confirmed =
+  | { readonly type: "confirmed"; readonly mark: Mark }
+  | { readonly type: "unconfirmed"; readonly reason: string };
+
+/** Confirms the writes of one group. */
+export interface Confirmer {
+  confirm(context: ServeContext): Promise<Confirmed>;
+}
+
+/**
+ * Holds a write's outcome until the group has confirmed it. A primary on the minority side of a
+ * partition commits happily and believes in itself; a caller that heard so would lose its write to
+ * the new primary. The confirmation needs a majority that was fenced by nobody after the commit.
+ */
+export function createConfirmFilter(confirmer: Confirmer, logger: Logger): Filter<ServeContext> {
+  return {
+    name: "confirm",
+    async apply(context, next) {
+      const outcome = await next(context);
+      if (outcome.type === "failed") {
+        context.answer.drop();
+        return outcome;
+      }
+      if (isSuperseded(context)) {
+        context.answer.drop();
+        return refuse("superseded", supersededRetryMs, "the target is no longer primary");
+      }
+      if (!needsConfirmation(context, outcome)) {
+        await context.answer.release();
+        return outcome;
+      }
+      return confirmWrite(confirmer, logger, context, outcome);
+    },
+  };
+}
+
+type Answered = Extract<Outcome, { type: "answered" }>;
+
+async function confirmWrite(
+  confirmer: Confirmer,
+  logger: Logger,
+  context: ServeContext,
+  outcome: Answered,
+): Promise<Outcome> {
+  const { target, term } = getPlace(context);
+  const confirmed = await confirmer.confirm(context);
+  const fields = { request: context.request.id, target: target.name };
+  switch (confirmed.type) {
+    case "confirmed":
+      assertInvariant(
+        "noSupersededAcknowledgement",
+        term !== undefined && compareTerms(confirmed.mark.term, term) === 0,
+        () => `${context.request.id} was confirmed in another term than it was placed in`,
+      );
+      logger.write(ownerEvents.writeConfirmed, { ...fields, mark: confirmed.mark });
+      await context.answer.release();
+      return { ...outcome, mark: confirmed.mark };
+    case "unconfirmed":
+      logger.write(ownerEvents.writeUnconfirmed, { ...fields, reason: confirmed.reason });
+      context.answer.drop();
+      return failUnknown(`committed but not confirmed: ${confirmed.reason}`);
+  }
+}
+
+/** Only a refusal with nothing done before it and outside a transaction is sure not to have run. */
+function isSuperseded(context: ServeContext): boolean {
+  const { answer, request } = context;
+  if (request.traits.effect === "read" || request.traits.transaction) return false;
+  if (answer.hasPassed || answer.tags.length > 0) return false;
+  return answer.sqlState !== undefined && refusedByReplica.has(answer.sqlState);
+}
+
+function needsConfirmation(context: ServeContext, outcome: Answered): boolean {
+  const { traits } = context.request;
+  if (outcome.status !== "I" || outcome.servedBy.role === "replica") return false;
+  if (traits.effect === "read") return false;
+  return context.answer.tags.length > 0;
+}
