--- /dev/null
+++ b/test/policy/route.test.ts
@@ -0,0 +1,117 @@
+import { expect, test } from "@jest/globals";
+import type { Mark, TargetView } from "../../src/model/index.js";
+import { firstTerm } from "../../src/model/index.js";
+import {
+  emptyHistory,
+  findAge,
+  observePrimary,
+  observeReplica,
+  routeRead,
+  type ReadDemand,
+  type ReadTarget,
+} from "../../src/policy/index.js";
+
+const one = { round: 1, vm: "a" };
+const two = { round: 2, vm: "b" };
+const lineage = [
+  { term: firstTerm, start: 0 },
+  { term: one, start: 0 },
+];
+const at = (offset: number, term = one): Mark => ({ term, offset });
+const view = (target: string, offset: number, time: number): TargetView => ({
+  status: { target, role: "replica", mark: at(offset), lineage, fencedAt: one },
+  askedAt: time,
+  answeredAt: time,
+  missedProbes: 0,
+});
+const target = (name: string, offset: number, rest: Partial<ReadTarget> = {}): ReadTarget => ({
+  name,
+  role: "replica",
+  state: "serving",
+  status: { mark: at(offset), lineage },
+  freeSlots: 1,
+  queueMs: 0,
+  ...rest,
+});
+const primary = target("p", 10, { role: "primary" });
+const read: ReadDemand = { route: { type: "replica" }, timeLeftMs: 1000, patienceMs: 0 };
+const history = [view("p", 5, 100), view("p", 8, 200), view("p", 10, 300)].reduce(
+  observePrimary,
+  emptyHistory,
+);
+const route = (demand: Partial<ReadDemand>, ...targets: readonly ReadTarget[]) =>
+  routeRead({ ...read, ...demand }, { now: 310, targets: [primary, ...targets], history });
+
+test("replicas that hold the mark are taken by free slots", () => {
+  const targets = [target("r1", 9), target("r2", 9, { freeSlots: 2 }), target("r3", 7)];
+  expect(route({ mark: at(9) }, ...targets)).toEqual({
+    type: "replica",
+    targets: ["r2", "r1"],
+    reason: "holdsMark",
+  });
+});
+
+test("leaving and unreachable targets get nothing", () => {
+  const gone = [target("r1", 9, { state: "leaving" }), target("r2", 9, { state: "unreachable" })];
+  expect(route({}, ...gone)).toMatchObject({ type: "primary", reason: "noReplicaServing" });
+});
+
+// A caller writes and then reads with a rule that accepts data of a second's age.
+// The replica is young enough, but it does not hold the caller's write yet.
+// Age alone would hide the caller's own work from it.
+test("a stale read still shows the session its own write", () => {
+  const stale = { type: "stale", maxAgeMs: 1000 } as const;
+  expect(route({ route: stale }, target("r1", 8))).toMatchObject({ type: "replica" });
+  expect(route({ route: stale, mark: at(9) }, target("r1", 8))).toMatchObject({ type: "primary" });
+  const strict = { type: "stale", maxAgeMs: 50 } as const;
+  expect(route({ route: strict }, target("r1", 8))).toMatchObject({ reason: "replicasTooOld" });
+});
+
+test("age counts from when the primary was last seen without more", () => {
+  expect(findAge(history, at(9), 310)).toBe(110);
+  expect(findAge(history, at(10), 310)).toBe(10);
+  expect(findAge(history, at(4), 310)).toBeUndefined();
+  expect(findAge(history, at(9, two), 310)).toBeUndefined();
+});
+
+// A session saw a write that no fenced target held; the new primary's log branched off before it.
+// Every log of the new term is cut below the mark, so that waiting would never end.
+// The primary is asked, and its owner decides what the caller hears.
+test("a cut mark goes to the primary", () => {
+  const branched = { mark: at(9, two), lineage: [...lineage, { term: two, start: 6 }] };
+  const cut = target("r1", 9, { status: branched });
+  expect(route({ mark: at(8), patienceMs: 500 }, cut)).toEqual({
+    type: "primary",
+    target: "p",
+    reason: "markWasCut",
+  });
+});
+
+test("a read waits for a replica that is sooner than the primary's queue", () => {
+  const reports = [view("r1", 5, 130), view("r1", 8, 230)];
+  const progress = reports.reduce(
+    (p, v) => observeReplica(p, v, history),
+    observeReplica(undefined, view("r1", 1, 90), history),
+  );
+  expect(progress.lagMs).toBe(30);
+  const behind = target("r1", 8, { progress });
+  expect(route({ mark: at(10) }, behind)).toMatchObject({ reason: "replicasBehind" });
+  expect(route({ mark: at(10), patienceMs: 25 }, behind)).toEqual({
+    type: "wait",
+    target: "r1",
+    waitMs: 20,
+  });
+  const busy = { ...primary, queueMs: 40 };
+  const scene = { now: 310, targets: [busy, behind], history };
+  expect(routeRead({ ...read, mark: at(10) }, scene)).toMatchObject({ type: "wait" });
+  const hurried = { ...read, mark: at(10), timeLeftMs: 15 };
+  expect(routeRead(hurried, scene)).toMatchObject({ type: "primary" });
+});
+
+test("without a primary a read that needs one goes nowhere", () => {
+  const scene = { now: 310, targets: [target("r1", 8)], history };
+  expect(routeRead({ ...read, mark: at(9) }, scene)).toEqual({
+    type: "nowhere",
+    reason: "noPrimary",
+  });
+});
