Add the admission queue of a group

Cause: two slots cannot be shared out fairly among independent proxies; the owner needs one queue. Ruled out: order of arrival within a class (one team's flood delays the rest); forgetting a team when it is idle (a team that comes back at once is always first); the same retry time for all refused (they return together). Change: applyAdmission over persistent trees: strict classes with a guaranteed share, teams by the slot time used, a queue bounded by the wait it implies, refusals at once with spaced times to come back, a primary slot that trial work never takes, slots held by abandoned statements.

--- /dev/null
+++ b/src/controller/admission/step.ts
@@ -0,0 +1,145 @@
+import { fail, succeed, type Applied } from "../../model/index.js";
+import { refuseLeastImportant } from "./displace.js";
+import { emptyClass, makeLaneKey } from "./queue.js";
+import { checkWait, refuse } from "./refusal.js";
+import { makeTarget, releaseSlot } from "./slots.js";
+import { fillSlots, startWaiting } from "./start.js";
+import { correctCharge, dropWaiting, putWaiting, withClass } from "./state.js";
+import { countEntries, getEntry, putEntry, removeEntry } from "./tree.js";
+import { trimQueue } from "./trim.js";
+import type {
+  Admission,
+  AdmissionEffect,
+  AdmissionEvent,
+  AdmissionFailure,
+  AdmissionRequest,
+  AdmissionSettings,
+  Waiting,
+} from "./types.js";
+import { canStartOn, listTargets } from "./wait.js";
+
+/** The result of one event. */
+export type AdmissionResult = Applied<Admission, AdmissionEffect, AdmissionFailure>;
+
+/** What holds unless an owner sets something else. */
+export const defaultAdmissionSettings: AdmissionSettings = {
+  guaranteedShare: { critical: 1, normal: 0.05, browsing: 0.03, trial: 0.01 },
+  maxWaiting: 4096,
+  firstServiceMs: 5,
+};
+
+/** A queue without targets; `resize` brings them. */
+export function createAdmission(settings: Partial<AdmissionSettings> = {}): Admission {
+  return {
+    settings: { ...defaultAdmissionSettings, ...settings },
+    classes: { critical: emptyClass, normal: emptyClass, browsing: emptyClass, trial: emptyClass },
+    targets: {},
+    waiting: undefined,
+    running: undefined,
+    nextSeq: 0,
+  };
+}
+
+/** Applies one event to the queue of a group. */
+export function applyAdmission(admission: Admission, event: AdmissionEvent): AdmissionResult {
+  switch (event.type) {
+    case "arrive":
+      return admit(admission, event.request, event.at);
+    case "finish":
+      return finish(admission, event.id, event.at);
+    case "cancel":
+      return cancel(admission, event.id);
+    case "retarget":
+      return retarget(admission, event.id, event.candidates, event.at);
+    case "resize":
+      return resize(admission, event);
+    case "tick":
+      return trimQueue(admission, event.at);
+  }
+}
+
+function admit(admission: Admission, request: AdmissionRequest, at: number): AdmissionResult {
+  if (request.candidates.length === 0) return fail("noCandidates");
+  const isKnown =
+    getEntry(admission.waiting, request.id) !== undefined ||
+    getEntry(admission.running, request.id) !== undefined;
+  if (isKnown) return fail("duplicateRequest");
+  const waiting: Waiting = { ...request, seq: admission.nextSeq, arrivedAt: at };
+  const next = { ...admission, nextSeq: admission.nextSeq + 1 };
+  const { estimate, reason } = checkWait(next, waiting, at);
+  if (reason !== undefined) {
+    const refused = refuse(next.classes[request.priority], waiting, reason, estimate, at);
+    return succeed(withClass(next, request.priority, refused.queue), [refused.effect]);
+  }
+  const target = pickFreeTarget(next, waiting);
+  if (target !== undefined) return startWaiting(next, waiting, target, at);
+  if (countEntries(next.waiting) >= next.settings.maxWaiting) {
+    return refuseLeastImportant(next, waiting, at);
+  }
+  return succeed(putWaiting(next, waiting));
+}
+
+/** Nobody waits for a free slot that may have it, so an arrival takes one at once. */
+function pickFreeTarget(admission: Admission, waiting: Waiting): string | undefined {
+  const free = listTargets(admission, waiting.candidates)
+    .filter((t) => canStartOn(admission, waiting, t.target))
+    .sort((a, b) => b.slots - b.running - (a.slots - a.running));
+  return free[0]?.target;
+}
+
+function finish(admission: Admission, id: string, at: number): AdmissionResult {
+  const running = getEntry(admission.running, id);
+  const target = running === undefined ? undefined : admission.targets[running.target];
+  if (running === undefined || target === undefined) return fail("unknownRequest");
+  const released = releaseSlot(target, running, at);
+  const queue = correctCharge(admission, running, at);
+  const next = {
+    ...withClass(admission, running.priority, queue),
+    running: removeEntry(admission.running, id),
+    targets: { ...admission.targets, [target.target]: released },
+  };
+  return fillSlots(next, target.target, at);
+}
+
+function cancel(admission: Admission, id: string): AdmissionResult {
+  const waiting = getEntry(admission.waiting, id);
+  if (waiting !== undefined) return succeed(dropWaiting(admission, waiting));
+  const running = getEntry(admission.running, id);
+  if (running === undefined) return fail("unknownRequest");
+  const abandoned = { ...running, isAbandoned: true };
+  return succeed({ ...admission, running: putEntry(admission.running, id, abandoned) });
+}
+
+function retarget(
+  admission: Admission,
+  id: string,
+  candidates: readonly string[],
+  at: number,
+): AdmissionResult {
+  if (candidates.length === 0) return fail("noCandidates");
+  const waiting = getEntry(admission.waiting, id);
+  if (waiting === undefined) {
+    return getEntry(admission.running, id) === undefined
+      ? fail("unknownRequest")
+      : succeed(admission);
+  }
+  const moved = { ...waiting, candidates };
+  if (makeLaneKey(moved) === makeLaneKey(waiting)) return succeed(admission);
+  const without = dropWaiting(admission, waiting);
+  const target = pickFreeTarget(without, moved);
+  if (target !== undefined) return startWaiting(without, moved, target, at);
+  return succeed(putWaiting(without, moved));
+}
+
+function resize(
+  admission: Admission,
+  event: Extract<AdmissionEvent, { type: "resize" }>,
+): AdmissionResult {
+  const { target, role, slots, at } = event;
+  const known =
+    admission.targets[target] ?? makeTarget(target, admission.settings.firstServiceMs, at);
+  const backAt = event.backInMs === undefined ? undefined : at + event.backInMs;
+  const resized = { ...known, role, slots, backAt };
+  const next = { ...admission, targets: { ...admission.targets, [target]: resized } };
+  return fillSlots(next, target, at);
+}
--- /dev/null
+++ b/test/admission/queue.test.ts
@@ -0,0 +1,120 @@
+import { expect, test } from "@jest/globals";
+import { Bench, strict } from "./builders.js";
+
+// A trial flood of one team fills the queue; another trial team sends ten statements after it.
+// Served in order of arrival they would wait for all of the flood.
+// Teams take turns instead, so that they are through within twenty starts.
+test("a team's flood does not delay the other teams of its class", () => {
+  const bench = new Bench();
+  for (let i = 0; i < 200; i++) bench.arrive(`flood${i}`, { team: "flood", priority: "trial" });
+  for (let i = 0; i < 10; i++) bench.arrive(`few${i}`, { team: "few", priority: "trial" });
+  const order = bench.serve(22);
+  expect(order.filter((id) => id.startsWith("few"))).toHaveLength(10);
+});
+
+// A team sends its next statement as soon as the last has started, beside a waiting flood.
+// Were its use of slots forgotten whenever nothing of it waits, it would always be first.
+// Its tag is kept while it is ahead, so that both get half.
+test("coming back at once is no way to the head of the line", () => {
+  const bench = new Bench(strict);
+  for (let i = 0; i < 100; i++) bench.arrive(`flood${i}`, { team: "z" });
+  bench.arrive("quick0", { team: "a" });
+  let sent = 0;
+  const order = bench.serve(40, (id) => {
+    if (id.startsWith("quick")) bench.arrive(`quick${++sent}`, { team: "a" });
+  });
+  const quick = order.filter((id) => id.startsWith("quick")).length;
+  expect(quick).toBeGreaterThanOrEqual(18);
+  expect(quick).toBeLessThanOrEqual(22);
+});
+
+// Critical work alone would take every slot for as long as it lasts.
+// Trial callers would then see nothing but refusals, and a trial that never runs is none.
+// The guaranteed share gives them one start in a hundred.
+test("the guaranteed share keeps trial work from starving", () => {
+  const bench = new Bench();
+  bench.arrive("trial0", { priority: "critical" });
+  for (let i = 1; i < 6; i++) bench.arrive(`trial${i}`, { priority: "trial", team: "t" });
+  for (let i = 0; i < 400; i++) bench.arrive(`write${i}`, { priority: "critical" });
+  const order = bench.serve(310);
+  expect(order.filter((id) => id.startsWith("trial"))).toHaveLength(3);
+});
+
+// A caller's statement would wait longer than its rule allows.
+// It hears so in the same step, with a time to come back, and not when its patience has run out.
+// Those refused together are told different times, so that they do not return together.
+test("who would wait too long is refused at once, and told when to come back", () => {
+  const bench = new Bench();
+  for (let i = 0; i < 11; i++) bench.arrive(`q${i}`, { maxQueueMs: 50 });
+  expect(bench.effects).toEqual([{ type: "start", id: "q0", target: "p" }]);
+  const [first] = bench.arrive("late1", { maxQueueMs: 50, team: "cello" });
+  const [second] = bench.arrive("late2", { maxQueueMs: 50, team: "cello" });
+  expect(first).toMatchObject({ type: "refuse", reason: "queueFull", retryAfterMs: 10 });
+  expect(second).toMatchObject({ type: "refuse", reason: "queueFull", retryAfterMs: 15 });
+  const [short] = bench.arrive("short", { deadlineAt: 30 });
+  expect(short).toMatchObject({ type: "refuse", reason: "deadline" });
+  expect(bench.count()).toBe(10);
+});
+
+// The caller of a running statement gives up; the target still works on it.
+// Counting its slot as free would put more statements on the target than it bears.
+test("an abandoned statement keeps its slot until it has finished", () => {
+  const bench = new Bench();
+  bench.arrive("gone");
+  bench.arrive("next");
+  expect(bench.apply({ type: "cancel", at: 1, id: "gone" })).toEqual([]);
+  expect(bench.finish("gone")).toEqual([{ type: "start", id: "next", target: "p" }]);
+});
+
+// Trial requests have filled the queue when a reservation arrives.
+// Refusing whoever comes last would turn it away; the last trial request goes instead.
+test("a full queue gives up its least important request for a more important one", () => {
+  const bench = new Bench({ maxWaiting: 3 });
+  bench.arrive("running");
+  for (let i = 0; i < 3; i++) bench.arrive(`trial${i}`, { priority: "trial", team: "t" });
+  expect(bench.arrive("write", { priority: "critical" })).toMatchObject([
+    { type: "refuse", id: "trial2", reason: "queueFull" },
+  ]);
+  expect(bench.arrive("trial3", { priority: "trial", team: "t" })).toMatchObject([
+    { type: "refuse", id: "trial3" },
+  ]);
+  expect(bench.count()).toBe(3);
+});
+
+// Browsing was admitted with a short wait; then more important work arrived and kept arriving.
+// Held, it would hear of it at its deadline. The next tick tells it.
+test("a wait that has grown too long ends with the next tick", () => {
+  const bench = new Bench();
+  bench.arrive("running");
+  bench.arrive("browse", { priority: "browsing", maxQueueMs: 100 });
+  for (let i = 0; i < 40; i++) bench.arrive(`write${i}`, { priority: "critical" });
+  expect(bench.apply({ type: "tick", at: 1 })).toMatchObject([
+    { type: "refuse", id: "browse", reason: "queueFull" },
+  ]);
+});
+
+// The primary is lost. Nobody knows when there will be another one: writes are told at once.
+// When the owner expects it back in a while, those whose rule allows the wait stay.
+test("writes wait for a lost primary only if it is expected back in time", () => {
+  const bench = new Bench();
+  bench.arrive("running");
+  bench.arrive("patient", { maxQueueMs: 500 });
+  bench.arrive("hasty", { maxQueueMs: 100 });
+  const lost = { type: "resize", at: 1, target: "p", role: "primary", slots: 0 } as const;
+  bench.apply({ ...lost, backInMs: 300 });
+  expect(bench.apply({ type: "tick", at: 2 })).toMatchObject([{ id: "hasty" }]);
+  bench.apply(lost);
+  expect(bench.apply({ type: "tick", at: 3 })).toMatchObject([
+    { id: "patient", reason: "noPrimary", retryAfterMs: 1000 },
+  ]);
+});
+
+test("a waiting request moves to the targets it is given", () => {
+  const bench = new Bench();
+  bench.apply({ type: "resize", at: 0, target: "r", role: "replica", slots: 1 });
+  bench.arrive("a");
+  bench.arrive("b");
+  expect(bench.apply({ type: "retarget", at: 1, id: "b", candidates: ["r"] })).toEqual([
+    { type: "start", id: "b", target: "r" },
+  ]);
+});
