Classify statements and read sqlcommenter tags

Cause: routing and verdicts need to know, before a byte is sent, whether a text reads, which tables it names, and whether it opens or ends a transaction or would change a shared connection. Ruled out: a parser of our own, and guessing by the first word (CTEs that write, EXPLAIN ANALYZE and functions slip through). Change: PostgreSQL's parser behind a cache bounded in entries and bytes; SELECT stays a read only with functions of an explicit list; tags are taken off first, so that the cache works by statement.

--- /dev/null
+++ b/src/sql/classify.ts
@@ -0,0 +1,71 @@
+import type { Effect } from "../model/index.js";
+import { LruCache } from "./cache.js";
+import { findEffect } from "./effect.js";
+import { classifyKind } from "./kind.js";
+import { parseStatements, type ParsedStatement } from "./parser.js";
+import type { StatementKind } from "./statement.js";
+
+/** What the proxy needs to know of one text, which may hold several statements. */
+export interface Classification {
+  readonly effect: Effect;
+  /** Bare names, or `schema.name` outside `public`; sorted. */
+  readonly tables: readonly string[];
+  readonly statements: readonly StatementKind[];
+}
+
+const maxEntries = 10_000;
+const maxBytes = 16 * 1024 * 1024;
+const bytesOfEntry = 400;
+
+const unparsable: Classification = {
+  effect: "write",
+  tables: [],
+  statements: [{ type: "plain" }],
+};
+
+const cache = new LruCache<Classification>({ maxEntries, maxBytes });
+
+/**
+ * Classifies a text without its tags. What can't be parsed is a write, so that it goes to the
+ * primary. `loadParser` must have resolved. Results are kept by text, in bounded memory.
+ */
+export function classifyStatement(text: string): Classification {
+  const known = cache.get(text);
+  if (known !== undefined) return known;
+  const found = classifyText(text);
+  cache.set(text, found, bytesOfEntry + 2 * text.length);
+  return found;
+}
+
+function classifyText(text: string): Classification {
+  try {
+    const statements = parseStatements(text);
+    return statements === undefined ? unparsable : mergeFindings(statements);
+  } catch {
+    // A tree nested deeper than the stack; the target's own parser will have its say.
+    return unparsable;
+  }
+}
+
+function mergeFindings(statements: readonly ParsedStatement[]): Classification {
+  const parts = statements.map(classifyOne);
+  return {
+    effect: parts.every((part) => part.effect === "read") ? "read" : "write",
+    tables: [...new Set(parts.flatMap((part) => part.tables))].sort(),
+    statements: parts.map((part) => part.kind),
+  };
+}
+
+function classifyOne(statement: ParsedStatement): {
+  readonly effect: Effect;
+  readonly tables: readonly string[];
+  readonly kind: StatementKind;
+} {
+  const kind = classifyKind(statement);
+  const { effect, tables, sessionFunction } = findEffect(statement);
+  if (sessionFunction !== undefined) {
+    return { effect, tables, kind: { type: "sessionState", what: sessionFunction } };
+  }
+  const isReadOnly = kind.type === "begin" && kind.readOnly;
+  return { effect: isReadOnly ? "read" : effect, tables, kind };
+}
