Add the failover and acknowledgement controllers

Cause: the group needs a primary chosen by the proxies, and writes must be acknowledged by none that was superseded. Counting the commit's reply as the primary's confirmation: a fence can fall between it and the replica's answer. Conclusion: compiles and lints; behaviour not yet measured.

--- /dev/null
+++ b/src/controller/acknowledge/index.ts
@@ -0,0 +1,9 @@
+export {
+  type AcknowledgementState,
+  applyEvidence,
+  type AskEffect,
+  beginAcknowledgement,
+  type Evidence,
+  type PendingWrite,
+} from "./acknowledgement.js";
+export { type AcknowledgeSafeguards, allAcknowledgeSafeguards } from "./options.js";
--- /dev/null
+++ b/src/controller/failover/answer.ts
@@ -0,0 +1,110 @@
+import { compareTerms, orderMarks, succeed, type TargetView } from "../../model/index.js";
+import { backOff, beginElection } from "./elect.js";
+import type { FailoverEvent } from "./event.js";
+import { findEqual, findLeadership, isHeard, isLeading, isSuperseded } from "./leader.js";
+import { latenessDecay } from "./options.js";
+import {
+  type FailoverState,
+  getHealth,
+  type Leadership,
+  type Step,
+  withHealth,
+  withTerm,
+} from "./state.js";
+import { beginSteady, tendReplicas } from "./tend.js";
+
+type Answer = Extract<FailoverEvent, { type: "answered" }>;
+
+/** Takes in what a target says of itself. */
+export function applyAnswer(state: FailoverState, event: Answer): Step {
+  const next = noteStatus(state, event);
+  const { status } = event;
+  if (isLeading(status) && !isSuperseded(next, status.mark.term)) {
+    return acceptLeader(next, { primary: status.target, term: status.mark.term }, event.at);
+  }
+  const leadership = findLeadership(next);
+  if (leadership === undefined) return checkSearch(next, event);
+  const isDeposed = leadership.primary === status.target && !isLeading(status);
+  if (isDeposed || isSuperseded(next, leadership.term)) {
+    return backOff(next, `${leadership.primary} was superseded`, event.at, event.draw);
+  }
+  return next.phase.type === "steady" ? tendSteady(next, leadership, event.at) : succeed(next);
+}
+
+/** Keeps a status, unless a newer one is known already. */
+export function noteStatus(state: FailoverState, event: Omit<Answer, "type">): FailoverState {
+  const { status, askedAt, at } = event;
+  const { view, latenessMs } = getHealth(state, status.target);
+  const isNewer = view === undefined || !isOlder(event, view);
+  const kept = isNewer ? { status, askedAt, answeredAt: at } : { ...view, answeredAt: at };
+  const known = withHealth(state, status.target, {
+    view: { ...kept, missedProbes: 0 },
+    missed: 0,
+    latenessMs: Math.max(event.latenessMs ?? 0, latenessMs * latenessDecay),
+  });
+  return withTerm(withTerm(known, status.fencedAt), status.mark.term);
+}
+
+/**
+ * Answers of two connections can arrive in the wrong order. Fences only grow; at one fence a log
+ * shrinks only when the target is told to follow, so a lesser log is old where it was asked for
+ * earlier. An old status taken for a new one would revive a primary that was fenced.
+ */
+function isOlder(event: Pick<Answer, "status" | "askedAt">, known: TargetView): boolean {
+  const byFence = compareTerms(event.status.fencedAt, known.status.fencedAt);
+  if (byFence !== 0) return byFence < 0;
+  return event.askedAt < known.askedAt && orderMarks(event.status.mark, known.status.mark) < 0;
+}
+
+/** A target leads, and no majority is known to be fenced past it. */
+function acceptLeader(state: FailoverState, found: Leadership, at: number): Step {
+  const { phase } = state;
+  switch (phase.type) {
+    case "searching":
+    case "waiting":
+      return beginSteady(state, found, at);
+    case "steady":
+      if (compareTerms(found.term, phase.term) > 0) return beginSteady(state, found, at);
+      return tendSteady(state, phase, at);
+    case "suspecting":
+    case "cutOff":
+      return clearSuspicion(state, phase, found, at);
+    case "fencing":
+    case "promoting":
+      if (compareTerms(found.term, phase.term) < 0) return succeed(state);
+      return beginSteady(state, found, at);
+  }
+}
+
+/** The suspect itself has answered, or a newer primary has. */
+function clearSuspicion(
+  state: FailoverState,
+  suspected: Leadership,
+  found: Leadership,
+  at: number,
+): Step {
+  if (compareTerms(found.term, suspected.term) < 0) return succeed(state);
+  const steady = beginSteady(state, found, at);
+  const target = suspected.primary;
+  return succeed(steady.state, [
+    { type: "note", note: { type: "cleared", target } },
+    { type: "renew", target },
+    ...steady.effects,
+  ]);
+}
+
+/** What is due with a steady primary after any answer: replicas astray, a switch that can be made. */
+function tendSteady(state: FailoverState, leadership: Leadership, at: number): Step {
+  if (state.switching?.target === leadership.primary) {
+    const equal = findEqual(state, leadership.primary);
+    if (equal !== undefined) return beginElection(state, "plannedSwitch", at);
+  }
+  return tendReplicas(state, leadership, at);
+}
+
+/** With every target heard and none leading there is nothing left to wait for. */
+function checkSearch(state: FailoverState, { at, draw }: Answer): Step {
+  const isKnown = state.options.targets.every((target) => isHeard(state, target));
+  if (state.phase.type !== "searching" || !isKnown) return succeed(state);
+  return backOff(state, "no target leads", at, draw);
+}
--- /dev/null
+++ b/src/controller/failover/detect.ts
@@ -0,0 +1,90 @@
+import { succeed } from "../../model/index.js";
+import { beginElection } from "./elect.js";
+import type { FailoverEffect, PeerFinding } from "./event.js";
+import { hasMajority } from "./leader.js";
+import { lonelyRounds } from "./options.js";
+import {
+  type FailoverState,
+  getAllowance,
+  type Leadership,
+  type Phase,
+  type Step,
+  withPhase,
+} from "./state.js";
+
+type Suspecting = Extract<Phase, { type: "suspecting" }>;
+
+/**
+ * Checks a silent primary on a new connection and through other VMs, at the same time. A connection
+ * can go silent for good while new ones work, and this VM may be the one that is cut off: without
+ * the checks each would cost the group a needless change of primary.
+ */
+export function beginSuspicion(
+  state: FailoverState,
+  leadership: Leadership,
+  why: string,
+  at: number,
+  round = 1,
+): Step {
+  const { primary: target, term } = leadership;
+  const { confirmMs, peerHopMs } = state.options.timings;
+  const timeoutMs = Math.max(confirmMs, getAllowance(state, target));
+  const phase: Suspecting = {
+    type: "suspecting",
+    primary: target,
+    term,
+    round,
+    until: at + timeoutMs + 2 * peerHopMs,
+    isMissed: false,
+  };
+  const checks: FailoverEffect[] = [
+    { type: "probe", target, timeoutMs },
+    { type: "askPeers", target, timeoutMs: timeoutMs + peerHopMs },
+  ];
+  const note = { type: "note", note: { type: "suspected", target, why } } as const;
+  return succeed(withPhase(state, phase), [note, ...checks]);
+}
+
+/** The new connection brought no answer. */
+export function recordMissedProbe(state: FailoverState, phase: Suspecting, at: number): Step {
+  return decideSuspicion(state, { ...phase, isMissed: true }, at);
+}
+
+/** Other VMs have answered. */
+export function recordFinding(
+  state: FailoverState,
+  phase: Suspecting,
+  finding: PeerFinding,
+  at: number,
+): Step {
+  return decideSuspicion(state, { ...phase, finding }, at);
+}
+
+/** The checks took too long, as after a pause of this process: they count as failed. */
+export function endSuspicion(state: FailoverState, phase: Suspecting, at: number): Step {
+  return decideSuspicion(
+    state,
+    { ...phase, isMissed: true, finding: phase.finding ?? "silent" },
+    at,
+  );
+}
+
+function decideSuspicion(state: FailoverState, phase: Suspecting, at: number): Step {
+  const next = withPhase(state, phase);
+  if (!phase.isMissed || phase.finding === undefined) return succeed(next);
+  if (phase.finding === "reached") return beginCutOff(next, phase, "other VMs reach it", at);
+  if (!hasMajority(next, phase.primary)) {
+    return beginCutOff(next, phase, "no majority of targets answers here", at);
+  }
+  if (phase.finding === "silent" && phase.round < lonelyRounds) {
+    return beginSuspicion(next, phase, "no other VM answers", at, phase.round + 1);
+  }
+  return beginElection(next, "primaryFailed", at, phase.primary);
+}
+
+function beginCutOff(state: FailoverState, leadership: Leadership, why: string, at: number): Step {
+  const { primary, term } = leadership;
+  const until = at + state.options.timings.cutOffMs;
+  const note = { type: "note", note: { type: "cutOff", target: primary, why } } as const;
+  return succeed(withPhase(state, { type: "cutOff", primary, term, until }), [note]);
+}
--- /dev/null
+++ b/src/controller/failover/index.ts
@@ -0,0 +1,20 @@
+export {
+  type ControlRequest,
+  type ElectionReason,
+  type FailoverEffect,
+  type FailoverEvent,
+  type FailoverNote,
+  type PeerFinding,
+} from "./event.js";
+export {
+  allFailoverSafeguards,
+  defaultTimings,
+  type FailoverOptions,
+  type FailoverSafeguards,
+  type FailoverTimings,
+} from "./options.js";
+export { findLeadership, isLeading, isSuperseded } from "./leader.js";
+export { createFailoverState, type FailoverState, getAllowance, type Leadership } from "./state.js";
+export { chooseTarget } from "./elect.js";
+export { applyEvent } from "./step.js";
+export { findWakeAt } from "./tick.js";
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -35,6 +35,7 @@
   type ObjectStore,
   type PeerHello,
   type ProbeResult,
+  type PeerCheck,
   type PeerClient,
   type Outcome,
   type Conversation,
--- a/src/model/ports.ts
+++ b/src/model/ports.ts
@@ -132,13 +132,16 @@
   | { readonly type: "answered"; readonly hello: PeerHello }
   | { readonly type: "silent"; readonly reason: string };
 
+/** What a peer found of a target, or that the peer itself gave no answer and so no evidence. */
+export type PeerCheck = ControlResult | { readonly type: "silent"; readonly reason: string };
+
 /** Calls between proxies. No call rejects. */
 export interface PeerClient {
   probe(vm: Vm, hello: PeerHello, timeoutMs: number): Promise<ProbeResult>;
   /** Asks `via` to probe `vm`. */
   probeThrough(via: Vm, vm: Vm, hello: PeerHello, timeoutMs: number): Promise<ProbeResult>;
   /** Asks `via` for a fresh status of a target, on a new connection. */
-  checkTarget(via: Vm, group: string, target: string, timeoutMs: number): Promise<ControlResult>;
+  checkTarget(via: Vm, group: string, target: string, timeoutMs: number): Promise<PeerCheck>;
   /** Fetches the peer's configuration when it is newer than `afterRevision`. */
   fetchConfiguration(vm: Vm, afterRevision: number, timeoutMs: number): Promise<StoreRead<Json>>;
   /** Pushes a configuration; answers with the revision then in force at the peer. */
