--- /dev/null
+++ b/src/owner/pool.ts
@@ -0,0 +1,246 @@
+import { serialize } from "pg-protocol";
+import {
+  applyConnections,
+  createPool,
+  type ConnectionEffect,
+  type ConnectionEvent,
+  type ConnectionSettings,
+  type Pool,
+} from "../controller/connections/index.js";
+import type {
+  Clock,
+  Disposable,
+  NotRunReason,
+  Target,
+  TargetConnector,
+  TargetSession,
+} from "../model/index.js";
+
+const tickMs = 50;
+const refusedRetryMs = 100;
+const tooManyConnectionsState = "53300";
+
+/** What came of asking for a connection. */
+export type ConnectionTaken =
+  | { readonly type: "granted"; readonly connection: HeldConnection }
+  | { readonly type: "refused"; readonly reason: NotRunReason; readonly retryAfterMs: number };
+
+/** A connection held by one request or transaction. */
+export interface HeldConnection {
+  readonly session: TargetSession;
+  /** Notes that bytes of an answer came, so that the connection does not count as silent. */
+  noteProgress(): void;
+  /** Back to the pool: its last exchange ended idle and nothing is in flight. */
+  giveBack(): void;
+  /** Closes it: an answer that is still on its way must reach nobody. */
+  drop(): void;
+}
+
+interface Waiting {
+  readonly resolve: (taken: ConnectionTaken) => void;
+}
+
+/** The connections of this process to one target: the pure controller with its sockets. */
+export class TargetPool implements Disposable {
+  private pool: Pool;
+  private readonly sessions = new Map<string, TargetSession>();
+  private readonly waiting = new Map<string, Waiting>();
+  private readonly ended = new AbortController();
+  private timer: NodeJS.Timeout | undefined;
+  private nextWaiter = 1;
+
+  constructor(
+    private readonly target: Target,
+    private readonly database: string,
+    private readonly connector: TargetConnector,
+    private readonly clock: Clock,
+    settings: Partial<ConnectionSettings> = {},
+  ) {
+    this.pool = createPool({ limit: target.connections, ...settings });
+  }
+
+  /** Waits for a connection until `deadlineAt`. */
+  take(deadlineAt: number, signal: AbortSignal): Promise<ConnectionTaken> {
+    const waiter = `w${this.nextWaiter}`;
+    this.nextWaiter += 1;
+    return new Promise((resolve) => {
+      const stop = () => {
+        this.end(waiter, { type: "refused", reason: "deadline", retryAfterMs: refusedRetryMs });
+        this.apply({ type: "giveUp", at: this.clock.now(), waiter });
+      };
+      const settle = (taken: ConnectionTaken) => {
+        signal.removeEventListener("abort", stop);
+        resolve(taken);
+      };
+      this.waiting.set(waiter, { resolve: settle });
+      signal.addEventListener("abort", stop, { once: true });
+      this.apply({ type: "ask", at: this.clock.now(), waiter, deadlineAt });
+      if (signal.aborted && this.waiting.has(waiter)) stop();
+    });
+  }
+
+  /** Stops giving out connections; those in use are closed as they come back. */
+  drain(): void {
+    this.apply({ type: "drain", at: this.clock.now() });
+  }
+
+  /** The connections by state, for metrics. */
+  countByState(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { type } of Object.values(this.pool.connections)) {
+      counts.set(type, (counts.get(type) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  dispose(): void {
+    this.ended.abort();
+    this.stopTimer();
+    for (const waiter of [...this.waiting.keys()]) {
+      this.end(waiter, { type: "refused", reason: "draining", retryAfterMs: refusedRetryMs });
+    }
+    for (const session of this.sessions.values()) session.close();
+    this.sessions.clear();
+  }
+
+  private apply(event: ConnectionEvent): void {
+    if (this.ended.signal.aborted) return;
+    const applied = applyConnections(this.pool, event);
+    if (applied.type === "failed") return;
+    this.pool = applied.state;
+    for (const effect of applied.effects) this.execute(effect);
+    this.setTimer();
+  }
+
+  private execute(effect: ConnectionEffect): void {
+    switch (effect.type) {
+      case "open":
+        void this.open(effect.connection);
+        break;
+      case "close":
+        this.close(effect.connection);
+        break;
+      case "check":
+        void this.check(effect.connection);
+        break;
+      case "grant":
+        this.grant(effect.waiter, effect.connection);
+        break;
+      case "lose":
+        this.close(effect.connection);
+        break;
+      case "refuse":
+        this.end(effect.waiter, {
+          type: "refused",
+          reason: effect.reason,
+          retryAfterMs: effect.retryAfterMs,
+        });
+        break;
+    }
+  }
+
+  private async open(connection: string): Promise<void> {
+    const timeoutMs = this.pool.settings.openTimeoutMs;
+    try {
+      const session = await this.connector.open(this.target, this.database, timeoutMs);
+      if (this.ended.signal.aborted || this.pool.connections[connection]?.type !== "opening") {
+        session.close();
+        this.apply({ type: "gone", at: this.clock.now(), connection });
+        return;
+      }
+      this.sessions.set(connection, session);
+      this.apply({ type: "opened", at: this.clock.now(), connection });
+    } catch (error) {
+      const reason = isTooMany(error) ? "tooMany" : "failed";
+      this.apply({ type: "openFailed", at: this.clock.now(), connection, reason });
+    }
+  }
+
+  private close(connection: string): void {
+    this.sessions.get(connection)?.close();
+    this.sessions.delete(connection);
+  }
+
+  /** An empty exchange: a connection that something between the ends has forgotten stays silent. */
+  private async check(connection: string): Promise<void> {
+    const session = this.sessions.get(connection);
+    const signal = AbortSignal.timeout(this.pool.settings.checkTimeoutMs);
+    const result = await session?.exchange(serialize.sync(), () => undefined, signal);
+    const isAlive = result?.type === "ready" && result.status === "I";
+    this.apply({ type: "checked", at: this.clock.now(), connection, isAlive });
+    if (!isAlive) this.close(connection);
+  }
+
+  private grant(waiter: string, connection: string): void {
+    const session = this.sessions.get(connection);
+    if (session?.isUsable !== true) {
+      this.apply({ type: "broken", at: this.clock.now(), connection });
+      this.end(waiter, {
+        type: "refused",
+        reason: "noConnection",
+        retryAfterMs: refusedRetryMs,
+      });
+      return;
+    }
+    const held = this.createHeld(waiter, connection, session);
+    this.end(waiter, { type: "granted", connection: held });
+  }
+
+  private createHeld(waiter: string, connection: string, session: TargetSession): HeldConnection {
+    let lastNotedAt = -Infinity;
+    let isHeld = true;
+    return {
+      session,
+      noteProgress: () => {
+        const at = this.clock.now();
+        if (!isHeld || at - lastNotedAt < tickMs) return;
+        lastNotedAt = at;
+        this.apply({ type: "progress", at, connection });
+      },
+      giveBack: () => {
+        if (!isHeld) return;
+        isHeld = false;
+        const at = this.clock.now();
+        if (session.isUsable) this.apply({ type: "ready", at, connection, status: "I", inFlight: 0 });
+        else this.drop(waiter, connection, session);
+      },
+      drop: () => {
+        if (!isHeld) return;
+        isHeld = false;
+        this.drop(waiter, connection, session);
+      },
+    };
+  }
+
+  private drop(waiter: string, connection: string, session: TargetSession): void {
+    session.close();
+    this.sessions.delete(connection);
+    this.apply({ type: "giveUp", at: this.clock.now(), waiter });
+  }
+
+  private end(waiter: string, taken: ConnectionTaken): void {
+    const waiting = this.waiting.get(waiter);
+    this.waiting.delete(waiter);
+    waiting?.resolve(taken);
+  }
+
+  private setTimer(): void {
+    const isQuiet = Object.keys(this.pool.connections).length === 0 && this.waiting.size === 0;
+    if (isQuiet) {
+      this.stopTimer();
+      return;
+    }
+    this.timer ??= setInterval(() => {
+      this.apply({ type: "tick", at: this.clock.now() });
+    }, tickMs).unref();
+  }
+
+  private stopTimer(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+}
+
+function isTooMany(error: unknown): boolean {
+  return error instanceof Error && "code" in error && error.code === tooManyConnectionsState;
+}
--- /dev/null
+++ b/src/owner/slots.ts
@@ -0,0 +1,180 @@
+import {
+  applyAdmission,
+  countFreeSlots,
+  createAdmission,
+  measureWait,
+  summariseAdmission,
+  type Admission,
+  type AdmissionEffect,
+  type AdmissionEvent,
+  type AdmissionRequest,
+  type AdmissionSummary,
+  type WaitQuestion,
+} from "../controller/admission/index.js";
+import type { Clock, Disposable, NotRunReason } from "../model/index.js";
+
+const tickMs = 50;
+
+/** How long a statement whose caller gave up is taken to hold its slot on, in milliseconds. */
+const abandonedHoldMs = 1000;
+
+/** What came of asking for a slot. */
+export type SlotResult =
+  | { readonly type: "started"; readonly slot: Slot }
+  | { readonly type: "refused"; readonly reason: NotRunReason; readonly retryAfterMs: number };
+
+/** A slot of a target, held until the statement has left it. */
+export interface Slot {
+  readonly target: string;
+  release(): void;
+  /** The statement may go on at the target without its caller. */
+  abandon(): void;
+}
+
+interface Waiter {
+  readonly resolve: (result: SlotResult) => void;
+}
+
+/** The admission queue of one group: the pure controller with its timer and its waiters. */
+export class SlotQueue implements Disposable {
+  private admission: Admission = createAdmission();
+  private readonly waiters = new Map<string, Waiter>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Waits for a slot. An aborted signal gives up the place in the queue. */
+  acquire(request: AdmissionRequest, signal: AbortSignal): Promise<SlotResult> {
+    return new Promise((resolve) => {
+      const stop = () => {
+        this.giveUp(request.id);
+      };
+      const end = (result: SlotResult) => {
+        signal.removeEventListener("abort", stop);
+        resolve(result);
+      };
+      this.waiters.set(request.id, { resolve: end });
+      signal.addEventListener("abort", stop, { once: true });
+      this.apply({ type: "arrive", at: this.clock.now(), request });
+      if (signal.aborted) stop();
+    });
+  }
+
+  /** Sets a target's slots; 0 while it takes no work, with the time when it is expected back. */
+  resize(target: string, role: "primary" | "replica", slots: number, backInMs?: number): void {
+    const back = backInMs === undefined ? {} : { backInMs };
+    this.apply({ type: "resize", at: this.clock.now(), target, role, slots, ...back });
+  }
+
+  /** Lets other targets serve a request that still waits. */
+  retarget(id: string, candidates: readonly string[]): void {
+    if (!this.waiters.has(id)) return;
+    this.apply({ type: "retarget", at: this.clock.now(), id, candidates });
+  }
+
+  countFree(target: string): number {
+    return countFreeSlots(this.admission, target);
+  }
+
+  /** The wait that the queue implies, in milliseconds. */
+  measureWaitMs(question: WaitQuestion): number {
+    return measureWait(this.admission, question, this.clock.now()).waitMs;
+  }
+
+  summarise(): AdmissionSummary {
+    return summariseAdmission(this.admission);
+  }
+
+  dispose(): void {
+    this.stopTimer();
+    for (const id of [...this.waiters.keys()]) this.refuse(id, "draining", tickMs);
+  }
+
+  private apply(event: AdmissionEvent): void {
+    const applied = applyAdmission(this.admission, event);
+    if (applied.type === "failed") {
+      if (event.type === "arrive") this.refuse(event.request.id, "overloaded", tickMs);
+      return;
+    }
+    this.admission = applied.state;
+    for (const effect of applied.effects) this.execute(effect);
+    this.setTimer();
+  }
+
+  private execute(effect: AdmissionEffect): void {
+    switch (effect.type) {
+      case "start":
+        this.start(effect.id, effect.target);
+        break;
+      case "refuse":
+        this.refuse(effect.id, effect.reason, effect.retryAfterMs);
+        break;
+    }
+  }
+
+  private start(id: string, target: string): void {
+    const waiter = this.waiters.get(id);
+    this.waiters.delete(id);
+    if (waiter === undefined) {
+      this.finish(id);
+      return;
+    }
+    waiter.resolve({ type: "started", slot: this.createSlot(id, target) });
+  }
+
+  private createSlot(id: string, target: string): Slot {
+    let isHeld = true;
+    const end = (ending: () => void) => {
+      if (isHeld) ending();
+      isHeld = false;
+    };
+    return {
+      target,
+      release: () => {
+        end(() => {
+          this.finish(id);
+        });
+      },
+      abandon: () => {
+        end(() => {
+          this.apply({ type: "cancel", at: this.clock.now(), id });
+          setTimeout(() => {
+            this.finish(id);
+          }, abandonedHoldMs).unref();
+        });
+      },
+    };
+  }
+
+  private refuse(id: string, reason: NotRunReason, retryAfterMs: number): void {
+    const waiter = this.waiters.get(id);
+    this.waiters.delete(id);
+    waiter?.resolve({ type: "refused", reason, retryAfterMs });
+  }
+
+  private giveUp(id: string): void {
+    if (!this.waiters.has(id)) return;
+    this.refuse(id, "deadline", tickMs);
+    this.apply({ type: "cancel", at: this.clock.now(), id });
+  }
+
+  private finish(id: string): void {
+    this.apply({ type: "finish", at: this.clock.now(), id });
+  }
+
+  /** The queue ticks only while somebody waits: thousands of idle groups must cost nothing. */
+  private setTimer(): void {
+    if (this.waiters.size === 0) {
+      this.stopTimer();
+      return;
+    }
+    this.timer ??= setInterval(() => {
+      this.apply({ type: "tick", at: this.clock.now() });
+    }, tickMs).unref();
+  }
+
+  private stopTimer(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+}
--- /dev/null
+++ b/src/system/clock.ts
@@ -0,0 +1,29 @@
+import { performance } from "node:perf_hooks";
+import type { Clock } from "../model/index.js";
+
+/** The machine's monotonic clock, in milliseconds since the process started. */
+export function createSystemClock(): Clock {
+  return { now: () => performance.now(), sleep };
+}
+
+function sleep(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    if (signal?.aborted === true) {
+      reject(toError(signal.reason));
+      return;
+    }
+    const stop = () => {
+      clearTimeout(timer);
+      reject(toError(signal?.reason));
+    };
+    const timer = setTimeout(() => {
+      signal?.removeEventListener("abort", stop);
+      resolve();
+    }, ms);
+    signal?.addEventListener("abort", stop, { once: true });
+  });
+}
+
+function toError(reason: unknown): Error {
+  return reason instanceof Error ? reason : new Error(String(reason));
+}
--- /dev/null
+++ b/src/system/index.ts
@@ -0,0 +1,2 @@
+export { createSystemClock } from "./clock.js";
+export { createSystemRandom } from "./random.js";
