--- a/src/policy/index.ts
+++ b/src/policy/index.ts
@@ -23,3 +23,19 @@
   type ReadTarget,
   routeRead,
 } from "./route.js";
+export {
+  type FailedTry,
+  type RetryBudget,
+  type RetryPlan,
+  fullRetryBudget,
+  noteFirstTry,
+  planRetry,
+} from "./retry.js";
+export {
+  type IdempotencyRecord,
+  type KeyedPlan,
+  type KeyedRetry,
+  canRetryKeyed,
+  planKeyedWrite,
+} from "./idempotency.js";
+export { chooseOwner, orderOwners } from "./owner.js";
--- /dev/null
+++ b/src/policy/owner.ts
@@ -0,0 +1,48 @@
+import type { Vm } from "../model/index.js";
+
+/**
+ * The VM that owns a group: the one with the highest score among those that are live. When a VM
+ * comes or goes only the groups that it wins or held change owner. `undefined` without a live VM.
+ */
+export function chooseOwner(group: string, vms: readonly Vm[]): Vm | undefined {
+  let best: Vm | undefined;
+  let bestScore = -1;
+  for (const vm of vms) {
+    if (vm.state !== "live") continue;
+    const score = hashPair(group, vm.name);
+    const isTieWon = score === bestScore && best !== undefined && vm.name < best.name;
+    if (score > bestScore || isTieWon) [best, bestScore] = [vm, score];
+  }
+  return best;
+}
+
+/** The live VMs in the order in which they would own a group: the second takes over from the first. */
+export function orderOwners(group: string, vms: readonly Vm[]): readonly Vm[] {
+  return vms
+    .filter((vm) => vm.state === "live")
+    .map((vm) => ({ vm, score: hashPair(group, vm.name) }))
+    .sort((a, b) => b.score - a.score || (a.vm.name < b.vm.name ? -1 : 1))
+    .map(({ vm }) => vm);
+}
+
+const offsetBasis = 0x811c9dc5;
+const prime = 0x01000193;
+
+/** FNV-1a over both names with a separator, and the final mix of MurmurHash3 to spread its bits. */
+function hashPair(group: string, vm: string): number {
+  return mix(addText(Math.imul(addText(offsetBasis, group) ^ 0x1f, prime), vm));
+}
+
+function addText(hash: number, text: string): number {
+  let next = hash;
+  for (let i = 0; i < text.length; i++) next = Math.imul(next ^ text.charCodeAt(i), prime);
+  return next;
+}
+
+function mix(hash: number): number {
+  let next = hash ^ (hash >>> 16);
+  next = Math.imul(next, 0x85ebca6b);
+  next ^= next >>> 13;
+  next = Math.imul(next, 0xc2b2ae35);
+  return (next ^ (next >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/test/policy/retry.test.ts
@@ -0,0 +1,77 @@
+import { expect, test } from "@jest/globals";
+import fc from "fast-check";
+import {
+  canRetryKeyed,
+  fullRetryBudget,
+  noteFirstTry,
+  planKeyedWrite,
+  planRetry,
+  type FailedTry,
+} from "../../src/policy/index.js";
+
+const notRun = { type: "notRun", reason: "queueFull", retryAfterMs: 30 } as const;
+const mayHaveRun = { type: "mayHaveRun", reason: "connection lost" } as const;
+const failed: FailedTry = {
+  verdict: notRun,
+  effect: "write",
+  isAnswerBegun: false,
+  tries: 1,
+  limit: { attempts: 2 },
+  timeLeftMs: 1000,
+};
+const plan = (change: Partial<FailedTry>, tokens = 5) =>
+  planRetry({ ...failed, ...change }, { tokens }, 0.5);
+
+test("a write is tried again only if it has not run", () => {
+  expect(plan({})).toEqual({ type: "retry", delayMs: 45, budget: { tokens: 4 } });
+  expect(plan({ verdict: mayHaveRun })).toEqual({ type: "giveUp", reason: "mayHaveRun" });
+  expect(plan({ verdict: { type: "ran" } })).toMatchObject({ reason: "ran" });
+  expect(plan({ verdict: mayHaveRun, effect: "read" })).toMatchObject({ type: "retry" });
+  expect(plan({ effect: "read", isAnswerBegun: true })).toMatchObject({ reason: "answerBegun" });
+});
+
+test("attempts, time and budget bound the retries", () => {
+  expect(plan({ tries: 3 })).toMatchObject({ reason: "noAttemptsLeft" });
+  expect(plan({ timeLeftMs: 45 })).toMatchObject({ reason: "noTime" });
+  expect(plan({}, 0.9)).toMatchObject({ reason: "noBudget" });
+});
+
+// The primary is gone for a while and every try fails.
+// Each request would be tried three times, so that the new primary meets three times the work.
+// The budget lets one retry through for ten first tries, and the tenth more ends with the cause.
+test("no storm: retries stay a tenth of the first tries", () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 50, max: 400 }), fc.nat(10), (requests, attempts) => {
+      let budget = fullRetryBudget;
+      let retries = 0;
+      for (let i = 0; i < requests; i++) {
+        budget = noteFirstTry(budget);
+        for (let tries = 1; ; tries++) {
+          const next = planRetry({ ...failed, tries, limit: { attempts } }, budget, 0.5);
+          if (next.type === "giveUp") break;
+          budget = next.budget;
+          retries += 1;
+        }
+      }
+      expect(retries).toBeLessThanOrEqual(10 + requests / 10);
+    }),
+    { seed: 8 },
+  );
+});
+
+test("a repeat under a key gets the recorded answer, another statement an error", () => {
+  const key = { key: "k", digest: "d" };
+  const record = { ...key, answer: "INSERT 0 1" };
+  expect(planKeyedWrite(key, undefined)).toEqual({ type: "run" });
+  expect(planKeyedWrite(key, record)).toEqual({ type: "replay", answer: "INSERT 0 1" });
+  expect(planKeyedWrite({ ...key, digest: "e" }, record)).toEqual({ type: "conflict" });
+});
+
+// The answer to a keyed write was lost. Repeated while its record is kept, it finds the record.
+// Repeated after the record was dropped, it would run a second time.
+test("a keyed write that may have run is repeated only while records are kept", () => {
+  const retry = { verdict: mayHaveRun, sinceFirstTryMs: 10, retentionMs: 1000 };
+  expect(canRetryKeyed(retry)).toBe(true);
+  expect(canRetryKeyed({ ...retry, sinceFirstTryMs: 1000 })).toBe(false);
+  expect(canRetryKeyed({ ...retry, verdict: { type: "ran" } })).toBe(false);
+});
