Add GroupWatch, the failover driver, with fakes at its ports

Cause: the controllers need a driver: status streams, control, peers, timers. Ruled out: one status request per write (a waiting request per target carries positions as they change); the bare VM name in terms, since a restarted VM could open its last term again.

--- /dev/null
+++ b/bench/failover/fakefleet.ts
@@ -0,0 +1,165 @@
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { FailoverTimings } from "../../src/controller/failover/index.js";
+import { type GapSplit, GroupWatch } from "../../src/groupwatch/index.js";
+import { type Logger, silentLogger } from "../../src/log/index.js";
+import type { Acknowledgement, Clock, PeerClient, Random } from "../../src/model/index.js";
+import { FakeGroup } from "./fakegroup.js";
+import type { FakeDelays } from "./fakelink.js";
+import { FakeVm } from "./fakevm.js";
+
+/** A random source with a fixed seed. */
+export function createRandom(seed: number): Random {
+  const generator = xoroshiro128plus(seed);
+  return { draw: () => (generator.next() >>> 0) / 2 ** 32 };
+}
+
+/** What a fake fleet is made of. */
+export interface FleetOptions {
+  readonly clock: Clock;
+  readonly seed: number;
+  readonly targets?: number;
+  readonly vms?: number;
+  readonly delays?: FakeDelays;
+  readonly timings?: FailoverTimings;
+  readonly log?: Logger;
+  readonly onGap?: (vm: string, gapMs: number, split: GapSplit) => void;
+}
+
+/** What came of a write. */
+export type WriteOutcome = "acknowledged" | "notRun" | "mayHaveRun";
+
+/** A write whose caller was told that it is kept. */
+interface Acknowledged {
+  readonly write: string;
+  readonly mode: Acknowledgement;
+}
+
+/** For one statement to be answered. */
+const statementMs = 500;
+
+/** VMs before one fake group, each with a watch that may be started, and checks of what must hold. */
+export class FakeFleet {
+  readonly group: FakeGroup;
+  readonly vms: readonly FakeVm[];
+  /** VMs that answer no peer. */
+  readonly mute = new Set<string>();
+  readonly acknowledged: Acknowledged[] = [];
+  private readonly watches = new Map<string, GroupWatch>();
+  private readonly random: Random;
+
+  constructor(private readonly options: FleetOptions) {
+    const { clock, seed, targets, vms, delays } = options;
+    this.group = new FakeGroup(clock, targets, delays);
+    this.random = createRandom(seed);
+    const names = Array.from({ length: vms ?? 3 }, (_, i) => `v${i + 1}`);
+    this.vms = names.map((name) => new FakeVm(name, clock, this.group.control(name)));
+    this.group.onPromotion = (_, target) => this.checkKept(target.name);
+  }
+
+  vm(name: string): FakeVm {
+    const vm = this.vms.find((v) => v.name === name);
+    if (vm === undefined) throw new Error(`no VM ${name}`);
+    return vm;
+  }
+
+  /** The watch at a VM, started when first asked for. */
+  watch(name: string): GroupWatch {
+    const watch = this.watches.get(name) ?? this.startWatch(this.vm(name));
+    this.watches.set(name, watch);
+    return watch;
+  }
+
+  /** Ends a VM's watch, as when its process dies or its ownership moves. */
+  async stop(name: string): Promise<void> {
+    await this.watches.get(name)?.dispose();
+    this.watches.delete(name);
+  }
+
+  async dispose(): Promise<void> {
+    for (const name of [...this.watches.keys()]) await this.stop(name);
+  }
+
+  /** Writes through a VM, as its execution does: send, read the mark, wait to be confirmed. */
+  async write(
+    name: string,
+    write: string,
+    mode: Acknowledgement,
+    timeoutMs: number,
+  ): Promise<WriteOutcome> {
+    const watch = this.watch(name);
+    const { primary } = watch.view();
+    if (primary === undefined) return "notRun";
+    const vm = this.vm(name);
+    const committed = await vm.hold(this.group.write(name, primary.target, write, statementMs));
+    if (committed === undefined) {
+      watch.observeFailure(primary.target);
+      return "mayHaveRun";
+    }
+    const reading = await watch.readMark(primary.target);
+    if (reading.type !== "read") return "mayHaveRun";
+    const { term } = primary;
+    const stop = new AbortController();
+    const giveUp = (): void => stop.abort();
+    vm.clock.sleep(timeoutMs, stop.signal).then(giveUp, giveUp);
+    const { mark, askedAt } = reading;
+    const confirmation = await watch.confirm(term, mark, mode, stop.signal, askedAt);
+    stop.abort();
+    if (confirmation.type !== "confirmed") return "mayHaveRun";
+    this.noteAcknowledged({ write, mode }, term, committed.at);
+    return "acknowledged";
+  }
+
+  /** Throws where an acknowledged write is missing from a target's log. */
+  checkKept(name: string): void {
+    const kept = new Set(this.group.get(name).log.map((r) => r.write));
+    for (const { write, mode } of this.acknowledged) {
+      if (mode === "replicated" && !kept.has(write)) {
+        throw new Error(`${write} was acknowledged and is missing at ${name}`);
+      }
+    }
+  }
+
+  private noteAcknowledged(
+    acknowledged: Acknowledged,
+    term: Parameters<FakeGroup["findSupersededAt"]>[0],
+    committedAt: number,
+  ): void {
+    if (this.group.findSupersededAt(term) <= committedAt) {
+      throw new Error(`${acknowledged.write} was acknowledged by a superseded primary`);
+    }
+    this.acknowledged.push(acknowledged);
+  }
+
+  private startWatch(vm: FakeVm): GroupWatch {
+    const { timings, log, onGap } = this.options;
+    const watch = new GroupWatch({
+      group: this.group.group,
+      vm: vm.name,
+      control: vm.control,
+      peers: this.peers(vm),
+      clock: vm.clock,
+      random: this.random,
+      log: log ?? silentLogger,
+      findHelpers: () => this.vms.filter((v) => v !== vm),
+      ...(timings === undefined ? {} : { timings }),
+      onGap: (gapMs, split) => onGap?.(vm.name, gapMs, split),
+    });
+    watch.start();
+    return watch;
+  }
+
+  private peers(asker: FakeVm): Pick<PeerClient, "checkTarget"> {
+    return {
+      checkTarget: (via, _group, name, timeoutMs) => {
+        const isMute = this.mute.has(via.name) || this.mute.has(asker.name);
+        const target = this.group.group.targets.find((t) => t.name === name);
+        if (isMute || target === undefined) {
+          return this.options.clock
+            .sleep(timeoutMs)
+            .then(() => ({ type: "silent", reason: "timeout" }) as const);
+        }
+        return this.vm(via.name).control.status(target, { timeoutMs, fresh: true });
+      },
+    };
+  }
+}
--- a/src/controller/failover/options.ts
+++ b/src/controller/failover/options.ts
@@ -38,7 +38,7 @@
 /** The times in use; docs/design/failover.md has the measurements behind them. */
 export const defaultTimings: FailoverTimings = {
   heartbeatMs,
-  replicaHeartbeatMs: 4 * heartbeatMs,
+  replicaHeartbeatMs: 2 * heartbeatMs,
   minAllowanceMs: 100,
   maxAllowanceMs: 8 * heartbeatMs,
   confirmMs,
--- /dev/null
+++ b/src/groupwatch/index.ts
@@ -0,0 +1,3 @@
+export { type Confirmation } from "./confirmations.js";
+export { GroupWatch, type MarkReading } from "./groupwatch.js";
+export { type GapSplit, type WatchOptions, type WatchPorts } from "./ports.js";
--- /dev/null
+++ b/src/groupwatch/runner.ts
@@ -0,0 +1,74 @@
+import {
+  applyEvent,
+  createFailoverState,
+  type FailoverEffect,
+  type FailoverEvent,
+  type FailoverOptions,
+  type FailoverState,
+  findWakeAt,
+} from "../controller/failover/index.js";
+import type { Clock, Random } from "../model/index.js";
+
+type Bare<T> = T extends unknown ? Omit<T, "at" | "draw"> : never;
+
+/** An event before it is given its time and its draw. */
+export type BareEvent = Bare<FailoverEvent>;
+
+/** What the controller's effects are handed to. */
+export interface RunnerHooks {
+  readonly onEffect: (effect: FailoverEffect, at: number) => void;
+  readonly onChange: (state: FailoverState) => void;
+}
+
+/** Applies events to one group's controller in the order in which they come, and ticks it. */
+export class ControllerRunner {
+  private current: FailoverState;
+  private timer: { readonly at: number; readonly stop: AbortController } | undefined;
+  private isStopped = false;
+
+  constructor(
+    options: FailoverOptions,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly hooks: RunnerHooks,
+  ) {
+    this.current = createFailoverState(options, clock.now());
+  }
+
+  get state(): FailoverState {
+    return this.current;
+  }
+
+  apply(bare: BareEvent): void {
+    if (this.isStopped) return;
+    const at = this.clock.now();
+    const applied = applyEvent(this.current, { ...bare, at, draw: this.random.draw() });
+    if (applied.type === "failed") return;
+    const isChanged = applied.state !== this.current;
+    this.current = applied.state;
+    for (const effect of applied.effects) this.hooks.onEffect(effect, at);
+    if (isChanged) this.hooks.onChange(this.current);
+    this.setTimer(at);
+  }
+
+  dispose(): void {
+    this.isStopped = true;
+    this.timer?.stop.abort();
+  }
+
+  /** A timer that is due earlier than needed stays: its tick does nothing and sets the next. */
+  private setTimer(now: number): void {
+    const at = Math.max(findWakeAt(this.current), now + 1);
+    if (this.isStopped || (this.timer !== undefined && this.timer.at <= at)) return;
+    this.timer?.stop.abort();
+    const timer = { at, stop: new AbortController() };
+    this.timer = timer;
+    this.clock.sleep(at - now, timer.stop.signal).then(
+      () => {
+        if (this.timer === timer) this.timer = undefined;
+        this.apply({ type: "ticked" });
+      },
+      () => undefined,
+    );
+  }
+}
--- /dev/null
+++ b/src/groupwatch/stream.ts
@@ -0,0 +1,104 @@
+import type { Clock, ControlResult, Target, TargetControl, TargetStatus } from "../model/index.js";
+
+/** An answer that came on a stream. */
+export interface StreamAnswer {
+  readonly status: TargetStatus;
+  readonly askedAt: number;
+  /** Absent where the target answered because something had changed. */
+  readonly latenessMs?: number;
+}
+
+/** What a stream is made of. */
+export interface StreamOptions {
+  readonly target: Target;
+  readonly control: TargetControl;
+  readonly clock: Clock;
+  /** How long the target holds an answer back while nothing changes, by its last role. */
+  readonly findWaitMs: (role: TargetStatus["role"] | undefined) => number;
+  /** How long after that an answer is still waited for on this connection. */
+  readonly findPatienceMs: () => number;
+  /** Between a failed request and the next. */
+  readonly retryMs: number;
+  readonly onAnswer: (answer: StreamAnswer) => void;
+  readonly onMiss: (reason: string) => void;
+}
+
+/**
+ * Status requests to one target, one after the other, each answered when the position or the fence
+ * changes: positions arrive as they change, on one request per target instead of one per write.
+ */
+export class StatusStream {
+  private readonly stopped = new AbortController();
+  private renewed = new AbortController();
+  private last: TargetStatus | undefined;
+  private isFresh = false;
+
+  constructor(private readonly options: StreamOptions) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  /** Gives the connection up: a request that is still open on it is no longer waited for. */
+  renew(): void {
+    this.isFresh = true;
+    this.renewed.abort();
+    this.renewed = new AbortController();
+  }
+
+  dispose(): void {
+    this.stopped.abort();
+    this.renewed.abort();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      const { signal } = this.renewed;
+      const result = await Promise.race([this.poll(), waitForAbort(signal)]);
+      if (result?.type === "accepted" || signal.aborted) continue;
+      this.isFresh = true;
+      await this.options.clock.sleep(this.options.retryMs, signal).catch(() => undefined);
+    }
+  }
+
+  private async poll(): Promise<ControlResult> {
+    const { control, clock, target, findWaitMs, findPatienceMs } = this.options;
+    const waitMs = findWaitMs(this.last?.role);
+    const after = this.last;
+    const askedAt = clock.now();
+    const isFresh = this.isFresh;
+    this.isFresh = false;
+    const result = await control.status(target, {
+      timeoutMs: waitMs + findPatienceMs(),
+      ...(after === undefined
+        ? {}
+        : { after: { mark: after.mark, fencedAt: after.fencedAt }, waitMs }),
+      ...(isFresh ? { fresh: true } : {}),
+    });
+    if (!this.stopped.signal.aborted) this.report(result, askedAt, after, waitMs);
+    return result;
+  }
+
+  private report(
+    result: ControlResult,
+    askedAt: number,
+    after: TargetStatus | undefined,
+    waitMs: number,
+  ): void {
+    if (result.type !== "accepted") {
+      this.options.onMiss(result.type === "refused" ? "refused" : result.reason);
+      return;
+    }
+    const { status } = result;
+    this.last = status;
+    const isUnchanged = after?.mark.offset === status.mark.offset;
+    const latenessMs = Math.max(0, this.options.clock.now() - askedAt - waitMs);
+    this.options.onAnswer({ status, askedAt, ...(isUnchanged ? { latenessMs } : {}) });
+  }
+}
+
+function waitForAbort(signal: AbortSignal): Promise<undefined> {
+  return new Promise((resolve) => {
+    signal.addEventListener("abort", () => resolve(undefined), { once: true });
+  });
+}
