--- a/src/groupwatch/index.ts
+++ b/src/groupwatch/index.ts
@@ -1,3 +1,4 @@
 export { type Confirmation } from "./confirmations.js";
 export { GroupWatch, type MarkReading } from "./groupwatch.js";
 export { type GapSplit, type WatchOptions, type WatchPorts } from "./ports.js";
+export { findBackedAt } from "./view.js";
--- a/src/model/place.ts
+++ b/src/model/place.ts
@@ -26,6 +26,8 @@
   readonly slots: number;
   /** Connections it accepts, from all proxies together. */
   readonly connections: number;
+  /** The platform is taking it away: it gets no new work. Absent means that it stays. */
+  readonly isLeaving?: boolean;
 }
 
 /** A database group: one logical database on several targets, of which one is primary. */
--- /dev/null
+++ b/src/owner/confirmer.ts
@@ -0,0 +1,54 @@
+import type { GroupWatch } from "../groupwatch/index.js";
+import { compareTerms, type Mark } from "../model/index.js";
+import { getPlace, type ServeContext } from "./context.js";
+import type { Confirmed, Confirmer } from "./filters/confirm.js";
+
+/** How often the primary is asked for the position of a commit before it counts as unconfirmed. */
+const readAttempts = 3;
+
+/** Confirms writes through the group's watch. */
+export class WatchConfirmer implements Confirmer {
+  constructor(private readonly watch: GroupWatch) {}
+
+  async confirm(context: ServeContext): Promise<Confirmed> {
+    const { target, term } = getPlace(context);
+    if (term === undefined) return { type: "unconfirmed", reason: "the term was not known" };
+    for (let attempt = 0; attempt < readAttempts && !context.signal.aborted; attempt += 1) {
+      const reading = await this.watch.readMark(target.name);
+      if (reading.type === "unreachable") continue;
+      if (reading.type === "notPrimary" || compareTerms(reading.term, term) !== 0) {
+        return { type: "unconfirmed", reason: "the primary was superseded" };
+      }
+      return this.confirmMark(context, reading.mark, reading.askedAt);
+    }
+    return { type: "unconfirmed", reason: "the primary did not tell its position" };
+  }
+
+  /** A mark at or beyond every write acknowledged so far, as a majority vouches for it. */
+  async findFloor(signal: AbortSignal): Promise<Mark | undefined> {
+    const { primary } = this.watch.view();
+    if (primary === undefined) return undefined;
+    const reading = await this.watch.readMark(primary.target);
+    if (reading.type !== "read" || compareTerms(reading.term, primary.term) !== 0) return undefined;
+    const { mark, askedAt } = reading;
+    const confirmation = await this.watch.confirm(primary.term, mark, "witnessed", signal, askedAt);
+    return confirmation.type === "confirmed" ? mark : undefined;
+  }
+
+  private async confirmMark(
+    { request, signal }: ServeContext,
+    mark: Mark,
+    askedAt: number,
+  ): Promise<Confirmed> {
+    const mode = request.action.acknowledgement;
+    const confirmation = await this.watch.confirm(mark.term, mark, mode, signal, askedAt);
+    switch (confirmation.type) {
+      case "confirmed":
+        return { type: "confirmed", mark };
+      case "superseded":
+        return { type: "unconfirmed", reason: "the primary was superseded" };
+      case "timedOut":
+        return { type: "unconfirmed", reason: "no majority confirmed it in time" };
+    }
+  }
+}
--- a/src/owner/context.ts
+++ b/src/owner/context.ts
@@ -25,6 +25,8 @@
   /** Aborts at the request's deadline, or when its caller goes away. */
   readonly signal: AbortSignal;
   readonly attempt: number;
+  /** The target whose slot the request holds. */
+  readonly slotTarget?: string;
   readonly place?: Place;
 }
 
--- /dev/null
+++ b/src/owner/conversation.ts
@@ -0,0 +1,155 @@
+import { composeFilters, type Next } from "../filter/index.js";
+import { ownerEvents } from "../log/events/owner.js";
+import {
+  assertInvariant,
+  type Conversation,
+  type MessageSink,
+  type Outcome,
+  type Request,
+} from "../model/index.js";
+import { HeldAnswer, type Holding } from "./answer.js";
+import { refuse, type Place, type ServeContext } from "./context.js";
+import { startDeadline } from "./deadline.js";
+import { createConfirmFilter } from "./filters/confirm.js";
+import { createConnectFilter, settleConnection } from "./filters/connect.js";
+import { createDeduplicateFilter } from "./filters/deduplicate.js";
+import { executeFilter } from "./filters/execute.js";
+import { createFloorFilter } from "./filters/floor.js";
+import { createPlaceFilter, runPlaced } from "./filters/place.js";
+import type { ServedGroup } from "./group.js";
+import type { HeldConnection } from "./pool.js";
+
+const refusedRetryMs = 100;
+
+/** The connection that an open transaction stays on. */
+interface Pinned {
+  readonly place: Place;
+  readonly connection: HeldConnection;
+}
+
+/** One caller's exchange with a group that this process serves. */
+export class OwnerConversation implements Conversation {
+  private readonly serveFresh: Next<ServeContext>;
+  private readonly servePinned: Next<ServeContext>;
+  private pinned: Pinned | undefined;
+  private isRunning = false;
+  private isClosed = false;
+
+  constructor(
+    private readonly group: ServedGroup,
+    /** Hears once that the conversation has ended. */
+    private readonly onEnd: () => void,
+  ) {
+    const { logger } = group.ports;
+    const pin = (place: Place, connection: HeldConnection) => {
+      this.pinned = { place, connection };
+    };
+    const confirm = createConfirmFilter(group.confirmer, logger);
+    this.serveFresh = composeFilters([
+      createFloorFilter((signal) => group.confirmer.findFloor(signal)),
+      group.retry,
+      createPlaceFilter(group, logger),
+      createConnectFilter(group, pin),
+      confirm,
+      createDeduplicateFilter(logger),
+      executeFilter,
+    ]);
+    this.servePinned = composeFilters([confirm, executeFilter]);
+  }
+
+  async run(
+    request: Request,
+    messages: Uint8Array,
+    sink: MessageSink,
+    signal: AbortSignal,
+  ): Promise<Outcome> {
+    if (this.isClosed) return refuse("draining", refusedRetryMs, "the conversation has ended");
+    assertInvariant(
+      "oneTransactionPerConnection",
+      !this.isRunning,
+      () => `${request.id} came while another batch of its conversation ran`,
+    );
+    this.isRunning = true;
+    const deadline = startDeadline(request.deadlineAt - this.group.ports.clock.now(), signal);
+    try {
+      const answer = new HeldAnswer(sink, findHolding(request));
+      const context = { request, messages, answer, signal: deadline.signal, attempt: 1 };
+      const outcome = await this.serve(context);
+      this.noteOutcome(request, outcome);
+      return outcome;
+    } finally {
+      deadline.dispose();
+      this.isRunning = false;
+      if (this.hasEnded()) this.end();
+    }
+  }
+
+  close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    if (!this.isRunning) this.end();
+  }
+
+  private serve(context: ServeContext): Promise<Outcome> {
+    const { pinned } = this;
+    return pinned === undefined ? this.serveFresh(context) : this.runPinned(context, pinned);
+  }
+
+  /** A statement of an open transaction waits for a slot as any other, on its own target. */
+  private async runPinned(context: ServeContext, pinned: Pinned): Promise<Outcome> {
+    const { place, connection } = pinned;
+    const placed = await this.group.acquire(context.request, [place.target.name], context.signal);
+    if (placed.type === "refused") {
+      const { reason, retryAfterMs } = placed;
+      return this.endPinned(
+        refuse(reason, retryAfterMs, "the transaction was rolled back"),
+        pinned,
+      );
+    }
+    const outcome = await runPlaced({ ...context, place }, placed.slot, this.servePinned);
+    if (!connection.session.isUsable) this.group.noteBroken(place.target.name);
+    return this.endPinned(outcome, pinned);
+  }
+
+  private endPinned(outcome: Outcome, { place, connection }: Pinned): Outcome {
+    this.pinned = undefined;
+    settleConnection(outcome, place, connection, (again, held) => {
+      this.pinned = { place: again, connection: held };
+    });
+    return outcome;
+  }
+
+  private hasEnded(): boolean {
+    return this.isClosed;
+  }
+
+  /** An open transaction is rolled back by closing its connection. */
+  private end(): void {
+    this.isClosed = true;
+    this.pinned?.connection.drop();
+    this.pinned = undefined;
+    this.onEnd();
+  }
+
+  private noteOutcome(request: Request, outcome: Outcome): void {
+    const { logger, hooks } = this.group.ports;
+    hooks.onOutcome(request, outcome);
+    if (outcome.type === "answered") return;
+    logger.write(ownerEvents.requestFailed, {
+      request: request.id,
+      group: request.traits.group,
+      team: request.traits.team,
+      verdict: outcome.verdict,
+      message: outcome.message,
+    });
+  }
+}
+
+/**
+ * A keyed write's whole answer is held, since it is kept for repeats; any other write's is held from
+ * its outcome on, until the write is confirmed.
+ */
+function findHolding({ traits, idempotency }: Request): Holding {
+  if (traits.effect === "read") return "none";
+  return idempotency !== undefined && !traits.transaction ? "all" : "outcome";
+}
--- /dev/null
+++ b/src/owner/filters/connect.ts
@@ -0,0 +1,78 @@
+import type { Filter } from "../../filter/index.js";
+import type { Outcome, Target, TargetSession, Term } from "../../model/index.js";
+import { refuse, type Place, type ServeContext } from "../context.js";
+import type { ConnectionTaken, HeldConnection } from "../pool.js";
+
+/** What connecting asks of the group. */
+export interface ConnectingGroup {
+  take(target: string, deadlineAt: number, signal: AbortSignal): Promise<ConnectionTaken>;
+  describe(target: string): {
+    readonly target: Target;
+    readonly role: "primary" | "replica";
+    readonly term: Term | undefined;
+  };
+  /** A connection broke: a hint for the failure detector. */
+  noteBroken(target: string): void;
+}
+
+/** Keeps a place for the next batch of an open transaction. */
+export type Pin = (place: Place, connection: HeldConnection) => void;
+
+/**
+ * Takes a connection for the request. It goes back to the pool only after an exchange that ended
+ * idle; with a transaction open it stays with its conversation, and after a failure it is closed, so
+ * that a late answer or a half-done transaction can never meet the next caller.
+ */
+export function createConnectFilter(group: ConnectingGroup, pin: Pin): Filter<ServeContext> {
+  return {
+    name: "connect",
+    async apply(context, next) {
+      const name = context.slotTarget;
+      if (name === undefined) throw new Error("the request holds no slot yet");
+      const taken = await group.take(name, context.request.deadlineAt, context.signal);
+      if (taken.type === "refused") {
+        return refuse(taken.reason, taken.retryAfterMs, `no connection to ${name}`);
+      }
+      const { connection } = taken;
+      const place: Place = { ...group.describe(name), session: observeProgress(connection) };
+      const outcome = await next({ ...context, place });
+      if (!connection.session.isUsable) group.noteBroken(name);
+      settleConnection(outcome, place, connection, pin);
+      return outcome;
+    },
+  };
+}
+
+/** Gives a connection back, keeps it for its open transaction, or closes it. */
+export function settleConnection(
+  outcome: Outcome,
+  place: Place,
+  connection: HeldConnection,
+  pin: Pin,
+): void {
+  if (outcome.type === "failed") connection.drop();
+  else if (outcome.status === "I") connection.giveBack();
+  else pin(place, connection);
+}
+
+function observeProgress(connection: HeldConnection): TargetSession {
+  const { session } = connection;
+  return {
+    target: session.target,
+    get isUsable() {
+      return session.isUsable;
+    },
+    exchange: (messages, sink, signal) =>
+      session.exchange(
+        messages,
+        (message) => {
+          connection.noteProgress();
+          return sink(message);
+        },
+        signal,
+      ),
+    close: () => {
+      session.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/owner/filters/place.ts
@@ -0,0 +1,160 @@
+import type { Filter } from "../../filter/index.js";
+import { resolveRoute, type ReadRoute } from "../../policy/index.js";
+import { assertInvariant, type GroupView, type Outcome, type Request } from "../../model/index.js";
+import { ownerEvents } from "../../log/events/owner.js";
+import type { Logger } from "../../log/index.js";
+import { refuse, type ServeContext } from "../context.js";
+import { holdsMark } from "../scene.js";
+import type { Slot, SlotResult } from "../slots.js";
+
+const noPrimaryRetryMs = 500;
+const deadlineRetryMs = 100;
+
+/** A read prefers a replica that is expected to hold its mark within this time, in milliseconds. */
+const patienceMs = 5;
+
+/** Between two looks at a group whose router said to wait, at the most, in milliseconds. */
+const longestWaitMs = 250;
+
+/** What placing asks of the group. */
+export interface PlacingGroup {
+  view(): GroupView;
+  route(request: Request, patienceMs: number): ReadRoute;
+  /** The target whose slot a write waits for, also while the group is between two primaries. */
+  findWriteTarget(): string | undefined;
+  acquire(
+    request: Request,
+    candidates: readonly string[],
+    signal: AbortSignal,
+  ): Promise<SlotResult>;
+  /** Resolves at the group's next change, after `ms` at the latest. */
+  waitForChange(ms: number, signal: AbortSignal): Promise<void>;
+  /** Asks the primary for its position now. */
+  refresh(target: string): Promise<void>;
+  isLeaving(target: string): boolean;
+}
+
+type Choice =
+  | { readonly type: "candidates"; readonly targets: readonly string[]; readonly reason: string }
+  | { readonly type: "wait"; readonly waitMs: number }
+  | { readonly type: "refused"; readonly outcome: Outcome };
+
+/** Gives a request its target and a slot there, and holds the slot while the rest of the chain runs. */
+export function createPlaceFilter(group: PlacingGroup, logger: Logger): Filter<ServeContext> {
+  return {
+    name: "place",
+    async apply(context, next) {
+      while (!context.signal.aborted) {
+        const choice = chooseTargets(group, context.request);
+        switch (choice.type) {
+          case "refused":
+            return choice.outcome;
+          case "wait":
+            await group.waitForChange(Math.min(choice.waitMs, longestWaitMs), context.signal);
+            continue;
+          case "candidates": {
+            const placed = await group.acquire(context.request, choice.targets, context.signal);
+            if (placed.type === "refused") {
+              return refuse(placed.reason, placed.retryAfterMs, "no slot within the time allowed");
+            }
+            if (!(await canServe(group, context.request, placed.slot))) {
+              placed.slot.release();
+              await group.waitForChange(longestWaitMs, context.signal);
+              continue;
+            }
+            const { target } = placed.slot;
+            logPlacement(logger, context, target, choice.reason);
+            return runPlaced(context, placed.slot, (c) => next({ ...c, slotTarget: target }));
+          }
+        }
+      }
+      return refuse("deadline", deadlineRetryMs, "no target could serve it in time");
+    },
+  };
+}
+
+/** Runs the rest of the chain in a slot and gives the slot back. */
+export async function runPlaced(
+  context: ServeContext,
+  slot: Slot,
+  next: (context: ServeContext) => Promise<Outcome>,
+): Promise<Outcome> {
+  const outcome = await next(context);
+  const isAbandoned = outcome.type === "failed" && outcome.verdict.type === "mayHaveRun";
+  if (isAbandoned && context.signal.aborted) slot.abandon();
+  else slot.release();
+  return outcome;
+}
+
+function chooseTargets(group: PlacingGroup, request: Request): Choice {
+  const route = resolveRoute(request.traits, request.action.route);
+  if (request.traits.effect === "write" || route.type === "primary") {
+    const target = group.findWriteTarget();
+    if (target === undefined) return refuseWithoutPrimary();
+    const reason = request.traits.effect === "write" ? "write" : "ruleSaysPrimary";
+    return { type: "candidates", targets: [target], reason };
+  }
+  const found = group.route({ ...request, action: { ...request.action, route } }, patienceMs);
+  switch (found.type) {
+    case "replica":
+      return { type: "candidates", targets: found.targets, reason: found.reason };
+    case "primary":
+      return { type: "candidates", targets: [found.target], reason: found.reason };
+    case "wait":
+      return { type: "wait", waitMs: found.waitMs };
+    case "nowhere":
+      return refuseWithoutPrimary();
+  }
+}
+
+function refuseWithoutPrimary(): Choice {
+  return {
+    type: "refused",
+    outcome: refuse("noPrimary", noPrimaryRetryMs, "the group has no primary now"),
+  };
+}
+
+/**
+ * Looks again once the slot is there. While a request waited, the primary may have changed, or the
+ * target's log may have been cut back at a change of primary: a read would miss the session's own
+ * write. What is seen now holds for the statement, since the log only grows within a term.
+ */
+async function canServe(group: PlacingGroup, request: Request, slot: Slot): Promise<boolean> {
+  const { target } = slot;
+  if (request.traits.effect === "write") return group.view().primary?.target === target;
+  if (holdsMark(group.view(), target, request.mark)) return noteServing(group, request, target);
+  if (group.view().primary?.target !== target) return false;
+  await group.refresh(target);
+  const isHeld = holdsMark(group.view(), target, request.mark);
+  return isHeld && noteServing(group, request, target);
+}
+
+function noteServing(group: PlacingGroup, request: Request, target: string): boolean {
+  assertInvariant(
+    "readYourWrites",
+    holdsMark(group.view(), target, request.mark),
+    () => `${request.id} was given ${target}, which does not hold its mark`,
+  );
+  return true;
+}
+
+function logPlacement(
+  logger: Logger,
+  { request, attempt }: ServeContext,
+  target: string,
+  reason: string,
+): void {
+  const { group, team, kind, effect } = request.traits;
+  const { id, rule } = request;
+  logger.write(ownerEvents.requestPlaced, {
+    request: id,
+    group,
+    team,
+    kind,
+    effect,
+    rule,
+    target,
+    reason,
+    attempt,
+  });
+}
--- /dev/null
+++ b/src/owner/group.ts
@@ -0,0 +1,274 @@
+import { findBackedAt, GroupWatch } from "../groupwatch/index.js";
+import { ownerEvents } from "../log/events/owner.js";
+import type { Logger } from "../log/index.js";
+import {
+  DisposableStore,
+  type Clock,
+  type Disposable,
+  type Group,
+  type GroupView,
+  type PeerClient,
+  type Random,
+  type Request,
+  type Target,
+  type TargetConnector,
+  type TargetControl,
+  type Vm,
+} from "../model/index.js";
+import { routeRead, type ReadRoute } from "../policy/index.js";
+import { WatchConfirmer } from "./confirmer.js";
+import type { ConnectingGroup } from "./filters/connect.js";
+import type { PlacingGroup } from "./filters/place.js";
+import { RetryFilter } from "./filters/retry.js";
+import type { OwnerHooks } from "./hooks.js";
+import { TargetPool, type ConnectionTaken } from "./pool.js";
+import { findState, SceneKeeper } from "./scene.js";
+import { SlotQueue, type SlotResult } from "./slots.js";
+
+/** How soon a lost primary's slots are expected back, for those who wait for them. */
+const expectedGapMs = 1000;
+
+/** What an owner needs of the world. */
+export interface OwnerPorts {
+  readonly vm: string;
+  readonly connector: TargetConnector;
+  readonly control: TargetControl;
+  readonly peers: PeerClient;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly hooks: OwnerHooks;
+  /** Other live VMs, the best first. */
+  readonly findHelpers: () => readonly Vm[];
+}
+
+/** One group served by this process: its watch, its queue and its connections. */
+export class ServedGroup implements PlacingGroup, ConnectingGroup, Disposable {
+  readonly watch: GroupWatch;
+  readonly confirmer: WatchConfirmer;
+  readonly retry: RetryFilter;
+  private readonly owned = new DisposableStore();
+  private readonly slots: SlotQueue;
+  private readonly pools = new Map<string, TargetPool>();
+  private readonly scene: SceneKeeper;
+  private readonly sizes = new Map<string, string>();
+  private readonly primaryBound = new Set<string>();
+  private lastPrimary: string | undefined;
+
+  constructor(
+    private group: Group,
+    readonly ports: OwnerPorts,
+  ) {
+    const { clock, random, logger, hooks } = ports;
+    this.slots = this.owned.add(new SlotQueue(clock));
+    this.scene = new SceneKeeper(group, findBackedAt);
+    this.watch = this.owned.add(
+      new GroupWatch({
+        group,
+        vm: ports.vm,
+        control: ports.control,
+        peers: ports.peers,
+        clock,
+        random,
+        log: logger,
+        findHelpers: ports.findHelpers,
+        onGap: (gapMs, split) => {
+          hooks.onGap(group.name, gapMs, split);
+        },
+      }),
+    );
+    this.confirmer = new WatchConfirmer(this.watch);
+    this.retry = new RetryFilter(clock, random, logger);
+    for (const target of group.targets) this.addPool(target);
+    this.owned.add(
+      this.watch.subscribe((view) => {
+        this.observe(view);
+      }),
+    );
+  }
+
+  get name(): string {
+    return this.group.name;
+  }
+
+  start(): void {
+    this.ports.logger.write(ownerEvents.groupOpened, { group: this.name });
+    this.observe(this.watch.view());
+    this.watch.start();
+  }
+
+  /** Takes the platform's latest word about the group: which targets are leaving. */
+  setGroup(group: Group): void {
+    const left = this.group.targets.filter((t) => t.isLeaving !== true).map((t) => t.name);
+    this.group = group;
+    this.scene.setGroup(group);
+    this.observe(this.watch.view());
+    for (const target of group.targets) {
+      if (target.isLeaving === true && left.includes(target.name)) this.noteLeaving(target.name);
+    }
+  }
+
+  async dispose(): Promise<void> {
+    await this.owned.dispose();
+    this.ports.logger.write(ownerEvents.groupClosed, { group: this.name });
+  }
+
+  view(): GroupView {
+    return this.watch.view();
+  }
+
+  route(request: Request, patienceMs: number): ReadRoute {
+    const { clock } = this.ports;
+    const now = clock.now();
+    const question = {
+      team: request.traits.team,
+      plan: request.traits.plan,
+      priority: request.action.priority,
+    };
+    const queue = {
+      countFree: (target: string) => this.slots.countFree(target),
+      measureWaitMs: (target: string) =>
+        this.slots.measureWaitMs({ ...question, candidates: [target] }),
+    };
+    const demand = {
+      route: request.action.route,
+      timeLeftMs: request.deadlineAt - now,
+      patienceMs,
+      ...(request.mark === undefined ? {} : { mark: request.mark }),
+    };
+    return routeRead(demand, this.scene.build(this.view(), queue, now));
+  }
+
+  findWriteTarget(): string | undefined {
+    return this.view().primary?.target ?? this.lastPrimary;
+  }
+
+  async acquire(
+    request: Request,
+    candidates: readonly string[],
+    signal: AbortSignal,
+  ): Promise<SlotResult> {
+    const { traits, action, id, deadlineAt } = request;
+    const { clock, hooks } = this.ports;
+    const startedAt = clock.now();
+    const isBound = candidates.length === 1 && candidates[0] === this.findWriteTarget();
+    if (isBound) this.primaryBound.add(id);
+    const wanted = {
+      id,
+      team: traits.team,
+      plan: traits.plan,
+      priority: action.priority,
+      candidates,
+      deadlineAt,
+      maxQueueMs: action.maxQueueMs,
+    };
+    const result = await this.slots.acquire(wanted, signal);
+    this.primaryBound.delete(id);
+    hooks.onQueueWait(request, clock.now() - startedAt);
+    return result;
+  }
+
+  waitForChange(ms: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const stopped = new AbortController();
+      const stop = () => {
+        void subscription.dispose();
+        signal.removeEventListener("abort", stop);
+        stopped.abort();
+        resolve();
+      };
+      const subscription = this.watch.subscribe(stop);
+      signal.addEventListener("abort", stop, { once: true });
+      void this.ports.clock.sleep(ms, stopped.signal).then(stop, () => undefined);
+    });
+  }
+
+  async refresh(target: string): Promise<void> {
+    await this.watch.readMark(target);
+  }
+
+  isLeaving(target: string): boolean {
+    return this.findTarget(target).isLeaving === true;
+  }
+
+  take(target: string, deadlineAt: number, signal: AbortSignal): Promise<ConnectionTaken> {
+    const pool = this.pools.get(target);
+    if (pool === undefined) throw new Error(`${target} is no target of ${this.name}`);
+    return pool.take(deadlineAt, signal);
+  }
+
+  describe(target: string): ReturnType<ConnectingGroup["describe"]> {
+    const { primary } = this.view();
+    const isPrimary = primary?.target === target;
+    return {
+      target: this.findTarget(target),
+      role: isPrimary ? "primary" : "replica",
+      term: isPrimary ? primary.term : undefined,
+    };
+  }
+
+  noteBroken(target: string): void {
+    this.watch.observeFailure(target);
+  }
+
+  /** The connections by state over all targets, for metrics. */
+  countConnections(): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const pool of this.pools.values()) {
+      for (const [state, count] of pool.countByState()) {
+        counts.set(state, (counts.get(state) ?? 0) + count);
+      }
+    }
+    return counts;
+  }
+
+  private addPool(target: Target): void {
+    const { connector, clock } = this.ports;
+    const pool = new TargetPool(target, this.group.name, connector, clock);
+    this.pools.set(target.name, this.owned.add(pool));
+  }
+
+  private findTarget(name: string): Target {
+    const target = this.group.targets.find((t) => t.name === name);
+    if (target === undefined) throw new Error(`${name} is no target of ${this.name}`);
+    return target;
+  }
+
+  private noteLeaving(target: string): void {
+    this.pools.get(target)?.drain();
+    if (this.view().primary?.target === target) this.watch.switchFrom(target);
+  }
+
+  private observe(view: GroupView): void {
+    this.scene.observe(view);
+    const { primary } = view;
+    if (primary !== undefined && primary.target !== this.lastPrimary) {
+      this.movePrimary(primary.target, view);
+    }
+    for (const target of this.group.targets) this.resize(target, view);
+  }
+
+  /**
+   * Writes that waited for the old primary's slot wait for the new one's instead. The new one gets
+   * its slots first: the queue refuses at once those that wait for a target without any.
+   */
+  private movePrimary(name: string, view: GroupView): void {
+    this.lastPrimary = name;
+    this.resize(this.findTarget(name), view);
+    for (const id of this.primaryBound) this.slots.retarget(id, [name]);
+  }
+
+  /** Only changes reach the queue: views come with every position that a target reports. */
+  private resize(target: Target, view: GroupView): void {
+    const state = findState(target, view.targets[target.name]);
+    const isPrimary = view.primary?.target === target.name;
+    const isAwaited = target.name === this.lastPrimary && (!isPrimary || state === "unreachable");
+    const isServing = state === "serving" && !isAwaited;
+    const role = isPrimary || isAwaited ? "primary" : "replica";
+    const slots = isServing ? target.slots : 0;
+    const size = `${role} ${slots}`;
+    if (this.sizes.get(target.name) === size) return;
+    this.sizes.set(target.name, size);
+    this.slots.resize(target.name, role, slots, isAwaited ? expectedGapMs : undefined);
+  }
+}
--- a/src/owner/pool.ts
+++ b/src/owner/pool.ts
@@ -201,7 +201,8 @@
         if (!isHeld) return;
         isHeld = false;
         const at = this.clock.now();
-        if (session.isUsable) this.apply({ type: "ready", at, connection, status: "I", inFlight: 0 });
+        if (session.isUsable)
+          this.apply({ type: "ready", at, connection, status: "I", inFlight: 0 });
         else this.drop(waiter, connection, session);
       },
       drop: () => {
