Serve callers by the PostgreSQL protocol

Cause: callers speak PostgreSQL to any proxy; each request needs traits, a rule, a mark and a whole answer with a verdict. Change: CallerServer with framing checks, batches, a plan that keeps prepared names in the session, the request chain, transactions that stay aborted until the caller ends them, session tokens, limits and draining.

--- /dev/null
+++ b/src/caller/local.ts
@@ -0,0 +1,129 @@
+import type { SessionStep, TokenKey } from "../session/index.js";
+import { verifyToken } from "../session/index.js";
+import type { StatementKind } from "../sql/index.js";
+import { type CallerError, sqlStates } from "./errors.js";
+import { backend, encodeComplete, encodeMessage } from "./message.js";
+import type { BatchPlan, ExpectedReply } from "./plan.js";
+
+/** How a batch is answered that goes to no target. */
+export type LocalAnswer =
+  | { readonly type: "remote" }
+  | { readonly type: "refused"; readonly error: CallerError }
+  | {
+      readonly type: "local";
+      readonly messages: readonly Uint8Array[];
+      readonly steps: readonly SessionStep[];
+    };
+
+/** Tells whether a batch concerns the session alone, and answers it then. */
+export function answerLocally(plan: BatchPlan, keys: readonly TokenKey[]): LocalAnswer {
+  const refusal = findRefusal(plan.statements);
+  if (refusal !== undefined) return { type: "refused", error: refusal };
+  const runs = plan.statements.filter((s) => s.type !== "setting" && s.type !== "discard");
+  if (runs.length > 0) return { type: "remote" };
+  const hasOther = plan.replies?.some((r) => r.type !== "closeStatement") ?? false;
+  if (plan.statements.length === 0 && hasOther) return { type: "remote" };
+  return answerSettings(plan, keys);
+}
+
+/** Answers a batch whose only statement ends a transaction that is gone already. */
+export function answerRollback(plan: BatchPlan): readonly Uint8Array[] {
+  return encodeReplies(plan, () => "ROLLBACK");
+}
+
+function findRefusal(statements: readonly StatementKind[]): CallerError | undefined {
+  const isLocal = (s: StatementKind): boolean => s.type === "setting" || s.type === "discard";
+  for (const statement of statements) {
+    if (statement.type === "sessionState") {
+      return refuse(
+        `${statement.what} would change a connection that is shared`,
+        "use SET LOCAL and cursors without HOLD inside a transaction",
+      );
+    }
+    if (statement.type === "copyIn") return refuse("COPY FROM STDIN is not supported");
+  }
+  const isMixed = statements.some(isLocal) && !statements.every(isLocal);
+  return isMixed ? refuse("a radishwalk setting or DISCARD must stand alone") : undefined;
+}
+
+function answerSettings(plan: BatchPlan, keys: readonly TokenKey[]): LocalAnswer {
+  const steps: SessionStep[] = [];
+  for (const statement of plan.statements) {
+    const step = findStep(statement, keys);
+    if (step === undefined) {
+      const message = "unrecognised radishwalk setting; known are kind, idempotency_key, session";
+      return { type: "refused", error: { severity: "ERROR", code: "42704", message } };
+    }
+    steps.push(step);
+  }
+  const ofReplies = (plan.replies ?? []).flatMap((reply) => ("step" in reply ? [reply.step] : []));
+  return {
+    type: "local",
+    messages: encodeReplies(plan, (s) => (s.type === "discard" ? s.tag : "SET")),
+    steps: [...ofReplies, ...steps],
+  };
+}
+
+function findStep(statement: StatementKind, keys: readonly TokenKey[]): SessionStep | undefined {
+  if (statement.type === "discard") return { type: "closeStatements" };
+  if (statement.type !== "setting") return undefined;
+  const { name, value } = statement;
+  switch (name) {
+    case "kind":
+      return value === undefined ? { type: "setKind" } : { type: "setKind", kind: value };
+    case "idempotency_key":
+      return value === undefined
+        ? { type: "setIdempotencyKey" }
+        : { type: "setIdempotencyKey", key: value };
+    case "session":
+      return value === undefined ? undefined : findTokenStep(value, keys);
+    default:
+      return undefined;
+  }
+}
+
+/** The step for a token that a caller presents: one that can't be relied on is no reason to refuse. */
+export function findTokenStep(text: string, keys: readonly TokenKey[]): SessionStep {
+  const check = verifyToken(text, keys);
+  return check.type === "verified" ? { type: "join", token: check.token } : { type: "joinUnknown" };
+}
+
+function encodeReplies(
+  plan: BatchPlan,
+  findTag: (statement: StatementKind) => string,
+): readonly Uint8Array[] {
+  if (plan.replies !== undefined) return plan.replies.flatMap((r) => encodeReply(r, findTag));
+  if (plan.statements.length === 0) return [encodeMessage(backend.emptyQueryResponse)];
+  return plan.statements.map((statement) => encodeComplete(findTag(statement)));
+}
+
+function encodeReply(
+  reply: ExpectedReply,
+  findTag: (statement: StatementKind) => string,
+): readonly Uint8Array[] {
+  switch (reply.type) {
+    case "injectedParse":
+      return [];
+    case "parse":
+      return [encodeMessage(backend.parseComplete)];
+    case "bind":
+      return [encodeMessage(backend.bindComplete)];
+    case "closeStatement":
+    case "closePortal":
+      return [encodeMessage(backend.closeComplete)];
+    case "describeStatement":
+      return [
+        encodeMessage(backend.parameterDescription, Buffer.alloc(2)),
+        encodeMessage(backend.noData),
+      ];
+    case "describePortal":
+      return [encodeMessage(backend.noData)];
+    case "execute":
+      return [encodeComplete(findTag(reply.kind))];
+  }
+}
+
+function refuse(message: string, hint?: string): CallerError {
+  const error = { severity: "ERROR", code: sqlStates.featureNotSupported, message } as const;
+  return hint === undefined ? error : { ...error, hint };
+}
--- /dev/null
+++ b/src/caller/plan.ts
@@ -0,0 +1,222 @@
+import { createHash } from "node:crypto";
+import type { Effect } from "../model/index.js";
+import {
+  applyStep,
+  type PreparedStatement,
+  type Session,
+  type SessionLimits,
+  type SessionStep,
+} from "../session/index.js";
+import { classifyStatement, parseTags, type StatementKind } from "../sql/index.js";
+import type { Batch } from "./batch.js";
+import { type CallerError, sqlStates } from "./errors.js";
+import {
+  encodeSync,
+  encodeUnnamed,
+  encodeUnnamedBind,
+  encodeUnnamedParse,
+  type ExtendedMessage,
+  parseExtended,
+} from "./extended.js";
+
+/** A reply that the target owes, in order. */
+export type ExpectedReply =
+  /** To a `Parse` that the caller did not send; not handed on. */
+  | { readonly type: "injectedParse" }
+  | { readonly type: "parse" | "closeStatement"; readonly step: SessionStep }
+  | { readonly type: "bind" | "describeStatement" | "describePortal" | "closePortal" }
+  | { readonly type: "execute"; readonly kind: StatementKind };
+
+/** What a batch means, and what is sent to the target for it. */
+export interface BatchPlan {
+  readonly type: "planned";
+  readonly messages: Uint8Array;
+  /** Absent for a simple query or a function call, whose replies can't be told beforehand. */
+  readonly replies?: readonly ExpectedReply[];
+  readonly effect: Effect;
+  readonly tables: readonly string[];
+  /** The statements that it runs, in order. */
+  readonly statements: readonly StatementKind[];
+  readonly tags: ReadonlyMap<string, string>;
+  /** SHA-256 of statements and parameters, hexadecimal. */
+  readonly digest: string;
+}
+
+/** A batch that can't be run, as a whole. */
+export interface RefusedBatch {
+  readonly type: "refused";
+  readonly error: CallerError;
+}
+
+/** Plans a batch against what the session has prepared. Throws `ProtocolError`. */
+export function planBatch(
+  batch: Batch,
+  session: Session,
+  limits: SessionLimits,
+): BatchPlan | RefusedBatch {
+  switch (batch.type) {
+    case "query":
+      return planQuery(batch.text, batch.message);
+    case "functionCall":
+      return planFunctionCall(batch.message);
+    case "extended":
+      return new ExtendedPlanner(session, limits).plan(batch.messages);
+  }
+}
+
+function planQuery(text: string, message: Uint8Array): BatchPlan {
+  const { statement, tags } = parseTags(text);
+  const digest = createHash("sha256").update(statement).digest("hex");
+  return { type: "planned", messages: message, ...classifyStatement(statement), tags, digest };
+}
+
+function planFunctionCall(messages: Uint8Array): BatchPlan {
+  const digest = createHash("sha256").update(messages).digest("hex");
+  return {
+    type: "planned",
+    messages,
+    effect: "write",
+    tables: [],
+    statements: [{ type: "plain" }],
+    tags: new Map(),
+    digest,
+  };
+}
+
+/**
+ * Targets' connections are shared, so a name prepared there would be met by another caller. All
+ * names live in the session: each use sends the statement again, under the unnamed statement.
+ */
+class ExtendedPlanner {
+  private readonly messages: Uint8Array[] = [];
+  private readonly replies: ExpectedReply[] = [];
+  private readonly statements: StatementKind[] = [];
+  private readonly tables = new Set<string>();
+  private readonly tags = new Map<string, string>();
+  private readonly portals = new Map<string, PreparedStatement>();
+  private readonly hash = createHash("sha256");
+  private effect: Effect = "read";
+  /** What the unnamed statement is at the target by now. */
+  private unnamed: PreparedStatement | undefined;
+  private error: CallerError | undefined;
+
+  constructor(
+    private session: Session,
+    private readonly limits: SessionLimits,
+  ) {}
+
+  plan(messages: readonly Uint8Array[]): BatchPlan | RefusedBatch {
+    for (const message of messages) {
+      this.add(parseExtended(message));
+      if (this.error !== undefined) return { type: "refused", error: this.error };
+    }
+    return {
+      type: "planned",
+      messages: Buffer.concat([...this.messages, encodeSync()]),
+      replies: this.replies,
+      effect: this.effect,
+      tables: [...this.tables].sort(),
+      statements: this.statements,
+      tags: this.tags,
+      digest: this.hash.digest("hex"),
+    };
+  }
+
+  private add(message: ExtendedMessage): void {
+    switch (message.type) {
+      case "parse":
+        this.addParse(message.name, message.text, message.message);
+        break;
+      case "bind":
+        this.addBind(message.portal, message.statement, message.content);
+        break;
+      case "describeStatement":
+        this.addDescribeStatement(message.name);
+        break;
+      case "closeStatement":
+        this.addCloseStatement(message.name);
+        break;
+      case "describePortal":
+      case "closePortal":
+        this.send(message.message, { type: message.type });
+        break;
+      case "execute":
+        this.addExecute(message.portal, message.message);
+        break;
+    }
+  }
+
+  private addParse(name: string, text: string, message: Uint8Array): void {
+    const statement: PreparedStatement = { ...parseTags(text), message };
+    const step: SessionStep = { type: "prepare", name, statement };
+    if (!this.apply(step)) return;
+    this.unnamed = statement;
+    this.send(encodeUnnamedParse(message), { type: "parse", step });
+  }
+
+  private addBind(portal: string, name: string, content: Uint8Array): void {
+    const statement = this.use(name);
+    if (statement === undefined) return;
+    this.portals.set(portal, statement);
+    this.hash.update(statement.statement).update("\0").update(content);
+    this.send(encodeUnnamedBind(portal, content), { type: "bind" });
+  }
+
+  private addDescribeStatement(name: string): void {
+    if (this.use(name) === undefined) return;
+    this.send(encodeUnnamed("describe"), { type: "describeStatement" });
+  }
+
+  private addCloseStatement(name: string): void {
+    const step: SessionStep = { type: "closeStatement", name };
+    if (!this.apply(step)) return;
+    this.unnamed = undefined;
+    this.send(encodeUnnamed("close"), { type: "closeStatement", step });
+  }
+
+  private addExecute(portal: string, message: Uint8Array): void {
+    const statement = this.portals.get(portal);
+    const found = statement === undefined ? undefined : classifyStatement(statement.statement);
+    if (found?.effect !== "read") this.effect = "write";
+    for (const table of found?.tables ?? []) this.tables.add(table);
+    for (const [key, value] of statement?.tags ?? []) this.tags.set(key, value);
+    const kind = found?.statements[0] ?? { type: "plain" };
+    this.statements.push(kind);
+    this.send(message, { type: "execute", kind });
+  }
+
+  /** Makes the unnamed statement at the target the one that the caller means by `name`. */
+  private use(name: string): PreparedStatement | undefined {
+    const statement = this.session.statements.get(name);
+    if (statement === undefined) {
+      this.refuse(sqlStates.invalidStatementName, `prepared statement "${name}" does not exist`);
+      return undefined;
+    }
+    if (this.unnamed !== statement) {
+      this.unnamed = statement;
+      this.send(encodeUnnamedParse(statement.message), { type: "injectedParse" });
+    }
+    return statement;
+  }
+
+  private send(message: Uint8Array, reply: ExpectedReply): void {
+    this.messages.push(message);
+    this.replies.push(reply);
+  }
+
+  private apply(step: SessionStep): boolean {
+    const result = applyStep(this.session, step, this.limits);
+    if (result.type === "applied") {
+      this.session = result.state;
+      return true;
+    }
+    const code =
+      result.failure === "statementExists" ? sqlStates.duplicateStatement : sqlStates.outOfMemory;
+    this.refuse(code, `prepared statement refused: ${result.failure}`);
+    return false;
+  }
+
+  private refuse(code: string, message: string): void {
+    this.error ??= { severity: "ERROR", code, message };
+  }
+}
--- /dev/null
+++ b/src/caller/server.ts
@@ -0,0 +1,240 @@
+import { randomUUID } from "node:crypto";
+import { createServer, type Server, type Socket } from "node:net";
+import type { SecureContext } from "node:tls";
+import { callerEvents } from "../log/events/caller.js";
+import { type Logger, silentLogger } from "../log/index.js";
+import type { Address, Clock, Disposable, GroupGateway } from "../model/index.js";
+import { applyStep, createSession, type Session, type TokenKey } from "../session/index.js";
+import { buildRequestChain, type ChainOptions } from "./chain.js";
+import { CallerConnection, type ConnectionHost, type Welcome } from "./connection.js";
+import { encodeError, sqlStates } from "./errors.js";
+import { type CallerLimits, defaultCallerLimits } from "./limits.js";
+import { findTokenStep } from "./local.js";
+import type { RunnerOptions } from "./runner.js";
+import {
+  type BackendKey,
+  drawBackendKey,
+  type Introduction,
+  isRefused,
+  readIntroduction,
+} from "./startup.js";
+
+/** What a `CallerServer` is built from. */
+export interface CallerServerOptions extends Omit<ChainOptions, "clock" | "logger"> {
+  /** Port 0 takes a free one. */
+  readonly address: Address;
+  readonly gateway: GroupGateway;
+  /** Whether a group of this name exists; callers of others are refused. */
+  readonly hasGroup: (name: string) => boolean;
+  /** The first key signs session tokens, every key verifies them. */
+  readonly tokenKeys: () => readonly TokenKey[];
+  readonly clock: Clock;
+  readonly logger?: Logger;
+  readonly limits?: Partial<CallerLimits>;
+  /** The certificate of new connections. Without it callers are served in plain text. */
+  readonly getSecureContext?: () => SecureContext;
+  /** What callers are told of the version; drivers adapt to it. */
+  readonly serverVersion?: string;
+  readonly createId?: () => string;
+}
+
+const defaultServerVersion = "16.4";
+const sweepMs = 200;
+const maxLingering = 100;
+const drainStepMs = 20;
+
+/** Serves callers by the PostgreSQL protocol. `loadParser` must have resolved. */
+export class CallerServer implements Disposable, ConnectionHost {
+  readonly limits: CallerLimits;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly runner: RunnerOptions;
+  readonly serverVersion: string;
+  declare readonly getSecureContext?: () => SecureContext;
+  private readonly server: Server;
+  private readonly connections = new Set<CallerConnection>();
+  private readonly sessions = new Map<CallerConnection, { team: string; key: BackendKey }>();
+  private readonly byProcessId = new Map<number, CallerConnection>();
+  private readonly perTeam = new Map<string, number>();
+  private readonly stopped = new AbortController();
+  private inputBytes = 0;
+  private lingering = 0;
+  private isDraining = false;
+
+  constructor(private readonly options: CallerServerOptions) {
+    const { clock, logger = silentLogger, gateway, tokenKeys, createId = randomUUID } = options;
+    this.limits = { ...defaultCallerLimits, ...options.limits };
+    this.clock = clock;
+    this.logger = logger;
+    this.serverVersion = options.serverVersion ?? defaultServerVersion;
+    if (options.getSecureContext !== undefined) this.getSecureContext = options.getSecureContext;
+    const chain = buildRequestChain({ ...options, logger });
+    this.runner = { chain, gateway, limits: this.limits, tokenKeys, createId, logger };
+    this.server = createServer({ noDelay: true, keepAlive: true }, (socket) => this.admit(socket));
+  }
+
+  /** Connections open now. */
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
+  /** Begins to accept callers; answers with the port in use. Rejects when it is taken. */
+  async listen(): Promise<Address> {
+    const { host, port } = this.options.address;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, resolve);
+    });
+    const bound = this.server.address();
+    const address = { host, port: typeof bound === "object" ? (bound?.port ?? port) : port };
+    this.logger.write(callerEvents.listening, address);
+    void this.sweep();
+    return address;
+  }
+
+  /**
+   * Accepts no more callers, closes idle ones and lets the rest finish its requests and
+   * transactions. Resolves when all have gone, or with what `drainMs` cut off.
+   */
+  async drain(): Promise<{ readonly cutOff: number }> {
+    this.isDraining = true;
+    this.logger.write(callerEvents.draining, { connections: this.connections.size });
+    if (this.server.listening) this.server.close();
+    for (const connection of this.connections) connection.drain();
+    const endAt = this.clock.now() + this.limits.drainMs;
+    while (this.connections.size > 0 && this.clock.now() < endAt)
+      await this.clock.sleep(drainStepMs);
+    const cutOff = this.connections.size;
+    for (const connection of this.connections) connection.destroy();
+    this.logger.write(callerEvents.drained, { cutOff });
+    return { cutOff };
+  }
+
+  /** Ends everything at once. */
+  dispose(): void {
+    this.stopped.abort();
+    if (this.server.listening) this.server.close();
+    for (const connection of this.connections) connection.destroy();
+  }
+
+  welcome(
+    connection: CallerConnection,
+    parameters: Readonly<Record<string, string>>,
+    isSecure: boolean,
+  ): Welcome {
+    const introduction = readIntroduction(parameters);
+    if (isRefused(introduction)) return { type: "refused", error: introduction };
+    const session = this.openSession(introduction, isSecure);
+    if (session.type === "refused") return session;
+    const key = this.register(connection, introduction.team);
+    return { ...session, applicationName: introduction.applicationName, key };
+  }
+
+  cancel(processId: number, secret: number): void {
+    const connection = this.byProcessId.get(processId);
+    if (connection === undefined || this.sessions.get(connection)?.key.secret !== secret) return;
+    connection.cancel();
+  }
+
+  countInput(bytes: number): boolean {
+    this.inputBytes += bytes;
+    return this.inputBytes <= this.limits.maxInputBytes;
+  }
+
+  remove(connection: CallerConnection): void {
+    this.connections.delete(connection);
+    const session = this.sessions.get(connection);
+    if (session === undefined) return;
+    this.sessions.delete(connection);
+    this.countTeam(session.team, -1);
+    this.byProcessId.delete(session.key.processId);
+    this.logger.write(callerEvents.closed, { team: session.team });
+  }
+
+  private admit(socket: Socket): void {
+    if (this.connections.size < this.limits.maxConnections) {
+      const connection = new CallerConnection(socket, this);
+      this.connections.add(connection);
+      if (this.isDraining) connection.drain();
+      return;
+    }
+    this.turnAway(socket);
+  }
+
+  /** Says why and closes; callers that stay on cost a bounded number of sockets. */
+  private turnAway(socket: Socket): void {
+    const { tooManyConnections: code } = sqlStates;
+    const error = { severity: "FATAL", code, message: "the proxy has too many callers" } as const;
+    this.logger.write(callerEvents.refused, error);
+    socket.on("error", () => socket.destroy());
+    if (this.lingering >= maxLingering) {
+      socket.destroy();
+      return;
+    }
+    this.lingering += 1;
+    socket.on("close", () => (this.lingering -= 1));
+    socket.setTimeout(this.limits.startupMs, () => socket.destroy());
+    socket.resume();
+    socket.end(encodeError(error));
+  }
+
+  private openSession(
+    { team: name, group, kind, token }: Introduction,
+    isSecure: boolean,
+  ):
+    | Extract<Welcome, { type: "refused" }>
+    | { readonly type: "accepted"; readonly session: Session } {
+    const { hasGroup, findTeam, getSecureContext } = this.options;
+    if (this.isDraining) return refuse(sqlStates.adminShutdown, "the proxy is leaving");
+    if (getSecureContext !== undefined && !isSecure) {
+      return refuse(sqlStates.invalidAuthorization, "the proxy wants TLS");
+    }
+    const team = findTeam(name);
+    if (team === undefined) {
+      return refuse(sqlStates.invalidAuthorization, `team "${name}" is not on the roster`);
+    }
+    if (!hasGroup(group)) {
+      return refuse(sqlStates.undefinedDatabase, `database group "${group}" does not exist`);
+    }
+    if ((this.perTeam.get(name) ?? 0) >= this.limits.maxConnectionsPerTeam) {
+      return refuse(sqlStates.tooManyConnections, `team "${name}" has too many connections`);
+    }
+    const session = this.join({ ...createSession(team, group), kind }, token);
+    return { type: "accepted", session };
+  }
+
+  private join(session: Session, token: string | undefined): Session {
+    if (token === undefined) return session;
+    const joined = applyStep(session, findTokenStep(token, this.options.tokenKeys()));
+    if (joined.type === "applied" && joined.state.isComplete) return joined.state;
+    this.logger.write(callerEvents.tokenRejected, { team: session.team.name });
+    return joined.type === "applied" ? joined.state : { ...session, isComplete: false };
+  }
+
+  private register(connection: CallerConnection, team: string): BackendKey {
+    let key = drawBackendKey();
+    while (this.byProcessId.has(key.processId)) key = drawBackendKey();
+    this.byProcessId.set(key.processId, connection);
+    this.sessions.set(connection, { team, key });
+    this.countTeam(team, 1);
+    return key;
+  }
+
+  private countTeam(team: string, change: number): void {
+    const count = (this.perTeam.get(team) ?? 0) + change;
+    if (count === 0) this.perTeam.delete(team);
+    else this.perTeam.set(team, count);
+  }
+
+  /** One timer for all connections: a caller that sends nothing costs no timer of its own. */
+  private async sweep(): Promise<void> {
+    while (!this.stopped.signal.aborted) {
+      for (const connection of this.connections) connection.checkTime();
+      await this.clock.sleep(sweepMs, this.stopped.signal).catch(() => undefined);
+    }
+  }
+}
+
+function refuse(code: string, message: string): Extract<Welcome, { type: "refused" }> {
+  return { type: "refused", error: { severity: "FATAL", code, message } };
+}
--- /dev/null
+++ b/src/log/events/caller.ts
@@ -0,0 +1,79 @@
+import type { LogEvent } from "../event.js";
+
+const defineEvents = <K extends string>(events: Readonly<Record<K, LogEvent>>) => events;
+
+/** Events of callers and sessions. */
+export const callerEvents = defineEvents({
+  listening: {
+    id: 1000,
+    name: "callersListening",
+    level: "info",
+    text: "The proxy accepts callers.",
+  },
+  opened: {
+    id: 1001,
+    name: "callerOpened",
+    level: "debug",
+    text: "A caller has started a session.",
+  },
+  closed: {
+    id: 1002,
+    name: "callerClosed",
+    level: "debug",
+    text: "A caller's connection has ended.",
+  },
+  refused: {
+    id: 1003,
+    name: "callerRefused",
+    level: "warn",
+    text: "A connection was refused before its session began; the SQLSTATE and reason are given.",
+  },
+  dropped: {
+    id: 1004,
+    name: "callerDropped",
+    level: "warn",
+    text: "A caller overstepped a limit or broke the protocol and was disconnected.",
+  },
+  tokenRejected: {
+    id: 1005,
+    name: "sessionTokenRejected",
+    level: "warn",
+    text: "A session token could not be relied on; the session reads from the primary instead.",
+  },
+  decided: {
+    id: 1010,
+    name: "requestDecided",
+    level: "info",
+    text: "A rule decided what happens to a request.",
+  },
+  answered: {
+    id: 1011,
+    name: "requestAnswered",
+    level: "debug",
+    text: "A request was answered; the target that served it is given.",
+  },
+  failed: {
+    id: 1012,
+    name: "requestFailed",
+    level: "info",
+    text: "A request failed; the verdict says whether it may have run.",
+  },
+  cancelled: {
+    id: 1013,
+    name: "requestCancelled",
+    level: "info",
+    text: "A caller asked to cancel the request it has in flight.",
+  },
+  draining: {
+    id: 1020,
+    name: "callersDraining",
+    level: "info",
+    text: "No more callers are accepted; requests and transactions in flight finish.",
+  },
+  drained: {
+    id: 1021,
+    name: "callersDrained",
+    level: "info",
+    text: "All callers have gone; the number cut off by the limit is given.",
+  },
+});
--- /dev/null
+++ b/test/caller/fake.ts
@@ -0,0 +1,226 @@
+import { Socket } from "node:net";
+import pg from "pg";
+import { CallerServer, type CallerServerOptions } from "../../src/caller/index.js";
+import {
+  encodeComplete,
+  encodeInt32,
+  encodeMessage,
+  encodeText,
+} from "../../src/caller/message.js";
+import type {
+  Address,
+  Clock,
+  Conversation,
+  GroupGateway,
+  Mark,
+  MessageSink,
+  Outcome,
+  Request,
+  RuleAction,
+} from "../../src/model/index.js";
+import { loadParser } from "../../src/sql/index.js";
+
+/** What the fake group answers to one statement. */
+export interface Reply {
+  readonly rows?: readonly string[];
+  readonly error?: string;
+  readonly status?: "I" | "T" | "E";
+  readonly mark?: Mark;
+  readonly outcome?: Outcome;
+  /** Held back until it resolves. */
+  readonly wait?: Promise<void>;
+  /** Sent in place of the whole answer. */
+  readonly raw?: Uint8Array;
+}
+
+export const clock: Clock = {
+  now: () => performance.now(),
+  sleep: (ms, signal) =>
+    new Promise((resolve, reject) => {
+      const timer = setTimeout(resolve, ms);
+      signal?.addEventListener("abort", () => {
+        clearTimeout(timer);
+        reject(new Error("aborted"));
+      });
+    }),
+};
+
+export const serve: RuleAction = {
+  type: "serve",
+  route: { type: "replica" },
+  priority: "normal",
+  deadlineMs: 5000,
+  maxQueueMs: 1000,
+  retry: { attempts: 0 },
+  acknowledgement: "replicated",
+};
+
+export const mark = (offset: number): Mark => ({ term: { round: 1, vm: "a" }, offset });
+
+/** A group that answers by a function from statement to reply, and keeps what it was asked. */
+export class FakeGroup implements GroupGateway {
+  readonly requests: Request[] = [];
+  readonly statements: string[] = [];
+  readonly frames: string[] = [];
+  opened = 0;
+  closed = 0;
+
+  constructor(readonly reply: (statement: string) => Reply = () => ({})) {}
+
+  open(): Conversation {
+    this.opened += 1;
+    return {
+      run: (request, messages, sink, signal) => this.run(request, messages, sink, signal),
+      close: () => {
+        this.closed += 1;
+      },
+    };
+  }
+
+  private async run(
+    request: Request,
+    messages: Uint8Array,
+    sink: MessageSink,
+    signal: AbortSignal,
+  ): Promise<Outcome> {
+    this.requests.push(request);
+    let last: Reply = {};
+    let text = "";
+    for (const { type, body } of splitMessages(messages)) {
+      this.frames.push(type);
+      if (type === "P") text = body.toString().split("\0")[1] ?? "";
+      if (type === "Q") text = body.toString().slice(0, -1);
+      const runs = type === "E" || type === "Q";
+      if (runs) {
+        this.statements.push(text);
+        last = this.reply(text);
+        await Promise.race([last.wait, waitForAbort(signal)]);
+        if (signal.aborted) return failed("mayHaveRun");
+      }
+      for (const message of answerTo(type, last, text)) await sink(message);
+      if (last.error !== undefined) break;
+    }
+    const { status = "I", mark: seen, outcome } = last;
+    if (outcome !== undefined) return outcome;
+    const servedBy = { target: "t1", role: "primary" } as const;
+    return seen === undefined
+      ? { type: "answered", status, servedBy }
+      : { type: "answered", status, servedBy, mark: seen };
+  }
+}
+
+export function failed(type: "mayHaveRun" | "notRun"): Outcome {
+  const verdict =
+    type === "notRun"
+      ? ({ type, reason: "noPrimary", retryAfterMs: 250 } as const)
+      : ({ type, reason: "connection lost" } as const);
+  return { type: "failed", verdict, message: "no answer" };
+}
+
+/** A server before a fake group, with a way to connect clients to it. */
+export async function startServer(group: GroupGateway, options: Partial<CallerServerOptions> = {}) {
+  await loadParser();
+  const server = new CallerServer({
+    address: { host: "127.0.0.1", port: 0 },
+    gateway: group,
+    hasGroup: (name) => name === "g",
+    match: () => ({ rule: "all", action: serve }),
+    findTeam: (name) => (name === "nobody" ? undefined : { name, plan: "paying" }),
+    tokenKeys: () => [Buffer.from("key")],
+    clock,
+    ...options,
+  });
+  const address = await server.listen();
+  const clients: pg.Client[] = [];
+  return {
+    server,
+    address,
+    connect: async (config: pg.ClientConfig = {}) => {
+      const client = new pg.Client({ ...address, user: "acme", database: "g", ...config });
+      client.on("error", () => undefined);
+      clients.push(client);
+      await client.connect();
+      return client;
+    },
+    stop: async () => {
+      await Promise.all(clients.map((client) => client.end().catch(() => undefined)));
+      server.dispose();
+    },
+  };
+}
+
+/** Sends bytes and gives all that comes back until the other end closes. */
+export function sendRaw(address: Address, ...parts: readonly Uint8Array[]): Promise<Buffer> {
+  return new Promise((resolve) => {
+    const socket = new Socket();
+    const received: Buffer[] = [];
+    socket.on("data", (chunk) => received.push(chunk));
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(Buffer.concat(received)));
+    socket.connect(address.port, address.host, () => {
+      for (const part of parts) socket.write(part);
+    });
+  });
+}
+
+export function startupMessage(parameters: Readonly<Record<string, string>>): Buffer {
+  const pairs = Object.entries(parameters).flatMap(([k, v]) => [encodeText(k), encodeText(v)]);
+  const body = Buffer.concat([encodeInt32(196608), ...pairs, Buffer.of(0)]);
+  return Buffer.concat([encodeInt32(body.length + 4), body]);
+}
+
+function answerTo(type: string, reply: Reply, text: string): readonly Uint8Array[] {
+  if (reply.raw !== undefined) return [reply.raw];
+  if (reply.error !== undefined) return [encodeError(reply.error)];
+  const code = (c: string) => c.charCodeAt(0);
+  const columns = encodeMessage(
+    code("T"),
+    Buffer.of(0, 1),
+    encodeText("v"),
+    Buffer.from("0000000000000000001900000000ffffffff0000".slice(0, 36), "hex"),
+  );
+  const rows = (reply.rows ?? []).map((row) =>
+    encodeMessage(code("D"), Buffer.of(0, 1), encodeInt32(row.length), Buffer.from(row)),
+  );
+  const complete = encodeComplete(/^\w+/.exec(text)?.[0]?.toUpperCase() ?? "");
+  switch (type) {
+    case "P":
+      return [encodeMessage(code("1"))];
+    case "B":
+      return [encodeMessage(code("2"))];
+    case "C":
+      return [encodeMessage(code("3"))];
+    case "D":
+      return [columns];
+    case "E":
+      return [...rows, complete];
+    case "Q":
+      return [columns, ...rows, complete];
+    default:
+      return [];
+  }
+}
+
+function encodeError(message: string): Buffer {
+  const fields = ["SERROR", "C23505", `M${message}`].map(encodeText);
+  return encodeMessage("E".charCodeAt(0), ...fields, Buffer.of(0));
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) resolve();
+    signal.addEventListener("abort", () => resolve());
+  });
+}
+
+function* splitMessages(bytes: Uint8Array) {
+  const buffer = Buffer.from(bytes);
+  for (let at = 0; at < buffer.length;) {
+    const length = buffer.readUInt32BE(at + 1);
+    yield {
+      type: String.fromCharCode(buffer[at] ?? 0),
+      body: buffer.subarray(at + 5, at + 1 + length),
+    };
+    at += length + 1;
+  }
+}
