Test failover and acknowledgement under single faults

A listener per status request leaked on the stream's renewal signal; an observer that is cut off flickered between cut off and suspecting, and its view named the lost primary again each time. Change: one settled promise per request; a re-check keeps the cut-off standing.

--- a/bench/failover/fakefleet.ts
+++ b/bench/failover/fakefleet.ts
@@ -1,6 +1,6 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { FailoverTimings } from "../../src/controller/failover/index.js";
-import { type GapSplit, GroupWatch } from "../../src/groupwatch/index.js";
+import { type GapSplit, GroupWatch, type WatchSafeguards } from "../../src/groupwatch/index.js";
 import { type Logger, silentLogger } from "../../src/log/index.js";
 import type { Acknowledgement, Clock, PeerClient, Random } from "../../src/model/index.js";
 import { FakeGroup } from "./fakegroup.js";
@@ -21,6 +21,7 @@
   readonly vms?: number;
   readonly delays?: FakeDelays;
   readonly timings?: FailoverTimings;
+  readonly safeguards?: WatchSafeguards;
   readonly log?: Logger;
   readonly onGap?: (vm: string, gapMs: number, split: GapSplit) => void;
 }
@@ -44,6 +45,11 @@
   /** VMs that answer no peer. */
   readonly mute = new Set<string>();
   readonly acknowledged: Acknowledged[] = [];
+  /** What must hold and did not. */
+  get violations(): readonly string[] {
+    return this.group.violations;
+  }
+
   private readonly watches = new Map<string, GroupWatch>();
   private readonly random: Random;
 
@@ -109,12 +115,12 @@
     return "acknowledged";
   }
 
-  /** Throws where an acknowledged write is missing from a target's log. */
+  /** Notes where an acknowledged write is missing from a target's log. */
   checkKept(name: string): void {
     const kept = new Set(this.group.get(name).log.map((r) => r.write));
     for (const { write, mode } of this.acknowledged) {
       if (mode === "replicated" && !kept.has(write)) {
-        throw new Error(`${write} was acknowledged and is missing at ${name}`);
+        this.group.violations.push(`${write} was acknowledged and is missing at ${name}`);
       }
     }
   }
@@ -125,13 +131,13 @@
     committedAt: number,
   ): void {
     if (this.group.findSupersededAt(term) <= committedAt) {
-      throw new Error(`${acknowledged.write} was acknowledged by a superseded primary`);
+      this.group.violations.push(`${acknowledged.write} was acknowledged by a superseded primary`);
     }
     this.acknowledged.push(acknowledged);
   }
 
   private startWatch(vm: FakeVm): GroupWatch {
-    const { timings, log, onGap } = this.options;
+    const { timings, safeguards, log, onGap } = this.options;
     const watch = new GroupWatch({
       group: this.group.group,
       vm: vm.name,
@@ -142,6 +148,7 @@
       log: log ?? silentLogger,
       findHelpers: () => this.vms.filter((v) => v !== vm),
       ...(timings === undefined ? {} : { timings }),
+      ...(safeguards === undefined ? {} : { safeguards }),
       onGap: (gapMs, split) => onGap?.(vm.name, gapMs, split),
     });
     watch.start();
--- a/bench/failover/fakegroup.ts
+++ b/bench/failover/fakegroup.ts
@@ -24,6 +24,8 @@
   readonly promotions: { readonly term: Term; readonly target: string }[] = [];
   private readonly fences: { readonly at: number; readonly term: Term; readonly target: string }[] =
     [];
+  /** What must hold and did not. */
+  readonly violations: string[] = [];
   /** Hears of each target that begins to lead a term. */
   onPromotion: (term: Term, target: FakeTarget) => void = () => undefined;
   private readonly members: ReadonlyMap<string, Member>;
@@ -165,7 +167,7 @@
       this.promotions.push({ term, target: target.name });
       this.onPromotion(term, target);
     } else if (known.target !== target.name) {
-      throw new Error(`${known.target} and ${target.name} are primary in ${formatTerm(term)}`);
+      this.violations.push(`${known.target} and ${target.name} lead ${formatTerm(term)}`);
     }
   }
 
--- a/src/controller/acknowledge/acknowledgement.ts
+++ b/src/controller/acknowledge/acknowledgement.ts
@@ -148,5 +148,5 @@
 }
 
 function countNeeded(state: AcknowledgementState): number {
-  return state.safeguards.majority ? countMajority(state.targets.length) : 1;
+  return state.safeguards.confirmMajority ? countMajority(state.targets.length) : 1;
 }
--- a/src/controller/acknowledge/options.ts
+++ b/src/controller/acknowledge/options.ts
@@ -3,8 +3,11 @@
   /** The last confirmations answer requests sent after the commit, the primary's included. */
   readonly freshness: boolean;
   /** A majority of the targets confirms, not just one. */
-  readonly majority: boolean;
+  readonly confirmMajority: boolean;
 }
 
 /** Everything on. */
-export const allAcknowledgeSafeguards: AcknowledgeSafeguards = { freshness: true, majority: true };
+export const allAcknowledgeSafeguards: AcknowledgeSafeguards = {
+  freshness: true,
+  confirmMajority: true,
+};
--- a/src/controller/failover/detect.ts
+++ b/src/controller/failover/detect.ts
@@ -24,7 +24,7 @@
   leadership: Leadership,
   why: string,
   at: number,
-  round = 1,
+  { round, isCutOff }: Pick<Suspecting, "round" | "isCutOff"> = { round: 1, isCutOff: false },
 ): Step {
   const { primary: target, term } = leadership;
   const { confirmMs, peerHopMs } = state.options.timings;
@@ -36,6 +36,7 @@
     round,
     until: at + timeoutMs + 2 * peerHopMs,
     isMissed: false,
+    isCutOff,
   };
   const checks: FailoverEffect[] = [
     { type: "probe", target, timeoutMs },
@@ -77,7 +78,8 @@
     return beginCutOff(next, phase, "no majority of targets answers here", at);
   }
   if (phase.finding === "silent" && phase.round < lonelyRounds) {
-    return beginSuspicion(next, phase, "no other VM answers", at, phase.round + 1);
+    const again = { round: phase.round + 1, isCutOff: phase.isCutOff };
+    return beginSuspicion(next, phase, "no other VM answers", at, again);
   }
   return beginElection(next, "primaryFailed", at, phase.primary);
 }
--- a/src/controller/failover/elect.ts
+++ b/src/controller/failover/elect.ts
@@ -78,8 +78,8 @@
     target !== phase.suspect &&
     !phase.missed.includes(target) &&
     !phase.fenced.some((s) => s.target === target);
-  if (targets.some(isOpen) && safeguards.majority) return succeed(next);
-  const required = safeguards.majority ? getMajority(state) : 1;
+  if (targets.some(isOpen) && safeguards.fenceMajority) return succeed(next);
+  const required = safeguards.fenceMajority ? getMajority(state) : 1;
   if (phase.fenced.length >= required) return beginPromotion(next, phase, phase.fenced, at);
   const isHopeless = phase.fenced.length + phase.missed.length === targets.length;
   return isHopeless
--- a/src/controller/failover/index.ts
+++ b/src/controller/failover/index.ts
@@ -13,7 +13,7 @@
   type FailoverSafeguards,
   type FailoverTimings,
 } from "./options.js";
-export { findLeadership, isLeading, isSuperseded } from "./leader.js";
+export { findLeadership, isCutOff, isLeading, isSuperseded } from "./leader.js";
 export { createFailoverState, type FailoverState, getAllowance, type Leadership } from "./state.js";
 export { chooseTarget } from "./elect.js";
 export { applyEvent } from "./step.js";
--- a/src/controller/failover/leader.ts
+++ b/src/controller/failover/leader.ts
@@ -33,6 +33,11 @@
   return heard.length >= getMajority(state);
 }
 
+/** Whether this observer has lost the primary and has no standing to replace it. */
+export function isCutOff({ phase }: FailoverState): boolean {
+  return phase.type === "cutOff" || (phase.type === "suspecting" && phase.isCutOff);
+}
+
 /** The primary that the phase believes in, if it does in one. */
 export function findLeadership(state: FailoverState): Leadership | undefined {
   switch (state.phase.type) {
--- a/src/controller/failover/options.ts
+++ b/src/controller/failover/options.ts
@@ -69,13 +69,16 @@
 /** Rules that safety rests on. Only tests take one out, to show that it is needed. */
 export interface FailoverSafeguards {
   /** A choice is made among a majority fenced at the promoter's term. */
-  readonly majority: boolean;
+  readonly fenceMajority: boolean;
   /** A promoter whose choice died fences a majority anew, at a new term. */
   readonly fenceAnew: boolean;
 }
 
 /** Everything on. */
-export const allFailoverSafeguards: FailoverSafeguards = { majority: true, fenceAnew: true };
+export const allFailoverSafeguards: FailoverSafeguards = {
+  fenceMajority: true,
+  fenceAnew: true,
+};
 
 /** What a failover controller is made of. */
 export interface FailoverOptions {
--- a/src/controller/failover/state.ts
+++ b/src/controller/failover/state.ts
@@ -27,6 +27,8 @@
       readonly round: number;
       readonly until: number;
       readonly isMissed: boolean;
+      /** An earlier check found that this observer has no standing; this one has not ended. */
+      readonly isCutOff: boolean;
       readonly finding?: PeerFinding;
     } & Leadership)
   /** The primary is silent, and this observer has no standing to fence it. */
--- a/src/controller/failover/tick.ts
+++ b/src/controller/failover/tick.ts
@@ -34,7 +34,7 @@
     case "suspecting":
       return endSuspicion(state, phase, at);
     case "cutOff":
-      return beginSuspicion(state, phase, "still silent", at);
+      return beginSuspicion(state, phase, "still silent", at, { round: 1, isCutOff: true });
     case "waiting":
       return endWaiting(state, phase, at, draw);
     case "fencing":
--- a/src/groupwatch/confirmations.ts
+++ b/src/groupwatch/confirmations.ts
@@ -1,6 +1,6 @@
 import {
   type AcknowledgementState,
-  allAcknowledgeSafeguards,
+  type AcknowledgeSafeguards,
   applyEvidence,
   beginAcknowledgement,
   type Evidence,
@@ -26,6 +26,7 @@
 export interface ConfirmationPorts {
   readonly clock: Clock;
   readonly targets: readonly string[];
+  readonly safeguards: AcknowledgeSafeguards;
   /** Asks a target afresh; its answer comes back through `observe`. */
   readonly ask: (target: string) => void;
   /** Between two fresh requests for the same write, where answers do not come by themselves. */
@@ -46,7 +47,7 @@
     known: readonly Evidence[],
     signal: AbortSignal,
   ): Promise<Confirmation> {
-    const begun = beginAcknowledgement(write, this.ports.targets, allAcknowledgeSafeguards);
+    const begun = beginAcknowledgement(write, this.ports.targets, this.ports.safeguards);
     if (begun.type === "failed") return Promise.resolve({ type: "superseded" });
     if (signal.aborted) return Promise.resolve({ type: "timedOut" });
     return new Promise((resolve) => {
--- a/src/groupwatch/groupwatch.ts
+++ b/src/groupwatch/groupwatch.ts
@@ -1,9 +1,11 @@
+import { allAcknowledgeSafeguards } from "../controller/acknowledge/index.js";
 import {
   allFailoverSafeguards,
   defaultTimings,
   type FailoverState,
   type FailoverTimings,
   getAllowance,
+  isCutOff,
   isSuperseded,
 } from "../controller/failover/index.js";
 import { failoverEvents } from "../log/events/failover.js";
@@ -65,6 +67,10 @@
   constructor(private readonly options: WatchOptions) {
     const { group, random } = options;
     this.timings = options.timings ?? defaultTimings;
+    const safeguards = options.safeguards ?? {
+      ...allFailoverSafeguards,
+      ...allAcknowledgeSafeguards,
+    };
     this.clock = new StrictClock(options.clock);
     const names = group.targets.map((t) => t.name);
     this.runner = new ControllerRunner(
@@ -73,7 +79,7 @@
         targets: names,
         opener: `${options.vm}-${drawNonce(random)}`,
         timings: this.timings,
-        safeguards: allFailoverSafeguards,
+        safeguards,
       },
       this.clock,
       random,
@@ -97,6 +103,7 @@
     this.confirmations = new Confirmations({
       clock: this.clock,
       targets: names,
+      safeguards,
       ask: (target) => void this.askFresh(target),
       askAgainMs: this.timings.heartbeatMs,
       isSuperseded: (write) => isSuperseded(this.runner.state, write.term),
@@ -124,7 +131,7 @@
 
   /** Whether this VM is cut off from a primary that others may reach: another VM should own the group. */
   get isCutOff(): boolean {
-    return this.runner.state.phase.type === "cutOff";
+    return isCutOff(this.runner.state);
   }
 
   /** Whether new writes should wait, so that a replica can catch up in a planned switch. */
--- a/src/groupwatch/index.ts
+++ b/src/groupwatch/index.ts
@@ -1,3 +1,8 @@
 export { type Confirmation } from "./confirmations.js";
 export { GroupWatch, type MarkReading } from "./groupwatch.js";
-export { type GapSplit, type WatchOptions, type WatchPorts } from "./ports.js";
+export {
+  type GapSplit,
+  type WatchOptions,
+  type WatchPorts,
+  type WatchSafeguards,
+} from "./ports.js";
--- a/src/groupwatch/ports.ts
+++ b/src/groupwatch/ports.ts
@@ -1,4 +1,5 @@
-import type { FailoverTimings } from "../controller/failover/index.js";
+import type { AcknowledgeSafeguards } from "../controller/acknowledge/index.js";
+import type { FailoverSafeguards, FailoverTimings } from "../controller/failover/index.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Group, PeerClient, Random, TargetControl, Vm } from "../model/index.js";
 
@@ -25,11 +26,15 @@
   readonly firstWriteMs: number;
 }
 
+/** Rules that safety rests on, all in force but where a test shows that one is needed. */
+export type WatchSafeguards = FailoverSafeguards & AcknowledgeSafeguards;
+
 /** What a group's watch is made of. */
 export interface WatchOptions extends WatchPorts {
   readonly group: Group;
   readonly vm: string;
   readonly timings?: FailoverTimings;
+  readonly safeguards?: WatchSafeguards;
   /** Hears of each change of primary that this VM ordered: the whole gap and its parts. */
   readonly onGap?: (gapMs: number, split: GapSplit) => void;
 }
--- a/src/groupwatch/stream.ts
+++ b/src/groupwatch/stream.ts
@@ -29,7 +29,7 @@
  */
 export class StatusStream {
   private readonly stopped = new AbortController();
-  private renewed = new AbortController();
+  private giveUp: () => void = () => undefined;
   private last: TargetStatus | undefined;
   private isFresh = false;
 
@@ -42,25 +42,37 @@
   /** Gives the connection up: a request that is still open on it is no longer waited for. */
   renew(): void {
     this.isFresh = true;
-    this.renewed.abort();
-    this.renewed = new AbortController();
+    this.giveUp();
   }
 
   dispose(): void {
     this.stopped.abort();
-    this.renewed.abort();
+    this.giveUp();
   }
 
   private async run(): Promise<void> {
     while (!this.stopped.signal.aborted) {
-      const { signal } = this.renewed;
-      const result = await Promise.race([this.poll(), waitForAbort(signal)]);
-      if (result?.type === "accepted" || signal.aborted) continue;
+      const result = await this.pollOrGiveUp();
+      if (result === undefined || result.type === "accepted") continue;
       this.isFresh = true;
-      await this.options.clock.sleep(this.options.retryMs, signal).catch(() => undefined);
+      await this.sleep();
     }
   }
 
+  private pollOrGiveUp(): Promise<ControlResult | undefined> {
+    return new Promise((resolve, reject) => {
+      this.giveUp = () => resolve(undefined);
+      this.poll().then(resolve, reject);
+    });
+  }
+
+  private async sleep(): Promise<void> {
+    const { clock, retryMs } = this.options;
+    const ended = new AbortController();
+    this.giveUp = () => ended.abort();
+    await clock.sleep(retryMs, ended.signal).catch(() => undefined);
+  }
+
   private async poll(): Promise<ControlResult> {
     const { control, clock, target, findWaitMs, findPatienceMs } = this.options;
     const waitMs = findWaitMs(this.last?.role);
@@ -96,9 +108,3 @@
     this.options.onAnswer({ status, askedAt, ...(isUnchanged ? { latenessMs } : {}) });
   }
 }
-
-function waitForAbort(signal: AbortSignal): Promise<undefined> {
-  return new Promise((resolve) => {
-    signal.addEventListener("abort", () => resolve(undefined), { once: true });
-  });
-}
--- a/src/groupwatch/view.ts
+++ b/src/groupwatch/view.ts
@@ -1,4 +1,9 @@
-import { type FailoverState, isSuperseded } from "../controller/failover/index.js";
+import {
+  type FailoverState,
+  findLeadership,
+  isCutOff,
+  isSuperseded,
+} from "../controller/failover/index.js";
 import { compareTerms, countMajority, type GroupView, type TargetView } from "../model/index.js";
 
 /** The group as others see it. No primary is named while this VM is cut off from it. */
@@ -11,10 +16,9 @@
     }
   }
   const group = state.options.group;
-  const { phase } = state;
-  if (phase.type !== "steady" && phase.type !== "suspecting") return { group, targets };
-  if (isSuperseded(state, phase.term)) return { group, targets };
-  return { group, targets, primary: { target: phase.primary, term: phase.term } };
+  const leadership = isCutOff(state) ? undefined : findLeadership(state);
+  if (leadership === undefined || isSuperseded(state, leadership.term)) return { group, targets };
+  return { group, targets, primary: { target: leadership.primary, term: leadership.term } };
 }
 
 /**
