--- a/bench/failover/faketarget.ts
+++ b/bench/failover/faketarget.ts
@@ -22,6 +22,8 @@
   follows: string | undefined;
   /** How long after the primary's commit it holds a record, beyond the network's delay. */
   lagMs = 0;
+  /** Whether a promotion is refused unless the target stands fenced at exactly its term. */
+  isExact = true;
   private listeners = new Set<() => void>();
 
   constructor(readonly name: string) {}
@@ -55,7 +57,7 @@
   }
 
   promote(term: Term): ControlResult {
-    if (compareTerms(term, this.fencedAt) !== 0) {
+    if (this.isExact && compareTerms(term, this.fencedAt) !== 0) {
       return { type: "refused", fencedAt: this.fencedAt };
     }
     if (this.role === "primary" && compareTerms(this.mark.term, term) === 0) return this.accept();
