--- /dev/null
+++ b/src/groupwatch/index.ts
@@ -0,0 +1,9 @@
+export { type Confirmation } from "./confirmations.js";
+export { GroupWatch, type MarkReading } from "./groupwatch.js";
+export {
+  type GapSplit,
+  type WatchOptions,
+  type WatchPorts,
+  type WatchSafeguards,
+} from "./ports.js";
+export { findBackedAt } from "./view.js";
--- a/src/model/index.ts
+++ b/src/model/index.ts
@@ -36,6 +36,7 @@
   type VmNews,
   type PeerHello,
   type ProbeResult,
+  type PeerCheck,
   type PeerClient,
   type Outcome,
   type Conversation,
