Keep the VMs believed live, and drain a process without cutting off requests

Cause: the platform's list lags; owners and relays are chosen over live VMs, and a graceful stop must cut off nothing. Ruled out: each VM probing all others (bytes grow with the fleet), a lease in the store (lapses while its holder is paused; down with the store), dropping VMs that the list misses (it lags both ways). Change: controller/membership (one probe a second, direct then through two others, suspicion, refutation by incarnation, news on every message), MembershipKeeper, controller/drain and DrainKeeper. A process that stood still, and one that nobody answers, declares nobody down. Event names follow the other parts' case.

--- /dev/null
+++ b/src/controller/drain/index.ts
@@ -0,0 +1,8 @@
+export {
+  applyDrainEvent,
+  firstDrainState,
+  type DrainEffect,
+  type DrainEvent,
+  type DrainOptions,
+  type DrainState,
+} from "./drain.js";
--- /dev/null
+++ b/src/controller/membership/view.ts
@@ -0,0 +1,36 @@
+import type { Vm } from "../../model/index.js";
+import type { MembershipState, MemberStatus } from "./state.js";
+
+/** One VM as this one sees it. */
+export interface MemberView {
+  readonly vm: Vm;
+  readonly status: MemberStatus;
+}
+
+/** Lists every VM that is known, this one first. */
+export function listViews({ self, members }: MembershipState): readonly MemberView[] {
+  const status: MemberStatus = self.state === "leaving" ? "leaving" : "alive";
+  return [
+    { vm: self.vm, status },
+    ...[...members.values()].map((member) => ({ vm: member.vm, status: member.status })),
+  ];
+}
+
+/** Lists the VMs that may get new work. A suspected one may: it has not been shown to be down. */
+export function listLive(state: MembershipState): readonly Vm[] {
+  return listViews(state)
+    .filter(({ status }) => status === "alive" || status === "suspect")
+    .map(({ vm }) => vm);
+}
+
+/** Finds up to `count` VMs that can probe `about`: other data centres first, as other paths tell more. */
+export function findHelpers(state: MembershipState, count: number, about?: string): readonly Vm[] {
+  const alive = [...state.members.values()]
+    .filter(({ vm, status }) => status === "alive" && vm.name !== about)
+    .map(({ vm }) => vm);
+  const first = alive.length === 0 ? 0 : state.ticks % alive.length;
+  const turned = [...alive.slice(first), ...alive.slice(0, first)];
+  const own = state.self.vm.dataCentre;
+  const away = turned.filter((vm) => vm.dataCentre !== own);
+  return [...away, ...turned.filter((vm) => vm.dataCentre === own)].slice(0, count);
+}
--- a/test/fleet/keeper.test.ts
+++ b/test/fleet/keeper.test.ts
@@ -83,7 +83,7 @@
   store.breakWatches();
   await clock.advance(3000);
   expect(new Set(nodes.revisions())).toEqual(new Set([3]));
-  expect(nodes.events.some(({ event }) => event.name === "store-reverted")).toBe(true);
+  expect(nodes.events.some(({ event }) => event.name === "storeReverted")).toBe(true);
   nodes.keepers.forEach((keeper) => {
     keeper.dispose();
   });
--- /dev/null
+++ b/test/fleet/membership.test.ts
@@ -0,0 +1,183 @@
+import { afterEach, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import {
+  applyMembershipEvent,
+  createMembershipState,
+  type MembershipEvent,
+} from "../../src/controller/membership/index.js";
+import { FakeClock, FakeNetwork, FakeStore, makeVm } from "./fakes.js";
+import { Members } from "./members.js";
+
+const names = ["a", "b", "c", "d", "e", "f", "g"];
+const all = names.join(" ");
+const without = (...gone: string[]) => names.filter((n) => !gone.includes(n)).join(" ");
+const open: Members[] = [];
+
+const makeFleet = () => {
+  const [store, network, clock] = [new FakeStore(), new FakeNetwork(), new FakeClock()];
+  const vms = names.map((name, i) => makeVm(name, `dc${i % 3}`, i + 1));
+  const members = new Members({ store, network, clock }, vms);
+  open.push(members);
+  return { store, network, clock, members };
+};
+
+afterEach(() => {
+  for (const members of open.splice(0)) members.stopAll();
+});
+
+// A VM dies without a word; the platform lists it as live for minutes.
+// The first that probes it asks others, suspects it, tells the rest, and takes it for down.
+// When it comes back under the same name it is a new incarnation and live at once.
+test("a dead VM is down on all within seconds, whatever the list says, and can come back", async () => {
+  const { clock, members } = makeFleet();
+  await members.startAll();
+  await clock.advance(5000);
+  members.stop("c");
+  await clock.advance(15_000);
+  for (const name of names.filter((n) => n !== "c")) expect(members.live(name)).toBe(without("c"));
+  await members.start("c");
+  await clock.advance(15_000);
+  for (const name of names) expect(members.live(name)).toBe(all);
+});
+
+test("a VM that one observer can't reach stays live: others answer for it", async () => {
+  const { clock, members, network } = makeFleet();
+  await members.startAll();
+  network.cut(["a"], ["b"]);
+  await clock.advance(60_000);
+  for (const name of names) expect(members.live(name)).toBe(all);
+  expect(members.events.filter(({ event }) => event.name === "vmDown")).toEqual([]);
+});
+
+// An observer is stopped (SIGSTOP) with probes in flight and goes on a minute later.
+// All its timers fire first, so every peer looks silent, though their answers wait in the sockets.
+// If it believed that, it would take over what all others own; it must notice its own gap.
+test("a process that stood still declares nobody down", () => {
+  const a = makeVm("a");
+  let state = createMembershipState(a, "1.0", 0);
+  const apply = (event: MembershipEvent) => {
+    const applied = applyMembershipEvent(state, event);
+    if (applied.type === "applied") state = applied.state;
+    return applied.type === "applied" ? applied.effects : [];
+  };
+  apply({ type: "listed", now: 0, vms: names.map((n) => makeVm(n)) });
+  apply({ type: "silent", now: 900, vm: "b", epoch: 0, indirect: true });
+  expect(state.members.get("b")?.status).toBe("suspect");
+  const [first] = apply({ type: "silent", now: 60_000, vm: "c", epoch: 0, indirect: true });
+  expect(first).toEqual({ type: "paused", forMs: 59_100 });
+  expect(state.members.get("c")?.status).toBe("alive");
+  apply({ type: "tick", now: 60_010 });
+  expect(state.members.get("b")?.status).toBe("suspect");
+});
+
+// A VM loses all its links, or is the only one on its side of a partition.
+// Nobody answers it, so each of the others looks dead. It keeps its last list and says so;
+// the others take it for down, and all agree again when the links come back.
+test("a VM that is cut off itself declares nobody down", async () => {
+  const { clock, members, network } = makeFleet();
+  await members.startAll();
+  await clock.advance(3000);
+  network.cut(["a"], names.slice(1));
+  await clock.advance(60_000);
+  expect(members.live("a")).toBe(all);
+  expect(members.live("b")).toBe(without("a"));
+  expect(members.events.filter(({ event }) => event.name === "observerIsolated")).toHaveLength(1);
+  network.cuts.clear();
+  await clock.advance(30_000);
+  for (const name of names) expect(members.live(name)).toBe(all);
+  const refuted = members.events.filter(({ event }) => event.name === "suspicionRefuted");
+  expect(refuted.map(({ vm }) => vm)).toContain("a");
+});
+
+// Two halves lose each other for a minute; each takes the other for down and goes on alone.
+// After that nobody probes the other half as a matter of course, and rumours of its end still go
+// round: down VMs are probed now and then, and whoever is told of its end refutes it.
+test("two halves find each other again and no rumour marks anyone later", async () => {
+  const { clock, members, network } = makeFleet();
+  await members.startAll();
+  await clock.advance(3000);
+  network.cut(names.slice(0, 3), names.slice(3));
+  await clock.advance(60_000);
+  expect(members.live("a")).toBe("a b c");
+  expect(members.live("g")).toBe("d e f g");
+  network.cuts.clear();
+  await clock.advance(60_000);
+  for (const name of names) expect(members.live(name)).toBe(all);
+  members.events.splice(0);
+  await clock.advance(120_000);
+  expect(members.events).toEqual([]);
+});
+
+test("a VM that leaves is out of every list within seconds, and stays out", async () => {
+  const { clock, members } = makeFleet();
+  await members.startAll();
+  await clock.advance(2000);
+  members.keepers.get("d")?.setState("leaving");
+  await clock.advance(4000);
+  for (const name of names) expect(members.live(name)).toBe(without("d"));
+  await clock.advance(60_000);
+  for (const name of names) expect(members.live(name)).toBe(without("d"));
+});
+
+// The store is down, so there is no list. A running VM keeps what it knows and goes on probing.
+// A new one knows nobody; the seeds of its settings answer with all that they know.
+test("membership goes on while the store is down, also for a new VM", async () => {
+  const { clock, members, store } = makeFleet();
+  await members.startAll();
+  await clock.advance(2000);
+  store.isDown = true;
+  members.stop("e");
+  await clock.advance(30_000);
+  expect(members.live("a")).toBe(without("e"));
+  await members.start("e", [{ host: "10.0.0.1", port: 7432 }]);
+  await clock.advance(2000);
+  expect(members.live("e")).toBe(all);
+  await clock.advance(10_000);
+  expect(members.live("g")).toBe(all);
+});
+
+// The platform's list still says leaving for a VM that was replaced under the same name.
+// Taking the stale word again at each reading would keep the new VM out for minutes.
+test("a stale leaving in the list does not shut out the VM's next run", async () => {
+  const { clock, members, store } = makeFleet();
+  await members.startAll();
+  store.vms = members.vms.map((vm) => (vm.name === "b" ? { ...vm, state: "leaving" } : vm));
+  await clock.advance(20_000);
+  expect(members.live("a")).toBe(without("b"));
+  members.stop("b");
+  await members.start("b");
+  await clock.advance(60_000);
+  expect(members.live("a")).toBe(all);
+});
+
+// Cuts, pauses, deaths and restarts in any order, then everything heals.
+// Every VM must be live on every VM again within bounded time: nothing stays down by rumour.
+test("after any faults all agree that all live", async () => {
+  const vm = fc.constantFrom(...names);
+  const fault = fc.oneof(
+    fc.record({ type: fc.constant("cut" as const), a: vm, b: vm }),
+    fc.record({ type: fc.constantFrom("pause", "stop", "heal", "store"), a: vm }),
+  );
+  await fc.assert(
+    fc.asyncProperty(fc.array(fault, { minLength: 2, maxLength: 12 }), async (faults) => {
+      const { clock, members, network, store } = makeFleet();
+      await members.startAll();
+      for (const f of faults) {
+        if ("b" in f) network.cut([f.a], [f.b]);
+        else if (f.type === "pause") members.paused.add(f.a);
+        else if (f.type === "stop") members.stop(f.a);
+        else if (f.type === "store") store.isDown = !store.isDown;
+        else network.cuts.clear();
+        await clock.advance(4000);
+      }
+      network.cuts.clear();
+      members.paused.clear();
+      store.isDown = false;
+      for (const name of names) if (!members.keepers.has(name)) await members.start(name);
+      await clock.advance(90_000);
+      for (const name of names) expect(members.live(name)).toBe(all);
+      members.stopAll();
+    }),
+    { seed: 4711, numRuns: 15 },
+  );
+});
--- a/test/log/pino.test.ts
+++ b/test/log/pino.test.ts
@@ -13,6 +13,6 @@
   logger.write(fleetEvents.configurationBehind);
   logger.dispose();
   expect(lines.map((line) => JSON.parse(line) as object)).toMatchObject([
-    { vm: "a", event: 5001, name: "configuration-adopted", revision: 7, level: 30 },
+    { vm: "a", event: 5001, name: "configurationAdopted", revision: 7, level: 30 },
   ]);
 });
