--- a/src/owner/conversation.ts
+++ b/src/owner/conversation.ts
@@ -15,6 +15,7 @@
 import { createDeduplicateFilter } from "./filters/deduplicate.js";
 import { executeFilter } from "./filters/execute.js";
 import { createFloorFilter } from "./filters/floor.js";
+import { createOpenFilter } from "./filters/open.js";
 import { createPlaceFilter, runPlaced } from "./filters/place.js";
 import type { ServedGroup } from "./group.js";
 import type { HeldConnection } from "./pool.js";
@@ -46,8 +47,9 @@
     };
     const confirm = createConfirmFilter(group.confirmer, logger);
     this.serveFresh = composeFilters([
-      createFloorFilter((signal) => group.confirmer.findFloor(signal)),
+      createOpenFilter(group),
       group.retry,
+      createFloorFilter((signal) => group.confirmer.findFloor(signal)),
       createPlaceFilter(group, logger),
       createConnectFilter(group, pin),
       confirm,
--- a/src/owner/filters/floor.ts
+++ b/src/owner/filters/floor.ts
@@ -4,7 +4,7 @@
 
 const noPrimaryRetryMs = 500;
 
-/** Finds a mark that no acknowledged write of the group lies beyond; nothing without a primary. */
+/** Finds a mark with no acknowledged write of the group beyond it; nothing without a primary. */
 export type FindFloor = (signal: AbortSignal) => Promise<Mark | undefined>;
 
 /**
--- a/src/owner/filters/place.ts
+++ b/src/owner/filters/place.ts
@@ -31,7 +31,6 @@
   waitForChange(ms: number, signal: AbortSignal): Promise<void>;
   /** Asks the primary for its position now. */
   refresh(target: string): Promise<void>;
-  isLeaving(target: string): boolean;
 }
 
 type Choice =
--- a/src/owner/group.ts
+++ b/src/owner/group.ts
@@ -18,6 +18,7 @@
 import { routeRead, type ReadRoute } from "../policy/index.js";
 import { WatchConfirmer } from "./confirmer.js";
 import type { ConnectingGroup } from "./filters/connect.js";
+import type { OpeningGroup } from "./filters/open.js";
 import type { PlacingGroup } from "./filters/place.js";
 import { RetryFilter } from "./filters/retry.js";
 import type { OwnerHooks } from "./hooks.js";
@@ -28,6 +29,9 @@
 /** How soon a lost primary's slots are expected back, for those who wait for them. */
 const expectedGapMs = 1000;
 
+/** How long a group's first requests wait for its targets' first answers, in milliseconds. */
+const openingMs = 1000;
+
 /** What an owner needs of the world. */
 export interface OwnerPorts {
   readonly vm: string;
@@ -43,7 +47,7 @@
 }
 
 /** One group served by this process: its watch, its queue and its connections. */
-export class ServedGroup implements PlacingGroup, ConnectingGroup, Disposable {
+export class ServedGroup implements OpeningGroup, PlacingGroup, ConnectingGroup, Disposable {
   readonly watch: GroupWatch;
   readonly confirmer: WatchConfirmer;
   readonly retry: RetryFilter;
@@ -54,6 +58,7 @@
   private readonly sizes = new Map<string, string>();
   private readonly primaryBound = new Set<string>();
   private lastPrimary: string | undefined;
+  private openedAt = -Infinity;
 
   constructor(
     private group: Group,
@@ -92,6 +97,7 @@
   }
 
   start(): void {
+    this.openedAt = this.ports.clock.now();
     this.ports.logger.write(ownerEvents.groupOpened, { group: this.name });
     this.observe(this.watch.view());
     this.watch.start();
@@ -187,8 +193,8 @@
     await this.watch.readMark(target);
   }
 
-  isLeaving(target: string): boolean {
-    return this.findTarget(target).isLeaving === true;
+  isOpening(): boolean {
+    return this.ports.clock.now() - this.openedAt < openingMs;
   }
 
   take(target: string, deadlineAt: number, signal: AbortSignal): Promise<ConnectionTaken> {
--- a/src/owner/pool.ts
+++ b/src/owner/pool.ts
@@ -15,6 +15,7 @@
   TargetConnector,
   TargetSession,
 } from "../model/index.js";
+import { OpenError } from "../target/index.js";
 
 const tickMs = 50;
 const refusedRetryMs = 100;
@@ -243,5 +244,5 @@
 }
 
 function isTooMany(error: unknown): boolean {
-  return error instanceof Error && "code" in error && error.code === tooManyConnectionsState;
+  return error instanceof OpenError && error.state === tooManyConnectionsState;
 }
