Add connections to targets and their control

Cause: the core meets targets through TargetConnector and TargetControl; neither existed. Change: PgTargetConnector opens connections over a raw socket (pg-protocol writes the start-up, a small splitter finds the messages), hands on whole messages, rests the socket while a sink is not ready, and closes a connection whose exchange is abandoned or makes no progress. PgTargetControl keeps two connections a target, so that a fence never queues behind a waiting status. Ruled out: the pg client for exchanges, since it parses rows that are only to be handed on.

--- /dev/null
+++ b/src/target/connector.ts
@@ -0,0 +1,89 @@
+import { connect, type Socket } from "node:net";
+import { serialize } from "pg-protocol";
+import type { Target, TargetConnector, TargetSession } from "../model/index.js";
+import { FrameSplitter } from "./frames.js";
+import { PgTargetSession } from "./session.js";
+
+/** How connections to targets are opened. */
+export interface ConnectorOptions {
+  /** The user at start-up. Default `radishwalk`. */
+  readonly user?: string;
+  /** Longest silence within an exchange, in milliseconds. Default 0: only the caller's signal ends one. */
+  readonly progressTimeoutMs?: number;
+}
+
+/** Why a connection could not be opened; `state` is the target's SQLSTATE, where it gave one. */
+export class OpenError extends Error {
+  override readonly name = "OpenError";
+
+  constructor(
+    message: string,
+    readonly state?: string,
+  ) {
+    super(message);
+  }
+}
+
+const authentication = 0x52;
+const errorResponse = 0x45;
+const ready = 0x5a;
+const headerBytes = 5;
+
+/** Opens connections in the PostgreSQL protocol, without encryption or a password. */
+export class PgTargetConnector implements TargetConnector {
+  constructor(private readonly options: ConnectorOptions = {}) {}
+
+  async open(target: Target, database: string, timeoutMs: number): Promise<TargetSession> {
+    const { host, port } = target.address;
+    const socket = connect({ host, port, noDelay: true, keepAlive: true });
+    try {
+      await this.startUp(socket, database, timeoutMs);
+    } catch (error) {
+      socket.destroy();
+      throw error;
+    }
+    return new PgTargetSession(target.name, socket, this.options.progressTimeoutMs ?? 0);
+  }
+
+  private startUp(socket: Socket, database: string, timeoutMs: number): Promise<void> {
+    const user = this.options.user ?? "radishwalk";
+    const frames = new FrameSplitter();
+    return new Promise((resolve, reject) => {
+      const end = (error?: Error) => {
+        clearTimeout(timer);
+        socket.removeAllListeners();
+        socket.on("error", () => undefined);
+        if (error === undefined) resolve();
+        else reject(error);
+      };
+      const timer = setTimeout(() => end(new OpenError("no answer in time")), timeoutMs);
+      socket.on("error", (error) => end(new OpenError(error.message)));
+      socket.on("close", () => end(new OpenError("closed during start-up")));
+      socket.on("connect", () =>
+        socket.write(serialize.startup({ user, database, client_encoding: "UTF8" })),
+      );
+      socket.on("data", (chunk: Buffer) => {
+        const result = readStartUp(frames, chunk);
+        if (result === "ready") end();
+        else if (result !== "more") end(result);
+      });
+    });
+  }
+}
+
+function readStartUp(frames: FrameSplitter, chunk: Buffer): "ready" | "more" | OpenError {
+  for (const message of frames.push(chunk)) {
+    if (message[0] === ready) return "ready";
+    if (message[0] === errorResponse) return readError(message);
+    if (message[0] === authentication && message.readInt32BE(headerBytes) !== 0) {
+      return new OpenError("the target asks for a kind of authentication that is not supported");
+    }
+  }
+  return "more";
+}
+
+function readError(message: Buffer): OpenError {
+  const fields = message.toString("utf8", headerBytes).split("\0");
+  const find = (code: string) => fields.find((f) => f.startsWith(code))?.slice(1);
+  return new OpenError(find("M") ?? "refused", find("C"));
+}
--- /dev/null
+++ b/src/target/control.ts
@@ -0,0 +1,172 @@
+import pg from "pg";
+import {
+  formatMark,
+  formatTerm,
+  type ControlResult,
+  type Disposable,
+  type Mark,
+  type Target,
+  type TargetControl,
+  type TargetStatus,
+  type Term,
+} from "../model/index.js";
+
+/** How control connections are opened. */
+export interface ControlOptions {
+  /** Default `radishwalk`. */
+  readonly user?: string;
+  /** The database of control connections. Default `standin_control`. */
+  readonly database?: string;
+}
+
+interface Lane {
+  readonly client: pg.Client;
+  readonly ready: Promise<unknown>;
+  isBusy: boolean;
+}
+
+type LaneName = "command" | "watch";
+
+type Reply =
+  | { readonly type: "accepted"; readonly status: TargetStatus }
+  | { readonly type: "refused"; readonly fencedAt: Term };
+
+/**
+ * Control of targets over connections of its own. For each target one connection is kept for
+ * commands and one for waiting status requests, so that a fence never queues behind a wait.
+ */
+export class PgTargetControl implements TargetControl, Disposable {
+  private readonly lanes = new Map<string, Lane>();
+
+  constructor(private readonly options: ControlOptions = {}) {}
+
+  async status(
+    target: Target,
+    options: {
+      readonly timeoutMs: number;
+      readonly after?: { readonly mark: Mark; readonly fencedAt: Term };
+      readonly waitMs?: number;
+      readonly fresh?: boolean;
+    },
+  ): Promise<ControlResult> {
+    const { after, waitMs = 0, timeoutMs, fresh = false } = options;
+    const name = fresh ? undefined : after === undefined ? "command" : "watch";
+    const values =
+      after === undefined ? [] : [formatMark(after.mark), formatTerm(after.fencedAt), waitMs];
+    return this.call(target, name, "status", values, timeoutMs);
+  }
+
+  fence(target: Target, term: Term, timeoutMs: number): Promise<ControlResult> {
+    return this.call(target, "command", "fence", [formatTerm(term)], timeoutMs);
+  }
+
+  promote(target: Target, term: Term, timeoutMs: number): Promise<ControlResult> {
+    return this.call(target, "command", "promote", [formatTerm(term)], timeoutMs);
+  }
+
+  follow(target: Target, primary: Target, term: Term, timeoutMs: number): Promise<ControlResult> {
+    const { host, port } = primary.address;
+    const values = [formatTerm(term), primary.name, host, port];
+    return this.call(target, "command", "follow", values, timeoutMs);
+  }
+
+  dispose(): void {
+    for (const key of [...this.lanes.keys()]) this.drop(key);
+  }
+
+  private async call(
+    target: Target,
+    name: LaneName | undefined,
+    call: string,
+    values: readonly (string | number)[],
+    timeoutMs: number,
+  ): Promise<ControlResult> {
+    const { key, lane } = this.open(target, name);
+    lane.isBusy = true;
+    try {
+      const reply = await limitTime(this.ask(lane, call, values), timeoutMs);
+      if (key === undefined) end(lane);
+      lane.isBusy = false;
+      return reply;
+    } catch (error) {
+      // A request that timed out may still be answered, and the connection may be silent for good.
+      // The next request on it would then wait in vain, so it gets a new connection.
+      if (key === undefined) end(lane);
+      else this.drop(key, lane);
+      return {
+        type: "unreachable",
+        reason: error instanceof Error ? error.message : String(error),
+      };
+    }
+  }
+
+  private async ask(
+    lane: Lane,
+    call: string,
+    values: readonly (string | number)[],
+  ): Promise<ControlResult> {
+    await lane.ready;
+    const places = values.map((_, i) => `$${i + 1}`).join();
+    const text = `SELECT standin_${call}(${places})`;
+    const { rows } = await lane.client.query<[string]>({
+      text,
+      values: [...values],
+      rowMode: "array",
+    });
+    const answer = JSON.parse(rows[0]?.[0] ?? "null") as Reply | TargetStatus;
+    return "type" in answer ? answer : { type: "accepted", status: answer };
+  }
+
+  /** A kept connection, or one for this call alone when none was asked for or it is busy. */
+  private open(target: Target, name: LaneName | undefined): { key?: string; lane: Lane } {
+    if (name === undefined) return { lane: this.connect(target) };
+    const { host, port } = target.address;
+    const key = `${name} ${host}:${port}`;
+    const kept = this.lanes.get(key);
+    if (kept?.isBusy === true) return { lane: this.connect(target) };
+    const lane = kept ?? this.connect(target);
+    if (kept === undefined) {
+      this.lanes.set(key, lane);
+      lane.client.on("end", () => this.drop(key, lane));
+    }
+    return { key, lane };
+  }
+
+  private connect(target: Target): Lane {
+    const client = new pg.Client({
+      ...target.address,
+      user: this.options.user ?? "radishwalk",
+      database: this.options.database ?? "standin_control",
+      keepAlive: true,
+    });
+    client.on("error", () => undefined);
+    const ready = client.connect();
+    ready.catch(() => undefined);
+    return { client, ready, isBusy: false };
+  }
+
+  private drop(key: string, lane = this.lanes.get(key)): void {
+    if (lane === undefined) return;
+    if (this.lanes.get(key) === lane) this.lanes.delete(key);
+    end(lane);
+  }
+}
+
+/** Ends a connection without waiting for its far end, which may be silent. */
+function end({ client }: Lane): void {
+  client.end().catch(() => undefined);
+  client.connection.stream.destroy();
+}
+
+async function limitTime<T>(work: Promise<T>, ms: number): Promise<T> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<never>((_, reject) => {
+    timer = setTimeout(() => reject(new Error("no answer in time")), ms);
+  });
+  work.catch(() => undefined);
+  try {
+    return await Promise.race([work, timeout]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- /dev/null
+++ b/src/target/session.ts
@@ -0,0 +1,158 @@
+import type { Socket } from "node:net";
+import type { ExchangeResult, MessageSink, TargetSession } from "../model/index.js";
+import { FrameSplitter } from "./frames.js";
+
+interface Exchange {
+  readonly sink: MessageSink;
+  readonly end: (result: ExchangeResult) => void;
+}
+
+const readyCode = 0x5a;
+const statusOffset = 5;
+
+/** Messages that a target may send at any time: notice, parameter status, error before closing. */
+const unasked: ReadonlySet<number> = new Set([0x4e, 0x53, 0x45]);
+
+/** One connection to a target, after its start-up. */
+export class PgTargetSession implements TargetSession {
+  private readonly frames = new FrameSplitter();
+  private queue: Buffer[] = [];
+  private isDelivering = false;
+  private current: Exchange | undefined;
+  private isOpen = true;
+  private progress: NodeJS.Timeout | undefined;
+
+  constructor(
+    readonly target: string,
+    private readonly socket: Socket,
+    /** Longest silence within an exchange, in milliseconds; 0 for none. */
+    private readonly progressTimeoutMs: number,
+  ) {
+    socket.on("data", (chunk) => this.receive(chunk));
+    socket.on("error", (error) => this.drop(error.message));
+    socket.on("close", () => this.drop("the target closed the connection"));
+  }
+
+  get isUsable(): boolean {
+    return this.isOpen && this.current === undefined;
+  }
+
+  exchange(messages: Uint8Array, sink: MessageSink, signal: AbortSignal): Promise<ExchangeResult> {
+    const refusal = this.findRefusal(signal);
+    if (refusal !== undefined) {
+      return Promise.resolve({ type: "broken", sent: false, reason: refusal });
+    }
+    return new Promise((resolve) => {
+      // An answer that comes after the caller went would be read as the next caller's answer.
+      // Closing the connection suffices: nothing of it can reach anyone any more.
+      const abandon = () => this.drop("abandoned");
+      signal.addEventListener("abort", abandon, { once: true });
+      const end = (result: ExchangeResult) => {
+        signal.removeEventListener("abort", abandon);
+        resolve(result);
+      };
+      this.current = { sink, end };
+      this.socket.write(messages);
+      this.watchProgress();
+    });
+  }
+
+  close(): void {
+    this.drop("closed");
+  }
+
+  private findRefusal(signal: AbortSignal): string | undefined {
+    if (!this.isOpen) return "the connection was closed before";
+    if (this.current !== undefined) return "another exchange is under way";
+    return signal.aborted ? "abandoned before it was sent" : undefined;
+  }
+
+  private receive(chunk: Buffer): void {
+    if (!this.isOpen) return;
+    try {
+      this.queue.push(...this.frames.push(chunk));
+    } catch (error) {
+      this.drop(error instanceof Error ? error.message : String(error));
+      return;
+    }
+    this.watchProgress();
+    if (!this.isDelivering) void this.deliver();
+  }
+
+  /** Hands the messages on one by one. The socket rests while a sink is not ready for more. */
+  private async deliver(): Promise<void> {
+    this.isDelivering = true;
+    for (let message = this.queue.shift(); message !== undefined; message = this.queue.shift()) {
+      const pending = this.deliverOne(message);
+      if (pending === undefined) continue;
+      this.socket.pause();
+      if (!(await this.settle(pending))) return;
+      this.socket.resume();
+      this.watchProgress();
+    }
+    this.isDelivering = false;
+  }
+
+  private async settle(pending: Promise<void>): Promise<boolean> {
+    clearTimeout(this.progress);
+    try {
+      await pending;
+    } catch (error) {
+      this.drop(`the sink failed: ${String(error)}`);
+    }
+    return this.isOpen;
+  }
+
+  private deliverOne(message: Buffer): Promise<void> | undefined {
+    const { current } = this;
+    if (current === undefined) {
+      this.checkUnasked(message);
+      return undefined;
+    }
+    if (message[0] !== readyCode) return callSink(current.sink, message);
+    this.finish(current, readStatus(message));
+    return undefined;
+  }
+
+  private finish(current: Exchange, status: "I" | "T" | "E"): void {
+    this.current = undefined;
+    clearTimeout(this.progress);
+    current.end({ type: "ready", status });
+  }
+
+  /** An answer nobody asked for shows that the two ends disagree on where they are. */
+  private checkUnasked(message: Buffer): void {
+    if (!unasked.has(message[0] ?? 0)) this.drop("an answer came that nobody asked for");
+  }
+
+  private watchProgress(): void {
+    clearTimeout(this.progress);
+    if (this.progressTimeoutMs === 0 || this.current === undefined) return;
+    this.progress = setTimeout(() => this.drop("no progress"), this.progressTimeoutMs);
+  }
+
+  private drop(reason: string): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.queue = [];
+    clearTimeout(this.progress);
+    this.socket.destroy();
+    const { current } = this;
+    this.current = undefined;
+    current?.end({ type: "broken", sent: true, reason });
+  }
+}
+
+function callSink(sink: MessageSink, message: Buffer): Promise<void> | undefined {
+  try {
+    const result = sink(message);
+    return result instanceof Promise ? result : undefined;
+  } catch (error) {
+    return Promise.reject(error instanceof Error ? error : new Error(String(error)));
+  }
+}
+
+function readStatus(message: Buffer): "I" | "T" | "E" {
+  const status = String.fromCharCode(message[statusOffset] ?? 0);
+  return status === "I" || status === "T" ? status : "E";
+}
