Add the stand-in target

Cause: demo and tests need a database group with terms, log positions and lag. Change: standin/target speaks the PostgreSQL protocol, simple and extended, over a small SQL engine on PostgreSQL's own parser; private transactions, one log record for each commit, replicas that copy after a lag, slots, limited connections, fence, promote and follow, and switches for the faults.

--- /dev/null
+++ b/standin/target/session.ts
@@ -0,0 +1,222 @@
+import type { Socket } from "node:net";
+import { AnswerLost, Backend, type Services } from "./backend.js";
+import { SqlError } from "./error.js";
+import type { Gate } from "./faults.js";
+import { decodeFrontend, type FrontendMessage } from "./frontend.js";
+import type { Output } from "./output.js";
+import { parseStatements, type Result } from "./sql/index.js";
+import type { Prepared } from "./statement.js";
+import {
+  encodeBare,
+  encodeComplete,
+  encodeDataRow,
+  encodeError,
+  encodeParameters,
+  encodeReady,
+  encodeRowDescription,
+} from "./wire.js";
+
+interface Portal {
+  readonly prepared: Prepared;
+  readonly parameters: readonly (string | null)[];
+  /** Set by the first Execute, with the number of rows already sent. */
+  progress?: { readonly result: Result; sent: number };
+}
+
+const textOid = 25;
+const queryCode = 0x51;
+const syncCode = 0x53;
+
+/** The protocol of one connection after its start-up. */
+export class Session {
+  private readonly queue: Buffer[] = [];
+  private readonly backend: Backend;
+  private readonly prepared = new Map<string, Prepared>();
+  private readonly portals = new Map<string, Portal>();
+  private isBusy = false;
+  private skipsToSync = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly output: Output,
+    services: Services,
+    id: number,
+    /** What must be open before a message is worked on. */
+    private readonly gates: readonly Gate[],
+    /** Resolves when the client has been greeted. */
+    private readonly ready: Promise<void>,
+  ) {
+    this.backend = new Backend(services, id);
+    socket.on("close", () => {
+      if (!this.isBusy) this.backend.rollBack();
+    });
+  }
+
+  /** Takes one whole message; messages are worked on one after the other. */
+  receive(data: Buffer): void {
+    this.queue.push(data);
+    if (!this.isBusy) void this.work();
+  }
+
+  private async work(): Promise<void> {
+    this.isBusy = true;
+    await this.ready;
+    for (let data = this.queue.shift(); data !== undefined; data = this.queue.shift()) {
+      for (const gate of this.gates) await gate.wait();
+      if (!this.output.isSilent) await this.handle(data);
+    }
+    this.isBusy = false;
+    if (this.socket.destroyed) this.backend.rollBack();
+  }
+
+  private async handle(data: Buffer): Promise<void> {
+    const endsBatch = data[0] === queryCode || data[0] === syncCode;
+    try {
+      const message = decodeFrontend(data);
+      if (this.skipsToSync && message.type !== "sync" && message.type !== "terminate") return;
+      await this.dispatch(message);
+    } catch (error) {
+      await this.reportError(error, endsBatch);
+    }
+  }
+
+  private async dispatch(message: FrontendMessage): Promise<void> {
+    switch (message.type) {
+      case "query":
+        return this.runQuery(message.text);
+      case "parse":
+        this.parse(message);
+        return;
+      case "bind":
+        this.bind(message);
+        return;
+      case "describe":
+        this.describe(message);
+        return;
+      case "execute":
+        return this.execute(message);
+      case "close":
+        (message.what === "statement" ? this.prepared : this.portals).delete(message.name);
+        this.output.push(encodeBare("closeComplete"));
+        return;
+      case "sync":
+        this.skipsToSync = false;
+        this.portals.clear();
+        this.backend.finish();
+        return this.sendReady();
+      case "flush":
+        return this.output.flush();
+      case "terminate":
+        this.socket.end();
+        return;
+    }
+  }
+
+  private async runQuery(text: string): Promise<void> {
+    const statements = parseStatements(text);
+    if (statements.length === 0) this.output.push(encodeBare("emptyQuery"));
+    for (const [i, statement] of statements.entries()) {
+      const result = await this.backend.run(statement, []);
+      if (i === statements.length - 1) this.backend.finish();
+      if (result.fields !== undefined) this.output.push(encodeRowDescription(result.fields));
+      await this.sendRows(result, 0, result.rows.length);
+      this.output.push(encodeComplete(result.tag));
+    }
+    await this.sendReady();
+  }
+
+  private parse({ name, text, oids }: Extract<FrontendMessage, { type: "parse" }>): void {
+    const statements = parseStatements(text);
+    if (statements.length > 1) {
+      throw new SqlError("42601", "cannot insert multiple commands into a prepared statement");
+    }
+    this.prepared.set(name, { text, oids, node: statements[0]?.node });
+    this.output.push(encodeBare("parseComplete"));
+  }
+
+  private bind({ portal, name, parameters }: Extract<FrontendMessage, { type: "bind" }>): void {
+    this.portals.set(portal, { prepared: this.findPrepared(name), parameters });
+    this.output.push(encodeBare("bindComplete"));
+  }
+
+  private describe({ what, name }: Extract<FrontendMessage, { type: "describe" }>): void {
+    const isStatement = what === "statement";
+    const portal = isStatement ? undefined : this.findPortal(name);
+    const prepared = portal?.prepared ?? this.findPrepared(name);
+    const count = countParameters(prepared.text);
+    if (isStatement) this.output.push(encodeParameters(fillOids(prepared.oids, count)));
+    const parameters = portal?.parameters ?? Array.from({ length: count }, () => null);
+    const fields =
+      prepared.node === undefined ? undefined : this.backend.describe(prepared.node, parameters);
+    this.output.push(fields === undefined ? encodeBare("noData") : encodeRowDescription(fields));
+  }
+
+  private async execute({ portal, limit }: Extract<FrontendMessage, { type: "execute" }>) {
+    const open = this.findPortal(portal);
+    const { node, text } = open.prepared;
+    if (node === undefined) {
+      this.output.push(encodeBare("emptyQuery"));
+      return;
+    }
+    open.progress ??= {
+      result: await this.backend.run({ node, text }, open.parameters),
+      sent: 0,
+    };
+    const { progress } = open;
+    const left = progress.result.rows.length - progress.sent;
+    const count = limit > 0 ? Math.min(limit, left) : left;
+    await this.sendRows(progress.result, progress.sent, count);
+    progress.sent += count;
+    const isSuspended = limit > 0 && count < left;
+    this.output.push(
+      isSuspended ? encodeBare("portalSuspended") : encodeComplete(progress.result.tag),
+    );
+  }
+
+  private async sendRows(result: Result, from: number, count: number): Promise<void> {
+    for (let i = from; i < from + count; i++) {
+      this.output.push(encodeDataRow(result.rows[i] ?? []));
+      if (this.output.isFull) await this.output.flush();
+    }
+  }
+
+  private sendReady(): Promise<void> {
+    this.output.push(encodeReady(this.backend.status));
+    return this.output.flush();
+  }
+
+  private async reportError(error: unknown, endsBatch: boolean): Promise<void> {
+    if (error instanceof AnswerLost) {
+      this.output.lose(error.how);
+      return;
+    }
+    this.backend.fail();
+    const state = error instanceof SqlError ? error.state : "XX000";
+    const message = error instanceof Error ? error.message : String(error);
+    this.output.push(encodeError("ERROR", state, message));
+    this.skipsToSync = !endsBatch;
+    await (endsBatch ? this.sendReady() : this.output.flush());
+  }
+
+  private findPrepared(name: string): Prepared {
+    const prepared = this.prepared.get(name);
+    if (prepared !== undefined) return prepared;
+    throw new SqlError("26000", `prepared statement "${name}" does not exist`);
+  }
+
+  private findPortal(name: string): Portal {
+    const portal = this.portals.get(name);
+    if (portal !== undefined) return portal;
+    throw new SqlError("34000", `portal "${name}" does not exist`);
+  }
+}
+
+function countParameters(text: string): number {
+  return [...text.matchAll(/\$(\d+)/g)].reduce((n, [, digits]) => Math.max(n, Number(digits)), 0);
+}
+
+/** Types that the client left open are described as text. */
+function fillOids(given: readonly number[], count: number): readonly number[] {
+  const length = Math.max(given.length, count);
+  return Array.from({ length }, (_, i) => (given[i] ?? 0) || textOid);
+}
--- /dev/null
+++ b/standin/target/settings.ts
@@ -0,0 +1,33 @@
+import type { Node } from "libpg-query";
+import { resolveValue, type Result, type StatementContext } from "./sql/index.js";
+import { findType, formatValue } from "./value.js";
+
+const known: Readonly<Record<string, string>> = {
+  server_version: "17.0",
+  transaction_isolation: "read committed",
+  client_encoding: "UTF8",
+  standard_conforming_strings: "on",
+};
+
+/** One connection's settings. Any may be set; none changes what the stand-in does. */
+export class SessionSettings {
+  private readonly values = new Map(Object.entries(known));
+
+  /** Carries out SET, RESET, SHOW and DISCARD; undefined when the statement is another one. */
+  run(node: Node, context: StatementContext): Result | undefined {
+    if ("VariableShowStmt" in node) return this.show(node.VariableShowStmt.name ?? "");
+    if ("DiscardStmt" in node) return { rows: [], tag: "DISCARD ALL" };
+    if (!("VariableSetStmt" in node)) return undefined;
+    const { name = "", args = [] } = node.VariableSetStmt;
+    const scope = { context, columns: [], alias: "", row: [] };
+    const value = args[0] === undefined ? null : resolveValue(args[0], scope);
+    if (value === null) this.values.delete(name);
+    else this.values.set(name, formatValue(value));
+    return { rows: [], tag: args.length === 0 ? "RESET" : "SET" };
+  }
+
+  private show(name: string): Result {
+    const fields = [{ name, type: findType("text") }];
+    return { fields, rows: [[this.values.get(name) ?? ""]], tag: "SHOW" };
+  }
+}
--- /dev/null
+++ b/standin/target/sql/index.ts
@@ -0,0 +1,6 @@
+export { loadParser, parseStatements, readName, type Statement } from "./ast.js";
+export { describeStatement, findCall, findSleep, isWrite, runStatement } from "./engine.js";
+export { resolveValue } from "./expression.js";
+export { type Field } from "./projection.js";
+export { type Result } from "./result.js";
+export { type StatementContext } from "./scope.js";
--- /dev/null
+++ b/standin/target/sql/modify.ts
@@ -0,0 +1,195 @@
+import type {
+  DeleteStmt,
+  InsertStmt,
+  Node,
+  OnConflictClause,
+  SelectStmt,
+  UpdateStmt,
+} from "libpg-query";
+import { SqlError } from "../error.js";
+import { buildKey, type Column, type TableDefinition } from "../table.js";
+import type { TableView, Transaction } from "../transaction.js";
+import { castValue, type Row, type Value } from "../value.js";
+import { resolveValue } from "./expression.js";
+import { listMatches } from "./lookup.js";
+import { buildProjection, resolveRow } from "./projection.js";
+import type { Result } from "./result.js";
+import { findColumn, type Scope, type StatementContext } from "./scope.js";
+import { runSelect } from "./select.js";
+
+/** Runs INSERT, with DO NOTHING and DO UPDATE on conflict. */
+export function runInsert(
+  insert: InsertStmt,
+  transaction: Transaction,
+  context: StatementContext,
+): Result {
+  const view = transaction.get(insert.relation?.relname ?? "");
+  const rows = buildRows(insert, view.definition, transaction, context);
+  const done = rows.flatMap((row) => insertRow(view, row, insert.onConflictClause, context));
+  return reply(`INSERT 0 ${done.length}`, insert.returningClause?.exprs, view, done, context);
+}
+
+/** Runs UPDATE of one table. */
+export function runUpdate(
+  update: UpdateStmt,
+  transaction: Transaction,
+  context: StatementContext,
+): Result {
+  const view = transaction.get(update.relation?.relname ?? "");
+  const alias = update.relation?.alias?.aliasname ?? view.definition.name;
+  const found = listMatches(view, update.whereClause, context, alias);
+  const done = found.map(([id, row]) => {
+    const scope: Scope = { context, columns: view.definition.columns, alias, row };
+    return changeRow(view, id, update.targetList, scope);
+  });
+  return reply(`UPDATE ${done.length}`, update.returningClause?.exprs, view, done, context);
+}
+
+/** Runs DELETE from one table. */
+export function runDelete(
+  remove: DeleteStmt,
+  transaction: Transaction,
+  context: StatementContext,
+): Result {
+  const view = transaction.get(remove.relation?.relname ?? "");
+  const alias = remove.relation?.alias?.aliasname ?? view.definition.name;
+  const found = listMatches(view, remove.whereClause, context, alias);
+  for (const [id] of found) view.put(id, undefined);
+  const rows = found.map(([, row]) => row);
+  return reply(`DELETE ${rows.length}`, remove.returningClause?.exprs, view, rows, context);
+}
+
+function buildRows(
+  insert: InsertStmt,
+  definition: TableDefinition,
+  transaction: Transaction,
+  context: StatementContext,
+): readonly Row[] {
+  const { columns } = definition;
+  const named = (insert.cols ?? []).map((c) =>
+    findColumn(columns, "ResTarget" in c ? (c.ResTarget.name ?? "") : ""),
+  );
+  const places = named.length > 0 ? named : columns.map((_, i) => i);
+  const source = insert.selectStmt;
+  if (source === undefined || !("SelectStmt" in source)) {
+    return [fillRow(columns, [], [], context)];
+  }
+  return listSourceRows(source.SelectStmt, transaction, context).map((values) => {
+    if (values.length > places.length) {
+      throw new SqlError("42601", "INSERT has more expressions than target columns");
+    }
+    return fillRow(columns, places, values, context);
+  });
+}
+
+/** `undefined` stands for DEFAULT. */
+function listSourceRows(
+  select: SelectStmt,
+  transaction: Transaction,
+  context: StatementContext,
+): readonly (readonly (Value | undefined)[])[] {
+  if (select.valuesLists === undefined) return runSelect(select, transaction, context).rows;
+  const scope: Scope = { context, columns: [], alias: "", row: [] };
+  return select.valuesLists.map((list) => {
+    const items = "List" in list ? (list.List.items ?? []) : [];
+    return items.map((i) => ("SetToDefault" in i ? undefined : resolveValue(i, scope)));
+  });
+}
+
+function fillRow(
+  columns: readonly Column[],
+  places: readonly number[],
+  values: readonly (Value | undefined)[],
+  context: StatementContext,
+): Row {
+  const scope: Scope = { context, columns: [], alias: "", row: [] };
+  return columns.map((column, place) => {
+    const at = places.indexOf(place);
+    const given = at < 0 ? undefined : values[at];
+    return checkValue(column, given === undefined ? resolveValue(column.fallback, scope) : given);
+  });
+}
+
+function checkValue(column: Column, value: Value): Value {
+  const cast = castValue(value, column.type);
+  if (cast === null && column.isRequired) {
+    throw new SqlError(
+      "23502",
+      `null value in column "${column.name}" violates not-null constraint`,
+    );
+  }
+  return cast;
+}
+
+function insertRow(
+  view: TableView,
+  row: Row,
+  conflict: OnConflictClause | undefined,
+  context: StatementContext,
+): readonly Row[] {
+  const clash = findClash(view, row, undefined);
+  if (clash === undefined) {
+    view.put(view.table.takeId(), row);
+    return [row];
+  }
+  if (conflict === undefined || !coversConflict(view, clash.place, conflict)) throw clash.error;
+  if (conflict.action !== "ONCONFLICT_UPDATE") return [];
+  const { columns, name } = view.definition;
+  const old = view.get(clash.id) ?? [];
+  const scope: Scope = { context, columns, alias: name, row: old, excluded: row };
+  return [changeRow(view, clash.id, conflict.targetList, scope)];
+}
+
+/** Whether ON CONFLICT names the columns of the unique constraint that clashed, or none. */
+function coversConflict(view: TableView, place: number, conflict: OnConflictClause): boolean {
+  const named = conflict.infer?.indexElems?.map((e) => ("IndexElem" in e ? e.IndexElem.name : ""));
+  if (named === undefined) return true;
+  const unique = view.definition.uniques[place];
+  const names = unique?.columns.map((c) => view.definition.columns[c]?.name) ?? [];
+  return names.length === named.length && names.every((n) => named.includes(n));
+}
+
+function findClash(view: TableView, row: Row, own: number | undefined) {
+  for (const [place, unique] of view.definition.uniques.entries()) {
+    const key = buildKey(unique.columns, row);
+    const id = key === undefined ? undefined : view.findId(place, key);
+    if (id === undefined || id === own) continue;
+    const text = `duplicate key value violates unique constraint "${unique.name}"`;
+    return { place, id, error: new SqlError("23505", text) };
+  }
+  return undefined;
+}
+
+function changeRow(
+  view: TableView,
+  id: number,
+  targets: readonly Node[] | undefined,
+  scope: Scope,
+): Row {
+  const next = [...scope.row];
+  for (const target of targets ?? []) {
+    if (!("ResTarget" in target)) continue;
+    const place = findColumn(scope.columns, target.ResTarget.name ?? "");
+    const column = scope.columns[place];
+    if (column === undefined) continue;
+    next[place] = checkValue(column, resolveValue(target.ResTarget.val, scope));
+  }
+  const clash = findClash(view, next, id);
+  if (clash !== undefined) throw clash.error;
+  view.put(id, next);
+  return next;
+}
+
+function reply(
+  tag: string,
+  returning: readonly Node[] | undefined,
+  view: TableView,
+  rows: readonly Row[],
+  context: StatementContext,
+): Result {
+  if (returning === undefined) return { rows: [], tag };
+  const { columns, name } = view.definition;
+  const projection = buildProjection(returning, columns);
+  const answers = rows.map((row) => resolveRow(projection, { context, columns, alias: name, row }));
+  return { fields: projection.fields, rows: answers, tag };
+}
--- /dev/null
+++ b/test/standin/build.ts
@@ -0,0 +1,54 @@
+import pg from "pg";
+import { firstTerm, type Target, type TargetStatus, type Term } from "../../src/model/index.js";
+import { StandinTarget, type StandinTargetOptions } from "../../standin/target/index.js";
+
+export const term = (round: number, vm = "vm-1"): Term => ({ round, vm });
+
+export async function startGroup(
+  count: number,
+  options: Partial<StandinTargetOptions> = {},
+): Promise<readonly StandinTarget[]> {
+  const names = ["a", "b", "c"].slice(0, count);
+  const all = names.map(
+    (name) => new StandinTarget({ connectMs: 0, serviceMs: 0, ...options, name }),
+  );
+  await Promise.all(all.map((t) => t.start()));
+  const [primary, ...replicas] = all;
+  for (const replica of replicas) followIn(replica, primary, firstTerm);
+  return all;
+}
+
+export function followIn(replica: StandinTarget, primary: StandinTarget | undefined, of: Term) {
+  if (primary === undefined) throw new Error("no primary");
+  return replica.member.follow({ name: primary.name, address: primary.address, term: of });
+}
+
+export async function connectTo({ address }: Pick<Target, "address">): Promise<pg.Client> {
+  const client = new pg.Client({ ...address, user: "paying", database: "ledger" });
+  client.on("error", () => undefined);
+  await client.connect();
+  return client;
+}
+
+export async function waitStatus(
+  target: StandinTarget,
+  isMet: (status: TargetStatus) => boolean,
+): Promise<void> {
+  while (!isMet(target.member.status)) {
+    await new Promise<void>((resolve) => {
+      const end = target.member.subscribe(() => {
+        end();
+        resolve();
+      });
+    });
+  }
+}
+
+/** The SQLSTATE with which a query fails, or its command. */
+export async function findState(query: Promise<pg.QueryResult>): Promise<string | undefined> {
+  try {
+    return (await query).command;
+  } catch (error) {
+    return error instanceof pg.DatabaseError ? error.code : String(error);
+  }
+}
