Test the limits on callers, draining and nonsense

Cause: a caller that sends nonsense, stalls or stops reading must cost a bounded amount. Found: a connection that was told its end kept its transaction until the caller closed; it is now rolled back with the last message.

--- a/src/caller/connection.ts
+++ b/src/caller/connection.ts
@@ -104,6 +104,7 @@
     // connection, and the caller would lose this last message.
     this.socket.resume();
     this.output.end(encodeError(error));
+    if (!this.isWorking) this.runner?.close();
   }
 
   /** Ends the connection at once, with what is in flight. */
--- a/test/caller/fake.ts
+++ b/test/caller/fake.ts
@@ -1,4 +1,5 @@
 import { Socket } from "node:net";
+import { setTimeout } from "node:timers/promises";
 import pg from "pg";
 import { CallerServer, type CallerServerOptions } from "../../src/caller/index.js";
 import {
@@ -35,14 +36,7 @@
 
 export const clock: Clock = {
   now: () => performance.now(),
-  sleep: (ms, signal) =>
-    new Promise((resolve, reject) => {
-      const timer = setTimeout(resolve, ms);
-      signal?.addEventListener("abort", () => {
-        clearTimeout(timer);
-        reject(new Error("aborted"));
-      });
-    }),
+  sleep: (ms, signal) => setTimeout(ms, undefined, signal === undefined ? {} : { signal }),
 };
 
 export const serve: RuleAction = {
