--- a/src/log/events/owner.ts
+++ b/src/log/events/owner.ts
@@ -14,9 +14,9 @@
     level: "info",
     text: "A request that had not run is tried again.",
   },
-  requestFailed: {
+  requestGivenUp: {
     id: 2003,
-    name: "requestFailed",
+    name: "requestGivenUp",
     level: "warn",
     text: "A request was given up; the verdict tells whether it may have run.",
   },
--- a/src/owner/conversation.ts
+++ b/src/owner/conversation.ts
@@ -137,7 +137,7 @@
     const { logger, hooks } = this.group.ports;
     hooks.onOutcome(request, outcome);
     if (outcome.type === "answered") return;
-    logger.write(ownerEvents.requestFailed, {
+    logger.write(ownerEvents.requestGivenUp, {
       request: request.id,
       group: request.traits.group,
       team: request.traits.team,
