Add the platform's store client and its stand-in

Cause: configuration and status live in the platform's object API; client and stand-in were missing. Change: HttpObjectStore over undici with zod at the border; a write without an answer is unknown unless the connection was never opened. StandinPlatform keeps the newest state of each object and tombstones by name, so that a watch after any version misses nothing; switches for the faults. Ruled out: a streaming watch, since a connection that went silent would look like a quiet store. Failures are told apart by their code and not by `instanceof Error`: Node's own errors are of another realm inside jest, and a refused connection was taken for a lost answer.

--- /dev/null
+++ b/src/platform/call.ts
@@ -0,0 +1,50 @@
+import type { Pool } from "undici";
+
+/** What came of one HTTP call. */
+export type CallResult =
+  | { readonly type: "answered"; readonly status: number; readonly body: unknown }
+  /** No byte of the request can have reached the platform. */
+  | { readonly type: "notSent"; readonly reason: string }
+  | { readonly type: "lost"; readonly reason: string };
+
+/** One HTTP call to the platform. */
+export interface Call {
+  readonly method: "GET" | "PUT" | "DELETE";
+  readonly path: string;
+  readonly body?: string;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Failures of connecting: the request was not begun. */
+const connectFailures: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Makes one call. Never rejects, and ends within its timeout. */
+export async function sendCall(pool: Pool, call: Call): Promise<CallResult> {
+  const timeout = AbortSignal.timeout(call.timeoutMs);
+  const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]);
+  try {
+    const { statusCode, body } = await pool.request({
+      method: call.method,
+      path: call.path,
+      signal,
+      ...(call.body === undefined ? {} : { body: call.body }),
+    });
+    const text = await body.text();
+    return { type: "answered", status: statusCode, body: JSON.parse(text) as unknown };
+  } catch (error) {
+    return describeFailure(error);
+  }
+}
+
+function describeFailure(error: unknown): CallResult {
+  const { code, message } = error as { readonly code?: unknown; readonly message?: unknown };
+  const isUnsent = typeof code === "string" && connectFailures.has(code);
+  return { type: isUnsent ? "notSent" : "lost", reason: String(message ?? error) };
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,1 @@
+export { HttpObjectStore, type HttpObjectStoreOptions } from "./store.js";
--- /dev/null
+++ b/standin/platform/list.ts
@@ -0,0 +1,17 @@
+import type { Vm } from "../../src/model/index.js";
+
+/** The platform's list of VMs, which shows what was true some time ago. */
+export class LaggingList {
+  private readonly history: { readonly since: number; readonly vms: readonly Vm[] }[] = [];
+
+  set(vms: readonly Vm[]): void {
+    this.history.push({ since: performance.now(), vms });
+  }
+
+  /** The list as it was `lagMs` ago; the first one ever set is known at once. */
+  get(lagMs: number): readonly Vm[] {
+    const at = performance.now() - lagMs;
+    const [first] = this.history;
+    return (this.history.findLast((h) => h.since <= at) ?? first)?.vms ?? [];
+  }
+}
--- /dev/null
+++ b/standin/platform/objects.ts
@@ -0,0 +1,78 @@
+import type { Json, StoredObject, StoreChange } from "../../src/model/index.js";
+
+/** The outcome of a conditional update. */
+export type Update =
+  { readonly type: "written"; readonly object: StoredObject } | { readonly type: "conflict" };
+
+interface Entry {
+  readonly object: StoredObject;
+  /** A removed object is kept by name, so that watches hear of it and versions go on growing. */
+  readonly isRemoved: boolean;
+}
+
+/** The objects of the stand-in platform, each change under the next version of all. */
+export class Objects {
+  private readonly entries = new Map<string, Entry>();
+  private readonly listeners = new Set<() => void>();
+  private latest = 0;
+
+  get version(): number {
+    return this.latest;
+  }
+
+  get(kind: string, name: string): StoredObject | undefined {
+    const entry = this.entries.get(makeKey(kind, name));
+    return entry?.isRemoved === false ? entry.object : undefined;
+  }
+
+  list(kind: string): readonly StoredObject[] {
+    return [...this.entries.values()]
+      .filter((e) => !e.isRemoved && e.object.kind === kind)
+      .map((e) => e.object);
+  }
+
+  /** Writes if the object still has `version`; 0 means that it must not exist. */
+  put(kind: string, name: string, value: Json, version: number): Update {
+    return this.update(kind, name, value, version, false);
+  }
+
+  remove(kind: string, name: string, version: number): Update {
+    if (this.get(kind, name) === undefined) return { type: "conflict" };
+    return this.update(kind, name, null, version, true);
+  }
+
+  /** Lists what changed after a version, the newest state of each object. */
+  listChanges(kind: string, after: number): readonly StoreChange[] {
+    return [...this.entries.values()]
+      .filter((e) => e.object.kind === kind && e.object.version > after)
+      .sort((a, b) => a.object.version - b.object.version)
+      .map(({ object, isRemoved }) =>
+        isRemoved ? { type: "removed", kind, name: object.name } : { type: "changed", object },
+      );
+  }
+
+  /** Calls `listener` after each change, until the function that it hands back is called. */
+  subscribe(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  private update(
+    kind: string,
+    name: string,
+    value: Json,
+    version: number,
+    isRemoved: boolean,
+  ): Update {
+    if ((this.get(kind, name)?.version ?? 0) !== version) return { type: "conflict" };
+    this.latest += 1;
+    const object = { kind, name, version: this.latest, value };
+    this.entries.set(makeKey(kind, name), { object, isRemoved });
+    for (const listener of [...this.listeners]) listener();
+    return { type: "written", object };
+  }
+}
+
+function makeKey(kind: string, name: string): string {
+  return `${kind}/${name}`;
+}
