--- /dev/null
+++ b/standin/index.ts
@@ -0,0 +1,9 @@
+export {
+  buildGroups,
+  startCluster,
+  sizes,
+  type Cluster,
+  type ClusterOptions,
+  type GroupOptions,
+  type RunningGroup,
+} from "./cluster.js";
