--- a/src/platform/call.ts
+++ b/src/platform/call.ts
@@ -44,7 +44,7 @@
 }
 
 function describeFailure(error: unknown): CallResult {
-  const reason = error instanceof Error ? error.message : String(error);
-  const code = error instanceof Error && "code" in error ? String(error.code) : "";
-  return { type: connectFailures.has(code) ? "notSent" : "lost", reason };
+  const { code, message } = error as { readonly code?: unknown; readonly message?: unknown };
+  const isUnsent = typeof code === "string" && connectFailures.has(code);
+  return { type: isUnsent ? "notSent" : "lost", reason: String(message ?? error) };
 }
