--- a/src/target/frames.ts
+++ b/src/target/frames.ts
@@ -17,7 +17,8 @@
     this.parts.push(chunk);
     this.bytes += chunk.length;
     if (this.bytes < this.findNeeded()) return [];
-    return this.split(this.parts.length === 1 ? chunk : Buffer.concat(this.parts));
+    const [only = chunk, ...more] = this.parts;
+    return this.split(more.length === 0 ? only : Buffer.concat(this.parts));
   }
 
   /** The bytes that the message at the front needs, as far as its header is there. */
