Share one hash, and summarise a proxy on its health page

Cause: policy and controller each had the same 32-bit hash; apply has to ask every proxy for its revision, and /report with thousands of members is too large for that. Change: hashPair is exported by policy and used for trees and probe order; /health shows what HealthServerOptions.summarise gives; listLive bears the state live.

--- a/src/controller/configuration/index.ts
+++ b/src/controller/configuration/index.ts
@@ -9,7 +9,6 @@
 } from "./decode.js";
 export { applyDelta, buildDelta, type ConfigurationDelta } from "./delta.js";
 export { encodeCanonical, isSameValue } from "./canonical.js";
-export { hashText } from "./hash.js";
 export { planEdit, rememberedChanges, type Edit, type EditPlan } from "./edit.js";
 export { mergeDrafts, type Draft, type Merge, type MergeConflict } from "./merge.js";
 export {
--- a/src/controller/configuration/tree.ts
+++ b/src/controller/configuration/tree.ts
@@ -1,5 +1,5 @@
 import type { Vm } from "../../model/index.js";
-import { hashText } from "./hash.js";
+import { hashPair } from "../../policy/index.js";
 
 /** The shape of the trees. */
 export interface TreeOptions {
@@ -70,7 +70,7 @@
 
 function orderByHash(vms: readonly Vm[], salt: string): readonly Vm[] {
   return vms
-    .map((vm) => ({ vm, hash: hashText(`${salt}/${vm.name}`) }))
+    .map((vm) => ({ vm, hash: hashPair(salt, vm.name) }))
     .sort((a, b) => a.hash - b.hash || (a.vm.name < b.vm.name ? -1 : 1))
     .map(({ vm }) => vm);
 }
--- a/src/controller/membership/tick.ts
+++ b/src/controller/membership/tick.ts
@@ -1,4 +1,4 @@
-import { hashText } from "../configuration/index.js";
+import { hashPair } from "../../policy/index.js";
 import { changeMember, type Draft } from "./member.js";
 import type { MembershipOptions } from "./options.js";
 import type { Member, MembershipState } from "./state.js";
@@ -65,7 +65,7 @@
 
 function shuffle({ ring, self, ticks }: MembershipState): readonly string[] {
   return ring
-    .map((name) => ({ name, hash: hashText(`${self.vm.name}/${ticks}/${name}`) }))
+    .map((name) => ({ name, hash: hashPair(`${self.vm.name}/${ticks}`, name) }))
     .sort((a, b) => a.hash - b.hash)
     .map(({ name }) => name);
 }
--- a/src/controller/membership/view.ts
+++ b/src/controller/membership/view.ts
@@ -16,11 +16,14 @@
   ];
 }
 
-/** Lists the VMs that may get new work. A suspected one may: it has not been shown to be down. */
+/**
+ * Lists the VMs that may get new work. A suspected one may: it has not been shown to be down. All
+ * bear the state `live`, whatever the platform's list says of a run before.
+ */
 export function listLive(state: MembershipState): readonly Vm[] {
   return listViews(state)
     .filter(({ status }) => status === "alive" || status === "suspect")
-    .map(({ vm }) => vm);
+    .map(({ vm }) => (vm.state === "live" ? vm : { ...vm, state: "live" }));
 }
 
 /** Finds up to `count` VMs that can probe `about`: other data centres first, as other paths tell more. */
--- a/src/metric/health.ts
+++ b/src/metric/health.ts
@@ -14,6 +14,8 @@
 export interface HealthServerOptions {
   readonly metrics: Metrics;
   getState(): HealthState;
+  /** A few words of itself on `/health`, such as its VM and the revision in force. */
+  summarise?(): Readonly<Record<string, Json>>;
   /** What the process says of itself to operators, on `/report`. */
   report(): Json | Promise<Json>;
   /** Begins a drain, on `POST /drain`; absent where the process does not take it over HTTP. */
@@ -76,7 +78,7 @@
       case "GET /metrics":
         return { status: 200, type: metrics.contentType, body: await metrics.render() };
       case "GET /health":
-        return replyJson(200, { status: "alive" });
+        return replyJson(200, { status: "alive", ...this.options.summarise?.() });
       case "GET /ready":
         return this.replyReadiness();
       case "GET /report":
--- a/src/policy/index.ts
+++ b/src/policy/index.ts
@@ -38,4 +38,4 @@
   canRetryKeyed,
   planKeyedWrite,
 } from "./idempotency.js";
-export { chooseOwner, orderOwners } from "./owner.js";
+export { chooseOwner, hashPair, orderOwners } from "./owner.js";
--- a/src/policy/owner.ts
+++ b/src/policy/owner.ts
@@ -28,8 +28,8 @@
 const offsetBasis = 0x811c9dc5;
 const prime = 0x01000193;
 
-/** FNV-1a over both names with a separator, and the final mix of MurmurHash3 to spread its bits. */
-function hashPair(group: string, vm: string): number {
+/** Hashes two names to 32 bits: FNV-1a over both with a separator, and MurmurHash3's final mix. */
+export function hashPair(group: string, vm: string): number {
   return mix(addText(Math.imul(addText(offsetBasis, group) ^ 0x1f, prime), vm));
 }
 
