Add the operators' command line

Cause: operators edit rules and roster and need to see that a change is in force. Ruled out: applying a file that does not say what it was edited from (it would take others' edits back in silence); polling /report of every proxy (its member list grows with the fleet; /health carries the revision).

--- /dev/null
+++ b/src/command/apply.ts
@@ -0,0 +1,105 @@
+import type { MergeConflict } from "../controller/configuration/index.js";
+import { ConfigurationEditor, type EditResult } from "../fleet/index.js";
+import { formatFault } from "../settings/index.js";
+import { printResult, type CommandContext } from "./context.js";
+import {
+  ConflictError,
+  FaultyFileError,
+  NotEverywhereError,
+  UnavailableError,
+  UncertainError,
+  UsageError,
+} from "./errors.js";
+import { exitCodes, type ExitCode } from "./exit.js";
+import { readConfigurationFile } from "./file.js";
+import { waitInForce, type Spread } from "./spread.js";
+
+/** Flags of `apply`. */
+export interface ApplyFlags {
+  /** The revision that the file was edited from, where the file does not say. */
+  readonly base?: number;
+  /** Seconds to wait until the change is in force everywhere. */
+  readonly wait: number;
+}
+
+const msPerSecond = 1000;
+
+/** Applies a file and waits until its revision is in force on every live proxy. */
+export async function runApply(
+  context: CommandContext,
+  path: string,
+  flags: ApplyFlags,
+): Promise<ExitCode> {
+  const { file, warnings } = await readConfigurationFile(context, path);
+  for (const warning of warnings) {
+    if (!context.json) context.print(`warning: ${formatFault(warning)}`);
+  }
+  const base = flags.base ?? file.revision;
+  if (!Number.isSafeInteger(base) && base !== undefined) {
+    throw new UsageError("--base is a revision: a whole number");
+  }
+  if (!(flags.wait >= 0)) throw new UsageError("--wait is a number of seconds");
+  if (base === undefined) {
+    const hint = "start from `radishwalk get --output FILE`, or give --base (0 for the first file)";
+    throw new UsageError(`${path} has no revision that it was edited from: ${hint}`);
+  }
+  const changeId = context.makeChangeId();
+  const draft = { teams: file.teams, rules: file.rules };
+  const result = await new ConfigurationEditor(context).apply({ changeId, draft }, base);
+  return reportResult(context, result, flags);
+}
+
+async function reportResult(
+  context: CommandContext,
+  result: EditResult,
+  flags: ApplyFlags,
+): Promise<ExitCode> {
+  switch (result.type) {
+    case "applied":
+    case "unchanged": {
+      const spread = await waitInForce(context, result.revision, flags.wait * msPerSecond);
+      return reportSpread(context, result, spread);
+    }
+    case "conflict":
+      throw new ConflictError(result.conflicts.map(formatConflict).join("\n"));
+    case "baseUnknown":
+      throw new ConflictError("the revision that the file was edited from is no longer kept");
+    case "unavailable":
+      throw new UnavailableError(`nothing was changed: ${result.reason}`);
+    case "uncertain":
+      throw new UncertainError(`the change may have taken effect: ${result.reason}`);
+    case "faulty":
+      throw new FaultyFileError("the store holds something that is no configuration");
+  }
+}
+
+function reportSpread(
+  context: CommandContext,
+  result: Extract<EditResult, { type: "applied" | "unchanged" }>,
+  spread: Spread,
+): ExitCode {
+  const { revision, type } = result;
+  const word = type === "applied" ? "accepted" : "already there";
+  const lines = spread.missing.map(({ name, revision: has }) =>
+    has === undefined ? `  ${name}: can't be reached` : `  ${name}: revision ${has}`,
+  );
+  if (spread.missing.length > 0) {
+    const head = `revision ${revision} is ${word}, but not in force on all live proxies:`;
+    throw new NotEverywhereError([head, ...lines].join("\n"));
+  }
+  const text = `revision ${revision} is ${word} and in force on ${spread.inForce.length} proxies`;
+  printResult(context, { result: type, revision, ...spread }, text);
+  return exitCodes.done;
+}
+
+function formatConflict(conflict: MergeConflict): string {
+  switch (conflict.type) {
+    case "team":
+    case "rule":
+      return `${conflict.type} ${conflict.name} was changed by another operator as well`;
+    case "order":
+      return `the order of these rules was changed by another operator as well: ${conflict.names.join(", ")}`;
+    case "missingTeam":
+      return `rule ${conflict.rule} names team ${conflict.team}, which another operator removed`;
+  }
+}
--- /dev/null
+++ b/src/command/diff.ts
@@ -0,0 +1,16 @@
+import { formatChange, listChanges } from "./changes.js";
+import { printResult, type CommandContext } from "./context.js";
+import { readCurrent } from "./current.js";
+import { exitCodes, type ExitCode } from "./exit.js";
+import { readConfigurationFile } from "./file.js";
+
+/** Shows what applying a file would change. */
+export async function runDiff(context: CommandContext, path: string): Promise<ExitCode> {
+  const { file } = await readConfigurationFile(context, path);
+  const stored = await readCurrent(context);
+  const changes = listChanges(stored ?? { teams: [], rules: [] }, file);
+  const revision = stored?.revision ?? 0;
+  const text = changes.length === 0 ? `same as revision ${revision}` : changes.map(formatChange);
+  printResult(context, { revision, changes }, [text].flat().join("\n"));
+  return changes.length === 0 ? exitCodes.done : exitCodes.differs;
+}
--- /dev/null
+++ b/src/command/explain.ts
@@ -0,0 +1,118 @@
+import type { Configuration, RequestTraits } from "../model/index.js";
+import { explainMatch, resolveRoute, type RuleFinding } from "../policy/index.js";
+import { formatDuration } from "../settings/index.js";
+import { classifyStatement, loadParser } from "../sql/index.js";
+import { printResult, type CommandContext } from "./context.js";
+import { readCurrent } from "./current.js";
+import { UsageError } from "./errors.js";
+import { exitCodes, type ExitCode } from "./exit.js";
+import { readConfigurationFile } from "./file.js";
+
+/** Flags of `explain`. */
+export interface ExplainFlags {
+  readonly team?: string;
+  readonly group?: string;
+  readonly kind?: string;
+  readonly effect?: string;
+  readonly tables?: string;
+  readonly transaction?: boolean;
+  /** A statement, from which effect and tables are read. */
+  readonly sql?: string;
+  /** A file in place of the configuration in force. */
+  readonly file?: string;
+}
+
+/** Tells which rule a request meets, and why not those before it. */
+export async function runExplain(context: CommandContext, flags: ExplainFlags): Promise<ExitCode> {
+  const configuration = await findConfiguration(context, flags);
+  const traits = await buildTraits(flags, configuration);
+  const { decided, isDefault, findings } = explainMatch(configuration, traits);
+  const lines = [
+    `request: ${formatTraits(traits)}`,
+    ...findings.map(formatFinding),
+    `${isDefault ? "no rule matches; the default decides" : "decided by"}: ${decided.name}`,
+    formatAction(decided.then, traits),
+  ];
+  const { revision } = configuration;
+  printResult(context, { revision, traits, decided, isDefault, findings }, lines.join("\n"));
+  return exitCodes.done;
+}
+
+async function findConfiguration(
+  context: CommandContext,
+  { file: path }: ExplainFlags,
+): Promise<Configuration> {
+  const none = { revision: 0, changeId: "", teams: [], rules: [] };
+  if (path === undefined) return (await readCurrent(context)) ?? none;
+  const { file } = await readConfigurationFile(context, path);
+  return { ...none, teams: file.teams, rules: file.rules };
+}
+
+async function buildTraits(flags: ExplainFlags, { teams }: Configuration): Promise<RequestTraits> {
+  if (flags.team === undefined) throw new UsageError("give the caller's --team");
+  const team = teams.find(({ name }) => name === flags.team);
+  if (team === undefined) throw new UsageError(`no team ${flags.team} is in the roster`);
+  const { effect, tables } = await findStatement(flags);
+  return {
+    group: flags.group ?? "",
+    team: team.name,
+    plan: team.plan,
+    kind: flags.kind ?? effect,
+    effect,
+    tables,
+    transaction: flags.transaction === true,
+  };
+}
+
+async function findStatement(
+  flags: ExplainFlags,
+): Promise<Pick<RequestTraits, "effect" | "tables">> {
+  if (flags.sql !== undefined) {
+    await loadParser();
+    return classifyStatement(flags.sql);
+  }
+  const effect = flags.effect ?? "write";
+  if (effect !== "read" && effect !== "write") throw new UsageError("--effect is read or write");
+  return { effect, tables: flags.tables?.split(",") ?? [] };
+}
+
+function formatTraits({ team, plan, kind, effect, tables, transaction, group }: RequestTraits) {
+  const parts = [`${plan} team ${team}`, `kind ${kind}`, effect];
+  if (group !== "") parts.push(`group ${group}`);
+  if (tables.length > 0) parts.push(`tables ${tables.join(", ")}`);
+  if (transaction) parts.push("in a transaction");
+  return parts.join(", ");
+}
+
+function formatFinding(finding: RuleFinding): string {
+  switch (finding.type) {
+    case "decides":
+      return `  ${finding.rule}: matches`;
+    case "differs":
+      return `  ${finding.rule}: ${finding.part} is ${show(finding.found)}, wanted ${show(finding.wanted)}`;
+    case "notAsked":
+      return `  ${finding.rule}: not asked`;
+  }
+}
+
+function show(value: unknown): string {
+  return Array.isArray(value) ? value.map(String).join(" or ") : String(value);
+}
+
+function formatAction(
+  action: ReturnType<typeof explainMatch>["decided"]["then"],
+  traits: RequestTraits,
+): string {
+  switch (action.type) {
+    case "serve": {
+      const route = resolveRoute(traits, action.route);
+      const to =
+        route.type === "stale" ? `replica up to ${formatDuration(route.maxAgeMs)} old` : route.type;
+      const times = `deadline ${formatDuration(action.deadlineMs)}, queue ${formatDuration(action.maxQueueMs)}`;
+      const rest = `${action.retry.attempts} retries, ${action.acknowledgement}`;
+      return `  serve: ${to}, class ${action.priority}, ${times}, ${rest}`;
+    }
+    case "refuse":
+      return `  refuse: ${action.reason}, come back after ${formatDuration(action.retryAfterMs)}`;
+  }
+}
--- /dev/null
+++ b/src/command/get.ts
@@ -0,0 +1,28 @@
+import { renderConfigurationFile } from "../settings/index.js";
+import { printResult, type CommandContext } from "./context.js";
+import { readCurrent } from "./current.js";
+import { exitCodes, type ExitCode } from "./exit.js";
+
+/** Flags of `get`. */
+export interface GetFlags {
+  /** A file to write to, in place of the terminal. */
+  readonly output?: string;
+}
+
+/** Prints the configuration, or writes it to a file, with the revision that an edit starts from. */
+export async function runGet(context: CommandContext, flags: GetFlags): Promise<ExitCode> {
+  const stored = await readCurrent(context);
+  const { revision, teams, rules } = stored ?? { revision: 0, teams: [], rules: [] };
+  const text = renderConfigurationFile({ revision, teams, rules });
+  if (flags.output === undefined) {
+    printResult(context, { revision, teams, rules }, text);
+    return exitCodes.done;
+  }
+  await context.writeFile(flags.output, text);
+  printResult(
+    context,
+    { revision, file: flags.output },
+    `revision ${revision} is in ${flags.output}`,
+  );
+  return exitCodes.done;
+}
--- /dev/null
+++ b/src/command/proxies.ts
@@ -0,0 +1,54 @@
+import { request } from "undici";
+import { z } from "zod";
+import type { Address, Json } from "../model/index.js";
+import { formatAddress } from "../settings/index.js";
+import { parseReport, type ProxyReport } from "./report.js";
+
+const timeoutMs = 2000;
+
+/** What a proxy's `/health` says. */
+export interface ProxySummary {
+  readonly vm: string;
+  readonly revision: number;
+}
+
+/** Reads and asks proxies at their health addresses. `undefined` from one that can't be reached. */
+export interface ProxyReader {
+  readSummary(address: Address): Promise<ProxySummary | undefined>;
+  readReport(address: Address): Promise<ProxyReport | undefined>;
+  /** Asks it to drain; whether it took that. */
+  drain(address: Address): Promise<boolean>;
+}
+
+const summary = z.object({ vm: z.string(), revision: z.int() });
+
+/** Creates a reader over HTTP. */
+export function createProxyReader(): ProxyReader {
+  return {
+    readSummary: async (address) => summary.safeParse(await fetchJson(address, "/health")).data,
+    readReport: async (address) => {
+      const body = await fetchJson(address, "/report");
+      return body === undefined ? undefined : parseReport(body);
+    },
+    drain: async (address) => (await fetchJson(address, "/drain", "POST")) !== undefined,
+  };
+}
+
+async function fetchJson(
+  address: Address,
+  path: string,
+  method: "GET" | "POST" = "GET",
+): Promise<Json | undefined> {
+  try {
+    const answer = await request(`http://${formatAddress(address)}${path}`, {
+      method,
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const body = (await answer.body.json()) as Json;
+    return answer.statusCode < 300 ? body : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/command/status.ts
@@ -0,0 +1,70 @@
+import { printResult, type CommandContext } from "./context.js";
+import { UnavailableError } from "./errors.js";
+import { exitCodes, type ExitCode } from "./exit.js";
+import { findPlaces } from "./places.js";
+import type { ProxyReport } from "./report.js";
+import { formatTable } from "./table.js";
+
+interface Row {
+  readonly name: string;
+  readonly report?: ProxyReport;
+}
+
+/** Shows the proxies with the revision in force on each, and the groups with owners and targets. */
+export async function runStatus(context: CommandContext): Promise<ExitCode> {
+  const places = await findPlaces(context);
+  const rows = await Promise.all(
+    places.map(async ({ name, health }): Promise<Row> => {
+      const report = await context.proxies.readReport(health);
+      return report === undefined ? { name } : { name: report.vm, report };
+    }),
+  );
+  const reports = rows.flatMap(({ report }) => report ?? []);
+  if (reports.length === 0) throw new UnavailableError("no proxy can be reached");
+  const unreachable = rows.filter(({ report }) => report === undefined).map(({ name }) => name);
+  const text = [formatProxies(rows, reports), "", formatGroups(reports)].join("\n");
+  printResult(context, { proxies: reports, unreachable }, text);
+  return exitCodes.done;
+}
+
+function formatProxies(rows: readonly Row[], reports: readonly ProxyReport[]): string {
+  const head = ["proxy", "data centre", "state", "revision", "callers", "owns", "held for"];
+  const lines = rows.map(({ name, report }) => [
+    name,
+    report?.dataCentre ?? "",
+    report?.state ?? "unreachable",
+    String(report?.revision ?? ""),
+    String(report?.callers ?? ""),
+    String(report?.groups.length ?? ""),
+    describeStanding(name, reports),
+  ]);
+  return formatTable(head, lines);
+}
+
+/** What the other proxies hold of one, where they don't all say alive. */
+function describeStanding(name: string, reports: readonly ProxyReport[]): string {
+  const said = reports
+    .filter(({ vm }) => vm !== name)
+    .map(({ members }) => members.find((m) => m.name === name)?.status ?? "unknown");
+  return [...new Set(said)].filter((status) => status !== "alive").join(", ");
+}
+
+function formatGroups(reports: readonly ProxyReport[]): string {
+  const head = ["group", "owner", "term", "target", "role", "mark", "lag", "missed", "queued"];
+  const lines = reports.flatMap(({ vm, groups }) =>
+    groups.flatMap(({ group, term, targets, queued }) =>
+      targets.map((target, i) => [
+        i === 0 ? group : "",
+        i === 0 ? vm : "",
+        i === 0 ? (term ?? "none") : "",
+        target.target,
+        target.role,
+        target.mark ?? "",
+        String(target.lag ?? ""),
+        String(target.missedProbes),
+        i === 0 ? String(queued) : "",
+      ]),
+    ),
+  );
+  return formatTable(head, lines);
+}
--- /dev/null
+++ b/src/command/wiring.ts
@@ -0,0 +1,71 @@
+import { randomUUID } from "node:crypto";
+import { readFile, writeFile } from "node:fs/promises";
+import type { Address, Disposable, ObjectStore } from "../model/index.js";
+import { HttpObjectStore } from "../platform/index.js";
+import { parseAddress } from "../settings/index.js";
+import { createSystemClock, createSystemRandom } from "../system/index.js";
+import type { CommandContext, Flags } from "./context.js";
+import { UsageError } from "./errors.js";
+import { createProxyReader } from "./proxies.js";
+
+/** How far the health port stands above the peer port, in the example settings. */
+export const defaultHealthOffset = 2000;
+
+const platformVariable = "RADISHWALK_PLATFORM";
+
+/** Creates the context of a command that runs on this machine. */
+export function createContext(flags: Flags): CommandContext & Disposable {
+  const opened = openStore(flags.platform ?? process.env[platformVariable]);
+  return {
+    store: opened.store,
+    proxies: createProxyReader(),
+    given: [flags.proxy ?? []].flat().map(readAddress),
+    healthOffset: flags.healthOffset ?? defaultHealthOffset,
+    clock: createSystemClock(),
+    random: createSystemRandom(),
+    json: flags.json === true,
+    readFile: (path) => readFile(path, "utf8"),
+    writeFile: (path, text) => writeFile(path, text),
+    makeChangeId: randomUUID,
+    print: (text) => {
+      console.log(text);
+    },
+    dispose: opened.dispose,
+  };
+}
+
+/** Opens the store at its first use: `check` and `status --proxy` need none. */
+function openStore(url: string | undefined): {
+  readonly store: ObjectStore;
+  readonly dispose: () => Promise<void>;
+} {
+  let client: HttpObjectStore | undefined;
+  const open = (): HttpObjectStore => {
+    if (url === undefined) {
+      throw new UsageError(`give --platform http://IP:PORT or set ${platformVariable}`);
+    }
+    client ??= new HttpObjectStore({ url });
+    return client;
+  };
+  const store: ObjectStore = {
+    get: async (kind, name) => open().get(kind, name),
+    list: async (kind) => open().list(kind),
+    put: async (kind, name, value, version) => open().put(kind, name, value, version),
+    remove: async (kind, name, version) => open().remove(kind, name, version),
+    watch: async (kind, after, handle, signal) => open().watch(kind, after, handle, signal),
+    listVms: async () => open().listVms(),
+    listGroups: async () => open().listGroups(),
+  };
+  return {
+    store,
+    dispose: async () => {
+      await client?.dispose();
+    },
+  };
+}
+
+function readAddress(text: string): Address {
+  const address = parseAddress(text);
+  if (address === undefined) throw new UsageError(`--proxy must be IP:PORT, not ${text}`);
+  return address;
+}
