Talk between proxies by connect-es

Cause: a request goes to the one process that owns its group; membership and configuration need probes, announcements and pushes. Ruled out: connect-node's session manager (after a ping timed out while another request replaced the session, its error had no listener and the process died; seen in the test of a silent connection) and its adapter (each call given up goes to console.error). Credits of our own for large answers were tried and reverted: node's HTTP/2 gives the connection's window back as bytes arrive and holds back each stream alone, and a bounded queue at the owner does the rest. Change: PeerServer, PeerLinks, ConnectPeerClient, RemoteGateway; a batch still in the queue when the connection breaks is notRun, one handed to it mayHaveRun; redirects are followed once.

--- /dev/null
+++ b/src/peer/client.ts
@@ -0,0 +1,153 @@
+import type { Client } from "@connectrpc/connect";
+import type {
+  ControlResult,
+  Json,
+  PeerClient,
+  PeerHello,
+  ProbeResult,
+  StoreRead,
+  Vm,
+} from "../model/index.js";
+import { decodeHello, encodeHello, encodeVm } from "./codec.js";
+import { decodeControlResult } from "./codec-status.js";
+import type { Hello, Peer } from "./gen/radishwalk/peer/v1/peer_pb.js";
+import type { PeerLinks } from "./links.js";
+
+/** What a `ConnectPeerClient` is built from. */
+export interface PeerClientOptions {
+  readonly links: PeerLinks;
+  readonly getHello: () => PeerHello;
+  readonly onHello?: (hello: PeerHello) => void;
+}
+
+/** A call through another process takes its own time and the trip there. */
+const tripMs = 200;
+
+/**
+ * Calls to other proxies by connect-es. A call that fails is followed by a new connection, so that
+ * a silent connection is never asked twice; what else is under way on the old one goes on.
+ */
+export class ConnectPeerClient implements PeerClient {
+  constructor(private readonly options: PeerClientOptions) {}
+
+  async probe(vm: Vm, hello: PeerHello, timeoutMs: number): Promise<ProbeResult> {
+    return this.call<ProbeResult>(vm, toSilent, async (client) => {
+      const response = await client.probe({ hello: encodeHello(hello) }, { timeoutMs });
+      return { type: "answered", hello: this.hear(response.hello) };
+    });
+  }
+
+  async probeThrough(via: Vm, vm: Vm, hello: PeerHello, timeoutMs: number): Promise<ProbeResult> {
+    return this.call<ProbeResult>(via, toSilent, async (client) => {
+      const request = { hello: encodeHello(hello), vm: encodeVm(vm), timeoutMs };
+      const response = await client.probeThrough(request, { timeoutMs: timeoutMs + tripMs });
+      this.hear(response.hello);
+      const { result } = response;
+      return result.case === "answered"
+        ? { type: "answered", hello: decodeHello(result.value) }
+        : { type: "silent", reason: result.value ?? "no result" };
+    });
+  }
+
+  async checkTarget(
+    via: Vm,
+    group: string,
+    target: string,
+    timeoutMs: number,
+  ): Promise<ControlResult> {
+    return this.call<ControlResult>(via, toUnreachable, async (client) => {
+      const request = { hello: this.encodeOwnHello(), group, target, timeoutMs };
+      const response = await client.checkTarget(request, { timeoutMs: timeoutMs + tripMs });
+      this.hear(response.hello);
+      return decodeControlResult(response);
+    });
+  }
+
+  async fetchConfiguration(
+    vm: Vm,
+    afterRevision: number,
+    timeoutMs: number,
+  ): Promise<StoreRead<Json>> {
+    return this.call<StoreRead<Json>>(vm, toUnavailable, async (client) => {
+      const request = { hello: this.encodeOwnHello(), afterRevision };
+      const response = await client.fetchConfiguration(request, { timeoutMs });
+      this.hear(response.hello);
+      const { result } = response;
+      switch (result.case) {
+        case "foundJson":
+          return { type: "found", value: JSON.parse(result.value) as Json };
+        case "absent":
+          return { type: "absent" };
+        case "unavailable":
+        case undefined:
+          return toUnavailable(result.value ?? "no result");
+      }
+    });
+  }
+
+  async pushConfiguration(
+    vm: Vm,
+    configuration: Json,
+    timeoutMs: number,
+  ): Promise<StoreRead<number>> {
+    return this.call<StoreRead<number>>(vm, toUnavailable, async (client) => {
+      const configurationJson = JSON.stringify(configuration);
+      const request = { hello: this.encodeOwnHello(), configurationJson };
+      const response = await client.pushConfiguration(request, { timeoutMs });
+      this.hear(response.hello);
+      return { type: "found", value: response.revision };
+    });
+  }
+
+  /** Tells a peer that this process's state has changed. */
+  async announce(vm: Vm, hello: PeerHello, timeoutMs: number): Promise<ProbeResult> {
+    return this.call<ProbeResult>(vm, toSilent, async (client) => {
+      const response = await client.announce({ hello: encodeHello(hello) }, { timeoutMs });
+      return { type: "answered", hello: this.hear(response.hello) };
+    });
+  }
+
+  /** Fetches a peer's status for operators. */
+  async fetchReport(vm: Vm, timeoutMs: number): Promise<StoreRead<Json>> {
+    return this.call<StoreRead<Json>>(vm, toUnavailable, async (client) => {
+      const response = await client.report({ hello: this.encodeOwnHello() }, { timeoutMs });
+      this.hear(response.hello);
+      return { type: "found", value: JSON.parse(response.statusJson) as Json };
+    });
+  }
+
+  private async call<R>(
+    vm: Vm,
+    toFailure: (reason: string) => R,
+    ask: (client: Client<typeof Peer>) => Promise<R>,
+  ): Promise<R> {
+    try {
+      return await ask(this.options.links.open(vm.peer).client);
+    } catch (error) {
+      this.options.links.renew(vm.peer);
+      return toFailure(error instanceof Error ? error.message : String(error));
+    }
+  }
+
+  private encodeOwnHello(): Hello {
+    return encodeHello(this.options.getHello());
+  }
+
+  private hear(message: Hello | undefined): PeerHello {
+    const hello = decodeHello(message);
+    this.options.onHello?.(hello);
+    return hello;
+  }
+}
+
+function toSilent(reason: string): ProbeResult {
+  return { type: "silent", reason };
+}
+
+function toUnreachable(reason: string): ControlResult {
+  return { type: "unreachable", reason };
+}
+
+function toUnavailable(reason: string): { readonly type: "unavailable"; readonly reason: string } {
+  return { type: "unavailable", reason };
+}
--- /dev/null
+++ b/src/peer/server.ts
@@ -0,0 +1,96 @@
+import {
+  createSecureServer,
+  createServer,
+  type Http2Server,
+  type SecureServerOptions,
+  type ServerHttp2Session,
+} from "node:http2";
+import type { AddressInfo } from "node:net";
+import type { SecureContextOptions } from "node:tls";
+import { peerEvents } from "../log/events/peer.js";
+import { type Logger, silentLogger } from "../log/index.js";
+import type { Address, Clock, Disposable } from "../model/index.js";
+import type { PeerHandlers } from "./handlers.js";
+import { createHandler } from "./handler.js";
+import { createPeerService } from "./service.js";
+import { maxSessionMemory } from "./session.js";
+
+/** What a `PeerServer` is built from. */
+export interface PeerServerOptions {
+  /** Port 0 takes a free one. */
+  readonly address: Address;
+  readonly handlers: PeerHandlers;
+  readonly clock: Clock;
+  readonly logger?: Logger;
+  /** Certificates for mutual TLS: peers without one that the authority signed are turned away. */
+  readonly secure?: SecureServerOptions;
+}
+
+const drainStepMs = 20;
+
+/** Serves this process's peers over HTTP/2. */
+export class PeerServer implements Disposable {
+  private readonly server: Http2Server;
+  private readonly sessions = new Set<ServerHttp2Session>();
+  private readonly logger: Logger;
+
+  constructor(private readonly options: PeerServerOptions) {
+    const { handlers, clock, secure, logger = silentLogger } = options;
+    this.logger = logger;
+    const handle = createHandler(createPeerService(handlers, clock), logger);
+    this.server =
+      secure === undefined
+        ? createServer({ maxSessionMemory }, handle)
+        : createSecureServer({ ...secure, ...mutual, maxSessionMemory }, handle);
+    this.server.on("session", (session) => this.keep(session));
+    this.server.on("sessionError", () => undefined);
+    this.server.on("tlsClientError", (error: Error) =>
+      logger.write(peerEvents.turnedAway, { reason: error.message }),
+    );
+  }
+
+  /** Begins to serve; answers with the port in use. Rejects when it is taken. */
+  async listen(): Promise<Address> {
+    const { host, port } = this.options.address;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, resolve);
+    });
+    const address = { host, port: (this.server.address() as AddressInfo).port };
+    this.logger.write(peerEvents.listening, address);
+    return address;
+  }
+
+  /** Takes new certificates for connections to come. */
+  setSecureContext(secure: SecureContextOptions): void {
+    if ("setSecureContext" in this.server) {
+      (this.server as { setSecureContext(options: SecureContextOptions): void }).setSecureContext(
+        secure,
+      );
+    }
+  }
+
+  /** Accepts no more connections and lets streams finish, for at most `ms`. */
+  async drain(ms: number): Promise<void> {
+    if (this.server.listening) this.server.close();
+    for (const session of this.sessions) session.close();
+    const { clock } = this.options;
+    const endAt = clock.now() + ms;
+    while (this.sessions.size > 0 && clock.now() < endAt) await clock.sleep(drainStepMs);
+    this.dispose();
+  }
+
+  /** Ends everything at once. */
+  dispose(): void {
+    if (this.server.listening) this.server.close();
+    for (const session of this.sessions) session.destroy();
+  }
+
+  private keep(session: ServerHttp2Session): void {
+    this.sessions.add(session);
+    session.on("error", () => undefined);
+    session.on("close", () => this.sessions.delete(session));
+  }
+}
+
+const mutual = { requestCert: true, rejectUnauthorized: true } as const;
--- /dev/null
+++ b/src/peer/session.ts
@@ -0,0 +1,196 @@
+import {
+  type ClientHttp2Session,
+  type ClientHttp2Stream,
+  connect,
+  constants,
+  type OutgoingHttpHeaders,
+  type SecureClientSessionOptions,
+} from "node:http2";
+import { Code, ConnectError } from "@connectrpc/connect";
+import type { Clock } from "../model/index.js";
+
+/** How one peer's connection is kept. Times in milliseconds. */
+export interface SessionOptions {
+  readonly clock: Pick<Clock, "now">;
+  readonly getSecureOptions?: (() => SecureClientSessionOptions) | undefined;
+  readonly connectMs: number;
+  readonly pingIntervalMs: number;
+  readonly pingTimeoutMs: number;
+  readonly idleMs: number;
+}
+
+interface Connection {
+  readonly http: ClientHttp2Session;
+  readonly isOpen: Promise<void>;
+  /** When the peer last gave a sign of life. */
+  heardAt: number;
+  streams: number;
+  usedAt: number;
+  pingedAt?: number;
+}
+
+/** In megabytes, for all streams of one connection; Node's own 10 is meant for browsers. */
+export const maxSessionMemory = 256;
+
+const maxStreams = 100_000;
+
+/**
+ * Opens the HTTP/2 connection to one peer when it is needed and replaces it when it breaks. A
+ * connection can go silent for good while new ones work: a request on one would be stuck until its
+ * caller gives up. So one that said nothing for `pingIntervalMs` is asked for a sign of life, before
+ * a request and while one is under way; without it in `pingTimeoutMs` all on it fails.
+ *
+ * connect-node's own manager does the same, but takes its error listener off before the connection
+ * has reported its end, and the process then dies of an unhandled error.
+ */
+export class PeerSession {
+  private current: Connection | undefined;
+
+  constructor(
+    readonly authority: string,
+    private readonly options: SessionOptions,
+  ) {}
+
+  /** Opens a stream. Rejects with `ConnectError` when no connection could be had in time. */
+  async request(
+    method: string,
+    path: string,
+    headers: OutgoingHttpHeaders,
+    options: object,
+  ): Promise<ClientHttp2Stream> {
+    const connection = await this.connect();
+    const stream = connection.http.request(
+      { ...headers, ":method": method, ":path": path },
+      options,
+    );
+    this.keep(connection, stream);
+    return stream;
+  }
+
+  notifyResponseByteRead(stream: ClientHttp2Stream): void {
+    const { current } = this;
+    if (current !== undefined && current.http === stream.session) this.hear(current);
+  }
+
+  /** Ends the connection with all that is under way on it. */
+  abort(): void {
+    const connection = this.current;
+    this.current = undefined;
+    connection?.http.destroy();
+  }
+
+  /** Closes the connection once what is under way has finished; `request` opens another. */
+  release(): void {
+    const connection = this.current;
+    this.current = undefined;
+    // One that is still being opened may hang for minutes, and all that waits for it as long.
+    if (connection?.http.connecting === true) connection.http.destroy();
+    else connection?.http.close();
+  }
+
+  private async connect(): Promise<Connection> {
+    const known = this.current;
+    if (known !== undefined && isUsable(known)) {
+      await known.isOpen;
+      if (await this.verify(known)) return known;
+    }
+    // Somebody else may have opened another meanwhile.
+    if (this.current === undefined || !isUsable(this.current)) this.current = this.open();
+    const { current } = this;
+    await current.isOpen;
+    return current;
+  }
+
+  private open(): Connection {
+    const { clock, getSecureOptions } = this.options;
+    const secure = getSecureOptions?.();
+    const limits = { maxSessionMemory, peerMaxConcurrentStreams: maxStreams };
+    const http = connect(this.authority, { ...secure, ...limits });
+    const now = clock.now();
+    const isOpen = this.waitForOpen(http);
+    // Each request that waits for it hears of the failure by itself.
+    isOpen.catch(() => undefined);
+    const connection: Connection = { http, isOpen, heardAt: now, usedAt: now, streams: 0 };
+    const timer = setInterval(() => this.watch(connection), this.options.pingIntervalMs / 2);
+    timer.unref();
+    http.on("close", () => clearInterval(timer));
+    return connection;
+  }
+
+  private waitForOpen(http: ClientHttp2Session): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const fail = (reason: string): void => reject(new ConnectError(reason, Code.Unavailable));
+      const timer = setTimeout(() => {
+        fail("the connection did not open in time");
+        http.destroy();
+      }, this.options.connectMs);
+      http.on("connect", () => {
+        clearTimeout(timer);
+        http.unref();
+        resolve();
+      });
+      http.on("error", (error: Error) => fail(error.message));
+      http.on("close", () => {
+        clearTimeout(timer);
+        fail("the connection was closed");
+      });
+    });
+  }
+
+  private keep(connection: Connection, stream: ClientHttp2Stream): void {
+    const { http } = connection;
+    connection.streams += 1;
+    http.ref();
+    stream.on("response", () => this.hear(connection));
+    stream.on("close", () => {
+      connection.streams -= 1;
+      connection.usedAt = this.options.clock.now();
+      if (connection.streams === 0) http.unref();
+    });
+  }
+
+  private hear(connection: Connection): void {
+    connection.heardAt = this.options.clock.now();
+    delete connection.pingedAt;
+  }
+
+  /** Whether a connection that was silent for a while is alive. */
+  private async verify(connection: Connection): Promise<boolean> {
+    const { clock, pingIntervalMs } = this.options;
+    if (clock.now() - connection.heardAt < pingIntervalMs) return isUsable(connection);
+    await new Promise<void>((resolve) => {
+      connection.http.once("close", resolve);
+      this.ping(connection, resolve);
+    });
+    return isUsable(connection);
+  }
+
+  private watch(connection: Connection): void {
+    const { clock, pingIntervalMs, pingTimeoutMs, idleMs } = this.options;
+    const now = clock.now();
+    const { pingedAt, streams, usedAt, heardAt, http } = connection;
+    if (pingedAt !== undefined && now - pingedAt >= pingTimeoutMs) {
+      http.destroy(
+        new ConnectError("the peer is silent", Code.Unavailable),
+        constants.NGHTTP2_CANCEL,
+      );
+    } else if (streams > 0 && pingedAt === undefined && now - heardAt >= pingIntervalMs) {
+      this.ping(connection, () => undefined);
+    } else if (streams === 0 && now - usedAt > idleMs) {
+      http.close();
+    }
+  }
+
+  private ping(connection: Connection, onHeard: () => void): void {
+    connection.pingedAt ??= this.options.clock.now();
+    connection.http.ping((error) => {
+      if (error !== null) return;
+      this.hear(connection);
+      onHeard();
+    });
+  }
+}
+
+function isUsable({ http }: Connection): boolean {
+  return !http.closed && !http.destroyed;
+}
--- /dev/null
+++ b/test/peer/converse.test.ts
@@ -0,0 +1,180 @@
+import { afterEach, expect, test } from "@jest/globals";
+import pgProtocol from "pg-protocol";
+import { encodeMessage } from "../../src/caller/message.js";
+import type { Conversation, GroupGateway, Outcome, Vm } from "../../src/model/index.js";
+import { RemoteGateway } from "../../src/peer/index.js";
+import { clock, failed, FakeGroup, mark, type Reply } from "../caller/fake.js";
+import { makeHandlers, makeHello, makeVm, request, startPeer } from "./fake.js";
+
+type Peer = Awaited<ReturnType<typeof startPeer>>;
+const running: Peer[] = [];
+
+afterEach(() => {
+  for (const peer of running.splice(0)) peer.stop();
+});
+
+async function start(group: GroupGateway, rest?: Parameters<typeof makeHandlers>[1]) {
+  const peer = await startPeer(makeHandlers(group, rest));
+  running.push(peer);
+  return peer;
+}
+
+const never = new AbortController().signal;
+
+async function run(conversation: Conversation, text = "insert", signal = never) {
+  const received: Buffer[] = [];
+  const outcome = await conversation.run(
+    request,
+    pgProtocol.serialize.query(text),
+    (message) => void received.push(Buffer.from(message)),
+    signal,
+  );
+  return { outcome, types: received.map((m) => String.fromCharCode(m[0] ?? 0)).join(""), received };
+}
+
+const silentOnce = (): ((text: string) => Reply) => {
+  let asked = 0;
+  return () => (asked++ === 0 ? { wait: new Promise(() => undefined) } : {});
+};
+
+const notRun = { type: "notRun", reason: "noOwner", retryAfterMs: 500 };
+
+test("a request, its answer and its outcome survive the trip", async () => {
+  const group = new FakeGroup(() => ({ rows: ["a", "b"], mark: mark(9) }));
+  const { gateway } = await start(group);
+  const { outcome, types } = await run(gateway.open("g"));
+  expect(types).toBe("TDDC");
+  const servedBy = { target: "t1", role: "primary" };
+  expect(outcome).toEqual({ type: "answered", status: "I", mark: mark(9), servedBy });
+  const [arrived] = group.requests;
+  expect(arrived).toEqual({ ...request, deadlineAt: arrived?.deadlineAt });
+});
+
+test.each([failed("notRun"), failed("mayHaveRun")])("an outcome %# survives", async (sent) => {
+  const { gateway } = await start(new FakeGroup(() => ({ outcome: sent })));
+  expect((await run(gateway.open("g"))).outcome).toEqual(sent);
+});
+
+test("a transaction stays in one conversation, and closing it rolls back", async () => {
+  const group = new FakeGroup(() => ({ status: "T" }));
+  const { gateway } = await start(group);
+  const conversation = gateway.open("g");
+  await run(conversation, "begin");
+  await run(conversation, "update");
+  expect([group.statements, group.opened, group.closed]).toEqual([["begin", "update"], 1, 0]);
+  conversation.close();
+  while (group.closed === 0) await new Promise(setImmediate);
+});
+
+// One caller reads none of its 40 MB. Its target must wait, or the owner would keep it all in
+// memory; and other answers share the connection, so they must pass it by.
+test("an answer that is not read holds back its target and nobody else", async () => {
+  const row = encodeMessage(0x44, Buffer.alloc(100_000));
+  let rows = 0;
+  const group = new FakeGroup();
+  const large: Conversation = {
+    run: async (_request, _messages, sink) => {
+      for (; rows < 400; rows++) await sink(row);
+      return { type: "answered", status: "I", servedBy: { target: "t1", role: "replica" } };
+    },
+    close: () => undefined,
+  };
+  const { gateway } = await start({ open: () => (rows > 0 ? group.open() : large) });
+  let read = (): void => undefined;
+  const gate = new Promise<void>((resolve) => (read = resolve));
+  let bytes = 0;
+  const take = async (message: Uint8Array) => {
+    await gate;
+    bytes += message.length;
+  };
+  const slow = gateway.open("g").run(request, pgProtocol.serialize.query("large"), take, never);
+  while (rows === 0) await new Promise(setImmediate);
+  for (let i = 0; i < 20; i++) {
+    expect((await run(gateway.open("g"))).outcome.type).toBe("answered");
+  }
+  expect(rows).toBeLessThan(20);
+  read();
+  expect((await slow).type).toBe("answered");
+  expect(bytes).toBe(400 * row.length);
+});
+
+test("a request given up here is given up at the owner", async () => {
+  const group = new FakeGroup(silentOnce());
+  const { gateway } = await start(group);
+  const abort = new AbortController();
+  const pending = run(gateway.open("g"), "select", abort.signal);
+  while (group.requests.length === 0) await new Promise(setImmediate);
+  abort.abort();
+  expect((await pending).outcome).toMatchObject({ verdict: { type: "mayHaveRun" } });
+  while (group.closed === 0) await new Promise(setImmediate);
+});
+
+test("no owner known, and none there, are not run with a time to come back", async () => {
+  const { gateway, server, links } = await start(new FakeGroup());
+  const options = { links, clock, getHello: () => makeHello("asker") };
+  const lonely = new RemoteGateway({ ...options, findOwner: () => undefined });
+  expect((await run(lonely.open("g"))).outcome).toMatchObject({ verdict: notRun });
+  server.dispose();
+  const closed = makeVm("gone", { host: "127.0.0.1", port: 1 });
+  const late = new RemoteGateway({ ...options, findOwner: () => closed });
+  expect((await run(late.open("g"))).outcome).toMatchObject({ verdict: notRun });
+  expect((await run(gateway.open("g"))).outcome.type).toBe("failed");
+});
+
+// The owner takes the write, then the connection is cut, or goes silent with no sign of its end.
+// Nobody here can know whether the write landed, so the caller must hear "may have run"; the next
+// request takes a new connection and runs.
+test.each(["cut", "silence"] as const)("a %s under way may have run", async (fault) => {
+  const group = new FakeGroup(silentOnce());
+  const { gateway, relay } = await start(group);
+  const pending = run(gateway.open("g"));
+  while (group.requests.length === 0) await new Promise(setImmediate);
+  relay[fault]();
+  expect((await pending).outcome).toMatchObject({ verdict: { type: "mayHaveRun" } });
+  expect((await run(gateway.open("g"))).outcome.type).toBe("answered");
+});
+
+// The connection goes silent while nothing is under way. The next write must not be sent into it:
+// its caller would hear "may have run" of a write that never left.
+test("a connection that went silent while idle is replaced before use", async () => {
+  const group = new FakeGroup();
+  const { gateway, relay } = await start(group);
+  await run(gateway.open("g"));
+  relay.silence();
+  await new Promise((resolve) => setTimeout(resolve, 80));
+  expect((await run(gateway.open("g"))).outcome.type).toBe("answered");
+  expect(group.requests).toHaveLength(2);
+});
+
+// The owner dies between two statements of a transaction. Its target's connection is closed with
+// it, so nothing of the transaction lands and the second statement has not run.
+test("a transaction whose owner is lost between statements has not run", async () => {
+  const { gateway, relay } = await start(new FakeGroup(() => ({ status: "T" })));
+  const conversation = gateway.open("g");
+  await run(conversation, "begin");
+  relay.cut();
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  expect((await run(conversation, "update")).outcome).toMatchObject({ verdict: notRun });
+});
+
+test("a redirect is followed once, and two that point at each other end", async () => {
+  const group = new FakeGroup();
+  const owner = await start(group);
+  const elsewhere = (to: Vm) => ({
+    chooseOwner: () => ({ type: "elsewhere", owner: to }) as const,
+  });
+  const moved = await start(group, elsewhere(owner.vm));
+  expect((await run(moved.gateway.open("g"))).outcome.type).toBe("answered");
+  const twice = await start(group, elsewhere(moved.vm));
+  const result: Outcome = (await run(twice.gateway.open("g"))).outcome;
+  expect(result).toMatchObject({ verdict: notRun });
+  expect(group.requests).toHaveLength(1);
+});
+
+test("an answer cut inside a message is never handed on", async () => {
+  const whole = encodeMessage(0x44, Buffer.alloc(10));
+  const { gateway } = await start(new FakeGroup(() => ({ raw: whole.subarray(0, 9) })));
+  const { outcome, received } = await run(gateway.open("g"));
+  expect(outcome).toMatchObject({ verdict: { type: "mayHaveRun" } });
+  expect(received).toEqual([]);
+});
