Serve TLS to callers and mutual TLS between processes

Cause: keys and certificates come from settings and change while the proxy runs. Change: CertificateStore; peers' certificates must carry the name radishwalk-peer, not just come from the authority.

--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -6,7 +6,7 @@
   type ServerHttp2Session,
 } from "node:http2";
 import type { AddressInfo } from "node:net";
-import type { SecureContextOptions } from "node:tls";
+import { checkServerIdentity, type SecureContextOptions, TLSSocket } from "node:tls";
 import { peerEvents } from "../log/events/peer.js";
 import { type Logger, silentLogger } from "../log/index.js";
 import type { Address, Clock, Disposable } from "../model/index.js";
@@ -22,8 +22,8 @@
   readonly handlers: PeerHandlers;
   readonly clock: Clock;
   readonly logger?: Logger;
-  /** Certificates for mutual TLS: peers without one that the authority signed are turned away. */
-  readonly secure?: SecureServerOptions;
+  /** Certificates for mutual TLS, and the name that a peer's must carry. Absent where TLS is off. */
+  readonly secure?: SecureServerOptions & { readonly peerName: string };
 }
 
 const drainStepMs = 20;
@@ -87,10 +87,23 @@
   }
 
   private keep(session: ServerHttp2Session): void {
-    this.sessions.add(session);
     session.on("error", () => undefined);
+    const stranger = this.findStranger(session);
+    if (stranger !== undefined) {
+      this.logger.write(peerEvents.turnedAway, { reason: stranger.message });
+      session.destroy();
+      return;
+    }
+    this.sessions.add(session);
     session.on("close", () => this.sessions.delete(session));
   }
+
+  /** The authority may have signed for others than proxies: a peer's certificate carries the name. */
+  private findStranger({ socket }: ServerHttp2Session): Error | undefined {
+    const { secure } = this.options;
+    if (secure === undefined || !(socket instanceof TLSSocket)) return undefined;
+    return checkServerIdentity(secure.peerName, socket.getPeerCertificate());
+  }
 }
 
 const mutual = { requestCert: true, rejectUnauthorized: true } as const;
--- /dev/null
+++ b/src/tls/index.ts
@@ -0,0 +1,6 @@
+export {
+  type CertificateFiles,
+  CertificateStore,
+  type CertificateStoreOptions,
+  peerServerName,
+} from "./store.js";
