Add the load tool

Cause: the whole path needs load with open-loop arrivals and checks from the callers' side. Change: radishwalk-load reads populations from YAML, draws Poisson arrivals from a seed, times each request from when it was meant to start, repeats a keyed reservation under its key after an unknown outcome, and holds what each session reads against what it knows to have landed. src/settings/index.ts exports the parts of its schema language that the tool's settings are written in. Ruled out: a table of reservations with a unique key, since the key itself would hide a second landing; a counter for each session shows it.

--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -16,3 +16,6 @@
   loadProxySettings,
 } from "./proxy.js";
 export { renderConfigurationFile } from "./render.js";
+export { checkDocument } from "./check.js";
+export { openDocument } from "./document.js";
+export { defineAddress, defineCount, defineDuration, defineName, defineObject } from "./fields.js";
--- /dev/null
+++ b/test/load/load.test.ts
@@ -0,0 +1,94 @@
+import { afterEach, expect, test } from "@jest/globals";
+import { buildRandom, listArrivals } from "../../src/load/arrivals.js";
+import {
+  formatReport,
+  loadLoadSettings,
+  runLoad,
+  type LoadSettings,
+} from "../../src/load/index.js";
+import { DisposableStore, type Address } from "../../src/model/index.js";
+import { startGroup } from "../standin/build.js";
+
+let store = new DisposableStore();
+
+afterEach(async () => {
+  await store.dispose();
+  store = new DisposableStore();
+});
+
+async function start(count: number) {
+  const targets = await startGroup(count);
+  for (const target of targets) store.add(target);
+  return targets;
+}
+
+function load(entries: readonly Address[], work: string, more = "") {
+  const text = `
+duration: 300ms
+entries: [${entries.map((e) => `"${e.host}:${e.port}"`).join()}]
+populations:
+  - name: counter
+    team: casa
+    group: ledger
+    rate: 200
+    sessions: 4
+    work: { ${work} }
+    ${more}`;
+  const loaded = loadLoadSettings(text, "load.yaml");
+  if (loaded.type === "faulty") throw new Error(JSON.stringify(loaded.faults));
+  return runLoad(loaded.value, "run");
+}
+
+test("settings default and refuse what is unknown", () => {
+  const loaded = loadLoadSettings("duration: 1s\nentries: []\nspeed: 3", "load.yaml");
+  const messages = loaded.type === "faulty" ? loaded.faults.map((f) => `${f.line} ${f.path}`) : [];
+  expect(messages).toContain("3 speed");
+  const example =
+    "duration: 1s\nentries: ['10.0.0.1:1']\npopulations:\n  - { name: a, team: a, group: a, rate: 1, sessions: 1, work: {} }";
+  const fine = loadLoadSettings(example, "load.yaml") as { readonly value?: LoadSettings };
+  expect(fine.value).toMatchObject({ seed: 1, warmUp: 0, populations: [{ attempts: 5 }] });
+});
+
+test("arrivals repeat with their seed and keep their rate", () => {
+  const draw = (stream: number) => [...listArrivals(buildRandom(7, stream), 100, 60_000)];
+  expect(draw(0)).toEqual(draw(0));
+  expect(draw(0)).not.toEqual(draw(1));
+  expect(draw(0).length).toBeGreaterThan(5_700);
+  expect(draw(0).length).toBeLessThan(6_300);
+});
+
+test("a run on a sound target lands everything and finds nothing", async () => {
+  const [target] = await start(1);
+  if (target === undefined) throw new Error("no target");
+  const report = await load([target.address], "reservation: 1, ownRead: 1, browse: 1");
+  expect(report.violations).toEqual({ readYourWrites: 0, atMostOnce: 0, samples: [] });
+  expect([report.unfinished, report.unverified]).toEqual([0, 0]);
+  expect(report.tallies.map((t) => t.work)).toEqual(["reservation", "ownRead", "browse"]);
+  for (const { counts, latency } of report.tallies) {
+    expect(counts).toEqual({ landed: latency.count, notRun: 0, mayHaveRun: 0, failed: 0 });
+  }
+  expect(formatReport(report)).toContain("reservations that landed twice: 0");
+});
+
+// The connection breaks after a commit took effect, and the tool repeats under the same key. A bare
+// target knows no keys, so the reservation lands twice: the session reads a greater count than it
+// can account for, and the tool must say so.
+test("a reservation that lands twice is found", async () => {
+  const [target] = await start(1);
+  if (target === undefined) throw new Error("no target");
+  setTimeout(() => target.faults.loseCommitAnswers(1, "break"), 100);
+  const report = await load([target.address], "reservation: 1");
+  expect(report.violations.atMostOnce).toBeGreaterThan(0);
+});
+
+// Sessions move between the primary and a replica that copies nothing. There they read a count from
+// before their own reservations, or no row at all: each is a write of their own that they don't see.
+test("a write of its own that a session does not see is found", async () => {
+  const [primary, replica] = await start(2);
+  if (primary === undefined || replica === undefined) throw new Error("no targets");
+  setTimeout(() => replica.setLag(3_600_000), 100);
+  const work = "reservation: 1, ownRead: 4";
+  const report = await load([primary.address, replica.address], work, "roamEvery: 3");
+  expect(report.violations.readYourWrites).toBeGreaterThan(0);
+  expect(report.tallies[0]?.states).toHaveProperty("25006");
+});
