Split the stand-in target's server, and let control be cut over a connection

Change: listener.ts accepts and greets, switches.ts is the control function for faults, server.ts binds the parts; standin_fault('cutControl', ms) is new.

--- a/standin/target/server.ts
+++ b/standin/target/server.ts
@@ -1,28 +1,14 @@
-import { createServer, type Server, type Socket } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
-import { PostgresConnection } from "pg-gateway";
 import type { Address, Target } from "../../src/model/index.js";
-import { FrameSplitter } from "../../src/target/index.js";
 import type { Services } from "./backend.js";
 import { Control } from "./control.js";
-import { Faults, type Gate } from "./faults.js";
-import { Link, replicationDatabase } from "./link.js";
+import { Faults } from "./faults.js";
+import { Link } from "./link.js";
+import { Listener } from "./listener.js";
 import { Member, type Following } from "./member.js";
-import { Output } from "./output.js";
-import { Session } from "./session.js";
 import { Slots } from "./slots.js";
 import { loadParser } from "./sql/index.js";
 import { StatementRecord } from "./statement.js";
-import {
-  encodeAuthenticationOk,
-  encodeError,
-  encodeKeyData,
-  encodeParameterStatus,
-  encodeReady,
-} from "./wire.js";
-
-/** The database name of control connections. They count against no limit and take no slot. */
-export const controlDatabase = "standin_control";
+import { applyFault } from "./switches.js";
 
 /** How one stand-in target behaves. */
 export interface StandinTargetOptions {
@@ -44,20 +30,15 @@
   readonly lagMs?: number;
 }
 
-interface Connection {
-  readonly socket: Socket;
-  readonly output: Output;
-  isOrdinary: boolean;
-}
-
-const announced = {
-  server_version: "17.0 (radishwalk stand-in)",
-  server_encoding: "UTF8",
-  client_encoding: "UTF8",
-  DateStyle: "ISO, MDY",
-  TimeZone: "UTC",
-  integer_datetimes: "on",
-  standard_conforming_strings: "on",
+const defaults = {
+  dataCentre: "standin",
+  host: "127.0.0.1",
+  port: 0,
+  slots: 5,
+  connections: 55,
+  connectMs: 12,
+  serviceMs: 1,
+  lagMs: 0,
 } as const;
 
 /**
@@ -66,53 +47,43 @@
  * first term; `member.follow` makes it a replica.
  */
 export class StandinTarget {
-  readonly name: string;
   readonly member: Member;
   readonly faults = new Faults();
   readonly statements = new StatementRecord();
   readonly slots: Slots;
-  private readonly services: Services;
-  private readonly open = new Set<Connection>();
-  private server: Server | undefined;
+  private readonly options: Required<StandinTargetOptions>;
+  private readonly listener: Listener;
   private link: { readonly of: Following; readonly link: Link } | undefined;
-  private listening: Address;
   private lag: number;
-  private nextId = 1;
 
-  constructor(private readonly options: StandinTargetOptions) {
-    this.name = options.name;
-    this.member = new Member(options.name);
-    this.slots = new Slots(options.slots ?? 5);
-    this.listening = { host: options.host ?? "127.0.0.1", port: options.port ?? 0 };
-    this.lag = options.lagMs ?? 0;
-    const { member, slots, faults, statements: record } = this;
-    const control = new Control(member, record, {
-      fault: ([name, value]) => this.applyFault(String(name), Number(value ?? 0)),
-      load: () => ({ busy: slots.busy, waiting: slots.waiting, connections: this.ordinary }),
-    });
-    this.services = { member, slots, faults, record, control, serviceMs: options.serviceMs ?? 1 };
-    member.subscribe(() => this.updateLink());
+  constructor(options: StandinTargetOptions) {
+    this.options = { ...defaults, ...options };
+    const { name, slots, lagMs, host, port, connections, connectMs } = this.options;
+    this.member = new Member(name);
+    this.slots = new Slots(slots);
+    this.lag = lagMs;
+    this.listener = new Listener(this.buildServices(), { host, port }, connections, connectMs);
+    this.member.subscribe(() => this.updateLink());
+  }
+
+  get name(): string {
+    return this.options.name;
   }
 
   /** Where it listens; the port is known once it has started. */
   get address(): Address {
-    return this.listening;
+    return this.listener.address;
   }
 
   /** What the platform says of it. */
   get target(): Target {
-    return {
-      name: this.name,
-      dataCentre: this.options.dataCentre ?? "standin",
-      address: this.listening,
-      slots: this.slots.size,
-      connections: this.limit,
-    };
+    const { name, dataCentre, slots, connections } = this.options;
+    return { name, dataCentre, address: this.address, slots, connections };
   }
 
   /** How many connections are open, control and replication not counted. */
-  get ordinary(): number {
-    return [...this.open].filter((c) => c.isOrdinary).length;
+  get connections(): number {
+    return this.listener.count;
   }
 
   get lagMs(): number {
@@ -128,168 +99,52 @@
   /** Starts to listen, at first and after `kill`. Log, role and fence are what they were. */
   async start(): Promise<void> {
     await loadParser();
-    const server = createServer({ noDelay: true }, (socket) => this.accept(socket));
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(this.listening.port, this.listening.host, resolve);
-    });
-    const bound = server.address();
-    if (bound !== null && typeof bound === "object") {
-      this.listening = { host: this.listening.host, port: bound.port };
-    }
-    this.server = server;
+    await this.listener.start();
     this.updateLink();
   }
 
   /** Drops all connections and refuses new ones, as a crash does. The log is kept. */
   async kill(): Promise<void> {
-    const { server } = this;
-    this.server = undefined;
-    this.link?.link.stop();
-    this.link = undefined;
+    const stopped = this.listener.stop();
+    this.dropLink();
     this.faults.clear();
-    for (const { socket } of this.open) socket.destroy();
-    if (server !== undefined) await new Promise((resolve) => server.close(resolve));
+    await stopped;
   }
 
   /** Makes the open ordinary connections silent for good; new ones work. */
   silenceConnections(): void {
-    for (const connection of this.open)
-      if (connection.isOrdinary) connection.output.isSilent = true;
+    this.listener.silence();
   }
 
   async dispose(): Promise<void> {
     await this.kill();
   }
 
-  private get limit(): number {
-    return this.options.connections ?? 55;
+  private buildServices(): Services {
+    const { member, slots, faults, statements: record } = this;
+    const control = new Control(member, record, {
+      fault: ([name, value]) => applyFault(this, String(name), Number(value ?? 0)),
+      load: () => ({
+        busy: slots.busy,
+        waiting: slots.waiting,
+        connections: this.connections,
+      }),
+    });
+    return { member, slots, faults, record, control, serviceMs: this.options.serviceMs };
   }
 
+  /** Keeps the one link that role and fence allow. */
   private updateLink(): void {
-    const wanted = this.server === undefined ? undefined : this.member.followed;
-    if (
-      this.link !== undefined &&
-      (this.link.of !== wanted || !this.member.canCopy(this.link.of))
-    ) {
-      this.link.link.stop();
-      this.link = undefined;
-    }
+    const wanted = this.listener.isListening ? this.member.followed : undefined;
+    if (this.link?.of !== wanted) this.dropLink();
+    if (this.link !== undefined && !this.member.canCopy(this.link.of)) this.dropLink();
     if (this.link !== undefined || wanted === undefined || !this.member.canCopy(wanted)) return;
     const gates = [this.faults.running, this.faults.replication];
     this.link = { of: wanted, link: new Link(this.member, wanted, gates, () => this.lag) };
   }
 
-  private accept(socket: Socket): void {
-    const output = new Output(socket, this.faults.running);
-    const connection: Connection = { socket, output, isOrdinary: false };
-    this.open.add(connection);
-    socket.on("error", () => undefined);
-    socket.on("close", () => this.open.delete(connection));
-    const gateway = new PostgresConnection(socket, {
-      onStartup: ({ clientInfo }) => {
-        gateway.detach();
-        this.startSession(connection, readDatabase(clientInfo?.parameters));
-        return true;
-      },
-    });
-  }
-
-  private startSession(connection: Connection, database: string): void {
-    const { faults } = this;
-    const id = this.nextId++;
-    const isOver = this.ordinary >= this.limit;
-    connection.isOrdinary = database !== controlDatabase && database !== replicationDatabase;
-    const gates: Gate[] = [faults.running];
-    if (database === controlDatabase) gates.push(faults.control);
-    if (database === replicationDatabase) gates.push(faults.replication);
-    const ready = this.greet(connection, id, connection.isOrdinary && isOver, gates);
-    const { socket, output } = connection;
-    const session = new Session(socket, output, this.services, id, gates, ready);
-    relayMessages(socket, session);
-  }
-
-  private async greet(
-    { socket, output }: Connection,
-    id: number,
-    isRefused: boolean,
-    gates: readonly Gate[],
-  ): Promise<void> {
-    await sleep(this.options.connectMs ?? 12);
-    for (const gate of gates) await gate.wait();
-    if (isRefused) {
-      output.push(encodeError("FATAL", "53300", "sorry, too many clients already"));
-      await output.flush();
-      socket.end();
-      return;
-    }
-    output.push(encodeAuthenticationOk());
-    for (const [name, value] of Object.entries(announced)) {
-      output.push(encodeParameterStatus(name, value));
-    }
-    output.push(encodeKeyData(id));
-    output.push(encodeReady("I"));
-    await output.flush();
-  }
-
-  /** `standin_fault(name, value)`, the switches as a control function. */
-  private applyFault(name: string, value: number): string {
-    const { faults } = this;
-    switch (name) {
-      case "kill":
-        setImmediate(() => void this.kill());
-        break;
-      case "freeze":
-        this.freezeFor(value);
-        break;
-      case "slow":
-        faults.slowFactor = value;
-        break;
-      case "silence":
-        this.silenceConnections();
-        break;
-      case "loseCommitAnswers":
-        faults.loseCommitAnswers(value, "break");
-        break;
-      case "cutReplication":
-        setGate(faults.replication, value > 0);
-        break;
-      case "lag":
-        this.setLag(value);
-        break;
-      default:
-        return `unknown fault ${name}`;
-    }
-    return "done";
-  }
-
-  /** Over a connection only a freeze that ends by itself can be asked for. */
-  private freezeFor(ms: number): void {
-    this.faults.running.close();
-    setTimeout(() => this.faults.running.open(), ms);
+  private dropLink(): void {
+    this.link?.link.stop();
+    this.link = undefined;
   }
 }
-
-/**
- * Splits what a client sends after its start-up. `pg-gateway` 0.2.4 cuts every message but the
- * first of a chunk at a false place, so that pipelined ones come out empty; it only does start-ups.
- */
-function relayMessages(socket: Socket, session: Session): void {
-  const frames = new FrameSplitter();
-  socket.on("data", (chunk: Buffer) => {
-    try {
-      for (const message of frames.push(chunk)) session.receive(message);
-    } catch {
-      socket.destroy();
-    }
-  });
-}
-
-function setGate(gate: Gate, isClosed: boolean): void {
-  if (isClosed) gate.close();
-  else gate.open();
-}
-
-function readDatabase(parameters: Readonly<Record<string, string>> | undefined): string {
-  return parameters?.database ?? "";
-}
--- /dev/null
+++ b/standin/target/switches.ts
@@ -0,0 +1,45 @@
+import type { Gate } from "./faults.js";
+import type { StandinTarget } from "./server.js";
+
+/**
+ * The switches as a control function, `standin_fault(name, value)`. A fault that would cut off its
+ * own end, such as a freeze, ends by itself after `value` milliseconds.
+ */
+export function applyFault(target: StandinTarget, name: string, value: number): string {
+  const { faults } = target;
+  switch (name) {
+    case "kill":
+      setImmediate(() => void target.kill());
+      break;
+    case "freeze":
+      closeFor(faults.running, value);
+      break;
+    case "cutControl":
+      closeFor(faults.control, value);
+      break;
+    case "cutReplication":
+      if (value > 0) faults.replication.close();
+      else faults.replication.open();
+      break;
+    case "slow":
+      faults.slowFactor = value;
+      break;
+    case "silence":
+      target.silenceConnections();
+      break;
+    case "loseCommitAnswers":
+      faults.loseCommitAnswers(value, "break");
+      break;
+    case "lag":
+      target.setLag(value);
+      break;
+    default:
+      return `unknown fault ${name}`;
+  }
+  return "done";
+}
+
+function closeFor(gate: Gate, ms: number): void {
+  gate.close();
+  setTimeout(() => gate.open(), ms);
+}
