Log target connections and control; test logs under random elections

Change: targetEvents 6001 to 6004 are written by connector, session and control; a fast-check property applies fences, promotions, followings, commits and copies in any order to three members.

--- a/src/target/connector.ts
+++ b/src/target/connector.ts
@@ -1,5 +1,7 @@
 import { connect, type Socket } from "node:net";
 import { serialize } from "pg-protocol";
+import { targetEvents } from "../log/events/target.js";
+import { silentLogger, type Logger } from "../log/index.js";
 import type { Target, TargetConnector, TargetSession } from "../model/index.js";
 import { FrameSplitter } from "./frames.js";
 import { PgTargetSession } from "./session.js";
@@ -10,6 +12,7 @@
   readonly user?: string;
   /** Longest silence within an exchange, in milliseconds. Default 0: only the caller's signal ends one. */
   readonly progressTimeoutMs?: number;
+  readonly logger?: Logger;
 }
 
 /** Why a connection could not be opened; `state` is the target's SQLSTATE, where it gave one. */
@@ -35,14 +38,18 @@
 
   async open(target: Target, database: string, timeoutMs: number): Promise<TargetSession> {
     const { host, port } = target.address;
+    const { logger = silentLogger, progressTimeoutMs = 0 } = this.options;
+    const fields = { target: target.name, database };
     const socket = connect({ host, port, noDelay: true, keepAlive: true });
     try {
       await this.startUp(socket, database, timeoutMs);
     } catch (error) {
       socket.destroy();
+      logger.write(targetEvents.openFailed, { ...fields, reason: String(error) });
       throw error;
     }
-    return new PgTargetSession(target.name, socket, this.options.progressTimeoutMs ?? 0);
+    logger.write(targetEvents.opened, fields);
+    return new PgTargetSession(target.name, socket, progressTimeoutMs, logger);
   }
 
   private startUp(socket: Socket, database: string, timeoutMs: number): Promise<void> {
--- a/src/target/control.ts
+++ b/src/target/control.ts
@@ -1,4 +1,6 @@
 import pg from "pg";
+import { targetEvents } from "../log/events/target.js";
+import { silentLogger, type Logger } from "../log/index.js";
 import {
   formatMark,
   formatTerm,
@@ -17,6 +19,7 @@
   readonly user?: string;
   /** The database of control connections. Default `standin_control`. */
   readonly database?: string;
+  readonly logger?: Logger;
 }
 
 interface Lane {
@@ -93,13 +96,16 @@
       // The next request on it would then wait in vain, so it gets a new connection.
       if (key === undefined) end(lane);
       else this.drop(key, lane);
-      return {
-        type: "unreachable",
-        reason: error instanceof Error ? error.message : String(error),
-      };
+      return this.noteUnreachable(target, call, String(error));
     }
   }
 
+  private noteUnreachable(target: Target, call: string, reason: string): ControlResult {
+    const { logger = silentLogger } = this.options;
+    logger.write(targetEvents.unreachable, { target: target.name, call, reason });
+    return { type: "unreachable", reason };
+  }
+
   private async ask(
     lane: Lane,
     call: string,
--- a/src/target/session.ts
+++ b/src/target/session.ts
@@ -1,4 +1,6 @@
 import type { Socket } from "node:net";
+import { targetEvents } from "../log/events/target.js";
+import type { Logger } from "../log/index.js";
 import type { ExchangeResult, MessageSink, TargetSession } from "../model/index.js";
 import { FrameSplitter } from "./frames.js";
 
@@ -27,6 +29,7 @@
     private readonly socket: Socket,
     /** Longest silence within an exchange, in milliseconds; 0 for none. */
     private readonly progressTimeoutMs: number,
+    private readonly logger: Logger,
   ) {
     socket.on("data", (chunk) => this.receive(chunk));
     socket.on("error", (error) => this.drop(error.message));
@@ -139,7 +142,9 @@
     this.socket.destroy();
     const { current } = this;
     this.current = undefined;
-    current?.end({ type: "broken", sent: true, reason });
+    if (current === undefined) return;
+    this.logger.write(targetEvents.broken, { target: this.target, reason });
+    current.end({ type: "broken", sent: true, reason });
   }
 }
 
--- /dev/null
+++ b/test/standin/member.test.ts
@@ -0,0 +1,101 @@
+import { expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { compareTerms, formatTerm } from "../../src/model/index.js";
+import { Member } from "../../standin/target/index.js";
+import { findCommonOffset } from "../../standin/target/log.js";
+import { term } from "./build.js";
+
+interface Op {
+  readonly type: "fence" | "promote" | "follow" | "commit" | "copy";
+  readonly who: number;
+  readonly other: number;
+  readonly round: number;
+}
+
+const definition = {
+  name: "t",
+  columns: [{ name: "id", type: { name: "int4", oid: 23 }, isRequired: true }],
+  uniques: [],
+};
+
+function commitOne(member: Member): boolean {
+  const transaction = member.begin();
+  try {
+    member.beginWrite(transaction);
+    const view = transaction.find("t");
+    if (view === undefined) transaction.create(definition);
+    else view.put(view.table.takeId(), [member.log.offset]);
+    member.commit(transaction);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** What the link does in one go, without a network between. */
+function copyOne(replica: Member, members: readonly Member[]): void {
+  const { followed } = replica;
+  const primary = members.find((m) => m.name === followed?.name);
+  if (followed === undefined || primary === undefined || !replica.canCopy(followed)) return;
+  if (!primary.isPrimaryIn(followed.term)) return;
+  replica.align({ lineage: primary.log.lineage, offset: primary.log.offset });
+  for (const record of primary.log.list(replica.log.offset, 1)) replica.copy(record);
+}
+
+function applyOp(op: Op, members: readonly Member[]): void {
+  const member = members[op.who];
+  const other = members[op.other];
+  // One VM opens each term and asks only one target to lead in it.
+  const at = term(op.round, `vm-${op.who}`);
+  if (member === undefined || other === undefined) return;
+  if (op.type === "fence") other.fence(at);
+  if (op.type === "promote") member.promote(at);
+  if (op.type === "copy") copyOne(member, members);
+  if (op.type === "follow" && member !== other && members[0] !== member) {
+    const of = term(op.round, `vm-${op.other}`);
+    member.follow({ name: other.name, address: { host: "", port: 0 }, term: of });
+  }
+  if (op.type === "commit") {
+    const { mark, fencedAt, role } = member.status;
+    const mayCommit = role === "primary" && compareTerms(fencedAt, mark.term) === 0;
+    expect(commitOne(member)).toBe(mayCommit);
+  }
+}
+
+function listRecords(member: Member): readonly string[] {
+  return member.log
+    .list(0)
+    .map((r) => `${r.offset}@${formatTerm(r.term)} ${JSON.stringify(r.changes)}`);
+}
+
+// Fences, promotions, followings, commits and copies come in any order, as from rival promoters.
+// If two logs differ before the last record they share, a mark would be taken as held by a target
+// that holds another record there; if a fenced target commits, an acknowledged write can be lost.
+test("logs agree up to their common record, and only an unfenced primary commits", () => {
+  const op = fc.record<Op>({
+    type: fc.constantFrom("fence", "promote", "follow", "commit", "copy"),
+    who: fc.nat(2),
+    other: fc.nat(2),
+    round: fc.nat(3),
+  });
+  fc.assert(
+    fc.property(fc.array(op, { maxLength: 60 }), (ops) => {
+      const members = ["a", "b", "c"].map((name) => new Member(name));
+      const [a, ...others] = members;
+      for (const m of others) {
+        m.follow({ name: a?.name ?? "", address: { host: "", port: 0 }, term: term(0, "") });
+      }
+      for (const o of ops) applyOp(o, members);
+      for (const m of members) {
+        for (const n of members) {
+          const common = findCommonOffset(
+            { lineage: m.log.lineage, offset: m.log.offset },
+            { lineage: n.log.lineage, offset: n.log.offset },
+          );
+          expect(listRecords(m).slice(0, common)).toEqual(listRecords(n).slice(0, common));
+        }
+      }
+    }),
+    { seed: 4, numRuns: 500 },
+  );
+});
