Find and mend a search that never ended; draw faults that last a while

A restarted owner suspects a silent target that may be the primary, and gave it the highest term seen; when the target then answered with an older term, or as a replica, its answer was ignored for good. Ruled out: rivals, which settle; the back-off, which had ended. Change: a suspect at the start carries no term; if it turns out not to lead, the next silent target is checked. Faults in random runs now last a while and end, and partitions are among them, so that runs see more changes of primary.

--- a/bench/failover/fakefleet.ts
+++ b/bench/failover/fakefleet.ts
@@ -81,6 +81,19 @@
     this.watches.delete(name);
   }
 
+  /** Parts a VM and a target from all others, or joins them again. */
+  setPartition(vm: string, target: string, isOn: boolean): void {
+    for (const { name } of this.vms) {
+      for (const t of this.group.targets) {
+        const isParted = (name === vm) !== (t.name === target);
+        if (isParted) this.group.setFault(name, t.name, isOn ? "cut" : "none");
+      }
+    }
+    this.group.setIsolated(target, isOn);
+    if (isOn) this.mute.add(vm);
+    else this.mute.delete(vm);
+  }
+
   async dispose(): Promise<void> {
     for (const name of [...this.watches.keys()]) await this.stop(name);
   }
--- a/bench/failover/fakegroup.ts
+++ b/bench/failover/fakegroup.ts
@@ -29,6 +29,7 @@
   /** Hears of each target that begins to lead a term. */
   onPromotion: (term: Term, target: FakeTarget) => void = () => undefined;
   private readonly members: ReadonlyMap<string, Member>;
+  private readonly isolated = new Set<string>();
   private readonly links = new Map<string, FakeLink>();
 
   constructor(
@@ -66,6 +67,13 @@
     this.link(vm, name).setFault(fault);
   }
 
+  /** Cuts a target off from the others, or joins it to them again. */
+  setIsolated(name: string, isIsolated: boolean): void {
+    if (isIsolated) this.isolated.add(name);
+    else this.isolated.delete(name);
+    this.replicate();
+  }
+
   setSlow(vm: string, name: string, extraMs: number): void {
     this.link(vm, name).extraMs = extraMs;
   }
@@ -133,6 +141,7 @@
   ): Promise<void> {
     await this.clock.sleep(this.delays.oneWayMs + target.lagMs);
     if (host.state === "dead" || this.getState(primary) === "dead") return;
+    if (this.isolated.has(primary) || this.isolated.has(target.name)) return;
     await host.waitUntilUp();
     target.copy(primary, log);
   }
--- a/bench/failover/faultsteps.ts
+++ b/bench/failover/faultsteps.ts
@@ -1,15 +1,14 @@
 import fc from "fast-check";
 import type { Acknowledgement } from "../../src/model/index.js";
+import type { WatchSafeguards } from "../../src/groupwatch/index.js";
 import { FakeFleet } from "./fakefleet.js";
 import type { HostState } from "./fakehost.js";
 import type { LinkFault } from "./fakelink.js";
 import { VirtualClock } from "./virtualclock.js";
 
-/** One thing that happens to a fleet; a fault stays until another step takes it back. */
-export type FaultStep =
-  | { readonly type: "wait"; readonly ms: number }
-  | { readonly type: "write"; readonly vm: string; readonly mode: Acknowledgement }
-  | { readonly type: "state"; readonly target: string; readonly state: HostState }
+/** What goes wrong for a while. */
+export type Fault =
+  | { readonly type: "host"; readonly target: string; readonly state: HostState }
   | {
       readonly type: "link";
       readonly vm: string;
@@ -18,47 +17,71 @@
     }
   | { readonly type: "slow"; readonly vm: string; readonly target: string; readonly ms: number }
   | { readonly type: "lag"; readonly target: string; readonly ms: number }
-  | { readonly type: "pause"; readonly vm: string; readonly isPaused: boolean }
+  | { readonly type: "partition"; readonly vm: string; readonly target: string }
+  | { readonly type: "pause"; readonly vm: string }
+  | { readonly type: "mute"; readonly vm: string };
+
+/** One thing that happens to a fleet. */
+export type FaultStep =
+  | { readonly type: "wait"; readonly ms: number }
+  | { readonly type: "write"; readonly vm: string; readonly mode: Acknowledgement }
   | { readonly type: "restart"; readonly vm: string }
-  | { readonly type: "mute"; readonly vm: string; readonly isMute: boolean }
-  | { readonly type: "switch"; readonly vm: string; readonly target: string };
+  | { readonly type: "switch"; readonly vm: string; readonly target: string }
+  | { readonly type: "fault"; readonly fault: Fault; readonly forMs: number };
 
 const targets = ["t1", "t2", "t3"];
 const vms = ["v1", "v2", "v3"];
 /** VMs that each believe they own the group. */
 const owners = ["v1", "v2"];
 
-/** Long enough for a healed group to find a primary, every back-off and timeout counted. */
-const healedMs = 15_000;
+/** Until the last fault is over and the group has found a primary, back-off and timeouts counted. */
+const healedMs = 6000 + 15_000;
 const writeMs = 2000;
 
 /** Draws runs of steps for fast-check. */
 export function drawSteps(maxLength: number): fc.Arbitrary<readonly FaultStep[]> {
-  const target = fc.constantFrom(...targets);
-  const vm = fc.constantFrom(...vms);
-  const owner = fc.constantFrom(...owners);
   const mode = fc.constantFrom<Acknowledgement>("replicated", "witnessed");
-  const state = fc.constantFrom<HostState>("up", "dead", "frozen");
-  const fault = fc.constantFrom<LinkFault>("none", "requestsLost", "answersLost", "cut", "silent");
-  const make = <T extends FaultStep["type"], R>(
-    type: T,
-    values: { [K in keyof R]: fc.Arbitrary<R[K]> },
-  ) => fc.record(values).map((v) => ({ type, ...v }));
+  const owner = fc.constantFrom(...owners);
+  const target = fc.constantFrom(...targets);
   const step = fc.oneof(
-    { weight: 5, arbitrary: make("wait", { ms: fc.constantFrom(1, 20, 300, 1500) }) },
-    { weight: 5, arbitrary: make("write", { vm: owner, mode }) },
-    { weight: 3, arbitrary: make("state", { target, state }) },
-    { weight: 3, arbitrary: make("link", { vm, target, fault }) },
-    make("slow", { vm, target, ms: fc.constantFrom(0, 60, 400) }),
-    make("lag", { target, ms: fc.constantFrom(0, 10, 1000) }),
-    make("pause", { vm: owner, isPaused: fc.boolean() }),
-    make("restart", { vm: owner }),
-    make("mute", { vm, isMute: fc.boolean() }),
-    make("switch", { vm: owner, target }),
+    { weight: 4, arbitrary: makeStep("wait", { ms: fc.constantFrom(1, 20, 300, 1500) }) },
+    { weight: 6, arbitrary: makeStep("write", { vm: owner, mode }) },
+    {
+      weight: 6,
+      arbitrary: makeStep("fault", {
+        fault: drawFault(),
+        forMs: fc.constantFrom(30, 500, 2000, 6000),
+      }),
+    },
+    { weight: 1, arbitrary: makeStep("restart", { vm: owner }) },
+    { weight: 1, arbitrary: makeStep("switch", { vm: owner, target }) },
   );
   return fc.array(step, { maxLength, size: "max" });
 }
 
+function drawFault(): fc.Arbitrary<Fault> {
+  const target = fc.constantFrom(...targets);
+  const vm = fc.constantFrom(...vms);
+  const state = fc.constantFrom<HostState>("dead", "frozen");
+  const fault = fc.constantFrom<LinkFault>("requestsLost", "answersLost", "cut", "silent");
+  return fc.oneof(
+    { weight: 3, arbitrary: makeStep("host", { target, state }) },
+    { weight: 3, arbitrary: makeStep("link", { vm, target, fault }) },
+    { weight: 1, arbitrary: makeStep("slow", { vm, target, ms: fc.constantFrom(60, 400) }) },
+    { weight: 1, arbitrary: makeStep("lag", { target, ms: fc.constantFrom(10, 1000, 5000) }) },
+    { weight: 2, arbitrary: makeStep("partition", { vm, target }) },
+    { weight: 1, arbitrary: makeStep("pause", { vm: fc.constantFrom(...owners) }) },
+    { weight: 1, arbitrary: makeStep("mute", { vm }) },
+  );
+}
+
+function makeStep<T extends string, R extends object>(
+  type: T,
+  values: { [K in keyof R]: fc.Arbitrary<R[K]> },
+): fc.Arbitrary<{ readonly type: T } & R> {
+  return fc.record(values).map((drawn) => ({ type, ...(drawn as R) }));
+}
+
 /** What came of a run of steps. */
 export interface StepsReport {
   readonly violations: readonly string[];
@@ -68,14 +91,17 @@
   readonly isHealed: boolean;
 }
 
-/** Runs steps on a fresh fleet of two owners, ends all faults and tells what came of it. */
-export async function runSteps(seed: number, steps: readonly FaultStep[]): Promise<StepsReport> {
+/** Runs steps on a fresh fleet of two owners, waits until all faults are over and tells what came of it. */
+export async function runSteps(
+  seed: number,
+  steps: readonly FaultStep[],
+  safeguards?: WatchSafeguards,
+): Promise<StepsReport> {
   const clock = new VirtualClock();
-  const fleet = new FakeFleet({ clock, seed });
+  const fleet = new FakeFleet({ clock, seed, ...(safeguards === undefined ? {} : { safeguards }) });
   for (const name of owners) fleet.watch(name);
   await clock.advance(1000);
   for (const [i, step] of steps.entries()) await applyStep(fleet, clock, step, `w${i}`);
-  endFaults(fleet);
   await clock.advance(healedMs);
   const last = owners.map((name) => fleet.write(name, `last-${name}`, "replicated", writeMs));
   await clock.advance(2 * writeMs);
@@ -104,51 +130,45 @@
     case "write":
       void fleet.write(step.vm, write, step.mode, writeMs);
       return;
-    case "state":
-      fleet.group.setState(step.target, step.state);
+    case "restart":
+      await fleet.stop(step.vm);
+      fleet.watch(step.vm);
+      return;
+    case "switch":
+      fleet.watch(step.vm).switchFrom(step.target);
+      return;
+    case "fault":
+      setFault(fleet, step.fault, true);
+      void clock.sleep(step.forMs).then(() => setFault(fleet, step.fault, false));
+      return;
+  }
+}
+
+function setFault(fleet: FakeFleet, fault: Fault, isOn: boolean): void {
+  const { group } = fleet;
+  switch (fault.type) {
+    case "host":
+      group.setState(fault.target, isOn ? fault.state : "up");
       return;
     case "link":
-      fleet.group.setFault(step.vm, step.target, step.fault);
+      group.setFault(fault.vm, fault.target, isOn ? fault.fault : "none");
       return;
     case "slow":
-      fleet.group.setSlow(step.vm, step.target, step.ms);
+      group.setSlow(fault.vm, fault.target, isOn ? fault.ms : 0);
       return;
     case "lag":
-      fleet.group.get(step.target).lagMs = step.ms;
+      group.get(fault.target).lagMs = isOn ? fault.ms : 0;
       return;
-    case "pause":
-      setPaused(fleet, step.vm, step.isPaused);
+    case "partition":
+      fleet.setPartition(fault.vm, fault.target, isOn);
       return;
-    case "restart":
-      await fleet.stop(step.vm);
-      fleet.watch(step.vm);
+    case "pause":
+      if (isOn) fleet.vm(fault.vm).pause();
+      else fleet.vm(fault.vm).resume();
       return;
     case "mute":
-      if (step.isMute) fleet.mute.add(step.vm);
-      else fleet.mute.delete(step.vm);
-      return;
-    case "switch":
-      fleet.watch(step.vm).switchFrom(step.target);
+      if (isOn) fleet.mute.add(fault.vm);
+      else fleet.mute.delete(fault.vm);
       return;
   }
 }
-
-function setPaused(fleet: FakeFleet, vm: string, isPaused: boolean): void {
-  if (isPaused) fleet.vm(vm).pause();
-  else fleet.vm(vm).resume();
-}
-
-function endFaults(fleet: FakeFleet): void {
-  fleet.mute.clear();
-  for (const vm of vms) {
-    fleet.vm(vm).resume();
-    for (const target of targets) {
-      fleet.group.setFault(vm, target, "none");
-      fleet.group.setSlow(vm, target, 0);
-    }
-  }
-  for (const target of targets) {
-    fleet.group.get(target).lagMs = 0;
-    fleet.group.setState(target, "up");
-  }
-}
--- a/src/controller/failover/answer.ts
+++ b/src/controller/failover/answer.ts
@@ -8,17 +8,19 @@
   getHealth,
   type Leadership,
   type Step,
+  type Suspect,
   withHealth,
   withTerm,
 } from "./state.js";
 import { beginSteady, tendReplicas } from "./tend.js";
+import { endSearch } from "./tick.js";
 
 type Answer = Extract<FailoverEvent, { type: "answered" }>;
 
 /** Takes in what a target says of itself. */
 export function applyAnswer(state: FailoverState, event: Answer): Step {
   const next = noteStatus(state, event);
-  const { status } = event;
+  const status = getHealth(next, event.status.target).view?.status ?? event.status;
   if (isLeading(status) && !isSuperseded(next, status.mark.term)) {
     return acceptLeader(next, { primary: status.target, term: status.mark.term }, event.at);
   }
@@ -79,11 +81,12 @@
 /** The suspect itself has answered, or a newer primary has. */
 function clearSuspicion(
   state: FailoverState,
-  suspected: Leadership,
+  suspected: Suspect,
   found: Leadership,
   at: number,
 ): Step {
-  if (compareTerms(found.term, suspected.term) < 0) return succeed(state);
+  const { term } = suspected;
+  if (term !== undefined && compareTerms(found.term, term) < 0) return succeed(state);
   const steady = beginSteady(state, found, at);
   const target = suspected.primary;
   return succeed(steady.state, [
@@ -102,9 +105,16 @@
   return tendReplicas(state, leadership, at);
 }
 
-/** With every target heard and none leading there is nothing left to wait for. */
-function checkSearch(state: FailoverState, { at, draw }: Answer): Step {
+/**
+ * With every target heard and none leading there is nothing left to wait for. A target that was
+ * suspected at the start to be the primary, and answers that it is not, leaves the others to check.
+ */
+function checkSearch(state: FailoverState, { at, draw, status }: Answer): Step {
+  const { phase } = state;
+  const isSuspect =
+    (phase.type === "suspecting" || phase.type === "cutOff") && phase.primary === status.target;
+  if (isSuspect) return endSearch(state, at, draw);
   const isKnown = state.options.targets.every((target) => isHeard(state, target));
-  if (state.phase.type !== "searching" || !isKnown) return succeed(state);
+  if (phase.type !== "searching" || !isKnown) return succeed(state);
   return backOff(state, "no target leads", at, draw);
 }
--- a/src/controller/failover/detect.ts
+++ b/src/controller/failover/detect.ts
@@ -6,9 +6,9 @@
 import {
   type FailoverState,
   getAllowance,
-  type Leadership,
   type Phase,
   type Step,
+  type Suspect,
   withPhase,
 } from "./state.js";
 
@@ -21,18 +21,17 @@
  */
 export function beginSuspicion(
   state: FailoverState,
-  leadership: Leadership,
+  suspect: Suspect,
   why: string,
   at: number,
   { round, isCutOff }: Pick<Suspecting, "round" | "isCutOff"> = { round: 1, isCutOff: false },
 ): Step {
-  const { primary: target, term } = leadership;
+  const target = suspect.primary;
   const { confirmMs, peerHopMs } = state.options.timings;
   const timeoutMs = Math.max(confirmMs, getAllowance(state, target));
   const phase: Suspecting = {
+    ...pickSuspect(suspect),
     type: "suspecting",
-    primary: target,
-    term,
     round,
     until: at + timeoutMs + 2 * peerHopMs,
     isMissed: false,
@@ -84,9 +83,12 @@
   return beginElection(next, "primaryFailed", at, phase.primary);
 }
 
-function beginCutOff(state: FailoverState, leadership: Leadership, why: string, at: number): Step {
-  const { primary, term } = leadership;
+function beginCutOff(state: FailoverState, suspect: Suspect, why: string, at: number): Step {
   const until = at + state.options.timings.cutOffMs;
-  const note = { type: "note", note: { type: "cutOff", target: primary, why } } as const;
-  return succeed(withPhase(state, { type: "cutOff", primary, term, until }), [note]);
+  const note = { type: "note", note: { type: "cutOff", target: suspect.primary, why } } as const;
+  return succeed(withPhase(state, { ...pickSuspect(suspect), type: "cutOff", until }), [note]);
+}
+
+function pickSuspect({ primary, term }: Suspect): Suspect {
+  return { primary, ...(term === undefined ? {} : { term }) };
 }
--- a/src/controller/failover/leader.ts
+++ b/src/controller/failover/leader.ts
@@ -39,12 +39,12 @@
 }
 
 /** The primary that the phase believes in, if it does in one. */
-export function findLeadership(state: FailoverState): Leadership | undefined {
-  switch (state.phase.type) {
+export function findLeadership({ phase }: FailoverState): Leadership | undefined {
+  switch (phase.type) {
     case "steady":
     case "suspecting":
     case "cutOff":
-      return { primary: state.phase.primary, term: state.phase.term };
+      return phase.term === undefined ? undefined : { primary: phase.primary, term: phase.term };
     case "searching":
     case "waiting":
     case "fencing":
--- a/src/controller/failover/state.ts
+++ b/src/controller/failover/state.ts
@@ -16,6 +16,12 @@
   readonly term: Term;
 }
 
+/** A silent target; without a term where it is only thought that it may be the primary. */
+export interface Suspect {
+  readonly primary: string;
+  readonly term?: Term;
+}
+
 /** Where a group's failover stands at one VM. */
 export type Phase =
   /** Nothing is known yet. */
@@ -30,9 +36,9 @@
       /** An earlier check found that this observer has no standing; this one has not ended. */
       readonly isCutOff: boolean;
       readonly finding?: PeerFinding;
-    } & Leadership)
+    } & Suspect)
   /** The primary is silent, and this observer has no standing to fence it. */
-  | ({ readonly type: "cutOff"; readonly until: number } & Leadership)
+  | ({ readonly type: "cutOff"; readonly until: number } & Suspect)
   /** After an election that failed, or while a rival's may be under way. */
   | { readonly type: "waiting"; readonly until: number; readonly suspect?: string }
   | {
--- a/src/controller/failover/tick.ts
+++ b/src/controller/failover/tick.ts
@@ -73,13 +73,12 @@
 }
 
 /** Some targets were not heard at the start: the likeliest primary among them is checked first. */
-function endSearch(state: FailoverState, at: number, draw: number): Step {
+export function endSearch(state: FailoverState, at: number, draw: number): Step {
   const { targets } = state.options;
   const silent = targets.filter((t) => !isHeard(state, t));
   const heard = targets.flatMap((t) => getHealth(state, t).view?.status ?? []);
   const followed = heard.find((s) => s.follows !== undefined && silent.includes(s.follows));
   const suspect = followed?.follows ?? silent[0];
   if (suspect === undefined) return backOff(state, "no target leads", at, draw);
-  const term = state.highest;
-  return beginSuspicion(state, { primary: suspect, term }, "not heard at the start", at);
+  return beginSuspicion(state, { primary: suspect }, "not heard at the start", at);
 }
--- a/test/failover/safeguards.test.ts
+++ b/test/failover/safeguards.test.ts
@@ -7,6 +7,20 @@
 
 const safeguards = { ...allFailoverSafeguards, ...allAcknowledgeSafeguards };
 
+// A caller is told that its write is kept, and it is gone. Its owner and the primary are parted from
+// the rest, which elects another primary; the owner's last answers of the others, asked for before
+// the commit, say that they are not fenced.
+test.each([true, false])("a primary on the minority side, freshness %s", async (freshness) => {
+  const scene = new Scene({ safeguards: { ...safeguards, freshness } });
+  const old = await scene.settle();
+  await scene.findPrimary("v2");
+  scene.fleet.setPartition("v1", old, true);
+  await scene.findPrimary("v2", old);
+  expect(await scene.write("v1", "witnessed")).toBe(freshness ? "mayHaveRun" : "acknowledged");
+  expect(scene.fleet.violations.length > 0).toBe(!freshness);
+  await scene.fleet.dispose();
+});
+
 // Two targets acknowledge in one term. The choice is promoted and only its answer is lost; a
 // promoter that takes the next best of the old answers promotes a second target in the same term.
 test.each([true, false])("a choice that seems dead, fencing anew %s", async (fenceAnew) => {
