--- a/src/groupwatch/index.ts
+++ b/src/groupwatch/index.ts
@@ -6,3 +6,4 @@
   type WatchPorts,
   type WatchSafeguards,
 } from "./ports.js";
+export { findBackedAt } from "./view.js";
