Refuse two leaders of one term, keep age samples 20 ms apart

Cause: a group whose targets were never told whom to follow has three leaders of the first term, and each passed for a holder of another's writes. Under steady writes the mark history kept its newest half second only and thinned the rest, so that ages beyond it came out up to twice too great. Change: two leaders of one term lead to an election; a holder must be a replica; samples are kept 20 ms apart, 512 of them.

--- a/src/controller/acknowledge/acknowledgement.ts
+++ b/src/controller/acknowledge/acknowledgement.ts
@@ -110,7 +110,7 @@
 function noteHolder(state: AcknowledgementState, { status, answeredAt }: Evidence): Result {
   const { write } = state;
   const reach = compareMarks(status.lineage, status.mark, write.mark);
-  if (status.target === write.primary || reach.type !== "reached") return succeed(state);
+  if (status.role === "primary" || reach.type !== "reached") return succeed(state);
   const holders = [...state.holders.filter((t) => t !== status.target), status.target];
   const next = { ...state, holders };
   if (holders.length + 1 < countNeeded(state)) return succeed(next);
--- a/src/controller/failover/answer.ts
+++ b/src/controller/failover/answer.ts
@@ -1,7 +1,14 @@
 import { compareTerms, orderMarks, succeed, type TargetView } from "../../model/index.js";
 import { backOff, beginElection } from "./elect.js";
 import type { FailoverEvent } from "./event.js";
-import { findEqual, findLeadership, isHeard, isLeading, isSuperseded } from "./leader.js";
+import {
+  findEqual,
+  findLeadership,
+  hasDouble,
+  isHeard,
+  isLeading,
+  isSuperseded,
+} from "./leader.js";
 import { latenessDecay } from "./options.js";
 import {
   type FailoverState,
@@ -22,6 +29,7 @@
   const next = noteStatus(state, event);
   const status = getHealth(next, event.status.target).view?.status ?? event.status;
   if (isLeading(status) && !isSuperseded(next, status.mark.term)) {
+    if (hasDouble(next, status)) return endDouble(next, event);
     return acceptLeader(next, { primary: status.target, term: status.mark.term }, event.at);
   }
   const leadership = findLeadership(next);
@@ -78,6 +86,21 @@
   }
 }
 
+/** Two targets lead one term: an election leaves one of them, with the longer log. */
+function endDouble(state: FailoverState, { at, draw }: Answer): Step {
+  switch (state.phase.type) {
+    case "searching":
+    case "steady":
+    case "suspecting":
+    case "cutOff":
+      return backOff(state, "two targets lead one term", at, draw);
+    case "waiting":
+    case "fencing":
+    case "promoting":
+      return succeed(state);
+  }
+}
+
 /** The suspect itself has answered, or a newer primary has. */
 function clearSuspicion(
   state: FailoverState,
--- a/src/controller/failover/leader.ts
+++ b/src/controller/failover/leader.ts
@@ -15,6 +15,18 @@
   return past.length > state.options.targets.length - getMajority(state);
 }
 
+/**
+ * Whether another target is known to lead the same term. Terms that a promoter opened have one
+ * primary; of the first term that is only so where the group was set up with one.
+ */
+export function hasDouble(state: FailoverState, status: TargetStatus): boolean {
+  return state.options.targets.some((target) => {
+    const other = getHealth(state, target).view?.status;
+    if (target === status.target || other === undefined || !isLeading(other)) return false;
+    return compareTerms(other.mark.term, status.mark.term) === 0;
+  });
+}
+
 /** Whether a target is known to be fenced past a term. */
 export function isFencedPast(state: FailoverState, target: string, term: Term): boolean {
   const status = getHealth(state, target).view?.status;
--- a/src/groupwatch/history.ts
+++ b/src/groupwatch/history.ts
@@ -5,12 +5,15 @@
   readonly mark: Mark;
 }
 
-/** How many samples are kept; beyond that every other one is dropped, the newest excepted. */
+/** The least time between two samples that are kept, in milliseconds: what an age may be too great by. */
+const stepMs = 20;
+
+/** Samples kept: enough for ages up to ten seconds while the group is written to all the time. */
 const maxSamples = 512;
 
 /**
- * Marks of a group's primary and instants at which its log was no longer than that. Bounded: the
- * older half thins out, which makes ages that are told from it greater and never smaller.
+ * Marks of a group's primary and instants at which its log was no longer than that. Bounded; a
+ * sample that is left out makes ages greater and never smaller.
  */
 export class MarkHistory {
   private samples: Sample[] = [];
@@ -18,10 +21,12 @@
   /** Notes that at `at` nothing beyond `mark` had been committed. */
   note(at: number, mark: Mark): void {
     const last = this.samples.at(-1);
+    const before = this.samples.at(-2);
     if (last !== undefined && at <= last.at) return;
-    if (last !== undefined && isSame(last.mark, mark)) this.samples.pop();
+    const isClose = before !== undefined && last !== undefined && last.at - before.at < stepMs;
+    if (isClose || (last !== undefined && isSame(last.mark, mark))) this.samples.pop();
     this.samples.push({ at, mark });
-    if (this.samples.length > maxSamples) this.thin();
+    if (this.samples.length > maxSamples) this.samples.shift();
   }
 
   /** The latest instant up to which the target holds everything; `undefined` when none is known. */
@@ -31,11 +36,6 @@
     );
     return held?.at;
   }
-
-  private thin(): void {
-    const half = maxSamples / 2;
-    this.samples = this.samples.filter((_, i) => i >= half || i % 2 === 0);
-  }
 }
 
 function isSame(a: Mark, b: Mark): boolean {
--- a/test/failover/faults.test.ts
+++ b/test/failover/faults.test.ts
@@ -164,6 +164,20 @@
   await scene.end();
 });
 
+// Nothing is acknowledged until one primary is left. A group was set up without telling its targets
+// whom to follow, and each of them believes that it leads the first term.
+test("targets that all lead the first term are left with one primary", async () => {
+  const scene = new Scene();
+  for (const target of scene.group.targets) target.role = "primary";
+  await scene.findPrimary();
+  await scene.clock.advance(longMs);
+  const primary = await scene.findPrimary();
+  expect(scene.group.targets.filter((t) => t.role === "primary")).toHaveLength(1);
+  expect(scene.group.get(primary).fencedAt.round).toBeGreaterThan(0);
+  expect(await scene.write()).toBe("acknowledged");
+  await scene.end();
+});
+
 // A paused owner wakes up after another has changed the primary, with its timers overdue and old
 // answers waiting. It must neither fence the new primary nor vouch for the old one's writes.
 test("a paused owner wakes up after a failover", async () => {
