--- a/src/controller/failover/answer.ts
+++ b/src/controller/failover/answer.ts
@@ -1,25 +1,35 @@
 import { compareTerms, orderMarks, succeed, type TargetView } from "../../model/index.js";
 import { backOff, beginElection } from "./elect.js";
 import type { FailoverEvent } from "./event.js";
-import { findEqual, findLeadership, isHeard, isLeading, isSuperseded } from "./leader.js";
+import {
+  findEqual,
+  findLeadership,
+  hasDouble,
+  isHeard,
+  isLeading,
+  isSuperseded,
+} from "./leader.js";
 import { latenessDecay } from "./options.js";
 import {
   type FailoverState,
   getHealth,
   type Leadership,
   type Step,
+  type Suspect,
   withHealth,
   withTerm,
 } from "./state.js";
 import { beginSteady, tendReplicas } from "./tend.js";
+import { endSearch } from "./tick.js";
 
 type Answer = Extract<FailoverEvent, { type: "answered" }>;
 
 /** Takes in what a target says of itself. */
 export function applyAnswer(state: FailoverState, event: Answer): Step {
   const next = noteStatus(state, event);
-  const { status } = event;
+  const status = getHealth(next, event.status.target).view?.status ?? event.status;
   if (isLeading(status) && !isSuperseded(next, status.mark.term)) {
+    if (hasDouble(next, status)) return endDouble(next, event);
     return acceptLeader(next, { primary: status.target, term: status.mark.term }, event.at);
   }
   const leadership = findLeadership(next);
@@ -76,14 +86,30 @@
   }
 }
 
+/** Two targets lead one term: an election leaves one of them, with the longer log. */
+function endDouble(state: FailoverState, { at, draw }: Answer): Step {
+  switch (state.phase.type) {
+    case "searching":
+    case "steady":
+    case "suspecting":
+    case "cutOff":
+      return backOff(state, "two targets lead one term", at, draw);
+    case "waiting":
+    case "fencing":
+    case "promoting":
+      return succeed(state);
+  }
+}
+
 /** The suspect itself has answered, or a newer primary has. */
 function clearSuspicion(
   state: FailoverState,
-  suspected: Leadership,
+  suspected: Suspect,
   found: Leadership,
   at: number,
 ): Step {
-  if (compareTerms(found.term, suspected.term) < 0) return succeed(state);
+  const { term } = suspected;
+  if (term !== undefined && compareTerms(found.term, term) < 0) return succeed(state);
   const steady = beginSteady(state, found, at);
   const target = suspected.primary;
   return succeed(steady.state, [
@@ -102,9 +128,16 @@
   return tendReplicas(state, leadership, at);
 }
 
-/** With every target heard and none leading there is nothing left to wait for. */
-function checkSearch(state: FailoverState, { at, draw }: Answer): Step {
+/**
+ * With every target heard and none leading there is nothing left to wait for. A target that was
+ * suspected at the start to be the primary, and answers that it is not, leaves the others to check.
+ */
+function checkSearch(state: FailoverState, { at, draw, status }: Answer): Step {
+  const { phase } = state;
+  const isSuspect =
+    (phase.type === "suspecting" || phase.type === "cutOff") && phase.primary === status.target;
+  if (isSuspect) return endSearch(state, at, draw);
   const isKnown = state.options.targets.every((target) => isHeard(state, target));
-  if (state.phase.type !== "searching" || !isKnown) return succeed(state);
+  if (phase.type !== "searching" || !isKnown) return succeed(state);
   return backOff(state, "no target leads", at, draw);
 }
