Estimate waits from the teams' turns

A team without a queue was estimated as if its turn came at once, though it may have had its turns already. Ruled out: counting the whole class ahead of everybody (refuses teams for others' floods). Change: foreseeTurns sums the ramps of all teams in virtual time.

--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -2,7 +2,8 @@
 import { isTrialWork } from "./queue.js";
 import { canRunTrial, countUsableSlots, hasFreeSlot, measureUseAbove } from "./slots.js";
 import { listValues } from "./tree.js";
-import type { Admission, ClassQueue, TargetSlots, TeamQueue } from "./types.js";
+import { findOverlap, foreseeTurns } from "./turns.js";
+import type { Admission, TargetSlots } from "./types.js";
 
 /** What decides how long a request would wait. */
 export interface WaitQuestion {
@@ -48,13 +49,14 @@
 /** Measures the line that a request's class forms before its targets, for many questions. */
 export function measureLine(admission: Admission, question: WaitQuestion, at: number): Line {
   const capacity = measureCapacity(admission, question, at);
-  const ranks = rankTeams(admission.classes[question.priority], question.candidates);
+  const queue = admission.classes[question.priority];
+  const turns = foreseeTurns(queue, question.candidates, capacity.serviceMs);
   const above = countAbove(admission, question);
   return {
-    findPlace: ranks.findPlace,
+    findPlace: turns.findPlace,
     estimate: (team, place) => {
       if (capacity.backInMs !== undefined) return { ...capacity, waitMs: capacity.backInMs };
-      const ahead = above + ranks.countAhead(team, place) + place;
+      const ahead = above + turns.countUntil(team, place);
       return { ...capacity, waitMs: ahead * capacity.startEveryMs };
     },
   };
@@ -99,36 +101,6 @@
   return names.flatMap((name) => admission.targets[name] ?? []);
 }
 
-/** How the teams of a class stand in line for some targets. */
-interface TeamRanks {
-  /** How many requests of a team wait before one that arrives now. */
-  readonly findPlace: (team: string) => number;
-  /** How many requests of the other teams are served before the `place`-th of a team. */
-  readonly countAhead: (team: string, place: number) => number;
-}
-
-/**
- * Ranks the teams of a class: as teams take turns, at most `place` requests of each other team come
- * before the `place`-th of one's own. O(teams) to build, O(log teams) to ask.
- */
-function rankTeams(queue: ClassQueue, candidates: readonly string[]): TeamRanks {
-  const sizes = new Map<string, number>();
-  for (const team of listValues(queue.teams)) {
-    if (team.size > 0) sizes.set(team.team, countOverlap(team, candidates));
-  }
-  const sorted = [...sizes.values()].sort((a, b) => a - b);
-  const sums = [0];
-  for (const size of sorted) sums.push((sums.at(-1) ?? 0) + size);
-  return {
-    findPlace: (team) => sizes.get(team) ?? 0,
-    countAhead: (team, place) => {
-      const short = countBelow(sorted, place);
-      const all = (sums[short] ?? 0) + (sorted.length - short) * place;
-      return all - Math.min(place, sizes.get(team) ?? 0);
-    },
-  };
-}
-
 /** Requests of more important classes that some targets serve first. */
 function countAbove(admission: Admission, question: WaitQuestion): number {
   const above = priorities.slice(0, priorities.indexOf(question.priority));
@@ -141,20 +113,6 @@
   return count;
 }
 
-function countOverlap(team: TeamQueue, candidates: readonly string[]): number {
-  let count = 0;
-  for (const lane of listValues(team.lanes)) {
-    count += (lane.queue?.size ?? 0) * findOverlap(lane.candidates, candidates);
-  }
-  return count;
-}
-
-/** The share of a lane's work that falls on the targets in question. */
-function findOverlap(lane: readonly string[], candidates: readonly string[]): number {
-  const shared = lane.filter((name) => candidates.includes(name)).length;
-  return shared / Math.max(1, lane.length);
-}
-
 /** What more important classes leave of a target, by their recent use; never less than the guarantee. */
 function findShare(
   admission: Admission,
@@ -176,14 +134,3 @@
   }
   return stalled;
 }
-
-function countBelow(sorted: readonly number[], limit: number): number {
-  let low = 0;
-  let high = sorted.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if ((sorted[middle] ?? 0) < limit) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
