--- a/src/controller/admission/slots.ts
+++ b/src/controller/admission/slots.ts
@@ -3,7 +3,7 @@
 
 const serviceWeight = 0.05;
 /** The span over which the use of slots by each class is averaged. */
-const usedSpanMs = 5000;
+const usedSpanMs = 1000;
 
 const nothingUsed: Readonly<Record<Priority, number>> = {
   critical: 0,
