--- a/src/owner/group.ts
+++ b/src/owner/group.ts
@@ -217,6 +217,16 @@
     this.watch.observeFailure(target);
   }
 
+  /** Requests that wait for a slot. */
+  countQueued(): number {
+    const { waiting } = this.slots.summarise();
+    return Object.values(waiting).reduce((sum, count) => sum + count, 0);
+  }
+
+  listTargets(): readonly string[] {
+    return this.group.targets.map((t) => t.name);
+  }
+
   /** The connections by state over all targets, for metrics. */
   countConnections(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
