--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -1,4 +1,4 @@
-import { CallerServer } from "../caller/index.js";
+import type { CallerServer, RuleDecision } from "../caller/index.js";
 import type { ProxyReport } from "../command/index.js";
 import { ConfigurationKeeper, DrainKeeper, MembershipKeeper } from "../fleet/index.js";
 import { processEvents } from "../log/events/process.js";
@@ -20,19 +20,19 @@
   PeerLinks,
   PeerServer,
   RemoteGateway,
-  type LinkOptions,
   type PeerHandlers,
 } from "../peer/index.js";
 import { HttpObjectStore } from "../platform/index.js";
 import { matchRule } from "../policy/index.js";
-import type { ProxySettings, TlsSettings } from "../settings/index.js";
+import type { ProxySettings } from "../settings/index.js";
 import { loadParser } from "../sql/index.js";
 import { PgTargetConnector, PgTargetControl } from "../target/index.js";
-import { CertificateStore } from "../tls/index.js";
+import { createCallerServer } from "./callers.js";
 import { GroupDirectory } from "./directory.js";
 import { FleetGateway } from "./gateway.js";
 import { createMetricHooks } from "./hooks.js";
 import { describeGroup, encodeReport } from "./report.js";
+import { describeClientSecurity, loadCertificates, type Certificates } from "./security.js";
 
 const helperCount = 3;
 const closeIdleMs = 1000;
@@ -69,6 +69,7 @@
   private readonly peerServer: PeerServer;
   private readonly health: HealthServer;
   private readonly drainKeeper: DrainKeeper;
+  private listening: Omit<ProxyAddresses, "callers"> | undefined;
   private isReady = false;
   private teams: ReadonlyMap<string, Team> = new Map();
 
@@ -163,7 +164,18 @@
       remote,
     });
     this.peerServer = owned.add(this.createPeerServer());
-    this.callers = owned.add(this.createCallers());
+    this.callers = owned.add(
+      createCallerServer({
+        settings,
+        clock,
+        logger,
+        certificates: certificates.callers,
+        gateway: this.gateway,
+        hasGroup: (name) => this.directory.list().has(name),
+        match: (traits) => this.match(traits),
+        findTeam: (name) => this.teams.get(name),
+      }),
+    );
     this.health = owned.add(
       new HealthServer({
         metrics,
@@ -194,12 +206,21 @@
     });
   }
 
+  /** Begins to answer peers and operators, not yet callers. `start` does so unless it was done. */
+  async listen(): Promise<Omit<ProxyAddresses, "callers">> {
+    const { listen } = this.ports.settings;
+    this.listening ??= {
+      health: await this.health.listen(listen.health),
+      peers: await this.peerServer.listen(),
+    };
+    return this.listening;
+  }
+
   /** Starts every part; resolves when the proxy is ready for callers. */
   async start(): Promise<ProxyAddresses> {
-    const { settings, logger } = this.ports;
+    const { logger } = this.ports;
     await loadParser();
-    const health = await this.health.listen(settings.listen.health);
-    const peers = await this.peerServer.listen();
+    const { health, peers } = await this.listen();
     await this.membership.start();
     await this.directory.start();
     this.followMembership();
@@ -260,33 +281,6 @@
     return server;
   }
 
-  private createCallers(): CallerServer {
-    const { settings, logger, clock } = this.ports;
-    const { limits, drain } = settings;
-    const { callers } = this.certificates;
-    const keys = settings.sessionKeys.map((key) => Buffer.from(key.secret, "utf8"));
-    return new CallerServer({
-      address: settings.listen.callers,
-      gateway: this.gateway,
-      hasGroup: (name) => this.directory.list().has(name),
-      tokenKeys: () => keys,
-      clock,
-      logger,
-      match: (traits) => this.match(traits),
-      findTeam: (name) => this.teams.get(name),
-      ...(callers === undefined ? {} : { getSecureContext: callers.getSecureContext }),
-      limits: {
-        maxConnections: limits.connections,
-        maxConnectionsPerTeam: limits.connectionsPerTeam,
-        maxMessageBytes: limits.messageBytes,
-        startupMs: limits.startUpMs,
-        idleMs: limits.idleMs,
-        writeStallMs: limits.writeStallMs,
-        drainMs: drain.limitMs,
-      },
-    });
-  }
-
   private createHandlers(): PeerHandlers {
     return {
       getHello: () => this.membership.hello(),
@@ -318,7 +312,7 @@
       ?.targets.find((t) => t.name === target);
   }
 
-  private match(traits: RequestTraits): ReturnType<PeerMatch> {
+  private match(traits: RequestTraits): RuleDecision {
     const { name, then } = matchRule(this.configuration.current(), traits);
     return { rule: name, action: then };
   }
@@ -361,28 +355,6 @@
   }
 }
 
-interface Certificates {
-  readonly callers?: CertificateStore;
-  readonly peers?: CertificateStore;
-}
-
-async function loadCertificates({ settings, clock, logger }: ProxyPorts): Promise<Certificates> {
-  const load = (files: TlsSettings) =>
-    files.type === "off" ? undefined : CertificateStore.load({ files, clock, logger });
-  const callers = await load(settings.tls.callers);
-  const peers = await load(settings.tls.peers);
-  return {
-    ...(callers === undefined ? {} : { callers }),
-    ...(peers === undefined ? {} : { peers }),
-  };
-}
-
-function describeClientSecurity({ peers }: Certificates): Pick<LinkOptions, "getSecureOptions"> {
-  return peers === undefined ? {} : { getSecureOptions: peers.getClientOptions };
-}
-
-type PeerMatch = ConstructorParameters<typeof CallerServer>[0]["match"];
-
 function createStore(settings: ProxySettings, logger: Logger): HttpObjectStore {
   const [platform] = settings.platform;
   if (platform === undefined) throw new Error("the settings name no platform");
--- /dev/null
+++ b/src/proxy/security.ts
@@ -0,0 +1,41 @@
+import type { Logger } from "../log/index.js";
+import type { Clock } from "../model/index.js";
+import type { LinkOptions } from "../peer/index.js";
+import type { ProxySettings, TlsSettings } from "../settings/index.js";
+import { CertificateStore } from "../tls/index.js";
+
+/** What reading certificates needs. */
+export interface SecurityPorts {
+  readonly settings: ProxySettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** The certificates of each side; a side is absent where the settings turn TLS off. */
+export interface Certificates {
+  readonly callers?: CertificateStore;
+  readonly peers?: CertificateStore;
+}
+
+/** Reads the certificates that the settings name. Rejects when one can't be read. */
+export async function loadCertificates({
+  settings,
+  clock,
+  logger,
+}: SecurityPorts): Promise<Certificates> {
+  const load = (files: TlsSettings) =>
+    files.type === "off" ? undefined : CertificateStore.load({ files, clock, logger });
+  const callers = await load(settings.tls.callers);
+  const peers = await load(settings.tls.peers);
+  return {
+    ...(callers === undefined ? {} : { callers }),
+    ...(peers === undefined ? {} : { peers }),
+  };
+}
+
+/** The options of links to peers that carry this process's certificate. */
+export function describeClientSecurity({
+  peers,
+}: Certificates): Pick<LinkOptions, "getSecureOptions"> {
+  return peers === undefined ? {} : { getSecureOptions: peers.getClientOptions };
+}
--- /dev/null
+++ b/standin/fleet.ts
@@ -0,0 +1,182 @@
+import { openIncarnation } from "../src/controller/membership/index.js";
+import { silentLogger, type Logger } from "../src/log/index.js";
+import {
+  DisposableStore,
+  setViolationHandler,
+  type Address,
+  type Configuration,
+  type Disposable,
+  type Group,
+  type Vm,
+} from "../src/model/index.js";
+import { Proxy } from "../src/proxy/index.js";
+import { loadProxySettings, type ProxySettings } from "../src/settings/index.js";
+import { createSystemClock, createSystemRandom } from "../src/system/index.js";
+import { startCluster, type Cluster, type GroupOptions } from "./cluster.js";
+import { FaultyLink } from "./link.js";
+
+const host = "127.0.0.1";
+
+/** What a fleet in one process consists of. */
+export interface FleetOptions {
+  readonly vms?: number;
+  readonly groups?: readonly GroupOptions[];
+  readonly configuration?: Omit<Configuration, "revision" | "changeId">;
+  readonly logger?: Logger;
+}
+
+/** One proxy of the fleet, with the link by which the others reach it. */
+export interface FleetMember {
+  readonly vm: Vm;
+  readonly proxy: Proxy;
+  readonly callers: Address;
+  readonly link: FaultyLink;
+  /** Ends it without any farewell. */
+  kill(): Promise<void>;
+}
+
+/** Stand-ins and proxies in one process, joined by links that can be cut. */
+export interface Fleet extends Disposable {
+  readonly cluster: Cluster;
+  readonly members: readonly FleetMember[];
+  /** Links to the targets by name; the owner's and the replicas' connections pass them. */
+  readonly targetLinks: ReadonlyMap<string, FaultyLink>;
+  readonly platformLink: FaultyLink;
+  /** Every broken invariant that a part of the program noticed. */
+  readonly violations: readonly string[];
+}
+
+const defaultConfiguration: Omit<Configuration, "revision" | "changeId"> = {
+  teams: [
+    { name: "ferrante", plan: "paying" },
+    { name: "school", plan: "trial" },
+  ],
+  rules: [],
+};
+
+/** Starts a platform, groups, and proxies that know each other; all are ready when it resolves. */
+export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
+  const store = new DisposableStore();
+  const clusterOptions = options.groups === undefined ? {} : { groups: options.groups };
+  const cluster = await startCluster(clusterOptions);
+  store.add(cluster);
+  try {
+    return await joinFleet(store, cluster, options);
+  } catch (error) {
+    await store.dispose();
+    throw error;
+  }
+}
+
+async function joinFleet(
+  store: DisposableStore,
+  cluster: Cluster,
+  options: FleetOptions,
+): Promise<Fleet> {
+  const { platform } = cluster;
+  const { configuration = defaultConfiguration, vms: count = 3, logger = silentLogger } = options;
+  const platformLink = store.add(new FaultyLink(() => platform.address));
+  await platformLink.start();
+  const targetLinks = await linkTargets(store, cluster);
+  const value = { revision: 1, changeId: "first", ...configuration };
+  platform.objects.put("configuration", "current", value as never, 0);
+  const planned = await Promise.all(
+    Array.from({ length: count }, (_, i) => planMember(store, i, platformLink.address, logger)),
+  );
+  platform.setVms(planned.map((m) => m.vm));
+  const members = await Promise.all(planned.map((m) => startMember(store, m)));
+  const violations: string[] = [];
+  const before = setViolationHandler((invariant, detail) => {
+    violations.push(`${invariant}: ${detail}`);
+  });
+  store.defer(() => void setViolationHandler(before));
+  const dispose = () => store.dispose();
+  return { cluster, members, targetLinks, platformLink, violations, dispose };
+}
+
+/** Puts a link before each target and tells the platform the links' addresses. */
+async function linkTargets(
+  store: DisposableStore,
+  cluster: Cluster,
+): Promise<ReadonlyMap<string, FaultyLink>> {
+  const links = new Map<string, FaultyLink>();
+  const groups: Group[] = [];
+  for (const { name, targets } of cluster.groups) {
+    const linked: Group["targets"][number][] = [];
+    for (const standin of targets) {
+      const link = store.add(new FaultyLink(() => standin.address));
+      const address = await link.start();
+      links.set(standin.name, link);
+      linked.push({ ...standin.target, address });
+    }
+    groups.push({ name, targets: linked });
+  }
+  cluster.platform.setGroups(groups);
+  return links;
+}
+
+interface Planned {
+  readonly vm: Vm;
+  readonly proxy: Proxy;
+  readonly link: FaultyLink;
+  readonly listening: { address: Address | undefined };
+}
+
+async function planMember(
+  store: DisposableStore,
+  index: number,
+  platform: Address,
+  logger: Logger,
+): Promise<Planned> {
+  const name = `vm-${index + 1}`;
+  const proxy = await Proxy.create({
+    settings: buildSettings(name, platform),
+    logger,
+    clock: createSystemClock(),
+    random: createSystemRandom(),
+    incarnation: openIncarnation(Date.now()),
+  });
+  store.add(proxy);
+  const listening: Planned["listening"] = { address: undefined };
+  const link = store.add(new FaultyLink(() => listening.address ?? { host, port: 1 }));
+  const peer = await link.start();
+  return {
+    vm: { name, dataCentre: `dc-${index + 1}`, peer, state: "live" },
+    proxy,
+    link,
+    listening,
+  };
+}
+
+async function startMember(
+  store: DisposableStore,
+  { vm, proxy, link, listening }: Planned,
+): Promise<FleetMember> {
+  listening.address = (await proxy.listen()).peers;
+  const addresses = await proxy.start();
+  let isKilled = false;
+  const kill = async () => {
+    if (isKilled) return;
+    isKilled = true;
+    link.setRefusing(true);
+    await proxy.dispose();
+  };
+  store.defer(kill);
+  return { vm, proxy, callers: addresses.callers, link, kill };
+}
+
+function buildSettings(vm: string, platform: Address): ProxySettings {
+  const text = `
+vm: ${vm}
+dataCentre: dc-1
+listen: { callers: "${host}:1", peers: "${host}:1", health: "${host}:1" }
+platform: ["${platform.host}:${platform.port}"]
+tls: { callers: off, peers: off }
+sessionKeys: [{ id: test, secret: a-secret-of-the-tests-with-32-characters }]
+drain: { announce: 100ms, limit: 5s }
+`;
+  const loaded = loadProxySettings(text, "settings of the fleet");
+  if (loaded.type === "faulty") throw new Error(JSON.stringify(loaded.faults));
+  const any: Address = { host, port: 0 };
+  return { ...loaded.value, listen: { callers: any, peers: any, health: any } };
+}
