Use streams between proxies again

Cause: a stream of its own for each request cost more than the request. Ruled out: the codec (under a tenth of the profile) and the pings. Change: idle streams are kept for five seconds and used again while their connection gives signs of life; the owner is asked anew for each conversation. The owner's abort signal is one for each batch.

--- a/src/peer/client-stream.ts
+++ b/src/peer/client-stream.ts
@@ -49,9 +49,10 @@
   private readonly requests: AsyncQueue<ConverseRequest>;
   private trip: Trip | undefined;
   private failure: string | undefined;
+  private idleTimer: NodeJS.Timeout | undefined;
 
   constructor(
-    link: Link,
+    readonly link: Link,
     private readonly options: StreamOptions,
   ) {
     // An item handed over may be on its way; one still in the queue never will be after `drop`.
@@ -62,6 +63,23 @@
     void this.read(link.client.converse(this.requests, { signal }));
   }
 
+  /** Whether another batch can be sent. */
+  get isUsable(): boolean {
+    return this.failure === undefined && this.trip === undefined;
+  }
+
+  /** Finishes the stream by itself after `ms`, unless it is used before. */
+  startIdle(ms: number, onFinish: () => void): void {
+    this.idleTimer = setTimeout(() => {
+      onFinish();
+      this.finish();
+    }, ms).unref();
+  }
+
+  stopIdle(): void {
+    clearTimeout(this.idleTimer);
+  }
+
   /** Runs one batch. Never rejects. One at a time. */
   run(batch: Batch, sink: MessageSink, signal: AbortSignal): Promise<TripResult> {
     const { failure } = this;
--- a/src/peer/gateway.ts
+++ b/src/peer/gateway.ts
@@ -6,8 +6,9 @@
   Request,
   Vm,
 } from "../model/index.js";
-import { ClientStream, type StreamOptions, type TripResult } from "./client-stream.js";
+import type { ClientStream, StreamOptions, TripResult } from "./client-stream.js";
 import type { PeerLinks } from "./links.js";
+import { StreamPool } from "./pool.js";
 
 /** What a `RemoteGateway` is built from. */
 export interface RemoteGatewayOptions extends Omit<StreamOptions, "connectMs" | "onHello"> {
@@ -25,13 +26,13 @@
 
 /** Opens conversations with groups that other processes own. */
 export class RemoteGateway implements GroupGateway {
-  private readonly stream: StreamOptions;
+  private readonly pool: StreamPool;
   private readonly retryAfterMs: number;
 
   constructor(private readonly options: RemoteGatewayOptions) {
     const { clock, getHello, onHello = () => undefined } = options;
     const connectMs = options.connectMs ?? defaultConnectMs;
-    this.stream = { clock, getHello, onHello, connectMs };
+    this.pool = new StreamPool(options.links, { clock, getHello, onHello, connectMs });
     this.retryAfterMs = options.retryAfterMs ?? defaultRetryAfterMs;
   }
 
@@ -39,7 +40,8 @@
     const { links, findOwner } = this.options;
     return new RemoteConversation({
       findOwner: () => findOwner(group),
-      connect: (vm) => new ClientStream(links.open(vm.peer), this.stream),
+      take: (vm) => this.pool.take(vm),
+      give: (stream) => this.pool.give(stream),
       renew: (vm) => links.renew(vm.peer),
       retryAfterMs: this.retryAfterMs,
     });
@@ -48,7 +50,8 @@
 
 interface ConversationOptions {
   readonly findOwner: () => Vm | undefined;
-  readonly connect: (vm: Vm) => ClientStream;
+  readonly take: (vm: Vm) => Promise<ClientStream>;
+  readonly give: (stream: ClientStream) => void;
   readonly renew: (vm: Vm) => void;
   readonly retryAfterMs: number;
 }
@@ -88,15 +91,16 @@
 
   private end(): void {
     this.isClosed = true;
-    this.stream?.finish();
+    if (this.stream !== undefined) this.options.give(this.stream);
+    this.stream = undefined;
   }
 
   private async send(
     owner: Vm,
     ...[batch, sink, signal]: Parameters<ClientStream["run"]>
   ): Promise<TripResult> {
-    this.stream?.finish();
-    this.stream = this.options.connect(owner);
+    if (this.stream !== undefined) this.options.give(this.stream);
+    this.stream = await this.options.take(owner);
     const result = await this.stream.run(batch, sink, signal);
     if (result.type === "broken" && !result.sent && !signal.aborted) this.options.renew(owner);
     return result;
--- /dev/null
+++ b/src/peer/pool.ts
@@ -0,0 +1,47 @@
+import type { Vm } from "../model/index.js";
+import { ClientStream, type StreamOptions } from "./client-stream.js";
+import type { Link, PeerLinks } from "./links.js";
+
+const maxIdleStreams = 64;
+const idleMs = 5000;
+
+/**
+ * Keeps streams that have answered, for the next conversation: opening one costs several times as
+ * much as a request. A stream is used again only while its connection gives signs of life, since a
+ * batch sent into a silent one would end as "may have run".
+ */
+export class StreamPool {
+  private readonly idle = new WeakMap<Link, ClientStream[]>();
+
+  constructor(
+    private readonly links: PeerLinks,
+    private readonly options: StreamOptions,
+  ) {}
+
+  /** A stream to a VM that no conversation uses. */
+  async take(vm: Vm): Promise<ClientStream> {
+    const link = this.links.open(vm.peer);
+    const streams = this.idle.get(link) ?? [];
+    for (let stream = streams.pop(); stream !== undefined; stream = streams.pop()) {
+      stream.stopIdle();
+      if (stream.isUsable && (await link.session.isAlive())) return stream;
+      stream.finish();
+    }
+    return new ClientStream(link, this.options);
+  }
+
+  /** Takes a stream back whose conversation is over. */
+  give(stream: ClientStream): void {
+    const streams = this.idle.get(stream.link) ?? [];
+    if (!stream.isUsable || streams.length >= maxIdleStreams) {
+      stream.finish();
+      return;
+    }
+    this.idle.set(stream.link, streams);
+    streams.push(stream);
+    stream.startIdle(idleMs, () => {
+      const at = streams.indexOf(stream);
+      if (at >= 0) streams.splice(at, 1);
+    });
+  }
+}
--- a/src/peer/served-stream.ts
+++ b/src/peer/served-stream.ts
@@ -21,11 +21,12 @@
   private readonly answer = new AnswerBuffer((chunk) => this.send({ answer: chunk }));
   private conversation: Conversation | undefined;
   private running: Promise<void> | undefined;
+  private abort: AbortController | undefined;
 
   constructor(
     private readonly handlers: PeerHandlers,
     private readonly clock: Pick<Clock, "now">,
-    private readonly signal: AbortSignal,
+    signal: AbortSignal,
   ) {
     signal.addEventListener("abort", () => this.abandon(), { once: true });
   }
@@ -82,7 +83,9 @@
 
   private async runBatch(request: Request, messages: Uint8Array): Promise<Outcome> {
     if (this.conversation === undefined) return lostConversation;
-    return this.conversation.run(request, messages, this.answer.accept, this.signal);
+    // One for each batch: listeners to the stream's own would add up over its life.
+    this.abort = new AbortController();
+    return this.conversation.run(request, messages, this.answer.accept, this.abort.signal);
   }
 
   private send(response: MessageInitShape<typeof ConverseResponseSchema>): void {
@@ -98,6 +101,7 @@
   /** The peer is gone: whatever is not sent yet has no reader. */
   private abandon(): void {
     this.responses.drop();
+    this.abort?.abort(new Error("the peer gave the request up"));
     this.close();
   }
 
--- a/src/peer/session.ts
+++ b/src/peer/session.ts
@@ -51,6 +51,12 @@
     private readonly options: SessionOptions,
   ) {}
 
+  /** Whether there is a connection that gives a sign of life, now or just before. */
+  async isAlive(): Promise<boolean> {
+    const { current } = this;
+    return current !== undefined && isUsable(current) && (await this.verify(current));
+  }
+
   /** Opens a stream. Rejects with `ConnectError` when no connection could be had in time. */
   async request(
     method: string,
