Retry at the next owner, end connections in turn, split the connection

Cause: the loss of the proxy that owns a group showed as an error of every request on its way there; a caller's protocol error cut off the answers before it; a start-up could be drawn out byte by byte. Ruled out: retrying in RemoteGateway (policy belongs to the callers' side, and the answer must not have begun). Change: OwnerRetry with policy's planRetry; what may have run once stays 'may have run' whatever a later try says; ends wait for the batches before them; the start-up has one limit in all. Expiry, input queue and session holder are modules of their own.

--- a/src/caller/answer.ts
+++ b/src/caller/answer.ts
@@ -13,6 +13,8 @@
   /** What the replies so far change in the session. */
   readonly steps: SessionStep[] = [];
   hasFailed = false;
+  /** Whether a byte has gone to the caller. */
+  hasBegun = false;
   /** The answer did not fit the request; the connection to the caller can't go on. */
   isBroken = false;
   private completions = 0;
@@ -40,7 +42,9 @@
   finish(): void {
     const isWhole =
       this.replies === undefined ? this.completions > 0 : this.next === this.replies.length;
-    this.check(isWhole || this.hasFailed, () => "the answer ended before its last reply");
+    if (!this.isBroken) {
+      this.check(isWhole || this.hasFailed, () => "the answer ended before its last reply");
+    }
     if (this.held !== undefined && !this.isBroken) void this.output.write(this.held);
     this.close();
   }
@@ -54,6 +58,7 @@
   private hand(message: Uint8Array): Promise<void> | undefined {
     const before = this.held;
     const isComplete = message[0] === backend.commandComplete;
+    this.hasBegun ||= before !== undefined || !isComplete;
     // The sender may use the bytes again once this returns.
     this.held = isComplete ? Buffer.from(message) : undefined;
     const sent = before === undefined ? undefined : this.output.write(before);
--- a/src/caller/chain.ts
+++ b/src/caller/chain.ts
@@ -4,20 +4,18 @@
 import {
   assertInvariant,
   type Clock,
-  type Conversation,
   type IdempotencyKey,
-  type MessageSink,
   orderMarks,
   type Outcome,
+  type Random,
   type Request,
   type RequestTraits,
   type RuleAction,
-  type ServeAction,
   type Team,
 } from "../model/index.js";
-import type { Session } from "../session/index.js";
-import type { BatchPlan } from "./plan.js";
-import { opensTransaction, type TransactionState } from "./transaction.js";
+import { demand, findKind, type RequestContext } from "./context.js";
+import { OwnerRetry } from "./retry.js";
+import { opensTransaction } from "./transaction.js";
 
 /** What a rule says of a request. */
 export interface RuleDecision {
@@ -29,48 +27,25 @@
 export interface ChainOptions {
   readonly match: (traits: RequestTraits) => RuleDecision;
   readonly findTeam: (name: string) => Team | undefined;
-  readonly clock: Pick<Clock, "now">;
+  readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
 }
 
-/** One batch on its way through the chain. The optional parts are added on the way. */
-export interface RequestContext {
-  readonly id: string;
-  readonly session: Session;
-  readonly transaction: TransactionState;
-  readonly plan: BatchPlan;
-  readonly conversation: Conversation;
-  readonly sink: MessageSink;
-  readonly signal: AbortSignal;
-  /** The roster's entry now: an operator may have changed it since the session began. */
-  readonly team?: Team;
-  readonly traits?: RequestTraits;
-  readonly decision?: { readonly rule: string; readonly action: ServeAction };
-  readonly request?: Request;
-}
-
 const rosterRetryMs = 60_000;
 
-/** Builds the chain of a request: identify, classify, match, locate, answer. */
+/** Builds the chain of a request: identify, classify, match, locate, retry, answer. */
 export function buildRequestChain(options: ChainOptions): Next<RequestContext> {
   return composeFilters<RequestContext>([
     createIdentify(options),
     classify,
     createMatch(options),
     createLocate(options),
+    new OwnerRetry(options.clock, options.random, options.logger),
     answer,
   ]);
 }
 
-/** The caller's own word for a batch, where it gave one. */
-export function findKind(
-  { session, transaction }: Pick<RequestContext, "session" | "transaction">,
-  plan: BatchPlan,
-): string | undefined {
-  const ofTransaction = transaction.type === "open" ? transaction.kind : undefined;
-  return plan.tags.get("kind") ?? ofTransaction ?? session.kind;
-}
-
 function createIdentify({ findTeam }: ChainOptions): Filter<RequestContext> {
   return {
     name: "identify",
@@ -131,9 +106,10 @@
 const answer: Filter<RequestContext> = {
   name: "answer",
   apply: async (context) => {
-    const { conversation, plan, sink, signal } = context;
+    const { attempt, plan, signal } = context;
+    const { conversation, relay } = attempt;
     const request = demand(context.request);
-    const outcome = await conversation.run(request, plan.messages, sink, signal);
+    const outcome = await conversation.run(request, plan.messages, relay.accept, signal);
     assertOwnWritesSeen(request, outcome);
     return outcome;
   },
@@ -180,8 +156,3 @@
     message,
   };
 }
-
-function demand<T>(value: T | undefined): T {
-  if (value === undefined) throw new Error("a filter stands out of order in the chain");
-  return value;
-}
--- a/src/caller/connection.ts
+++ b/src/caller/connection.ts
@@ -4,9 +4,11 @@
 import type { Logger } from "../log/index.js";
 import type { Clock } from "../model/index.js";
 import type { Session } from "../session/index.js";
-import { type Batch, BatchCollector } from "./batch.js";
-import { type CallerError, encodeError, sqlStates } from "./errors.js";
+import { BatchCollector } from "./batch.js";
+import { type CallerError, describeVerdict, encodeError, sqlStates } from "./errors.js";
 import { ProtocolError } from "./frame.js";
+import { type ConnectionActivity, findExpired } from "./expiry.js";
+import { InputQueue, type QueuedInput, type QueuedItem } from "./input.js";
 import type { CallerLimits } from "./limits.js";
 import { frontend } from "./message.js";
 import { Output } from "./output.js";
@@ -44,24 +46,13 @@
   remove(connection: CallerConnection): void;
 }
 
-interface QueuedBatch {
-  readonly batch: Batch | { readonly type: "terminate" };
-  readonly bytes: number;
-}
-
-const maxQueuedBatches = 64;
-const maxQueuedBytes = 1024 * 1024;
-
 /** One caller's connection: its start-up, its batches in order, and its end. */
 export class CallerConnection implements WireHandlers {
   private wire: Wire;
   private output: Output;
   private runner: BatchRunner | undefined;
   private readonly collector: BatchCollector;
-  private readonly queue: QueuedBatch[] = [];
-  private queuedBytes = 0;
-  private pendingBytes = 0;
-  private heldBytes = 0;
+  private readonly input: InputQueue;
   private lastActiveAt: number;
   private isWorking = false;
   private isPaused = false;
@@ -74,6 +65,7 @@
     private readonly host: ConnectionHost,
   ) {
     const { limits, clock } = host;
+    this.input = new InputQueue((bytes) => host.countInput(bytes));
     this.collector = new BatchCollector(limits.maxMessageBytes);
     this.lastActiveAt = clock.now();
     this.output = new Output(socket, clock);
@@ -114,7 +106,7 @@
 
   /** Ends the connection when it has overstepped a limit in time. */
   checkTime(): void {
-    const expired = this.findExpired();
+    const expired = findExpired(this.describeActivity(), this.host.limits);
     if (expired === undefined) return;
     this.host.logger.write(callerEvents.dropped, { reason: expired.message });
     const isSilent = this.isEnding || this.output.blockedMs > 0;
@@ -150,6 +142,7 @@
     }
     const { session, applicationName, key } = welcome;
     this.runner = new BatchRunner(session, this.output, this.host.runner);
+    this.input.releaseAll();
     this.lastActiveAt = this.host.clock.now();
     this.host.logger.write(callerEvents.opened, { team: session.team.name, group: session.group });
     const { serverVersion } = this.host;
@@ -160,45 +153,54 @@
 
   onMessage(message: Uint8Array): void {
     if (this.isEnding) return;
-    this.pendingBytes += message.length;
+    this.input.addMessage(message.length);
     const batch =
       message[0] === frontend.terminate
         ? ({ type: "terminate" } as const)
         : this.collector.add(message);
-    if (batch === undefined) return;
-    this.queue.push({ batch, bytes: this.pendingBytes });
-    this.queuedBytes += this.pendingBytes;
-    this.pendingBytes = 0;
-    if (!this.isWorking) void this.work();
+    if (batch !== undefined) this.enqueue(batch);
   }
 
   onBytes(count: number): void {
-    this.lastActiveAt = this.host.clock.now();
-    this.heldBytes += count;
-    if (this.host.countInput(count)) return;
+    // The start-up has one limit in all: a caller could draw it out byte by byte.
+    if (this.runner !== undefined) this.lastActiveAt = this.host.clock.now();
+    if (this.input.hold(count)) return;
     const message = "all callers together have too many bytes waiting";
-    this.end({ severity: "FATAL", code: sqlStates.outOfMemory, message });
+    this.endInTurn({ severity: "FATAL", code: sqlStates.outOfMemory, message });
   }
 
   onTaken(): void {
-    if (this.queue.length < maxQueuedBatches && this.queuedBytes < maxQueuedBytes) return;
+    if (!this.input.isFull) return;
     this.isPaused = true;
     this.socket.pause();
   }
 
   onViolation(error: ProtocolError): void {
     this.host.logger.write(callerEvents.dropped, { reason: error.message });
-    this.end({ severity: "FATAL", code: sqlStates.protocolViolation, message: error.message });
+    const { message } = error;
+    this.endInTurn({ severity: "FATAL", code: sqlStates.protocolViolation, message });
+  }
+
+  /** Ends the connection once the batches that came before are answered. */
+  private endInTurn(error: CallerError): void {
+    this.wire.detach();
+    if (this.runner === undefined) this.end(error);
+    else this.enqueue({ type: "end", error });
+  }
+
+  private enqueue(item: QueuedItem): void {
+    this.input.push(item);
+    if (!this.isWorking) void this.work();
   }
 
   private async work(): Promise<void> {
     this.isWorking = true;
     try {
-      for (let next = this.queue.shift(); next !== undefined; next = this.queue.shift()) {
+      for (let next = this.input.shift(); next !== undefined; next = this.input.shift()) {
         if (!(await this.runNext(next))) break;
       }
     } catch (error) {
-      this.onViolation(error instanceof ProtocolError ? error : new ProtocolError(String(error)));
+      this.endBroken(error);
     }
     this.isWorking = false;
     this.lastActiveAt = this.host.clock.now();
@@ -206,33 +208,50 @@
     else this.endIfDrained();
   }
 
-  private async runNext({ batch, bytes }: QueuedBatch): Promise<boolean> {
-    const canRun = !this.isClosed && !this.isEnding && batch.type !== "terminate";
-    const goesOn = canRun && (await this.runner?.run(batch)) === true;
-    this.queuedBytes -= bytes;
-    this.giveBack(bytes);
+  private async runNext(next: QueuedInput): Promise<boolean> {
+    const goesOn = !this.isClosed && !this.isEnding && (await this.runItem(next.item));
+    this.input.release(next);
     if (goesOn) this.resume();
     else if (!this.isEnding) this.output.end();
     return goesOn;
   }
 
+  private async runItem(item: QueuedItem): Promise<boolean> {
+    switch (item.type) {
+      case "terminate":
+        return false;
+      case "end":
+        this.end(item.error);
+        return false;
+      case "query":
+      case "functionCall":
+      case "extended":
+        return (await this.runner?.run(item)) === true;
+    }
+  }
+
+  private endBroken(error: unknown): void {
+    const message = error instanceof Error ? error.message : String(error);
+    const isOfCaller = error instanceof ProtocolError;
+    const event = isOfCaller ? callerEvents.dropped : callerEvents.broken;
+    this.host.logger.write(event, { reason: message });
+    const code = isOfCaller ? sqlStates.protocolViolation : sqlStates.internalError;
+    this.end({ severity: "FATAL", code, message });
+  }
+
   private resume(): void {
-    if (!this.isPaused || this.queuedBytes > maxQueuedBytes / 2) return;
+    if (!this.isPaused || !this.input.hasRoom) return;
     this.isPaused = false;
     this.socket.resume();
   }
 
-  private giveBack(bytes: number): void {
-    const count = Math.min(bytes, this.heldBytes);
-    this.heldBytes -= count;
-    this.host.countInput(-count);
-  }
-
   private endIfDrained(): void {
-    const isInFlight = this.isWorking || this.queue.length > 0 || this.runner?.isInTransaction;
+    const isInFlight = this.isWorking || !this.input.isEmpty || this.runner?.isInTransaction;
     if (!this.isDraining || isInFlight === true || this.runner === undefined) return;
-    const message = "the proxy is leaving; connect again";
-    this.end({ severity: "FATAL", code: sqlStates.adminShutdown, message });
+    // A request that is on its way to here will not be read.
+    const verdict = { type: "notRun", reason: "draining", retryAfterMs: 0 } as const;
+    const error = describeVerdict(verdict, "the proxy is leaving; connect again");
+    this.end({ ...error, severity: "FATAL" });
   }
 
   private handleClose(): void {
@@ -241,7 +260,7 @@
     this.isEnding = true;
     this.wire.detach();
     this.runner?.abandon();
-    this.giveBack(this.heldBytes);
+    this.input.releaseAll();
     this.host.remove(this);
   }
 
@@ -253,31 +272,19 @@
     this.socket = secure;
   }
 
-  private findExpired(): CallerError | undefined {
-    const { limits, clock } = this.host;
-    const ms = clock.now() - this.lastActiveAt;
-    const expire = (code: string, message: string): CallerError => ({
-      severity: "FATAL",
-      code,
-      message,
-    });
-    if (
-      this.output.blockedMs > limits.writeStallMs ||
-      (this.isEnding && ms > limits.writeStallMs)
-    ) {
-      return expire(sqlStates.idleSession, "the caller does not read its answer");
-    }
-    if (this.runner === undefined && ms > limits.startupMs) {
-      return expire(sqlStates.protocolViolation, "the start-up took too long");
-    }
-    if (this.isWorking) return undefined;
-    if (this.wire.isPartial && ms > limits.messageStallMs) {
-      return expire(sqlStates.protocolViolation, "the rest of a message did not come");
-    }
-    if (this.runner?.isInTransaction === true && ms > limits.idleInTransactionMs) {
-      return expire(sqlStates.idleInTransaction, "a transaction was idle for too long");
-    }
-    const isIdle = ms > limits.idleMs;
-    return isIdle ? expire(sqlStates.idleSession, "the session was idle for too long") : undefined;
+  private describeActivity(): ConnectionActivity {
+    return {
+      state: this.findState(),
+      isInTransaction: this.runner?.isInTransaction === true,
+      isPartial: this.wire.isPartial,
+      quietMs: this.host.clock.now() - this.lastActiveAt,
+      blockedMs: this.output.blockedMs,
+    };
+  }
+
+  private findState(): ConnectionActivity["state"] {
+    if (this.isEnding) return "ending";
+    if (this.runner === undefined) return "starting";
+    return this.isWorking ? "running" : "idle";
   }
 }
--- a/src/caller/errors.ts
+++ b/src/caller/errors.ts
@@ -18,6 +18,7 @@
   featureNotSupported: "0A000",
   idleInTransaction: "25P03",
   idleSession: "57P05",
+  internalError: "XX000",
   invalidAuthorization: "28000",
   invalidParameter: "22023",
   invalidStatementName: "26000",
--- a/src/caller/runner.ts
+++ b/src/caller/runner.ts
@@ -1,24 +1,17 @@
 import type { Next } from "../filter/index.js";
 import { callerEvents } from "../log/events/caller.js";
 import type { Logger } from "../log/index.js";
-import type { GroupGateway, Outcome } from "../model/index.js";
-import {
-  applyStep,
-  describeToken,
-  type Session,
-  type SessionLimits,
-  type SessionStep,
-  signToken,
-  type TokenKey,
-} from "../session/index.js";
+import type { Conversation, GroupGateway, Outcome } from "../model/index.js";
+import type { Session, SessionLimits, SessionStep, TokenKey } from "../session/index.js";
 import { AnswerRelay } from "./answer.js";
 import type { Batch } from "./batch.js";
-import { findKind, type RequestContext } from "./chain.js";
+import { type Attempt, findKind, type RequestContext } from "./context.js";
 import { type CallerError, describeVerdict, encodeError, sqlStates } from "./errors.js";
 import { answerLocally, answerRollback } from "./local.js";
-import { encodeParameter, encodeReady } from "./message.js";
+import { encodeReady } from "./message.js";
 import type { Output } from "./output.js";
 import { type BatchPlan, planBatch } from "./plan.js";
+import { SessionHolder } from "./session-holder.js";
 import {
   findNextTransaction,
   findStatus,
@@ -37,11 +30,9 @@
   readonly logger: Logger;
 }
 
-/** The parameter that tells a caller its token. */
-export const tokenParameter = "radishwalk.session";
-
 /** Runs the batches of one session, one after the other, each to its `ReadyForQuery`. */
 export class BatchRunner {
+  private readonly session: SessionHolder;
   private transaction: TransactionState = noTransaction;
   /** After an error before a `Flush`, messages are passed over up to the `Sync`. */
   private isSkipping = false;
@@ -49,10 +40,12 @@
   private isCancelled = false;
 
   constructor(
-    private session: Session,
+    session: Session,
     private readonly output: Output,
     private readonly options: RunnerOptions,
-  ) {}
+  ) {
+    this.session = new SessionHolder(session, output, options.limits, options.tokenKeys);
+  }
 
   /** Whether an interactive transaction is open. */
   get isInTransaction(): boolean {
@@ -62,7 +55,7 @@
   /** Runs one batch. False when the connection can't go on. Throws `ProtocolError`. */
   async run(batch: Batch): Promise<boolean> {
     if (this.skip(batch)) return true;
-    const plan = planBatch(batch, this.session, this.options.limits);
+    const plan = planBatch(batch, this.session.state, this.options.limits);
     if (plan.type === "refused") return this.fail(batch, plan.error);
     const local = answerLocally(plan, this.options.tokenKeys());
     switch (local.type) {
@@ -102,7 +95,7 @@
 
   /** The token that the session would take along now. */
   signToken(): string {
-    return signToken(describeToken(this.session), this.options.tokenKeys());
+    return this.session.signToken();
   }
 
   private skip(batch: Batch): boolean {
@@ -116,32 +109,29 @@
 
   private async relay(batch: Batch, plan: BatchPlan): Promise<boolean> {
     const { transaction } = this;
-    const conversation =
-      transaction.type === "open"
-        ? transaction.conversation
-        : this.options.gateway.open(this.session.group);
-    const relay = new AnswerRelay(this.output, plan.replies);
+    const isOpen = transaction.type === "open";
+    const conversation = isOpen ? transaction.conversation : this.open();
+    let attempt: Attempt = { conversation, relay: new AnswerRelay(this.output, plan.replies) };
+    const beginAttempt = (): Attempt => {
+      attempt.conversation.close();
+      const relay = new AnswerRelay(this.output, plan.replies);
+      return (attempt = { conversation: this.open(), relay });
+    };
     const context: RequestContext = {
       id: this.options.createId(),
-      session: this.session,
+      session: this.session.state,
       transaction,
       plan,
-      conversation,
-      sink: relay.accept,
+      attempt,
+      ...(isOpen ? {} : { beginAttempt }),
       signal: this.begin(plan, transaction),
     };
     const outcome = await this.options.chain(context);
-    this.inFlight = undefined;
-    const kind = findKind(context, plan);
-    const { statements } = plan;
-    this.transaction = findNextTransaction(
-      transaction,
-      { conversation, statements, kind },
-      outcome,
-    );
-    if (this.transaction.type !== "open") conversation.close();
-    this.finishSteps(batch, plan, relay);
-    return this.finish(batch, context, relay, outcome);
+    return this.finish(batch, context, attempt, outcome);
+  }
+
+  private open(): Conversation {
+    return this.options.gateway.open(this.session.state.group);
   }
 
   private begin(plan: BatchPlan, transaction: TransactionState): AbortSignal {
@@ -152,43 +142,69 @@
   }
 
   private finishSteps(batch: Batch, plan: BatchPlan, relay: AnswerRelay): void {
-    this.applySteps(relay.steps);
-    if (batch.type === "query") this.applySteps([{ type: "closeStatement", name: "" }]);
+    this.session.apply(relay.steps);
+    if (batch.type === "query") this.session.apply([{ type: "closeStatement", name: "" }]);
     const usesKey = plan.effect === "write" && plan.statements.some((s) => s.type === "plain");
-    if (usesKey) this.applySteps([{ type: "setIdempotencyKey" }]);
+    if (usesKey) this.session.apply([{ type: "setIdempotencyKey" }]);
   }
 
   private finish(
     batch: Batch,
     context: RequestContext,
-    relay: AnswerRelay,
+    { conversation, relay }: Attempt,
     outcome: Outcome,
   ): boolean {
-    const { logger } = this.options;
-    const request = context.id;
-    switch (outcome.type) {
-      case "answered":
-        relay.finish();
-        logger.write(callerEvents.answered, { request, ...outcome.servedBy });
-        if (relay.isBroken) return this.breakOff();
-        this.see(outcome.mark);
-        if (relay.hasFailed && isFlush(batch)) this.isSkipping = true;
-        this.sendReady(batch, findStatus(this.transaction));
-        return true;
-      case "failed": {
-        relay.close();
-        logger.write(callerEvents.failed, { request, ...outcome });
-        if (relay.isBroken) return this.breakOff();
-        const error = this.describeFailure(outcome);
-        // The target's own error has gone out before; a second one would pass for the next answer.
-        return relay.hasFailed ? this.endFailed(batch) : this.sendFailure(batch, error);
-      }
-    }
+    const { plan, transaction } = context;
+    const kind = findKind(context, plan);
+    const { statements } = plan;
+    this.transaction = findNextTransaction(
+      transaction,
+      { conversation, statements, kind },
+      outcome,
+    );
+    if (this.transaction.type !== "open") conversation.close();
+    this.finishSteps(batch, plan, relay);
+    const goesOn =
+      outcome.type === "answered"
+        ? this.finishAnswered(batch, context.id, relay, outcome)
+        : this.finishFailed(batch, context.id, relay, outcome);
+    this.inFlight = undefined;
+    return goesOn;
+  }
+
+  private finishAnswered(
+    batch: Batch,
+    request: string,
+    relay: AnswerRelay,
+    outcome: Extract<Outcome, { type: "answered" }>,
+  ): boolean {
+    relay.finish();
+    this.options.logger.write(callerEvents.answered, { request, ...outcome.servedBy });
+    if (relay.isBroken) return this.breakOff();
+    this.session.see(outcome.mark);
+    if (relay.hasFailed && isFlush(batch)) this.isSkipping = true;
+    this.sendReady(batch, findStatus(this.transaction));
+    return true;
+  }
+
+  private finishFailed(
+    batch: Batch,
+    request: string,
+    relay: AnswerRelay,
+    outcome: Extract<Outcome, { type: "failed" }>,
+  ): boolean {
+    relay.close();
+    this.options.logger.write(callerEvents.failed, { request, ...outcome });
+    if (relay.isBroken) return this.breakOff();
+    // The target's own error has gone out before; a second one would pass for the next answer.
+    if (relay.hasFailed) return this.endFailed(batch);
+    return this.sendFailure(batch, this.describeFailure(outcome));
   }
 
   private describeFailure(outcome: Extract<Outcome, { type: "failed" }>): CallerError {
     const error = describeVerdict(outcome.verdict, outcome.message);
-    const isHarmless = outcome.verdict.type === "notRun" || this.transaction.type === "aborted";
+    // What was cancelled and changed nothing is what the caller wanted; a write may have landed.
+    const isHarmless = outcome.verdict.type === "notRun" || this.inFlight?.isWrite === false;
     return this.isCancelled && isHarmless ? { ...error, code: sqlStates.queryCancelled } : error;
   }
 
@@ -229,7 +245,7 @@
     messages: readonly Uint8Array[],
     steps: readonly SessionStep[],
   ): boolean {
-    const failure = this.applySteps(steps);
+    const failure = this.session.apply(steps);
     if (failure !== undefined) {
       const message = `radishwalk setting refused: ${failure}`;
       return this.fail(batch, { severity: "ERROR", code: sqlStates.invalidParameter, message });
@@ -239,21 +255,6 @@
     return true;
   }
 
-  private see(mark: Extract<Outcome, { type: "answered" }>["mark"]): void {
-    if (mark !== undefined) this.applySteps([{ type: "see", group: this.session.group, mark }]);
-  }
-
-  private applySteps(steps: readonly SessionStep[]): string | undefined {
-    for (const step of steps) {
-      const result = applyStep(this.session, step, this.options.limits);
-      if (result.type === "failed") return result.failure;
-      this.session = result.state;
-      if (result.effects.length > 0)
-        void this.output.write(encodeParameter(tokenParameter, this.signToken()));
-    }
-    return undefined;
-  }
-
   private sendReady(batch: Batch, status: "I" | "T" | "E"): void {
     if (!isFlush(batch)) void this.output.write(encodeReady(status));
   }
--- a/src/caller/server.ts
+++ b/src/caller/server.ts
@@ -3,7 +3,7 @@
 import type { SecureContext } from "node:tls";
 import { callerEvents } from "../log/events/caller.js";
 import { type Logger, silentLogger } from "../log/index.js";
-import type { Address, Clock, Disposable, GroupGateway } from "../model/index.js";
+import type { Address, Clock, Disposable, GroupGateway, Random } from "../model/index.js";
 import { applyStep, createSession, type Session, type TokenKey } from "../session/index.js";
 import { buildRequestChain, type ChainOptions } from "./chain.js";
 import { CallerConnection, type ConnectionHost, type Welcome } from "./connection.js";
@@ -20,7 +20,7 @@
 } from "./startup.js";
 
 /** What a `CallerServer` is built from. */
-export interface CallerServerOptions extends Omit<ChainOptions, "clock" | "logger"> {
+export interface CallerServerOptions extends Omit<ChainOptions, "random" | "logger"> {
   /** Port 0 takes a free one. */
   readonly address: Address;
   readonly gateway: GroupGateway;
@@ -28,7 +28,8 @@
   readonly hasGroup: (name: string) => boolean;
   /** The first key signs session tokens, every key verifies them. */
   readonly tokenKeys: () => readonly TokenKey[];
-  readonly clock: Clock;
+  /** The runtime's own generator, where absent. */
+  readonly random?: Random;
   readonly logger?: Logger;
   readonly limits?: Partial<CallerLimits>;
   /** The certificate of new connections. Without it callers are served in plain text. */
@@ -68,7 +69,8 @@
     this.logger = logger;
     this.serverVersion = options.serverVersion ?? defaultServerVersion;
     if (options.getSecureContext !== undefined) this.getSecureContext = options.getSecureContext;
-    const chain = buildRequestChain({ ...options, logger });
+    const { random = { draw: Math.random } } = options;
+    const chain = buildRequestChain({ ...options, random, logger });
     this.runner = { chain, gateway, limits: this.limits, tokenKeys, createId, logger };
     this.server = createServer({ noDelay: true, keepAlive: true }, (socket) => this.admit(socket));
   }
--- /dev/null
+++ b/src/caller/session-holder.ts
@@ -0,0 +1,53 @@
+import type { Mark } from "../model/index.js";
+import {
+  applyStep,
+  describeToken,
+  type Session,
+  type SessionFailure,
+  type SessionLimits,
+  type SessionStep,
+  signToken,
+  type TokenKey,
+} from "../session/index.js";
+import { encodeParameter } from "./message.js";
+import type { Output } from "./output.js";
+import { tokenParameter } from "./startup.js";
+
+/** Holds a session's state and tells the caller its token whenever the marks have grown. */
+export class SessionHolder {
+  constructor(
+    private session: Session,
+    private readonly output: Output,
+    private readonly limits: SessionLimits,
+    private readonly tokenKeys: () => readonly TokenKey[],
+  ) {}
+
+  get state(): Session {
+    return this.session;
+  }
+
+  /** Applies steps up to the first that fails. */
+  apply(steps: readonly SessionStep[]): SessionFailure | undefined {
+    for (const step of steps) {
+      const result = applyStep(this.session, step, this.limits);
+      if (result.type === "failed") return result.failure;
+      this.session = result.state;
+      if (result.effects.length > 0) this.tellToken();
+    }
+    return undefined;
+  }
+
+  /** The session must see `mark` from now on. */
+  see(mark: Mark | undefined): void {
+    if (mark !== undefined) this.apply([{ type: "see", group: this.session.group, mark }]);
+  }
+
+  /** The token that the session would take along now. */
+  signToken(): string {
+    return signToken(describeToken(this.session), this.tokenKeys());
+  }
+
+  private tellToken(): void {
+    void this.output.write(encodeParameter(tokenParameter, this.signToken()));
+  }
+}
--- a/src/caller/startup.ts
+++ b/src/caller/startup.ts
@@ -2,7 +2,6 @@
 import { settingPrefix } from "../sql/index.js";
 import { type CallerError, sqlStates } from "./errors.js";
 import { backend, encodeInt32, encodeMessage, encodeParameter, encodeReady } from "./message.js";
-import { tokenParameter } from "./runner.js";
 
 /** What a caller says of itself when it connects. */
 export interface Introduction {
@@ -20,6 +19,9 @@
   readonly secret: number;
 }
 
+/** The parameter that tells a caller its token. */
+export const tokenParameter = "radishwalk.session";
+
 const kindPrefix = "kind=";
 const utf8Names: ReadonlySet<string> = new Set(["utf8", "utf-8", "unicode", "'utf-8'", "'utf8'"]);
 
--- a/src/log/events/caller.ts
+++ b/src/log/events/caller.ts
@@ -34,6 +34,12 @@
     level: "warn",
     text: "A caller overstepped a limit or broke the protocol and was disconnected.",
   },
+  broken: {
+    id: 1006,
+    name: "callerBroken",
+    level: "error",
+    text: "A caller's connection was ended by a fault of the proxy itself.",
+  },
   tokenRejected: {
     id: 1005,
     name: "sessionTokenRejected",
@@ -64,6 +70,12 @@
     level: "info",
     text: "A caller asked to cancel the request it has in flight.",
   },
+  retried: {
+    id: 1014,
+    name: "requestRetriedElsewhere",
+    level: "info",
+    text: "A request whose owner was lost is tried again at whoever owns the group now.",
+  },
   draining: {
     id: 1020,
     name: "callersDraining",
--- /dev/null
+++ b/test/caller/protocol.test.ts
@@ -0,0 +1,189 @@
+import { afterEach, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import pgProtocol from "pg-protocol";
+import { setViolationHandler, type Outcome } from "../../src/model/index.js";
+import {
+  failed,
+  FakeGroup,
+  type Reply,
+  sendRaw,
+  serve,
+  startServer,
+  startupMessage,
+} from "./fake.js";
+
+const { bind, close, describe, end, execute, flush, parse, query, sync } = pgProtocol.serialize;
+
+type Running = Awaited<ReturnType<typeof startServer>>;
+let running: Running | undefined;
+
+afterEach(async () => {
+  await running?.stop();
+  running = undefined;
+});
+
+async function start(
+  reply?: (statement: string) => Reply,
+  options?: Parameters<typeof startServer>[1],
+) {
+  const group = new FakeGroup(reply);
+  running = await startServer(group, options);
+  return { group, ...running };
+}
+
+const hello = startupMessage({ user: "acme", database: "g" });
+
+/** Sends messages after the start-up and gives the types of the answer, one word for each `Z`. */
+async function ask(messages: readonly Uint8Array[]): Promise<readonly string[]> {
+  if (running === undefined) throw new Error("no server");
+  const answer = await sendRaw(running.address, hello, Buffer.concat([...messages, end()]));
+  let types = "";
+  for (let at = 0; at < answer.length; at += answer.readUInt32BE(at + 1) + 1) {
+    types += String.fromCharCode(answer[at] ?? 0);
+    expect(at + answer.readUInt32BE(at + 1) + 1).toBeLessThanOrEqual(answer.length);
+  }
+  return types.split("Z").slice(1);
+}
+
+const p = { name: "p", text: "select v from t" };
+const useP = [bind({ statement: "p" }), execute(), sync()];
+
+test("a statement described before a Flush can be bound afterwards", async () => {
+  const { group } = await start();
+  const described = [parse(p), describe({ type: "S", name: "p" }), flush()];
+  expect(await ask([...described, ...useP])).toEqual(["1T2C", ""]);
+  expect(group.frames.join("")).toBe("PDSPBES");
+});
+
+test("an error before a Flush passes over what follows up to the Sync", async () => {
+  const { group } = await start();
+  const described = [describe({ type: "S", name: "p" }), flush()];
+  expect(await ask([...described, parse(p), flush(), ...useP, query("select 1")])).toEqual([
+    "E",
+    "C",
+    "",
+  ]);
+  expect(group.statements).toEqual(["select 1"]);
+});
+
+test("an empty batch and the closing of a statement need no target", async () => {
+  const { group } = await start();
+  expect(await ask([sync(), query(""), close({ type: "S", name: "p" }), sync()])).toEqual([
+    "",
+    "I",
+    "3",
+    "",
+  ]);
+  expect(group.requests).toEqual([]);
+});
+
+test("names are the session's: taken, unknown, closed and discarded", async () => {
+  await start();
+  const answers = await ask([
+    ...[parse(p), sync()],
+    ...[parse(p), sync()],
+    ...useP,
+    ...[close({ type: "S", name: "p" }), sync()],
+    ...useP,
+    ...[parse(p), sync()],
+    query("discard all"),
+    ...useP,
+  ]);
+  expect(answers).toEqual(["1", "E", "2C", "3", "E", "1", "C", "E", ""]);
+});
+
+test("a broken message ends the connection after the answers that are due", async () => {
+  await start();
+  const bad = Buffer.from("B\0\0\0\x05x");
+  expect(await ask([query("select 1"), bad, sync(), query("select 2")])).toEqual(["C", "E"]);
+});
+
+// A target's answer does not fit the request, so it may be another caller's. In a program the
+// violation is counted and logged, not thrown; the caller must get an error and no byte of it.
+test("an answer that does not fit is replaced by an error", async () => {
+  await start(() => ({ raw: Buffer.from("1\0\0\0\x04") }));
+  const violations: string[] = [];
+  const before = setViolationHandler((invariant) => violations.push(invariant));
+  expect(await ask([parse(p), ...useP, query("select 1")])).toEqual(["12E"]);
+  setViolationHandler(before);
+  expect(violations).toEqual(["wholeOwnAnswer"]);
+});
+
+const retrying = () => ({
+  rule: "r",
+  action: { ...serve, retry: { attempts: 2 } } as typeof serve,
+});
+const lost: Outcome = {
+  type: "failed",
+  verdict: { type: "notRun", reason: "noOwner", retryAfterMs: 1 },
+  message: "gone",
+};
+
+/** Answers with each of `outcomes` in turn, then as usual. */
+function replyInTurn(...outcomes: readonly Outcome[]): () => Reply {
+  const left = [...outcomes];
+  return () => {
+    const outcome = left.shift();
+    return outcome === undefined ? {} : { outcome };
+  };
+}
+
+// The proxy that owns the group dies; the next owner is known a moment later.
+test.each([
+  ["a write that has not run", "insert into t values (1)", lost],
+  ["a read that may have run", "select 1", failed("mayHaveRun")],
+  ["a keyed write", "insert into t values (1) /*idempotency_key='k'*/", failed("mayHaveRun")],
+])("%s is tried again when its owner was lost", async (_, text, outcome) => {
+  const { connect, group } = await start(replyInTurn(outcome), { match: retrying });
+  const client = await connect();
+  expect((await client.query(text)).command).toMatch(/SELECT|INSERT/);
+  expect([group.opened, group.closed]).toEqual([2, 2]);
+});
+
+// The keyed write may have landed at the owner that was lost, and the next one refuses it.
+// "Not run" would be true of the second try alone, and the caller would book the cello again.
+test("a second try that did not run leaves the first one's verdict", async () => {
+  const { connect } = await start(replyInTurn(failed("mayHaveRun"), failed("notRun")), {
+    match: retrying,
+  });
+  const client = await connect();
+  const pending = client.query("insert into t values (1) /*idempotency_key='k'*/");
+  await expect(pending).rejects.toMatchObject({ code: "08007" });
+});
+
+test.each([
+  ["a write without a key", "insert into t values (1)", failed("mayHaveRun")],
+  ["what the owner refuses", "select 1", failed("notRun")],
+])("%s is not tried again", async (_, text, outcome) => {
+  const { connect, group } = await start(replyInTurn(outcome), { match: retrying });
+  const client = await connect();
+  await expect(client.query(text)).rejects.toMatchObject({ detail: /verdict/ });
+  expect(group.statements).toEqual([text]);
+});
+
+test("whatever comes in whatever order, each Sync and Query gets one answer", async () => {
+  await start((text) => {
+    if (text.startsWith("bad")) return { error: "no" };
+    if (text === "lost") return { outcome: failed("notRun") };
+    return { status: text === "begin" || text === "in" ? "T" : "I" };
+  });
+  const names = fc.constantFrom("", "a", "b");
+  const texts = fc.constantFrom("select 1", "begin", "in", "bad", "lost", "commit", "listen x", "");
+  const message = fc.oneof(
+    fc.tuple(names, texts).map(([name, text]) => parse({ name, text })),
+    names.map((statement) => bind({ statement })),
+    names.map((name) => describe({ type: "S", name })),
+    names.map((name) => close({ type: "S", name })),
+    texts.map(query),
+    ...[execute(), sync(), sync(), flush(), describe({ type: "P" })].map(fc.constant),
+  );
+  await fc.assert(
+    fc.asyncProperty(fc.array(message, { maxLength: 24 }), async (list) => {
+      const due = list.filter((m) => m[0] === 0x53 || m[0] === 0x51).length;
+      const answers = (await ask([...list, sync()])).slice(0, -1);
+      expect(answers).toHaveLength(due + 1);
+      for (const types of answers) expect(types).toMatch(/^[^E]*E?[^E]*$/);
+    }),
+    { seed: 17, numRuns: 150 },
+  );
+});
