--- a/src/log/events/peer.ts
+++ b/src/log/events/peer.ts
@@ -24,7 +24,7 @@
   },
   certificatesRead: {
     id: 6510,
-    name: "certificatesRead",
+    name: "certificatesReread",
     level: "info",
     text: "Certificates were read; connections to come use them.",
   },
