--- a/src/tls/store.ts
+++ b/src/tls/store.ts
@@ -2,7 +2,7 @@
 import { readFile } from "node:fs/promises";
 import type { SecureClientSessionOptions, SecureServerOptions } from "node:http2";
 import { createSecureContext, type SecureContext } from "node:tls";
-import { peerEvents } from "../log/events/peer.js";
+import { processEvents } from "../log/events/process.js";
 import { type Logger, silentLogger } from "../log/index.js";
 import type { Clock, Disposable } from "../model/index.js";
 
@@ -104,10 +104,10 @@
       this.seen = content;
       this.context = createContext(certificates);
       this.certificates = certificates;
-      logger.write(peerEvents.certificatesRead, { ...files });
+      logger.write(processEvents.certificatesRead, { ...files });
       for (const handle of this.handlers) handle();
     } catch (error) {
-      logger.write(peerEvents.certificatesUnreadable, { ...files, reason: String(error) });
+      logger.write(processEvents.certificatesFaulty, { ...files, reason: String(error) });
     }
   }
 }
