Let nothing commit after a crash of the stand-in target

Cause: kill() broke the connections, but statements that held or awaited a slot went on in the process and committed after a restart, which no crashed server does. Change: sessions are told of the crash; their backends roll back and refuse to run or commit. A sink's own wait no longer counts as the target's silence (PgTargetSession).

--- a/src/target/session.ts
+++ b/src/target/session.ts
@@ -78,8 +78,9 @@
       this.drop(error instanceof Error ? error.message : String(error));
       return;
     }
+    if (this.isDelivering) return;
     this.watchProgress();
-    if (!this.isDelivering) void this.deliver();
+    void this.deliver();
   }
 
   /** Hands the messages on one by one. The socket rests while a sink is not ready for more. */
--- a/standin/target/backend.ts
+++ b/standin/target/backend.ts
@@ -48,6 +48,7 @@
 export class Backend {
   private open: OpenTransaction | undefined;
   private readonly settings = new SessionSettings();
+  private isKilled = false;
   /** The mark of the connection's last commit that changed something. */
   lastCommit: Mark | undefined;
 
@@ -93,6 +94,12 @@
     for (const tell of open?.fates ?? []) tell({ type: "rolledBack" });
   }
 
+  /** Ends it with the target: what was under way must not commit after the crash. */
+  kill(): void {
+    this.isKilled = true;
+    this.rollBack();
+  }
+
   describe(node: Node, parameters: readonly (string | null)[]): readonly Field[] | undefined {
     const context = this.buildContext(parameters);
     const fields = this.services.control.describe(node);
@@ -114,6 +121,7 @@
     try {
       await this.work(findSleep(statement.node, context));
       await faults.running.wait();
+      this.checkAlive();
       const tell = record.begin(statement.text, this.connection);
       open.fates.push(tell);
       try {
@@ -129,6 +137,10 @@
     }
   }
 
+  private checkAlive(): void {
+    if (this.isKilled) throw new SqlError("57P02", "the target has crashed");
+  }
+
   private async work(extraMs: number): Promise<void> {
     const ms = this.services.serviceMs * this.services.faults.slowFactor + extraMs;
     if (ms > 0) await sleep(ms);
@@ -167,6 +179,7 @@
   }
 
   private commit(): void {
+    this.checkAlive();
     const { open } = this;
     if (open === undefined) return;
     const mark = this.tryCommit(open.transaction);
--- a/standin/target/listener.ts
+++ b/standin/target/listener.ts
@@ -23,6 +23,7 @@
   readonly socket: Socket;
   readonly output: Output;
   isOrdinary: boolean;
+  session?: Session;
 }
 
 const announced = {
@@ -79,7 +80,10 @@
   async stop(): Promise<void> {
     const { server } = this;
     this.server = undefined;
-    for (const { socket } of this.open) socket.destroy();
+    for (const { socket, session } of this.open) {
+      session?.kill();
+      socket.destroy();
+    }
     if (server !== undefined) await new Promise((resolve) => server.close(resolve));
   }
 
@@ -113,7 +117,8 @@
     if (database === replicationDatabase) gates.push(replication);
     const { socket, output } = connection;
     const ready = this.greet(connection, id, connection.isOrdinary && isFull, gates);
-    relayMessages(socket, new Session(socket, output, this.services, id, gates, ready));
+    connection.session = new Session(socket, output, this.services, id, gates, ready);
+    relayMessages(socket, connection.session);
   }
 
   private async greet(
--- a/standin/target/session.ts
+++ b/standin/target/session.ts
@@ -58,6 +58,13 @@
     if (!this.isBusy) void this.work();
   }
 
+  /** Ends it with the target. */
+  kill(): void {
+    this.queue.length = 0;
+    this.backend.kill();
+    this.socket.destroy();
+  }
+
   private async work(): Promise<void> {
     this.isBusy = true;
     await this.ready;
--- a/test/standin/target.test.ts
+++ b/test/standin/target.test.ts
@@ -168,16 +168,36 @@
   expect((await (await connect(target)).query("SELECT * FROM seat")).rowCount).toBe(1);
 });
 
-test("after a kill the log is what it was", async () => {
-  const [target] = await start();
-  const client = await connect(target);
-  await client.query(create);
+// The target crashes while a statement holds a slot and another waits for one. Neither may commit
+// after the restart: its callers were told that the connection broke, and have read since.
+test("after a kill the log is what it was, and nothing under way commits later", async () => {
+  const [target] = await start({ slots: 1 });
+  const [a, b] = [await connect(target), await connect(target)];
+  await a.query(create);
+  const slow = "INSERT INTO seat SELECT 1, 'ana' FROM generate_series(1, 1); SELECT pg_sleep(0.05)";
+  const lost = [a.query(slow), b.query("INSERT INTO seat VALUES (2, 'ion')")];
+  const ended = Promise.allSettled(lost);
+  while (target.slots.waiting === 0) await new Promise((resolve) => setImmediate(resolve));
   await target.kill();
   await expect(connect(target)).rejects.toThrow();
   await target.start();
+  expect((await ended).map((e) => e.status)).toEqual(["rejected", "rejected"]);
+  while (target.slots.busy > 0) await new Promise((resolve) => setImmediate(resolve));
   expect((await (await connect(target)).query("SELECT * FROM seat")).rowCount).toBe(0);
 });
 
+test("a replica finds its primary again after a cut and after a restart", async () => {
+  const [primary, replica] = await start({}, 2);
+  replica.faults.replication.close();
+  await (await connect(primary)).query(create);
+  replica.faults.replication.open();
+  await waitStatus(replica, (s) => s.mark.offset === 1);
+  await primary.kill();
+  await primary.start();
+  await (await connect(primary)).query("INSERT INTO seat VALUES (1, 'ana')");
+  await waitStatus(replica, (s) => s.mark.offset === 2);
+});
+
 test("a frozen target answers once it goes on; a silenced connection never does", async () => {
   const [target] = await start();
   const client = await connect(target);
--- a/test/target/target.test.ts
+++ b/test/target/target.test.ts
@@ -53,6 +53,33 @@
   expect(begun).toEqual({ type: "ready", status: "T" });
 });
 
+// The second statement of a pipeline fails. The messages up to Sync are passed over, and the first
+// statement's change is undone with it, since both belong to one implicit transaction.
+test("an error within a pipeline undoes the pipeline and ends at its Sync", async () => {
+  const [target] = await start();
+  const session = await open(target);
+  const run = (texts: readonly string[]) => {
+    const answer = collect();
+    const parts = texts.flatMap((text) => [
+      serialize.parse({ text }),
+      serialize.bind({}),
+      serialize.execute({}),
+    ]);
+    const result = session.exchange(
+      Buffer.concat([...parts, serialize.sync()]),
+      answer.sink,
+      never,
+    );
+    return result.then((r) => ({ result: r, codes: answer.codes() }));
+  };
+  await run(["CREATE TABLE seat (id int PRIMARY KEY)"]);
+  const insert = "INSERT INTO seat VALUES (1)";
+  const failed = await run([insert, insert, "INSERT INTO seat VALUES (2)"]);
+  expect(failed).toEqual({ result: { type: "ready", status: "I" }, codes: "12C12E" });
+  expect(await run(["SELECT id FROM seat"])).toMatchObject({ codes: "12C" });
+  expect(target.member.status.mark.offset).toBe(1);
+});
+
 test("a slow sink gets a large answer whole and in order", async () => {
   const session = await open((await start())[0]);
   let rows = 0;
