Make the crash test fail when its safeguard is off

Change: the statement under way is a query string whose second statement would begin after the crash.

--- a/test/standin/target.test.ts
+++ b/test/standin/target.test.ts
@@ -174,7 +174,7 @@
   const [target] = await start({ slots: 1 });
   const [a, b] = [await connect(target), await connect(target)];
   await a.query(create);
-  const slow = "INSERT INTO seat SELECT 1, 'ana' FROM generate_series(1, 1); SELECT pg_sleep(0.05)";
+  const slow = "SELECT pg_sleep(0.05); INSERT INTO seat VALUES (1, 'ana')";
   const lost = [a.query(slow), b.query("INSERT INTO seat VALUES (2, 'ion')")];
   const ended = Promise.allSettled(lost);
   while (target.slots.waiting === 0) await new Promise((resolve) => setImmediate(resolve));
