Begin names of functions with the verbs of the list

Cause: the stand-ins and src/target used words that DEVELOPERS.md does not list (flush, align, work). Change: renamed by the compiler's own rename, no behaviour touched.

--- a/src/load/run.ts
+++ b/src/load/run.ts
@@ -80,12 +80,12 @@
     const [first] = groups[i] ?? [];
     if (first === undefined || done.has(population.group)) continue;
     done.add(population.group);
-    await insist(() => createTable(first));
+    await retry(() => createTable(first));
   }
-  await Promise.all(groups.flat().map((caller) => insist(() => registerCaller(caller))));
+  await Promise.all(groups.flat().map((caller) => retry(() => registerCaller(caller))));
 }
 
-async function insist(ask: () => ReturnType<typeof createTable>): Promise<void> {
+async function retry(ask: () => ReturnType<typeof createTable>): Promise<void> {
   let answer = await ask();
   for (let i = 1; answer.type !== "landed" && i < setUpAttempts; i++) {
     await sleep(setUpPauseMs);
--- a/src/load/session.ts
+++ b/src/load/session.ts
@@ -33,7 +33,7 @@
 
   /** Sends one statement and waits for its answer. Never rejects. */
   async ask(text: string): Promise<Answer> {
-    this.roam();
+    this.countRequest();
     let client: pg.Client;
     try {
       client = this.client ?? (await this.connect());
@@ -60,13 +60,13 @@
     }
   }
 
-  private roam(): void {
+  private countRequest(): void {
     const { roamEvery } = this.options;
     this.requests += 1;
-    if (roamEvery > 0 && this.requests % roamEvery === 0) this.move();
+    if (roamEvery > 0 && this.requests % roamEvery === 0) this.takeNextEntry();
   }
 
-  private move(): void {
+  private takeNextEntry(): void {
     this.entry = (this.entry + 1) % this.options.entries.length;
     void this.close();
   }
@@ -92,7 +92,7 @@
       await client.connect();
     } catch (error) {
       // The next attempt goes elsewhere: an entry that refuses or is gone may stay so.
-      this.move();
+      this.takeNextEntry();
       throw error;
     }
     this.client = client;
@@ -102,7 +102,7 @@
   /** A connection that broke is given up; the session goes on at the next entry. */
   private drop(client: pg.Client): void {
     if (this.client !== client) return;
-    this.move();
+    this.takeNextEntry();
     client.connection.stream.destroy();
   }
 }
--- a/src/load/work.ts
+++ b/src/load/work.ts
@@ -48,11 +48,11 @@
 export function runWork(name: WorkName, caller: Caller, peer: Caller): Promise<WorkResult> {
   switch (name) {
     case "reservation":
-      return reserve(caller);
+      return putReservation(caller);
     case "ownRead":
       return readOwn(caller);
     case "browse":
-      return browse(caller, peer);
+      return readPeer(caller, peer);
   }
 }
 
@@ -60,7 +60,7 @@
  * Adds a reservation to the caller's count under a key of its own. When nobody can tell whether it
  * ran, it is repeated under the same key, so that a count that is too high shows a second landing.
  */
-async function reserve(caller: Caller): Promise<WorkResult> {
+async function putReservation(caller: Caller): Promise<WorkResult> {
   const { ledger, session } = caller;
   const key = `${ledger.session}-${caller.nextKey++}`;
   const text =
@@ -92,7 +92,7 @@
   return { type: "landed", repeats: 0, ...(violation === undefined ? {} : { violation }) };
 }
 
-async function browse({ session }: Caller, peer: Caller): Promise<WorkResult> {
+async function readPeer({ session }: Caller, peer: Caller): Promise<WorkResult> {
   const answer = await session.ask(
     `SELECT reservations FROM ${table} WHERE session = '${peer.ledger.session}' /* kind='browse' */`,
   );
--- a/src/target/control.ts
+++ b/src/target/control.ts
@@ -56,28 +56,28 @@
     const name = fresh ? undefined : after === undefined ? "command" : "watch";
     const values =
       after === undefined ? [] : [formatMark(after.mark), formatTerm(after.fencedAt), waitMs];
-    return this.call(target, name, "status", values, timeoutMs);
+    return this.send(target, name, "status", values, timeoutMs);
   }
 
   fence(target: Target, term: Term, timeoutMs: number): Promise<ControlResult> {
-    return this.call(target, "command", "fence", [formatTerm(term)], timeoutMs);
+    return this.send(target, "command", "fence", [formatTerm(term)], timeoutMs);
   }
 
   promote(target: Target, term: Term, timeoutMs: number): Promise<ControlResult> {
-    return this.call(target, "command", "promote", [formatTerm(term)], timeoutMs);
+    return this.send(target, "command", "promote", [formatTerm(term)], timeoutMs);
   }
 
   follow(target: Target, primary: Target, term: Term, timeoutMs: number): Promise<ControlResult> {
     const { host, port } = primary.address;
     const values = [formatTerm(term), primary.name, host, port];
-    return this.call(target, "command", "follow", values, timeoutMs);
+    return this.send(target, "command", "follow", values, timeoutMs);
   }
 
   dispose(): void {
     for (const key of [...this.lanes.keys()]) this.drop(key);
   }
 
-  private async call(
+  private async send(
     target: Target,
     name: LaneName | undefined,
     call: string,
@@ -87,7 +87,7 @@
     const { key, lane } = this.open(target, name);
     lane.isBusy = true;
     try {
-      const reply = await limitTime(this.ask(lane, call, values), timeoutMs);
+      const reply = await withTimeout(this.ask(lane, call, values), timeoutMs);
       if (key === undefined) end(lane);
       lane.isBusy = false;
       return reply;
@@ -164,7 +164,7 @@
   client.connection.stream.destroy();
 }
 
-async function limitTime<T>(work: Promise<T>, ms: number): Promise<T> {
+async function withTimeout<T>(work: Promise<T>, ms: number): Promise<T> {
   let timer: NodeJS.Timeout | undefined;
   const timeout = new Promise<never>((_, reject) => {
     timer = setTimeout(() => reject(new Error("no answer in time")), ms);
--- a/src/target/session.ts
+++ b/src/target/session.ts
@@ -31,7 +31,7 @@
     private readonly progressTimeoutMs: number,
     private readonly logger: Logger,
   ) {
-    socket.on("data", (chunk) => this.receive(chunk));
+    socket.on("data", (chunk) => this.handleChunk(chunk));
     socket.on("error", (error) => this.drop(error.message));
     socket.on("close", () => this.drop("the target closed the connection"));
   }
@@ -48,10 +48,10 @@
     return new Promise((resolve) => {
       // An answer that comes after the caller went would be read as the next caller's answer.
       // Closing the connection suffices: nothing of it can reach anyone any more.
-      const abandon = () => this.drop("abandoned");
-      signal.addEventListener("abort", abandon, { once: true });
+      const onAbort = () => this.drop("abandoned");
+      signal.addEventListener("abort", onAbort, { once: true });
       const end = (result: ExchangeResult) => {
-        signal.removeEventListener("abort", abandon);
+        signal.removeEventListener("abort", onAbort);
         resolve(result);
       };
       this.current = { sink, end };
@@ -70,7 +70,7 @@
     return signal.aborted ? "abandoned before it was sent" : undefined;
   }
 
-  private receive(chunk: Buffer): void {
+  private handleChunk(chunk: Buffer): void {
     if (!this.isOpen) return;
     try {
       this.queue.push(...this.frames.push(chunk));
@@ -80,24 +80,24 @@
     }
     if (this.isDelivering) return;
     this.watchProgress();
-    void this.deliver();
+    void this.relayQueue();
   }
 
   /** Hands the messages on one by one. The socket rests while a sink is not ready for more. */
-  private async deliver(): Promise<void> {
+  private async relayQueue(): Promise<void> {
     this.isDelivering = true;
     for (let message = this.queue.shift(); message !== undefined; message = this.queue.shift()) {
-      const pending = this.deliverOne(message);
+      const pending = this.relayMessage(message);
       if (pending === undefined) continue;
       this.socket.pause();
-      if (!(await this.settle(pending))) return;
+      if (!(await this.waitSink(pending))) return;
       this.socket.resume();
       this.watchProgress();
     }
     this.isDelivering = false;
   }
 
-  private async settle(pending: Promise<void>): Promise<boolean> {
+  private async waitSink(pending: Promise<void>): Promise<boolean> {
     clearTimeout(this.progress);
     try {
       await pending;
@@ -107,13 +107,13 @@
     return this.isOpen;
   }
 
-  private deliverOne(message: Buffer): Promise<void> | undefined {
+  private relayMessage(message: Buffer): Promise<void> | undefined {
     const { current } = this;
     if (current === undefined) {
       this.checkUnasked(message);
       return undefined;
     }
-    if (message[0] !== readyCode) return callSink(current.sink, message);
+    if (message[0] !== readyCode) return runSink(current.sink, message);
     this.finish(current, readStatus(message));
     return undefined;
   }
@@ -149,7 +149,7 @@
   }
 }
 
-function callSink(sink: MessageSink, message: Buffer): Promise<void> | undefined {
+function runSink(sink: MessageSink, message: Buffer): Promise<void> | undefined {
   try {
     const result = sink(message);
     return result instanceof Promise ? result : undefined;
--- a/standin/platform/server.ts
+++ b/standin/platform/server.ts
@@ -111,7 +111,7 @@
 
   private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
-      const reply = await this.answer(request);
+      const reply = await this.handleRequest(request);
       if (this.faults.slowMs > 0) await sleep(this.faults.slowMs);
       // The change stands already; a client that gets no answer must find that out by reading.
       if (reply.isWrite === true && this.faults.takeLostAnswer()) response.destroy();
@@ -122,23 +122,23 @@
     }
   }
 
-  private answer(request: IncomingMessage): Promise<Reply> {
+  private handleRequest(request: IncomingMessage): Promise<Reply> {
     const url = new URL(request.url ?? "/", this.url);
     const [, area = ""] = url.pathname.split("/");
     const handlers: Readonly<Record<string, Handler>> = {
-      objects: (r, u) => this.answerObject(r, u),
-      watch: (r, u) => this.answerWatch(r, u),
-      vms: (r) => this.answerVms(r),
-      groups: (r) => this.answerGroups(r),
+      objects: (r, u) => this.handleObject(r, u),
+      watch: (r, u) => this.handleWatch(r, u),
+      vms: (r) => this.handleVms(r),
+      groups: (r) => this.handleGroups(r),
       calls: () => Promise.resolve({ status: 200, body: this.counts }),
-      faults: (r) => this.answerFaults(r),
+      faults: (r) => this.handleFaults(r),
     };
     const handler = handlers[area];
     if (handler === undefined) return Promise.resolve({ status: 404, body: {} });
     return handler(request, url);
   }
 
-  private async answerObject(request: IncomingMessage, url: URL): Promise<Reply> {
+  private async handleObject(request: IncomingMessage, url: URL): Promise<Reply> {
     const [kind = "", name] = url.pathname.split("/").slice(2).map(decodeURIComponent);
     if (name === undefined) {
       this.count("reads");
@@ -156,7 +156,7 @@
     return toReply(this.objects.put(kind, name, value, version));
   }
 
-  private async answerWatch(request: IncomingMessage, url: URL): Promise<Reply> {
+  private async handleWatch(request: IncomingMessage, url: URL): Promise<Reply> {
     this.count("watches");
     const kind = decodeURIComponent(url.pathname.split("/")[2] ?? "");
     const after = Number(url.searchParams.get("after"));
@@ -191,20 +191,20 @@
     });
   }
 
-  private async answerVms(request: IncomingMessage): Promise<Reply> {
+  private async handleVms(request: IncomingMessage): Promise<Reply> {
     if (request.method === "PUT") this.setVms((await readJson(request)) as readonly Vm[]);
     else this.count("reads");
     return { status: 200, body: { vms: this.vms.get(this.faults.listLagMs) } };
   }
 
-  private async answerGroups(request: IncomingMessage): Promise<Reply> {
+  private async handleGroups(request: IncomingMessage): Promise<Reply> {
     if (request.method === "PUT") this.setGroups((await readJson(request)) as readonly Group[]);
     else this.count("reads");
     return { status: 200, body: { groups: this.groups } };
   }
 
   /** `PUT /faults` with any of `slowMs`, `listLagMs`, `loseWriteAnswers`, `dropWatches`, `downMs`. */
-  private async answerFaults(request: IncomingMessage): Promise<Reply> {
+  private async handleFaults(request: IncomingMessage): Promise<Reply> {
     const wanted = (await readJson(request)) as Readonly<Record<string, number | undefined>>;
     this.faults.slowMs = wanted.slowMs ?? this.faults.slowMs;
     this.faults.listLagMs = wanted.listLagMs ?? this.faults.listLagMs;
--- a/standin/target/backend.ts
+++ b/standin/target/backend.ts
@@ -84,11 +84,11 @@
   /** Notes that a statement failed: an implicit transaction is rolled back, an explicit one fails. */
   fail(): void {
     if (this.open?.isExplicit === true) this.open.hasFailed = true;
-    else this.rollBack();
+    else this.cancel();
   }
 
   /** Rolls back what is open. */
-  rollBack(): void {
+  cancel(): void {
     const { open } = this;
     this.open = undefined;
     for (const tell of open?.fates ?? []) tell({ type: "rolledBack" });
@@ -97,7 +97,7 @@
   /** Ends it with the target: what was under way must not commit after the crash. */
   kill(): void {
     this.isKilled = true;
-    this.rollBack();
+    this.cancel();
   }
 
   describe(node: Node, parameters: readonly (string | null)[]): readonly Field[] | undefined {
@@ -119,7 +119,7 @@
     const open = this.begin(false);
     const release = await slots.take();
     try {
-      await this.work(findSleep(statement.node, context));
+      await this.waitService(findSleep(statement.node, context));
       await faults.running.wait();
       this.checkAlive();
       const tell = record.begin(statement.text, this.connection);
@@ -141,7 +141,7 @@
     if (this.isKilled) throw new SqlError("57P02", "the target has crashed");
   }
 
-  private async work(extraMs: number): Promise<void> {
+  private async waitService(extraMs: number): Promise<void> {
     const ms = this.services.serviceMs * this.services.faults.slowFactor + extraMs;
     if (ms > 0) await sleep(ms);
   }
@@ -165,13 +165,13 @@
     }
     if (kind === "TRANS_STMT_COMMIT") return this.runCommit();
     if (kind !== "TRANS_STMT_ROLLBACK") throw makeUnsupported("savepoints and two-phase commit");
-    this.rollBack();
+    this.cancel();
     return { rows: [], tag: "ROLLBACK" };
   }
 
   private runCommit(): Result {
     if (this.open?.hasFailed === true) {
-      this.rollBack();
+      this.cancel();
       return { rows: [], tag: "ROLLBACK" };
     }
     this.commit();
@@ -182,17 +182,17 @@
     this.checkAlive();
     const { open } = this;
     if (open === undefined) return;
-    const mark = this.tryCommit(open.transaction);
+    const mark = this.commitOrCancel(open.transaction);
     this.open = undefined;
     this.tellCommitted(open, mark);
-    if (mark !== undefined) this.loseAnswer();
+    if (mark !== undefined) this.dropAnswer();
   }
 
-  private tryCommit(transaction: Transaction): Mark | undefined {
+  private commitOrCancel(transaction: Transaction): Mark | undefined {
     try {
       return this.services.member.commit(transaction);
     } catch (error) {
-      this.rollBack();
+      this.cancel();
       throw error;
     }
   }
@@ -204,7 +204,7 @@
     for (const tell of open.fates) tell(fate);
   }
 
-  private loseAnswer(): void {
+  private dropAnswer(): void {
     const how = this.services.faults.takeLostAnswer();
     if (how !== undefined) throw new AnswerLost(how);
   }
--- a/standin/target/control.ts
+++ b/standin/target/control.ts
@@ -33,7 +33,7 @@
     extra: Readonly<Record<string, Call>>,
   ) {
     this.calls = {
-      status: (args) => this.status(args),
+      status: (args) => this.waitStatus(args),
       fence: ([term]) => member.fence(readTerm(term)),
       promote: ([term]) => member.promote(readTerm(term)),
       follow: (args) => this.follow(args),
@@ -66,7 +66,7 @@
   }
 
   /** `standin_status([mark, fenced_at, wait_ms])`: waits until one of them differs. */
-  private async status([mark, fencedAt, waitMs]: readonly Value[]): Promise<unknown> {
+  private async waitStatus([mark, fencedAt, waitMs]: readonly Value[]): Promise<unknown> {
     if (mark !== undefined) {
       await this.waitUntil(
         () => {
--- a/standin/target/faults.ts
+++ b/standin/target/faults.ts
@@ -51,7 +51,7 @@
   }
 
   /** Ends every fault that lasts. */
-  clear(): void {
+  endAll(): void {
     this.slowFactor = 1;
     this.lost.length = 0;
     for (const gate of [this.running, this.control, this.replication]) gate.open();
--- a/standin/target/link.ts
+++ b/standin/target/link.ts
@@ -30,12 +30,12 @@
     private readonly getLagMs: () => number,
   ) {
     void this.run();
-    void this.runAppending();
+    void this.runWriting();
   }
 
   stop(): void {
     this.isStopped = true;
-    this.disconnect();
+    this.closeClient();
     this.wake?.();
   }
 
@@ -56,7 +56,7 @@
         // The primary is away or not yet promoted: the link asks again until it is told otherwise.
       }
       this.waiting.length = 0;
-      this.disconnect();
+      this.closeClient();
       await sleep(reconnectMs);
     }
   }
@@ -79,7 +79,7 @@
     const term = formatTerm(this.following.term);
     const [lineage] = await this.ask(client, "SELECT standin_lineage($1)", [term]);
     if (!this.isOpen()) return;
-    this.member.align(lineage as { readonly lineage: Lineage; readonly offset: number });
+    this.member.dropBeyond(lineage as { readonly lineage: Lineage; readonly offset: number });
     let offset = this.member.log.offset;
     while (this.isOpen()) {
       const values = [term, offset, maxRecords, pollMs];
@@ -102,15 +102,15 @@
     return rows.map(([json]) => JSON.parse(json) as unknown);
   }
 
-  private async runAppending(): Promise<void> {
+  private async runWriting(): Promise<void> {
     while (this.isOpen()) {
       await this.waitGates();
-      this.appendDue();
+      this.writeDue();
       await this.waitForWork();
     }
   }
 
-  private appendDue(): void {
+  private writeDue(): void {
     const dueBefore = performance.now() - this.getLagMs();
     for (let head = this.waiting[0]; head !== undefined; head = this.waiting[0]) {
       if (head.receivedAt > dueBefore || !this.isOpen()) return;
@@ -135,7 +135,7 @@
     for (const gate of this.gates) await gate.wait();
   }
 
-  private disconnect(): void {
+  private closeClient(): void {
     const { client } = this;
     this.client = undefined;
     client?.end().catch(() => undefined);
--- a/standin/target/listener.ts
+++ b/standin/target/listener.ts
@@ -64,7 +64,7 @@
 
   /** Listens; a port that was chosen once is kept. */
   async start(): Promise<void> {
-    const server = createServer({ noDelay: true }, (socket) => this.accept(socket));
+    const server = createServer({ noDelay: true }, (socket) => this.admit(socket));
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(this.listening.port, this.listening.host, resolve);
@@ -88,11 +88,11 @@
   }
 
   /** Makes the open ordinary connections silent for good. */
-  silence(): void {
+  setSilent(): void {
     for (const { isOrdinary, output } of this.open) output.isSilent ||= isOrdinary;
   }
 
-  private accept(socket: Socket): void {
+  private admit(socket: Socket): void {
     const output = new Output(socket, this.services.faults.running);
     const connection: Connection = { socket, output, isOrdinary: false };
     this.open.add(connection);
@@ -116,12 +116,12 @@
     if (database === controlDatabase) gates.push(control);
     if (database === replicationDatabase) gates.push(replication);
     const { socket, output } = connection;
-    const ready = this.greet(connection, id, connection.isOrdinary && isFull, gates);
+    const ready = this.replyStartUp(connection, id, connection.isOrdinary && isFull, gates);
     connection.session = new Session(socket, output, this.services, id, gates, ready);
     relayMessages(socket, connection.session);
   }
 
-  private async greet(
+  private async replyStartUp(
     { socket, output }: Connection,
     id: number,
     isRefused: boolean,
@@ -131,7 +131,7 @@
     for (const gate of gates) await gate.wait();
     if (isRefused) {
       output.push(encodeError("FATAL", "53300", "sorry, too many clients already"));
-      await output.flush();
+      await output.send();
       socket.end();
       return;
     }
@@ -141,7 +141,7 @@
     }
     output.push(encodeKeyData(id));
     output.push(encodeReady("I"));
-    await output.flush();
+    await output.send();
   }
 }
 
@@ -153,7 +153,7 @@
   const frames = new FrameSplitter();
   socket.on("data", (chunk: Buffer) => {
     try {
-      for (const message of frames.push(chunk)) session.receive(message);
+      for (const message of frames.push(chunk)) session.take(message);
     } catch {
       socket.destroy();
     }
--- a/standin/target/log.ts
+++ b/standin/target/log.ts
@@ -61,7 +61,7 @@
   }
 
   /** Appends a record that follows the last one. */
-  append(record: LogRecord): void {
+  push(record: LogRecord): void {
     if (record.offset !== this.offset + 1) throw new Error(`record ${record.offset} out of order`);
     if (compareTerms(record.term, this.mark.term) !== 0) {
       this.branches = [...this.branches, { term: record.term, start: this.offset }];
@@ -75,7 +75,7 @@
   }
 
   /** Cuts away the records after `offset`. */
-  truncate(offset: number): void {
+  dropAfter(offset: number): void {
     this.records = this.records.slice(0, offset);
     this.branches = this.branches.filter((b) => b.start === 0 || b.start < offset);
     if (offset === 0) this.branches = [{ term: firstTerm, start: 0 }];
--- a/standin/target/member.ts
+++ b/standin/target/member.ts
@@ -77,7 +77,7 @@
   fence(term: Term): ControlReply {
     if (compareTerms(term, this.fencedAt) < 0) return this.refuse();
     this.fencedAt = term;
-    return this.accept();
+    return this.grant();
   }
 
   /**
@@ -89,12 +89,12 @@
     if (this.following !== undefined && compareTerms(this.following.term, term) === 0) {
       return this.refuse();
     }
-    if (this.isPrimaryIn(term)) return this.accept();
+    if (this.isPrimaryIn(term)) return this.grant();
     this.following = undefined;
     this.primaryTerm = term;
     this.epoch += 1;
-    this.log.append({ term, offset: this.log.offset + 1, changes: [] });
-    return this.accept();
+    this.log.push({ term, offset: this.log.offset + 1, changes: [] });
+    return this.grant();
   }
 
   /** Makes it a replica in `term`. Its log is cut once the primary has told its lineage. */
@@ -106,7 +106,7 @@
     this.primaryTerm = undefined;
     this.following = following;
     this.epoch += 1;
-    return this.accept();
+    return this.grant();
   }
 
   isPrimaryIn(term: Term): boolean {
@@ -153,14 +153,14 @@
   }
 
   /** Cuts the log back to what it has in common with the primary's; the state is replayed. */
-  align(primary: { readonly lineage: Lineage; readonly offset: number }): void {
+  dropBeyond(primary: { readonly lineage: Lineage; readonly offset: number }): void {
     const own = { lineage: this.log.lineage, offset: this.log.offset };
     const common = findCommonOffset(own, primary);
     if (common === own.offset) return;
-    this.log.truncate(common);
+    this.log.dropAfter(common);
     this.database = new Database();
     for (const record of this.log.list(0)) this.database.apply(record.changes);
-    this.notify();
+    this.tellListeners();
   }
 
   /** Appends a record copied from the primary. */
@@ -169,13 +169,13 @@
   }
 
   private write(record: LogRecord): void {
-    this.log.append(record);
+    this.log.push(record);
     this.database.apply(record.changes);
-    this.notify();
+    this.tellListeners();
   }
 
-  private accept(): ControlReply {
-    this.notify();
+  private grant(): ControlReply {
+    this.tellListeners();
     return { type: "accepted", status: this.status };
   }
 
@@ -183,7 +183,7 @@
     return { type: "refused", fencedAt: this.fencedAt };
   }
 
-  private notify(): void {
+  private tellListeners(): void {
     for (const listener of [...this.listeners]) listener();
   }
 }
--- a/standin/target/output.ts
+++ b/standin/target/output.ts
@@ -25,7 +25,7 @@
   }
 
   /** Sends what was gathered; resolves when the socket takes more. */
-  async flush(): Promise<void> {
+  async send(): Promise<void> {
     const data = Buffer.concat(this.parts);
     this.parts = [];
     this.bytes = 0;
@@ -35,7 +35,7 @@
   }
 
   /** Loses what was gathered and all that would follow. */
-  lose(how: LostAnswer): void {
+  dropAll(how: LostAnswer): void {
     this.parts = [];
     this.bytes = 0;
     this.isSilent = true;
--- a/standin/target/server.ts
+++ b/standin/target/server.ts
@@ -107,13 +107,13 @@
   async kill(): Promise<void> {
     const stopped = this.listener.stop();
     this.dropLink();
-    this.faults.clear();
+    this.faults.endAll();
     await stopped;
   }
 
   /** Makes the open ordinary connections silent for good; new ones work. */
   silenceConnections(): void {
-    this.listener.silence();
+    this.listener.setSilent();
   }
 
   async dispose(): Promise<void> {
--- a/standin/target/session.ts
+++ b/standin/target/session.ts
@@ -48,14 +48,14 @@
   ) {
     this.backend = new Backend(services, id);
     socket.on("close", () => {
-      if (!this.isBusy) this.backend.rollBack();
+      if (!this.isBusy) this.backend.cancel();
     });
   }
 
   /** Takes one whole message; messages are worked on one after the other. */
-  receive(data: Buffer): void {
+  take(data: Buffer): void {
     this.queue.push(data);
-    if (!this.isBusy) void this.work();
+    if (!this.isBusy) void this.runQueue();
   }
 
   /** Ends it with the target. */
@@ -65,7 +65,7 @@
     this.socket.destroy();
   }
 
-  private async work(): Promise<void> {
+  private async runQueue(): Promise<void> {
     this.isBusy = true;
     await this.ready;
     for (let data = this.queue.shift(); data !== undefined; data = this.queue.shift()) {
@@ -73,7 +73,7 @@
       if (!this.output.isSilent) await this.handle(data);
     }
     this.isBusy = false;
-    if (this.socket.destroyed) this.backend.rollBack();
+    if (this.socket.destroyed) this.backend.cancel();
   }
 
   private async handle(data: Buffer): Promise<void> {
@@ -81,27 +81,27 @@
     try {
       const message = decodeFrontend(data);
       if (this.skipsToSync && message.type !== "sync" && message.type !== "terminate") return;
-      await this.dispatch(message);
+      await this.handleMessage(message);
     } catch (error) {
       await this.reportError(error, endsBatch);
     }
   }
 
-  private async dispatch(message: FrontendMessage): Promise<void> {
+  private async handleMessage(message: FrontendMessage): Promise<void> {
     switch (message.type) {
       case "query":
         return this.runQuery(message.text);
       case "parse":
-        this.parse(message);
+        this.handleParse(message);
         return;
       case "bind":
-        this.bind(message);
+        this.handleBind(message);
         return;
       case "describe":
-        this.describe(message);
+        this.handleDescribe(message);
         return;
       case "execute":
-        return this.execute(message);
+        return this.handleExecute(message);
       case "close":
         (message.what === "statement" ? this.prepared : this.portals).delete(message.name);
         this.output.push(encodeBare("closeComplete"));
@@ -112,7 +112,7 @@
         this.backend.finish();
         return this.sendReady();
       case "flush":
-        return this.output.flush();
+        return this.output.send();
       case "terminate":
         this.socket.end();
         return;
@@ -132,7 +132,7 @@
     await this.sendReady();
   }
 
-  private parse({ name, text, oids }: Extract<FrontendMessage, { type: "parse" }>): void {
+  private handleParse({ name, text, oids }: Extract<FrontendMessage, { type: "parse" }>): void {
     const statements = parseStatements(text);
     if (statements.length > 1) {
       throw new SqlError("42601", "cannot insert multiple commands into a prepared statement");
@@ -141,24 +141,28 @@
     this.output.push(encodeBare("parseComplete"));
   }
 
-  private bind({ portal, name, parameters }: Extract<FrontendMessage, { type: "bind" }>): void {
+  private handleBind({
+    portal,
+    name,
+    parameters,
+  }: Extract<FrontendMessage, { type: "bind" }>): void {
     this.portals.set(portal, { prepared: this.findPrepared(name), parameters });
     this.output.push(encodeBare("bindComplete"));
   }
 
-  private describe({ what, name }: Extract<FrontendMessage, { type: "describe" }>): void {
+  private handleDescribe({ what, name }: Extract<FrontendMessage, { type: "describe" }>): void {
     const isStatement = what === "statement";
     const portal = isStatement ? undefined : this.findPortal(name);
     const prepared = portal?.prepared ?? this.findPrepared(name);
     const count = countParameters(prepared.text);
-    if (isStatement) this.output.push(encodeParameters(fillOids(prepared.oids, count)));
+    if (isStatement) this.output.push(encodeParameters(resolveOids(prepared.oids, count)));
     const parameters = portal?.parameters ?? Array.from({ length: count }, () => null);
     const fields =
       prepared.node === undefined ? undefined : this.backend.describe(prepared.node, parameters);
     this.output.push(fields === undefined ? encodeBare("noData") : encodeRowDescription(fields));
   }
 
-  private async execute({ portal, limit }: Extract<FrontendMessage, { type: "execute" }>) {
+  private async handleExecute({ portal, limit }: Extract<FrontendMessage, { type: "execute" }>) {
     const open = this.findPortal(portal);
     const { node, text } = open.prepared;
     if (node === undefined) {
@@ -183,18 +187,18 @@
   private async sendRows(result: Result, from: number, count: number): Promise<void> {
     for (let i = from; i < from + count; i++) {
       this.output.push(encodeDataRow(result.rows[i] ?? []));
-      if (this.output.isFull) await this.output.flush();
+      if (this.output.isFull) await this.output.send();
     }
   }
 
   private sendReady(): Promise<void> {
     this.output.push(encodeReady(this.backend.status));
-    return this.output.flush();
+    return this.output.send();
   }
 
   private async reportError(error: unknown, endsBatch: boolean): Promise<void> {
     if (error instanceof AnswerLost) {
-      this.output.lose(error.how);
+      this.output.dropAll(error.how);
       return;
     }
     this.backend.fail();
@@ -202,7 +206,7 @@
     const message = error instanceof Error ? error.message : String(error);
     this.output.push(encodeError("ERROR", state, message));
     this.skipsToSync = !endsBatch;
-    await (endsBatch ? this.sendReady() : this.output.flush());
+    await (endsBatch ? this.sendReady() : this.output.send());
   }
 
   private findPrepared(name: string): Prepared {
@@ -223,7 +227,7 @@
 }
 
 /** Types that the client left open are described as text. */
-function fillOids(given: readonly number[], count: number): readonly number[] {
+function resolveOids(given: readonly number[], count: number): readonly number[] {
   const length = Math.max(given.length, count);
   return Array.from({ length }, (_, i) => (given[i] ?? 0) || textOid);
 }
--- a/standin/target/settings.ts
+++ b/standin/target/settings.ts
@@ -15,7 +15,7 @@
 
   /** Carries out SET, RESET, SHOW and DISCARD; undefined when the statement is another one. */
   run(node: Node, context: StatementContext): Result | undefined {
-    if ("VariableShowStmt" in node) return this.show(node.VariableShowStmt.name ?? "");
+    if ("VariableShowStmt" in node) return this.read(node.VariableShowStmt.name ?? "");
     if ("DiscardStmt" in node) return { rows: [], tag: "DISCARD ALL" };
     if (!("VariableSetStmt" in node)) return undefined;
     const { name = "", args = [] } = node.VariableSetStmt;
@@ -26,7 +26,7 @@
     return { rows: [], tag: args.length === 0 ? "RESET" : "SET" };
   }
 
-  private show(name: string): Result {
+  private read(name: string): Result {
     const fields = [{ name, type: findType("text") }];
     return { fields, rows: [[this.values.get(name) ?? ""]], tag: "SHOW" };
   }
--- a/standin/target/sql/expression.ts
+++ b/standin/target/sql/expression.ts
@@ -53,17 +53,17 @@
 function resolveOperator(expression: A_Expr, scope: Scope): Value {
   const name = readName(expression.name);
   const left = expression.lexpr === undefined ? 0 : resolveValue(expression.lexpr, scope);
-  const right = (): Value => resolveValue(expression.rexpr, scope);
+  const resolveRight = (): Value => resolveValue(expression.rexpr, scope);
   const { kind } = expression;
-  if (kind === "AEXPR_OP") return applyOperator(name, left, right());
+  if (kind === "AEXPR_OP") return applyOperator(name, left, resolveRight());
   if (kind === "AEXPR_IN") {
     return resolveMembership(left, listItems(expression.rexpr), name === "=", scope);
   }
-  if (kind === "AEXPR_OP_ANY") return resolveAny(left, right(), name);
+  if (kind === "AEXPR_OP_ANY") return resolveAny(left, resolveRight(), name);
   if (kind === "AEXPR_BETWEEN") return resolveRange(left, listItems(expression.rexpr), scope);
-  if (kind === "AEXPR_LIKE" || kind === "AEXPR_ILIKE") return isMatch(left, right(), name);
-  if (kind === "AEXPR_DISTINCT") return left !== right();
-  if (kind === "AEXPR_NOT_DISTINCT") return left === right();
+  if (kind === "AEXPR_LIKE" || kind === "AEXPR_ILIKE") return isMatch(left, resolveRight(), name);
+  if (kind === "AEXPR_DISTINCT") return left !== resolveRight();
+  if (kind === "AEXPR_NOT_DISTINCT") return left === resolveRight();
   throw makeUnsupported(`operators of kind ${kind ?? "unknown"}`);
 }
 
--- a/standin/target/sql/modify.ts
+++ b/standin/target/sql/modify.ts
@@ -25,7 +25,7 @@
 ): Result {
   const view = transaction.get(insert.relation?.relname ?? "");
   const rows = buildRows(insert, view.definition, transaction, context);
-  const done = rows.flatMap((row) => insertRow(view, row, insert.onConflictClause, context));
+  const done = rows.flatMap((row) => addRow(view, row, insert.onConflictClause, context));
   return reply(`INSERT 0 ${done.length}`, insert.returningClause?.exprs, view, done, context);
 }
 
@@ -40,7 +40,7 @@
   const found = listMatches(view, update.whereClause, context, alias);
   const done = found.map(([id, row]) => {
     const scope: Scope = { context, columns: view.definition.columns, alias, row };
-    return changeRow(view, id, update.targetList, scope);
+    return updateRow(view, id, update.targetList, scope);
   });
   return reply(`UPDATE ${done.length}`, update.returningClause?.exprs, view, done, context);
 }
@@ -72,13 +72,13 @@
   const places = named.length > 0 ? named : columns.map((_, i) => i);
   const source = insert.selectStmt;
   if (source === undefined || !("SelectStmt" in source)) {
-    return [fillRow(columns, [], [], context)];
+    return [buildRow(columns, [], [], context)];
   }
   return listSourceRows(source.SelectStmt, transaction, context).map((values) => {
     if (values.length > places.length) {
       throw new SqlError("42601", "INSERT has more expressions than target columns");
     }
-    return fillRow(columns, places, values, context);
+    return buildRow(columns, places, values, context);
   });
 }
 
@@ -96,7 +96,7 @@
   });
 }
 
-function fillRow(
+function buildRow(
   columns: readonly Column[],
   places: readonly number[],
   values: readonly (Value | undefined)[],
@@ -121,7 +121,7 @@
   return cast;
 }
 
-function insertRow(
+function addRow(
   view: TableView,
   row: Row,
   conflict: OnConflictClause | undefined,
@@ -132,16 +132,16 @@
     view.put(view.table.takeId(), row);
     return [row];
   }
-  if (conflict === undefined || !coversConflict(view, clash.place, conflict)) throw clash.error;
+  if (conflict === undefined || !isCovered(view, clash.place, conflict)) throw clash.error;
   if (conflict.action !== "ONCONFLICT_UPDATE") return [];
   const { columns, name } = view.definition;
   const old = view.get(clash.id) ?? [];
   const scope: Scope = { context, columns, alias: name, row: old, excluded: row };
-  return [changeRow(view, clash.id, conflict.targetList, scope)];
+  return [updateRow(view, clash.id, conflict.targetList, scope)];
 }
 
 /** Whether ON CONFLICT names the columns of the unique constraint that clashed, or none. */
-function coversConflict(view: TableView, place: number, conflict: OnConflictClause): boolean {
+function isCovered(view: TableView, place: number, conflict: OnConflictClause): boolean {
   const named = conflict.infer?.indexElems?.map((e) => ("IndexElem" in e ? e.IndexElem.name : ""));
   if (named === undefined) return true;
   const unique = view.definition.uniques[place];
@@ -160,7 +160,7 @@
   return undefined;
 }
 
-function changeRow(
+function updateRow(
   view: TableView,
   id: number,
   targets: readonly Node[] | undefined,
--- a/standin/target/sql/operator.ts
+++ b/standin/target/sql/operator.ts
@@ -13,12 +13,12 @@
   "+": (a, b) => toNumber(a) + toNumber(b),
   "-": (a, b) => toNumber(a) - toNumber(b),
   "*": (a, b) => toNumber(a) * toNumber(b),
-  "/": divide,
+  "/": resolveQuotient,
   "%": (a, b) => toNumber(a) % toNumber(b),
   "||": (a, b) => formatValue(a) + formatValue(b),
 };
 
-function divide(a: Known, b: Known): Value {
+function resolveQuotient(a: Known, b: Known): Value {
   const divisor = toNumber(b);
   if (divisor === 0) throw new SqlError("22012", "division by zero");
   const quotient = toNumber(a) / divisor;
--- a/standin/target/sql/projection.ts
+++ b/standin/target/sql/projection.ts
@@ -36,7 +36,7 @@
     return columns.map(({ name, type }) => ({ field: { name, type }, expression: makeRef(name) }));
   }
   const name = target.name ?? findName(val);
-  return [{ field: { name, type: inferType(val, columns) }, expression: val }];
+  return [{ field: { name, type: resolveType(val, columns) }, expression: val }];
 }
 
 function isStar(node: Node): boolean {
@@ -72,33 +72,33 @@
 };
 
 /** Infers the type of an expression's values; text where nothing says otherwise. */
-export function inferType(node: Node | undefined, columns: readonly Column[]): DataType {
+export function resolveType(node: Node | undefined, columns: readonly Column[]): DataType {
   if (node === undefined) return findType("text");
   if ("ColumnRef" in node) {
     const name = readString(node.ColumnRef.fields?.at(-1));
     return columns[findColumn(columns, name)]?.type ?? findType("text");
   }
   if ("TypeCast" in node) return readType(node.TypeCast.typeName);
-  if ("A_Const" in node) return findType(inferConstant(node.A_Const));
+  if ("A_Const" in node) return findType(resolveConstantType(node.A_Const));
   if ("BoolExpr" in node || "NullTest" in node) return findType("bool");
-  if ("CoalesceExpr" in node) return inferType(node.CoalesceExpr.args?.[0], columns);
+  if ("CoalesceExpr" in node) return resolveType(node.CoalesceExpr.args?.[0], columns);
   if ("SQLValueFunction" in node) return findType("timestamptz");
   if ("FuncCall" in node) {
     const name = readName(node.FuncCall.funcname);
-    if (name === "min" || name === "max") return inferType(node.FuncCall.args?.[0], columns);
+    if (name === "min" || name === "max") return resolveType(node.FuncCall.args?.[0], columns);
     return findType(callTypes[name] ?? "text");
   }
   if ("A_Expr" in node) {
     const name = readName(node.A_Expr.name);
     if (["+", "-", "*", "/", "%"].includes(name)) {
-      return inferType(node.A_Expr.lexpr ?? node.A_Expr.rexpr, columns);
+      return resolveType(node.A_Expr.lexpr ?? node.A_Expr.rexpr, columns);
     }
     return findType(name === "||" ? "text" : "bool");
   }
   return findType("text");
 }
 
-function inferConstant(constant: object): string {
+function resolveConstantType(constant: object): string {
   if ("ival" in constant) return "int4";
   if ("fval" in constant) return "numeric";
   return "boolval" in constant ? "bool" : "text";
--- a/standin/target/sql/select.ts
+++ b/standin/target/sql/select.ts
@@ -38,13 +38,13 @@
   const projection = buildProjection(select.targetList, source.columns);
   const base: Scope = { context, columns: source.columns, alias: source.alias, row: [] };
   const scopes = buildScopes(select, projection, source.list(), base);
-  const series = findSeries(projection);
-  const ordered = series === undefined ? orderScopes(select, projection, scopes) : scopes;
+  const listSeries = findSeries(projection);
+  const ordered = listSeries === undefined ? orderScopes(select, projection, scopes) : scopes;
   const rows =
-    series === undefined
+    listSeries === undefined
       ? ordered.map((scope) => resolveRow(projection, scope))
-      : buildSeries(series, base).map((value): Row => [value]);
-  const page = cutPage(
+      : buildSeries(listSeries, base).map((value): Row => [value]);
+  const page = takePage(
     select,
     select.distinctClause === undefined ? rows : dropRepeats(rows),
     base,
@@ -92,8 +92,8 @@
   const scope: Scope = { context, columns, alias, row: [] };
   const isWanted = (row: Row) =>
     condition === undefined || isTrue(resolveValue(condition, { ...scope, row }));
-  const series = () => buildSeries(call.FuncCall, scope).map((value): Row => [value]);
-  return { columns, alias, list: () => series().filter(isWanted) };
+  const listSeriesRows = () => buildSeries(call.FuncCall, scope).map((value): Row => [value]);
+  return { columns, alias, list: () => listSeriesRows().filter(isWanted) };
 }
 
 function buildSeries(call: FuncCall, scope: Scope): readonly Value[] {
@@ -174,7 +174,7 @@
   return [...new Map(rows.map((row) => [JSON.stringify(row), row])).values()];
 }
 
-function cutPage(select: SelectStmt, rows: readonly Row[], scope: Scope): readonly Row[] {
+function takePage(select: SelectStmt, rows: readonly Row[], scope: Scope): readonly Row[] {
   const skip = toNumber(resolveValue(select.limitOffset, scope) ?? 0);
   const limit = resolveValue(select.limitCount, scope);
   return rows.slice(skip, limit === null ? undefined : skip + toNumber(limit));
--- a/standin/target/table.ts
+++ b/standin/target/table.ts
@@ -57,7 +57,7 @@
 
   /** Puts a row in, or takes it out when `row` is undefined. */
   put(id: number, row: Row | undefined): void {
-    this.unindex(id);
+    this.removeKeys(id);
     if (row === undefined) {
       this.rows.delete(id);
       return;
@@ -70,7 +70,7 @@
     });
   }
 
-  private unindex(id: number): void {
+  private removeKeys(id: number): void {
     const before = this.rows.get(id);
     if (before === undefined) return;
     this.definition.uniques.forEach((unique, place) => {
--- a/standin/target/transaction.ts
+++ b/standin/target/transaction.ts
@@ -46,7 +46,7 @@
   put(id: number, row: Row | undefined): void {
     const before = this.get(id);
     const base = this.entries.get(id)?.base ?? this.table.rows.get(id);
-    this.index(id, before, row);
+    this.putKeys(id, before, row);
     this.entries.set(id, { base, row });
   }
 
@@ -74,7 +74,7 @@
     }
   }
 
-  private index(id: number, before: Row | undefined, after: Row | undefined): void {
+  private putKeys(id: number, before: Row | undefined, after: Row | undefined): void {
     this.definition.uniques.forEach((unique, place) => {
       const keys = this.keys[place];
       const old = before === undefined ? undefined : buildKey(unique.columns, before);
--- a/test/standin/member.test.ts
+++ b/test/standin/member.test.ts
@@ -38,7 +38,7 @@
   const primary = members.find((m) => m.name === followed?.name);
   if (followed === undefined || primary === undefined || !replica.canCopy(followed)) return;
   if (!primary.isPrimaryIn(followed.term)) return;
-  replica.align({ lineage: primary.log.lineage, offset: primary.log.offset });
+  replica.dropBeyond({ lineage: primary.log.lineage, offset: primary.log.offset });
   for (const record of primary.log.list(replica.log.offset, 1)) replica.copy(record);
 }
 
