Draw all of a load's randomness at its arrivals

Cause: whom a browsing request reads was drawn when it was served, so that two runs of one seed differed in their mix by how fast answers came. Change: gap, work and peer are drawn together, in the order of arrivals; the table has landed a second.

--- a/src/load/crowd.ts
+++ b/src/load/crowd.ts
@@ -9,6 +9,8 @@
 interface Arrival {
   readonly at: number;
   readonly work: WorkName;
+  /** Whose count a browsing request reads. */
+  readonly peer: Caller | undefined;
 }
 
 /** When a run begins, counts and ends, on the clock of `performance.now`. */
@@ -53,9 +55,10 @@
     const endMs = span.warmUpMs + span.durationMs;
     for (const at of listArrivals(this.random, this.population.rate, endMs)) {
       const work = pickWeighted(this.random, this.population.work, workNames);
+      const peer = this.callers[Math.floor(this.random.draw() * this.callers.length)];
       const ms = span.startAt + at - performance.now();
       if (ms > 0) await sleep(ms);
-      this.waiting.push({ at: span.startAt + at, work });
+      this.waiting.push({ at: span.startAt + at, work, peer });
       this.begin(span);
     }
   }
@@ -70,10 +73,9 @@
     }
   }
 
-  private async serve(caller: Caller, { at, work }: Arrival, span: Span): Promise<void> {
+  private async serve(caller: Caller, { at, work, peer }: Arrival, span: Span): Promise<void> {
     const sentAt = performance.now();
-    const peer = this.callers[Math.floor(this.random.draw() * this.callers.length)] ?? caller;
-    const result = await runWork(work, caller, peer);
+    const result = await runWork(work, caller, peer ?? caller);
     const now = performance.now();
     if (at >= span.startAt + span.warmUpMs) {
       this.tallies[work].record(result, now - at, now - sentAt);
--- a/src/load/report.ts
+++ b/src/load/report.ts
@@ -6,6 +6,7 @@
   "work",
   "requests",
   "landed",
+  "landed/s",
   "not run",
   "may have run",
   "failed",
@@ -17,7 +18,7 @@
 
 /** Writes a report as a table for people. */
 export function formatReport(report: LoadReport): string {
-  const rows = [headings, ...report.tallies.map(formatTally)];
+  const rows = [headings, ...report.tallies.map((t) => formatTally(t, report.durationMs))];
   const widths = headings.map((_, i) => Math.max(...rows.map((row) => row[i]?.length ?? 0)));
   const lines = rows.map((row) =>
     row.map((cell, i) => (i < 2 ? cell.padEnd(widths[i] ?? 0) : cell.padStart(widths[i] ?? 0))),
@@ -25,13 +26,14 @@
   return [...lines.map((cells) => cells.join("  ")), "", ...formatChecks(report)].join("\n");
 }
 
-function formatTally(tally: TallyReport): readonly string[] {
+function formatTally(tally: TallyReport, durationMs: number): readonly string[] {
   const { counts, latency, refusal } = tally;
   return [
     tally.population,
     tally.work,
     String(countRequests(tally)),
     String(counts.landed),
+    ((counts.landed * 1000) / durationMs).toFixed(1),
     String(counts.notRun),
     String(counts.mayHaveRun),
     String(counts.failed),
