Cut the ways to and from the stand-in target one at a time

Cause: the fault matrix wants links cut one way and both; gates held requests back only. Change: faults.statements, control and replication are channels with a gate each way; switches cutStatements and cutAnswers.

--- a/standin/target/faults.ts
+++ b/standin/target/faults.ts
@@ -25,6 +25,25 @@
   }
 }
 
+/** The way between a target and one sort of its peers, which can be cut one way or both. */
+export class Channel {
+  /** Closed while nothing arrives; what is sent arrives after the cut. */
+  readonly requests = new Gate();
+  /** Closed while requests arrive and are carried out, but no answer goes out. */
+  readonly answers = new Gate();
+
+  /** Cuts both ways. */
+  close(): void {
+    this.requests.close();
+    this.answers.close();
+  }
+
+  open(): void {
+    this.requests.open();
+    this.answers.open();
+  }
+}
+
 /** How the answer to a commit is lost: the connection breaks, or stays open and says nothing. */
 export type LostAnswer = "break" | "silence";
 
@@ -34,10 +53,10 @@
   slowFactor = 1;
   /** Closed while the target is frozen: bytes are accepted, nothing is done or answered. */
   readonly running = new Gate();
-  /** Closed while control connections are cut: what is sent arrives after the cut. */
-  readonly control = new Gate();
-  /** Closed while records are copied neither from nor to this target. */
-  readonly replication = new Gate();
+  readonly statements = new Channel();
+  readonly control = new Channel();
+  /** Links on which records are copied from or to this target. */
+  readonly replication = new Channel();
   private readonly lost: LostAnswer[] = [];
 
   /** Loses the answers to the next commits after they took effect. */
@@ -54,6 +73,6 @@
   endAll(): void {
     this.slowFactor = 1;
     this.lost.length = 0;
-    for (const gate of [this.running, this.control, this.replication]) gate.open();
+    for (const way of [this.running, this.statements, this.control, this.replication]) way.open();
   }
 }
--- a/standin/target/link.ts
+++ b/standin/target/link.ts
@@ -1,7 +1,7 @@
 import pg from "pg";
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatTerm, type Lineage } from "../../src/model/index.js";
-import type { Gate } from "./faults.js";
+import type { Faults } from "./faults.js";
 import type { LogRecord } from "./log.js";
 import type { Following, Member } from "./member.js";
 
@@ -26,7 +26,7 @@
   constructor(
     private readonly member: Member,
     private readonly following: Following,
-    private readonly gates: readonly Gate[],
+    private readonly faults: Faults,
     private readonly getLagMs: () => number,
   ) {
     void this.run();
@@ -96,15 +96,17 @@
     text: string,
     values: readonly (string | number)[],
   ): Promise<readonly unknown[]> {
-    await this.waitGates();
+    await this.faults.running.wait();
+    await this.faults.replication.requests.wait();
     const { rows } = await client.query<[string]>({ text, values: [...values], rowMode: "array" });
-    await this.waitGates();
+    await this.faults.running.wait();
+    await this.faults.replication.answers.wait();
     return rows.map(([json]) => JSON.parse(json) as unknown);
   }
 
   private async runWriting(): Promise<void> {
     while (this.isOpen()) {
-      await this.waitGates();
+      await this.faults.running.wait();
       this.writeDue();
       await this.waitForWork();
     }
@@ -131,10 +133,6 @@
     });
   }
 
-  private async waitGates(): Promise<void> {
-    for (const gate of this.gates) await gate.wait();
-  }
-
   private closeClient(): void {
     const { client } = this;
     this.client = undefined;
--- a/standin/target/listener.ts
+++ b/standin/target/listener.ts
@@ -4,7 +4,7 @@
 import type { Address } from "../../src/model/index.js";
 import { FrameSplitter } from "../../src/target/index.js";
 import type { Services } from "./backend.js";
-import type { Gate } from "./faults.js";
+import type { Channel, Faults, Gate } from "./faults.js";
 import { replicationDatabase } from "./link.js";
 import { Output } from "./output.js";
 import { Session } from "./session.js";
@@ -21,9 +21,9 @@
 
 interface Connection {
   readonly socket: Socket;
-  readonly output: Output;
   isOrdinary: boolean;
   session?: Session;
+  output?: Output;
 }
 
 const announced = {
@@ -89,12 +89,13 @@
 
   /** Makes the open ordinary connections silent for good. */
   setSilent(): void {
-    for (const { isOrdinary, output } of this.open) output.isSilent ||= isOrdinary;
+    for (const { isOrdinary, output } of this.open) {
+      if (isOrdinary && output !== undefined) output.isSilent = true;
+    }
   }
 
   private admit(socket: Socket): void {
-    const output = new Output(socket, this.services.faults.running);
-    const connection: Connection = { socket, output, isOrdinary: false };
+    const connection: Connection = { socket, isOrdinary: false };
     this.open.add(connection);
     socket.on("error", () => undefined);
     socket.on("close", () => this.open.delete(connection));
@@ -108,21 +109,23 @@
   }
 
   private startSession(connection: Connection, database: string): void {
-    const { running, control, replication } = this.services.faults;
+    const { faults } = this.services;
+    const { socket } = connection;
     const id = this.nextId++;
     const isFull = this.count >= this.limit;
-    connection.isOrdinary = database !== controlDatabase && database !== replicationDatabase;
-    const gates = [running];
-    if (database === controlDatabase) gates.push(control);
-    if (database === replicationDatabase) gates.push(replication);
-    const { socket, output } = connection;
-    const ready = this.replyStartUp(connection, id, connection.isOrdinary && isFull, gates);
+    const channel = findChannel(faults, database);
+    connection.isOrdinary = channel === faults.statements;
+    const gates = [faults.running, channel.requests];
+    const output = new Output(socket, [faults.running, channel.answers]);
+    const ready = this.replyStartUp(socket, output, id, connection.isOrdinary && isFull, gates);
+    connection.output = output;
     connection.session = new Session(socket, output, this.services, id, gates, ready);
     relayMessages(socket, connection.session);
   }
 
   private async replyStartUp(
-    { socket, output }: Connection,
+    socket: Socket,
+    output: Output,
     id: number,
     isRefused: boolean,
     gates: readonly Gate[],
@@ -160,6 +163,11 @@
   });
 }
 
+function findChannel(faults: Faults, database: string): Channel {
+  if (database === controlDatabase) return faults.control;
+  return database === replicationDatabase ? faults.replication : faults.statements;
+}
+
 function readDatabase(parameters: Readonly<Record<string, string>> | undefined): string {
   return parameters?.database ?? "";
 }
--- a/standin/target/output.ts
+++ b/standin/target/output.ts
@@ -12,7 +12,8 @@
 
   constructor(
     private readonly socket: Socket,
-    private readonly running: Gate,
+    /** What must be open before anything goes out. */
+    private readonly gates: readonly Gate[],
   ) {}
 
   get isFull(): boolean {
@@ -29,7 +30,7 @@
     const data = Buffer.concat(this.parts);
     this.parts = [];
     this.bytes = 0;
-    await this.running.wait();
+    for (const gate of this.gates) await gate.wait();
     if (this.isSilent || this.socket.destroyed || data.length === 0) return;
     if (!this.socket.write(data)) await waitDrain(this.socket);
   }
--- a/standin/target/server.ts
+++ b/standin/target/server.ts
@@ -139,8 +139,7 @@
     if (this.link?.of !== wanted) this.dropLink();
     if (this.link !== undefined && !this.member.canCopy(this.link.of)) this.dropLink();
     if (this.link !== undefined || wanted === undefined || !this.member.canCopy(wanted)) return;
-    const gates = [this.faults.running, this.faults.replication];
-    this.link = { of: wanted, link: new Link(this.member, wanted, gates, () => this.lag) };
+    this.link = { of: wanted, link: new Link(this.member, wanted, this.faults, () => this.lag) };
   }
 
   private dropLink(): void {
--- a/standin/target/switches.ts
+++ b/standin/target/switches.ts
@@ -1,4 +1,4 @@
-import type { Gate } from "./faults.js";
+import type { Channel, Gate } from "./faults.js";
 import type { StandinTarget } from "./server.js";
 
 /**
@@ -17,6 +17,12 @@
     case "cutControl":
       closeFor(faults.control, value);
       break;
+    case "cutStatements":
+      closeFor(faults.statements, value);
+      break;
+    case "cutAnswers":
+      closeFor(faults.statements.answers, value);
+      break;
     case "cutReplication":
       if (value > 0) faults.replication.close();
       else faults.replication.open();
@@ -39,7 +45,7 @@
   return "done";
 }
 
-function closeFor(gate: Gate, ms: number): void {
-  gate.close();
-  setTimeout(() => gate.open(), ms);
+function closeFor(way: Gate | Channel, ms: number): void {
+  way.close();
+  setTimeout(() => way.open(), ms);
 }
--- a/test/standin/target.test.ts
+++ b/test/standin/target.test.ts
@@ -242,3 +242,16 @@
   target.member.promote(term(1));
   expect(await findState(client.query("COMMIT"))).toBe("25006");
 });
+
+// Only the way back is cut: the statement arrives and commits, and its answer waits for the cut's
+// end. A caller that gave up meanwhile must not be told that its write did not run.
+test("a cut of the answers lets the statement land", async () => {
+  const [target] = await start();
+  const client = await connect(target);
+  await client.query(create);
+  target.faults.statements.answers.close();
+  const answer = client.query("INSERT INTO seat VALUES (1, 'ana')");
+  await waitStatus(target, (s) => s.mark.offset === 2);
+  target.faults.statements.answers.open();
+  expect((await answer).rowCount).toBe(1);
+});
