Let statements wait for locks in the stand-in target

Both transactions claimed the key; the first committed, the second's write then failed with 23505, which reached the caller though its reservation had landed. PostgreSQL would have let the second claim wait. Ruled out: refusing the second at once with 40001, since the owner would spin through its rounds. Change: rows and unique keys are locked up to a transaction's end; a statement that meets a lock gives its slot back, waits and begins anew; 40P01 for a circle. work.ts and view.ts are split off.

--- a/standin/target/listener.ts
+++ b/standin/target/listener.ts
@@ -3,7 +3,7 @@
 import { PostgresConnection } from "pg-gateway";
 import type { Address } from "../../src/model/index.js";
 import { FrameSplitter } from "../../src/target/index.js";
-import type { Services } from "./backend.js";
+import type { Services } from "./work.js";
 import type { Channel, Faults, Gate } from "./faults.js";
 import { replicationDatabase } from "./link.js";
 import { Output } from "./output.js";
--- a/standin/target/server.ts
+++ b/standin/target/server.ts
@@ -1,5 +1,5 @@
 import type { Address, Target } from "../../src/model/index.js";
-import type { Services } from "./backend.js";
+import type { Services } from "./work.js";
 import { Control } from "./control.js";
 import { Faults } from "./faults.js";
 import { Link } from "./link.js";
--- a/standin/target/session.ts
+++ b/standin/target/session.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
-import { AnswerLost, Backend, type Services } from "./backend.js";
+import { AnswerLost, Backend } from "./backend.js";
+import type { Services } from "./work.js";
 import { SqlError } from "./error.js";
 import type { Gate } from "./faults.js";
 import { decodeFrontend, type FrontendMessage } from "./frontend.js";
--- a/standin/target/sql/lookup.ts
+++ b/standin/target/sql/lookup.ts
@@ -1,6 +1,6 @@
 import type { Node } from "libpg-query";
 import { encodeKey } from "../table.js";
-import type { TableView } from "../transaction.js";
+import type { TableView } from "../view.js";
 import { castValue, type Row, type Value } from "../value.js";
 import { readName, readString } from "./ast.js";
 import { resolveValue } from "./expression.js";
--- a/standin/target/sql/modify.ts
+++ b/standin/target/sql/modify.ts
@@ -8,7 +8,8 @@
 } from "libpg-query";
 import { SqlError } from "../error.js";
 import { buildKey, type Column, type TableDefinition } from "../table.js";
-import type { TableView, Transaction } from "../transaction.js";
+import type { Transaction } from "../transaction.js";
+import type { TableView } from "../view.js";
 import { castValue, type Row, type Value } from "../value.js";
 import { resolveValue } from "./expression.js";
 import { listMatches } from "./lookup.js";
@@ -152,7 +153,9 @@
 function findClash(view: TableView, row: Row, own: number | undefined) {
   for (const [place, unique] of view.definition.uniques.entries()) {
     const key = buildKey(unique.columns, row);
-    const id = key === undefined ? undefined : view.findId(place, key);
+    if (key === undefined) continue;
+    view.lockKey(place, key);
+    const id = view.findId(place, key);
     if (id === undefined || id === own) continue;
     const text = `duplicate key value violates unique constraint "${unique.name}"`;
     return { place, id, error: new SqlError("23505", text) };
--- a/standin/target/sql/select.ts
+++ b/standin/target/sql/select.ts
@@ -73,7 +73,11 @@
   const name = from.RangeVar.relname ?? "";
   const alias = from.RangeVar.alias?.aliasname ?? name;
   const view = transaction.get(name);
-  const list = () => listMatches(view, select.whereClause, context, alias).map(([, row]) => row);
+  const list = () => {
+    const found = listMatches(view, select.whereClause, context, alias);
+    if (select.lockingClause !== undefined) for (const [id] of found) view.lockRow(id);
+    return found.map(([, row]) => row);
+  };
   return { columns: view.definition.columns, alias, list };
 }
 
--- a/standin/target/statement.ts
+++ b/standin/target/statement.ts
@@ -6,6 +6,8 @@
   | { readonly type: "open" }
   | { readonly type: "failed"; readonly state: string }
   | { readonly type: "rolledBack" }
+  /** It had to wait for another transaction; its next try has an entry of its own. */
+  | { readonly type: "waited" }
   /** Committed; without a mark when nothing was changed. */
   | { readonly type: "committed"; readonly mark?: Mark };
 
--- a/standin/target/table.ts
+++ b/standin/target/table.ts
@@ -39,6 +39,7 @@
 export class Table {
   readonly rows = new Map<number, Row>();
   private readonly indexes: readonly Map<string, number>[];
+  private readonly changedAt = new Map<number, number>();
   private nextId = 1;
 
   constructor(readonly definition: TableDefinition) {
@@ -55,9 +56,15 @@
     return this.indexes[place]?.get(key);
   }
 
+  /** The offset of the record that changed a row last; 0 for one that never was. */
+  getChangedAt(id: number): number {
+    return this.changedAt.get(id) ?? 0;
+  }
+
   /** Puts a row in, or takes it out when `row` is undefined. */
-  put(id: number, row: Row | undefined): void {
+  put(id: number, row: Row | undefined, offset: number): void {
     this.removeKeys(id);
+    this.changedAt.set(id, offset);
     if (row === undefined) {
       this.rows.delete(id);
       return;
--- /dev/null
+++ b/standin/target/view.ts
@@ -0,0 +1,125 @@
+import { SqlError } from "./error.js";
+import type { LockOwner, Locks } from "./locks.js";
+import type { Change } from "./log.js";
+import { buildKey, type Table, type TableDefinition } from "./table.js";
+import type { Row } from "./value.js";
+
+interface Entry {
+  /** The committed row when the transaction first changed it. */
+  readonly base: Row | undefined;
+  readonly row: Row | undefined;
+}
+
+/** What the views of one transaction share. */
+export interface ViewOwner {
+  readonly locks: Locks;
+  readonly owner: LockOwner;
+  /** Rows that were changed after this offset of the log must not be changed; none by default. */
+  readonly snapshot: number | undefined;
+}
+
+/** What one transaction sees of one table: the committed rows under its own changes. */
+export class TableView {
+  private readonly entries: Map<number, Entry>;
+  private readonly keys: readonly Map<string, number>[];
+
+  constructor(
+    readonly table: Table,
+    private readonly shared: ViewOwner,
+    copied?: TableView,
+  ) {
+    this.entries = new Map(copied?.entries);
+    this.keys = table.definition.uniques.map((_, i) => new Map(copied?.keys[i]));
+  }
+
+  get definition(): TableDefinition {
+    return this.table.definition;
+  }
+
+  get(id: number): Row | undefined {
+    const entry = this.entries.get(id);
+    return entry === undefined ? this.table.rows.get(id) : entry.row;
+  }
+
+  /** Lists every row that the transaction sees, with its id. */
+  *list(): Iterable<readonly [number, Row]> {
+    for (const [id, row] of this.table.rows) if (!this.entries.has(id)) yield [id, row];
+    for (const [id, entry] of this.entries) if (entry.row !== undefined) yield [id, entry.row];
+  }
+
+  /** Finds the row with a key of the unique constraint at `place`. */
+  findId(place: number, key: string): number | undefined {
+    const own = this.keys[place]?.get(key);
+    if (own !== undefined) return own;
+    const committed = this.table.findId(place, key);
+    return committed === undefined || this.entries.has(committed) ? undefined : committed;
+  }
+
+  copy(): TableView {
+    return new TableView(this.table, this.shared, this);
+  }
+
+  /** Locks a row up to the transaction's end. */
+  lockRow(id: number): void {
+    const { locks, owner, snapshot = Infinity } = this.shared;
+    locks.take(owner, `${this.definition.name} row ${id}`);
+    if (this.table.getChangedAt(id) > snapshot) throw makeConflict(this.definition.name);
+  }
+
+  /** Locks a value of the unique constraint at `place`, so that nobody else puts it in. */
+  lockKey(place: number, key: string): void {
+    const { locks, owner } = this.shared;
+    locks.take(owner, `${this.definition.name} key ${place} ${key}`);
+  }
+
+  /** Changes a row, or removes it when `row` is undefined. */
+  put(id: number, row: Row | undefined): void {
+    this.lockRow(id);
+    const before = this.get(id);
+    const base = this.entries.get(id)?.base ?? this.table.rows.get(id);
+    this.putKeys(id, before, row);
+    this.entries.set(id, { base, row });
+  }
+
+  /** Collects the changes, or fails when another transaction has changed the same rows since. */
+  collect(): readonly Change[] {
+    const table = this.definition.name;
+    return [...this.entries].flatMap(([id, entry]): Change[] => {
+      this.checkEntry(id, entry);
+      if (entry.row !== undefined) return [{ type: "put", table, id, row: entry.row }];
+      return entry.base === undefined ? [] : [{ type: "remove", table, id }];
+    });
+  }
+
+  private checkEntry(id: number, entry: Entry): void {
+    const { row } = entry;
+    const isClash =
+      row !== undefined &&
+      this.definition.uniques.some((unique, place) => {
+        const key = buildKey(unique.columns, row);
+        const committed = key === undefined ? undefined : this.table.findId(place, key);
+        return committed !== undefined && committed !== id && !this.entries.has(committed);
+      });
+    if (isClash || this.table.rows.get(id) !== entry.base) {
+      throw new SqlError("40001", "could not serialize access due to concurrent update");
+    }
+  }
+
+  private putKeys(id: number, before: Row | undefined, after: Row | undefined): void {
+    this.definition.uniques.forEach((unique, place) => {
+      const keys = this.keys[place];
+      const old = before === undefined ? undefined : buildKey(unique.columns, before);
+      if (old !== undefined) this.lockKey(place, old);
+      if (old !== undefined && keys?.get(old) === id) keys.delete(old);
+      const key = after === undefined ? undefined : buildKey(unique.columns, after);
+      if (key === undefined) return;
+      this.lockKey(place, key);
+      keys?.set(key, id);
+    });
+  }
+}
+
+/** Builds the error for a change that another transaction has overtaken. */
+export function makeConflict(name: string): SqlError {
+  return new SqlError("40001", `relation "${name}" was changed by another transaction`);
+}
