--- a/standin/cluster.ts
+++ b/standin/cluster.ts
@@ -78,7 +78,11 @@
   }
 }
 
-async function startGroup(store: DisposableStore, options: GroupOptions): Promise<RunningGroup> {
+/** Starts one group without a platform; `store` takes its targets over. */
+export async function startGroup(
+  store: DisposableStore,
+  options: GroupOptions,
+): Promise<RunningGroup> {
   const { name, dataCentres = defaultDataCentres, ...limits } = options;
   const targets = dataCentres.map((dataCentre, i) =>
     store.add(new StandinTarget({ ...limits, name: `${name}-${i + 1}`, dataCentre })),
--- a/standin/index.ts
+++ b/standin/index.ts
@@ -1,6 +1,7 @@
 export {
   buildGroups,
   startCluster,
+  startGroup,
   sizes,
   type Cluster,
   type ClusterOptions,
--- a/test/load/load.test.ts
+++ b/test/load/load.test.ts
@@ -7,7 +7,7 @@
   type LoadSettings,
 } from "../../src/load/index.js";
 import { DisposableStore, type Address } from "../../src/model/index.js";
-import { startGroup } from "../standin/build.js";
+import { startTargets } from "../standin/build.js";
 
 let store = new DisposableStore();
 
@@ -16,11 +16,7 @@
   store = new DisposableStore();
 });
 
-async function start(count: number) {
-  const targets = await startGroup(count);
-  for (const target of targets) store.add(target);
-  return targets;
-}
+const start = (count: number) => startTargets(store, count);
 
 function load(entries: readonly Address[], work: string, more = "") {
   const text = `
--- a/test/standin/build.ts
+++ b/test/standin/build.ts
@@ -1,21 +1,19 @@
 import pg from "pg";
-import { firstTerm, type Target, type TargetStatus, type Term } from "../../src/model/index.js";
-import { StandinTarget, type StandinTargetOptions } from "../../standin/target/index.js";
+import type { DisposableStore, Target, TargetStatus, Term } from "../../src/model/index.js";
+import { startGroup } from "../../standin/index.js";
+import type { StandinTarget, StandinTargetOptions } from "../../standin/target/index.js";
 
 export const term = (round: number, vm = "vm-1"): Term => ({ round, vm });
 
-export async function startGroup(
+export async function startTargets(
+  store: DisposableStore,
   count: number,
   options: Partial<StandinTargetOptions> = {},
 ): Promise<readonly StandinTarget[]> {
-  const names = ["a", "b", "c"].slice(0, count);
-  const all = names.map(
-    (name) => new StandinTarget({ connectMs: 0, serviceMs: 0, ...options, name }),
-  );
-  await Promise.all(all.map((t) => t.start()));
-  const [primary, ...replicas] = all;
-  for (const replica of replicas) followIn(replica, primary, firstTerm);
-  return all;
+  const dataCentres = ["palermo", "barracas", "belgrano"].slice(0, count);
+  const quick = { connectMs: 0, serviceMs: 0 };
+  const group = await startGroup(store, { ...quick, ...options, name: "ledger", dataCentres });
+  return group.targets;
 }
 
 export function followIn(replica: StandinTarget, primary: StandinTarget | undefined, of: Term) {
--- a/test/standin/target.test.ts
+++ b/test/standin/target.test.ts
@@ -2,7 +2,7 @@
 import { DisposableStore } from "../../src/model/index.js";
 import { PgTargetConnector } from "../../src/target/index.js";
 import type { StandinTarget, StandinTargetOptions } from "../../standin/target/index.js";
-import { connectTo, findState, followIn, startGroup, term, waitStatus } from "./build.js";
+import { connectTo, findState, followIn, startTargets, term, waitStatus } from "./build.js";
 
 let store = new DisposableStore();
 
@@ -12,8 +12,7 @@
 });
 
 async function start(options: Partial<StandinTargetOptions> = {}, count = 1) {
-  const all = await startGroup(count, options);
-  for (const target of all) store.add(target);
+  const all = await startTargets(store, count, options);
   return all as [StandinTarget, StandinTarget, StandinTarget];
 }
 
--- a/test/target/target.test.ts
+++ b/test/target/target.test.ts
@@ -3,7 +3,7 @@
 import { DisposableStore, firstTerm, type MessageSink } from "../../src/model/index.js";
 import { OpenError, PgTargetConnector, PgTargetControl } from "../../src/target/index.js";
 import type { StandinTarget, StandinTargetOptions } from "../../standin/target/index.js";
-import { startGroup, term } from "../standin/build.js";
+import { startTargets, term } from "../standin/build.js";
 
 const never = new AbortController().signal;
 const timeoutMs = 5_000;
@@ -15,8 +15,7 @@
 });
 
 async function start(options: Partial<StandinTargetOptions> = {}, count = 1) {
-  const all = await startGroup(count, options);
-  for (const target of all) store.add(target);
+  const all = await startTargets(store, count, options);
   return all as [StandinTarget, StandinTarget, StandinTarget];
 }
 
@@ -141,7 +140,9 @@
   expect(await control.fence(b.target, term(1), timeoutMs)).toMatchObject({ type: "accepted" });
   expect(await control.promote(b.target, term(1), timeoutMs)).toMatchObject({ type: "accepted" });
   const followed = await control.follow(a.target, b.target, term(1), timeoutMs);
-  expect(followed).toMatchObject({ status: { role: "replica", follows: "b", fencedAt: term(1) } });
+  expect(followed).toMatchObject({
+    status: { role: "replica", follows: b.name, fencedAt: term(1) },
+  });
   const older = await control.fence(a.target, firstTerm, timeoutMs);
   expect(older).toEqual({ type: "refused", fencedAt: term(1) });
 });
