--- a/src/load/crowd.ts
+++ b/src/load/crowd.ts
@@ -78,7 +78,7 @@
     const result = await runWork(work, caller, peer ?? caller);
     const now = performance.now();
     if (at >= span.startAt + span.warmUpMs) {
-      this.tallies[work].record(result, now - at, now - sentAt);
+      this.tallies[work].record(result, now, now - at, now - sentAt);
     }
     if (result.violation !== undefined) this.onViolation(result.violation);
     this.running -= 1;
--- a/src/load/report.ts
+++ b/src/load/report.ts
@@ -14,11 +14,12 @@
   "p99 ms",
   "max ms",
   "refused p99 ms",
+  "gap ms",
 ];
 
 /** Writes a report as a table for people. */
 export function formatReport(report: LoadReport): string {
-  const rows = [headings, ...report.tallies.map((t) => formatTally(t, report.durationMs))];
+  const rows = [headings, ...report.tallies.map((t) => formatTally(t, report.elapsedMs))];
   const widths = headings.map((_, i) => Math.max(...rows.map((row) => row[i]?.length ?? 0)));
   const lines = rows.map((row) =>
     row.map((cell, i) => (i < 2 ? cell.padEnd(widths[i] ?? 0) : cell.padStart(widths[i] ?? 0))),
@@ -26,14 +27,14 @@
   return [...lines.map((cells) => cells.join("  ")), "", ...formatChecks(report)].join("\n");
 }
 
-function formatTally(tally: TallyReport, durationMs: number): readonly string[] {
+function formatTally(tally: TallyReport, elapsedMs: number): readonly string[] {
   const { counts, latency, refusal } = tally;
   return [
     tally.population,
     tally.work,
     String(countRequests(tally)),
     String(counts.landed),
-    ((counts.landed * 1000) / durationMs).toFixed(1),
+    ((counts.landed * 1000) / elapsedMs).toFixed(1),
     String(counts.notRun),
     String(counts.mayHaveRun),
     String(counts.failed),
@@ -41,6 +42,7 @@
     latency.p99.toFixed(1),
     latency.max.toFixed(1),
     refusal.p99.toFixed(1),
+    tally.longestGapMs.toFixed(1),
   ];
 }
 
--- a/src/load/run.ts
+++ b/src/load/run.ts
@@ -11,6 +11,8 @@
 export interface LoadReport {
   readonly seed: number;
   readonly durationMs: number;
+  /** From the end of the warm-up until the last request had ended, or was given up. */
+  readonly elapsedMs: number;
   readonly tallies: readonly TallyReport[];
   readonly violations: {
     readonly readYourWrites: number;
@@ -47,9 +49,20 @@
       const random = buildRandom(settings.seed, i);
       return new Crowd(population, groups[i] ?? [], random, onViolation);
     });
-    const unfinished = await runCrowds(settings, crowds);
+    const startAt = performance.now();
+    const unfinished = await runCrowds(settings, crowds, startAt);
+    const elapsedMs = performance.now() - startAt - settings.warmUp;
     const unverified = await verifyAll(callers, onViolation);
-    return buildReport(settings, crowds, violations, unfinished, unverified);
+    const tallies = crowds.flatMap((c) => Object.values(c.tallies)).map((t) => t.report);
+    return {
+      seed: settings.seed,
+      durationMs: settings.duration,
+      elapsedMs,
+      tallies: tallies.filter((t) => countRequests(t) > 0),
+      violations: summariseViolations(violations),
+      unfinished,
+      unverified,
+    };
   } finally {
     await Promise.all(callers.map((c) => c.session.close()));
   }
@@ -94,9 +107,13 @@
   if (answer.type !== "landed") throw new SetUpError(`set-up failed: ${answer.state}`);
 }
 
-async function runCrowds(settings: LoadSettings, crowds: readonly Crowd[]): Promise<number> {
+async function runCrowds(
+  settings: LoadSettings,
+  crowds: readonly Crowd[],
+  startAt: number,
+): Promise<number> {
   const span = {
-    startAt: performance.now(),
+    startAt,
     warmUpMs: settings.warmUp,
     durationMs: settings.duration,
   };
@@ -117,26 +134,12 @@
   return results.filter((r) => r.type !== "landed").length;
 }
 
-function buildReport(
-  settings: LoadSettings,
-  crowds: readonly Crowd[],
-  violations: readonly Violation[],
-  unfinished: number,
-  unverified: number,
-): LoadReport {
+function summariseViolations(violations: readonly Violation[]): LoadReport["violations"] {
   const count = (invariant: Violation["invariant"]) =>
     violations.filter((v) => v.invariant === invariant).length;
-  const tallies = crowds.flatMap((c) => Object.values(c.tallies)).map((t) => t.report);
   return {
-    seed: settings.seed,
-    durationMs: settings.duration,
-    tallies: tallies.filter((t) => countRequests(t) > 0),
-    violations: {
-      readYourWrites: count("readYourWrites"),
-      atMostOnce: count("atMostOnce"),
-      samples: violations.slice(0, maxSamples),
-    },
-    unfinished,
-    unverified,
+    readYourWrites: count("readYourWrites"),
+    atMostOnce: count("atMostOnce"),
+    samples: violations.slice(0, maxSamples),
   };
 }
--- a/src/load/tally.ts
+++ b/src/load/tally.ts
@@ -24,6 +24,8 @@
   readonly service: Times;
   /** Refused requests, from the time at which they were sent. */
   readonly refusal: Times;
+  /** The longest time between two requests that landed one after the other, in milliseconds. */
+  readonly longestGapMs: number;
 }
 
 const microseconds = 1000;
@@ -39,6 +41,8 @@
   };
   private readonly states: Record<string, number> = {};
   private repeats = 0;
+  private landedAt: number | undefined;
+  private longestGapMs = 0;
   private readonly latency = buildHistogram();
   private readonly service = buildHistogram();
   private readonly refusal = buildHistogram();
@@ -48,8 +52,8 @@
     private readonly work: string,
   ) {}
 
-  /** Records one request; times are in milliseconds. */
-  record(result: WorkResult, latencyMs: number, serviceMs: number): void {
+  /** Records one request that ended at `now`; times are in milliseconds. */
+  record(result: WorkResult, now: number, latencyMs: number, serviceMs: number): void {
     this.counts[result.type] += 1;
     this.repeats += result.repeats;
     if (result.state !== undefined) {
@@ -58,6 +62,7 @@
     if (result.type === "landed") {
       recordMs(this.latency, latencyMs);
       recordMs(this.service, serviceMs);
+      this.noteLanded(now);
     }
     if (result.type === "notRun") recordMs(this.refusal, serviceMs);
   }
@@ -72,8 +77,14 @@
       latency: summarise(this.latency),
       service: summarise(this.service),
       refusal: summarise(this.refusal),
+      longestGapMs: this.longestGapMs,
     };
   }
+
+  private noteLanded(now: number): void {
+    this.longestGapMs = Math.max(this.longestGapMs, now - (this.landedAt ?? now));
+    this.landedAt = now;
+  }
 }
 
 /** How many requests a report covers. */
