Give a suspected primary 150 ms to answer instead of 200

Cause: after the heartbeat the check itself is the longest part of detection: 250 of 450 ms. Change: confirmMs 200 -> 150.

--- a/src/controller/failover/options.ts
+++ b/src/controller/failover/options.ts
@@ -36,7 +36,7 @@
 
 /** What an answer takes at worst on a target that is well: a stall of its disk or its processor. */
 const stallMs = 100;
-const confirmMs = 2 * stallMs;
+const confirmMs = 1.5 * stallMs;
 const controlMs = 500;
 
 /**
