Ask all targets at once for a witnessed write

Cause: a witnessed write took two round trips after its commit: one for the primary's mark, then one for the confirmations. Ruled out: counting the commit's reply as the primary's confirmation. Change: readMark takes the mode; for witnessed the others are asked in the same moment, and confirm finds their answers, sent after the commit, in the view. Callers of readMark have to name the mode to gain by it.

--- a/bench/failover/fakefleet.ts
+++ b/bench/failover/fakefleet.ts
@@ -118,7 +118,7 @@
       watch.observeFailure(primary.target);
       return "mayHaveRun";
     }
-    const reading = await watch.readMark(primary.target);
+    const reading = await watch.readMark(primary.target, mode);
     if (reading.type !== "read") return "mayHaveRun";
     const { term } = primary;
     const stop = new AbortController();
--- a/bench/failover/writer.ts
+++ b/bench/failover/writer.ts
@@ -19,7 +19,7 @@
   primary: { readonly target: string; readonly term: Term },
   mode: Acknowledgement,
 ): Promise<boolean> {
-  const reading = await watch.readMark(primary.target);
+  const reading = await watch.readMark(primary.target, mode);
   if (reading.type !== "read") return false;
   const signal = AbortSignal.timeout(confirmMs);
   const { mark, askedAt } = reading;
--- a/src/groupwatch/groupwatch.ts
+++ b/src/groupwatch/groupwatch.ts
@@ -148,10 +148,13 @@
 
   /**
    * Reads a fresh mark of the primary. Called after a commit's reply, the mark is at or after the
-   * commit; give `term` and `askedAt` on to `confirm`.
+   * commit; give `term` and `askedAt` on to `confirm`. With `witnessed` the others are asked in the
+   * same moment, so that their answers are there when `confirm` is called.
    */
-  async readMark(target: string): Promise<MarkReading> {
-    const asked = await this.askFresh(target);
+  async readMark(target: string, mode: Acknowledgement = "replicated"): Promise<MarkReading> {
+    const reading = this.askFresh(target);
+    if (mode === "witnessed") this.askOthers(target);
+    const asked = await reading;
     const { askedAt, result } = asked;
     switch (result.type) {
       case "unreachable":
@@ -235,6 +238,10 @@
     return isPrimary ? this.timings.maxAllowanceMs : getAllowance(this.runner.state, target);
   }
 
+  private askOthers(target: string): void {
+    for (const name of this.watched.keys()) if (name !== target) void this.askFresh(name);
+  }
+
   private async askFresh(name: string): ReturnType<FreshAsker["ask"]> {
     const watched = this.watched.get(name);
     if (watched === undefined)
