Admit with a margin for how much a wait varies

Cause: admitted up to the limit itself, half of the last in a lane are refused after waiting almost as long as they may; bursts of more important classes make waits vary more. Ruled out: a longer average of the use by more important classes (tried, worse). Change: an arrival must bear the expected wait and two standard deviations, by the formula for a queue that is interrupted at the measured use; the time to come back counts the same margin.

--- a/src/controller/admission/refusal.ts
+++ b/src/controller/admission/refusal.ts
@@ -8,6 +8,8 @@
 const longestRetryMs = 10_000;
 /** Told where nothing is known of when a target will serve again. */
 const unknownRetryMs = 1000;
+/** An arrival is admitted only if a wait this many spreads longer than expected would do. */
+const carefulSpreads = 2;
 
 /** The longest that a request may still wait: by its rule, and so that it ends before its deadline. */
 export function findPatience(waiting: Waiting, serviceMs: number, at: number): number {
@@ -55,16 +57,25 @@
   };
 }
 
-/** Estimates the wait of a request and refuses it when it is too long. */
+/**
+ * Estimates the wait of an arrival and tells whether it is too long, with a margin. Admitted up to
+ * the limit itself, half of the last ones would be refused after having waited almost all of it.
+ */
 export function checkWait(admission: Admission, waiting: Waiting, at: number) {
   const estimate = measureWait(admission, waiting, at);
-  const reason = findRefusal(admission, waiting, estimate, at);
+  const waitMs = findCarefulWait(estimate);
+  const reason = findRefusal(admission, waiting, { ...estimate, waitMs }, at);
   return { estimate, reason };
 }
 
 function findExcess(waiting: Waiting, estimate: WaitEstimate, at: number): number {
   if (!Number.isFinite(estimate.waitMs)) return unknownRetryMs;
-  return Math.max(0, estimate.waitMs - Math.max(0, findPatience(waiting, estimate.serviceMs, at)));
+  const patience = Math.max(0, findPatience(waiting, estimate.serviceMs, at));
+  return Math.max(0, findCarefulWait(estimate) - patience);
+}
+
+function findCarefulWait({ waitMs, spreadMs }: WaitEstimate): number {
+  return waitMs + carefulSpreads * spreadMs;
 }
 
 function findOutage(admission: Admission, waiting: Waiting): "noPrimary" | "overloaded" {
--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -17,6 +17,8 @@
 export interface WaitEstimate {
   /** Infinity when none of its targets has slots and none is expected back. */
   readonly waitMs: number;
+  /** The standard deviation of the wait. */
+  readonly spreadMs: number;
   /** Milliseconds between two starts that its class gets on these targets. */
   readonly startEveryMs: number;
   readonly serviceMs: number;
@@ -33,7 +35,7 @@
   at: number,
 ): WaitEstimate {
   const isFree = question.candidates.some((name) => canStartOn(admission, question, name));
-  if (isFree) return { ...measureCapacity(admission, question, at), waitMs: 0 };
+  if (isFree) return { ...measureCapacity(admission, question, at), waitMs: 0, spreadMs: 0 };
   const line = measureLine(admission, question, at);
   return line.estimate(question.team, line.findPlace(question.team) + 1);
 }
@@ -55,9 +57,15 @@
   return {
     findPlace: turns.findPlace,
     estimate: (team, place) => {
-      if (capacity.backInMs !== undefined) return { ...capacity, waitMs: capacity.backInMs };
+      if (capacity.backInMs !== undefined) {
+        return { ...capacity, waitMs: capacity.backInMs, spreadMs: 0 };
+      }
       const ahead = above + turns.countUntil(team, place);
-      return { ...capacity, waitMs: ahead * capacity.startEveryMs };
+      return {
+        ...capacity,
+        waitMs: ahead * capacity.startEveryMs,
+        spreadMs: Math.sqrt(ahead) * capacity.startEveryMs * findBurstiness(capacity.share),
+      };
     },
   };
 }
@@ -69,17 +77,28 @@
   let starts = 0;
   let serviceMs = 0;
   let backAt = Infinity;
+  let share = 1;
   for (const target of listTargets(admission, question.candidates)) {
     serviceMs = Math.max(serviceMs, target.serviceMs);
     if (target.slots === 0) backAt = Math.min(backAt, target.backAt ?? Infinity);
     const slots = countUsableSlots(target, isTrial) - (stalled.get(target.target) ?? 0);
-    if (slots > 0)
-      starts += (slots * findShare(admission, target, question, at)) / target.serviceMs;
+    if (slots <= 0) continue;
+    const left = findShare(admission, target, question, at);
+    starts += (slots * left) / target.serviceMs;
+    share = Math.min(share, left);
   }
   const startEveryMs = starts > 0 ? 1 / starts : Infinity;
   const isBackLater = starts === 0 && backAt < Infinity;
   const backInMs = isBackLater ? Math.max(0, backAt - at) : undefined;
-  return { startEveryMs, serviceMs, backInMs };
+  return { startEveryMs, serviceMs, backInMs, share };
+}
+
+/**
+ * How much more a wait varies when more important classes take all but `share` of the slots: their
+ * bursts interrupt it. For exponential service times the variance grows by (1 + use) / (1 - use).
+ */
+function findBurstiness(share: number): number {
+  return Math.sqrt((2 - share) / share);
 }
 
 /** Whether a target has a slot for a request, whoever else waits. */
