Keep the primary's history by age, not by number

Cause: at a lag of 5 s the newest 256 sightings did not reach back far enough: the age of a replica was unknown, stale reads of up to 10 s left it, and predictions of its catching up were too early. Change: sightings are forgotten only where their neighbours lie closer than a sixteenth of their age; findReachedAt says nothing about times before the history.

--- a/src/policy/history.ts
+++ b/src/policy/history.ts
@@ -15,7 +15,10 @@
 /** A history without a sighting. */
 export const emptyHistory: PositionHistory = { sightings: [] };
 
-const maxSightings = 256;
+const maxSightings = 512;
+const agePerGap = 16;
+/** Older data counts as of unknown age. */
+const horizonMs = 600_000;
 
 /**
  * Adds a primary's status. It counts from when it was asked for: a later time would make replicas
@@ -28,9 +31,8 @@
   if (last === undefined || !isSameTerm(last.mark, mark)) return { sightings: [fresh] };
   if (mark.offset < last.mark.offset || view.askedAt < last.lastAt) return history;
   const before = history.sightings;
-  if (mark.offset > last.mark.offset) {
-    return { sightings: [...before.slice(1 - maxSightings), fresh] };
-  }
+  if (mark.offset > last.mark.offset)
+    return { sightings: [...thinOut(before, view.askedAt), fresh] };
   return { sightings: [...before.slice(0, -1), { ...last, lastAt: view.askedAt }] };
 }
 
@@ -45,12 +47,38 @@
   return seen === undefined ? undefined : Math.max(0, now - seen.lastAt);
 }
 
-/** When the primary was first seen to hold `mark`, on the owner's clock. */
+/**
+ * When the primary was first seen to hold `mark`, on the owner's clock. `undefined` when that was
+ * before the history begins.
+ */
 export function findReachedAt(history: PositionHistory, mark: Mark): number | undefined {
-  const seen = history.sightings.find(
+  const { sightings } = history;
+  const index = sightings.findIndex(
     (s) => isSameTerm(s.mark, mark) && s.mark.offset >= mark.offset,
   );
-  return seen?.firstAt;
+  const seen = sightings[index];
+  if (seen === undefined || (index === 0 && seen.mark.offset > mark.offset)) return undefined;
+  return seen.firstAt;
+}
+
+/**
+ * Makes room by forgetting sightings whose neighbours lie closer together than a sixteenth of their
+ * age, so that the history reaches back far beyond the longest lag. An age that falls into a gap
+ * comes out greater by that part, never smaller.
+ */
+function thinOut(sightings: readonly Sighting[], now: number): readonly Sighting[] {
+  if (sightings.length < maxSightings) return sightings;
+  const kept: Sighting[] = [];
+  sightings.forEach((sighting, i) => {
+    const before = kept.at(-1);
+    const after = sightings[i + 1];
+    const isNeeded =
+      before === undefined ||
+      after === undefined ||
+      after.firstAt - before.lastAt > (now - sighting.firstAt) / agePerGap;
+    if (isNeeded) kept.push(sighting);
+  });
+  return kept.filter((s) => now - s.lastAt < horizonMs).slice(1 - maxSightings);
 }
 
 function isSameTerm(a: Mark, b: Mark): boolean {
--- a/test/policy/route.test.ts
+++ b/test/policy/route.test.ts
@@ -74,6 +74,20 @@
   expect(findAge(history, at(9, two), 310)).toBeUndefined();
 });
 
+// A replica is five seconds behind a primary that is seen a hundred times a second.
+// Were only the newest sightings kept, its age would be unknown and stale reads would leave it.
+// Older sightings are thinned out instead: the age is known, and never too small.
+test("the age of a replica far behind is known, and an upper bound", () => {
+  let long = emptyHistory;
+  for (let i = 1; i <= 9000; i++) long = observePrimary(long, view("p", i, 10 * i));
+  expect(long.sightings.length).toBeLessThanOrEqual(512);
+  for (const held of [2000, 5000, 8500, 8900, 8999]) {
+    const age = findAge(long, at(held), 90_000) ?? 0;
+    expect(age).toBeGreaterThanOrEqual(90_000 - 10 * held);
+    expect(age).toBeLessThan(1.1 * (90_000 - 10 * held) + 10);
+  }
+});
+
 // A session saw a write that no fenced target held; the new primary's log branched off before it.
 // Every log of the new term is cut below the mark, so that waiting would never end.
 // The primary is asked, and its owner decides what the caller hears.
