Bench: let browsing reach the primary too

Cause: sessions that no replica can serve yet browse on the primary; the bench kept browsing off it. Change: a quarter of the flood on the primary is browsing.

--- a/bench/admission/floods.ts
+++ b/bench/admission/floods.ts
@@ -71,6 +71,7 @@
     payingWrite: of("payingWrite"),
     payingRead: of("payingRead"),
     browsing: of("browsing"),
+    browsingOnPrimary: of("browsingOnPrimary"),
     trialRead: of("trialRead"),
     trialWrite: of("trialWrite"),
   };
--- a/bench/admission/table.ts
+++ b/bench/admission/table.ts
@@ -24,13 +24,15 @@
     "reads p99 ms",
     "reads lost",
     "browsing served",
+    "on primary",
     "trial served",
     "refused after ms (p50, p99, worst)",
     "refused late",
     "storm ms",
   ];
   const rows = figures.map((f) => {
-    const { payingWrite: write, payingRead: read, browsing, trialRead, trialWrite } = f.streams;
+    const { payingWrite: write, payingRead: read, trialRead, trialWrite } = f.streams;
+    const { browsing, browsingOnPrimary } = f.streams;
     const { p50, p99, worst } = f.refusedAfterMs;
     return [
       f.group,
@@ -44,6 +46,7 @@
       read.p99,
       read.lost,
       renderShare(browsing.served, browsing.sent),
+      renderShare(browsingOnPrimary.served, browsingOnPrimary.sent),
       renderShare(trialRead.served + trialWrite.served, trialRead.sent + trialWrite.sent),
       `${p50}, ${p99}, ${worst}`,
       renderShare(f.lateShare, 1),
--- a/bench/admission/workload.ts
+++ b/bench/admission/workload.ts
@@ -23,7 +23,8 @@
 
 /** One kind of traffic: what it asks, and its load as a share of what its targets bear. */
 export interface Stream {
-  readonly name: "payingWrite" | "payingRead" | "browsing" | "trialRead" | "trialWrite";
+  readonly name:
+    "payingWrite" | "payingRead" | "browsing" | "browsingOnPrimary" | "trialRead" | "trialWrite";
   readonly load: number;
   readonly teams: number;
   readonly tries: number;
@@ -34,7 +35,10 @@
 const replicas = ["r1", "r2"];
 const primary = ["p"];
 
-/** Paying traffic at three tenths of the slots, and a flood of some times what they bear. */
+/**
+ * Paying traffic at three tenths of the slots, and a flood of some times what they bear. A quarter of
+ * the primary's flood is browsing whose sessions no replica can serve yet.
+ */
 export function makeStreams(flood: number): readonly Stream[] {
   const paying = { plan: "paying", maxQueueMs: 1000 } as const;
   const browsing = { plan: "paying", priority: "browsing", maxQueueMs: 300 } as const;
@@ -64,6 +68,14 @@
       deadlineMs: 1000,
       request: { ...browsing, candidates: replicas },
     },
+    {
+      name: "browsingOnPrimary",
+      load: flood / 4,
+      teams: 5,
+      tries: 2,
+      deadlineMs: 1000,
+      request: { ...browsing, candidates: primary },
+    },
     {
       name: "trialRead",
       load: flood / 2,
@@ -74,7 +86,7 @@
     },
     {
       name: "trialWrite",
-      load: flood,
+      load: (flood * 3) / 4,
       teams: 20,
       tries: 2,
       deadlineMs: 1000,
