Foresee waits by the guaranteed share as well

Its wait was estimated behind the whole flood, so that it was refused and never waited for the share it has; and 1 % of a primary with one slot for trial work is a start in 500 ms, longer than the rule allows. Ruled out: a longer queue for trial work (an operator's choice; the share must hold with short ones). Change: a wait is the sooner of what more important classes leave, and of what the guaranteed share gives whoever else waits; shares are 10 % (normal), 5 % (browsing) and 5 % (trial). Tests: a new one for the share beside a flood; the one for a grown wait now runs without a guaranteed share, since with it the wait is within the limit; the one for 1 % sets 1 %.

--- a/bench/admission/slopes.ts
+++ b/bench/admission/slopes.ts
@@ -103,6 +103,7 @@
 
 function collect(): void {
   globalThis.gc?.();
+  globalThis.gc?.();
 }
 
 function micros(begun: bigint): number {
--- a/src/controller/admission/refusal.ts
+++ b/src/controller/admission/refusal.ts
@@ -1,5 +1,5 @@
 import type { AdmissionEffect, ClassQueue, Waiting } from "./types.js";
-import { measureWait, type WaitEstimate } from "./wait.js";
+import { findCarefulWait, measureWait, type WaitEstimate } from "./wait.js";
 import type { Admission } from "./types.js";
 
 type Refusal = Extract<AdmissionEffect, { type: "refuse" }>;
@@ -8,8 +8,6 @@
 const longestRetryMs = 10_000;
 /** Told where nothing is known of when a target will serve again. */
 const unknownRetryMs = 1000;
-/** An arrival is admitted only if a wait this many spreads longer than expected would do. */
-const carefulSpreads = 2;
 
 /** The longest that a request may still wait: by its rule, and so that it ends before its deadline. */
 export function findPatience(waiting: Waiting, serviceMs: number, at: number): number {
@@ -74,10 +72,6 @@
   return Math.max(0, findCarefulWait(estimate) - patience);
 }
 
-function findCarefulWait({ waitMs, spreadMs }: WaitEstimate): number {
-  return waitMs + carefulSpreads * spreadMs;
-}
-
 function findOutage(admission: Admission, waiting: Waiting): "noPrimary" | "overloaded" {
   const needsPrimary = waiting.candidates.every((name) => {
     const target = admission.targets[name];
--- a/src/controller/admission/step.ts
+++ b/src/controller/admission/step.ts
@@ -1,4 +1,5 @@
 import { fail, succeed, type Applied } from "../../model/index.js";
+import { listTargets } from "./capacity.js";
 import { refuseLeastImportant } from "./displace.js";
 import { emptyClass, makeLaneKey } from "./queue.js";
 import { checkWait, refuse } from "./refusal.js";
@@ -16,14 +17,14 @@
   AdmissionSettings,
   Waiting,
 } from "./types.js";
-import { canStartOn, listTargets } from "./wait.js";
+import { canStartOn } from "./wait.js";
 
 /** The result of one event. */
 export type AdmissionResult = Applied<Admission, AdmissionEffect, AdmissionFailure>;
 
 /** What holds unless an owner sets something else. */
 export const defaultAdmissionSettings: AdmissionSettings = {
-  guaranteedShare: { critical: 1, normal: 0.05, browsing: 0.03, trial: 0.01 },
+  guaranteedShare: { critical: 1, normal: 0.1, browsing: 0.05, trial: 0.05 },
   maxWaiting: 4096,
   firstServiceMs: 5,
 };
--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -1,9 +1,10 @@
 import { priorities, type Plan, type Priority } from "../../model/index.js";
+import { measureCapacity, type Capacity } from "./capacity.js";
 import { isTrialWork } from "./queue.js";
-import { canRunTrial, countUsableSlots, hasFreeSlot, measureUseAbove } from "./slots.js";
+import { canRunTrial, hasFreeSlot } from "./slots.js";
 import { listValues } from "./tree.js";
 import { findOverlap, foreseeTurns } from "./turns.js";
-import type { Admission, TargetSlots } from "./types.js";
+import type { Admission } from "./types.js";
 
 /** What decides how long a request would wait. */
 export interface WaitQuestion {
@@ -24,9 +25,7 @@
   readonly serviceMs: number;
 }
 
-/** A statement that holds its slot this many times the usual time no longer counts as about to end. */
-const stalledFactor = 20;
-const stalledAfterMs = 1000;
+const carefulSpreads = 2;
 
 /** Estimates the wait of a request that would arrive now. */
 export function measureWait(
@@ -35,7 +34,10 @@
   at: number,
 ): WaitEstimate {
   const isFree = question.candidates.some((name) => canStartOn(admission, question, name));
-  if (isFree) return { ...measureCapacity(admission, question, at), waitMs: 0, spreadMs: 0 };
+  if (isFree) {
+    const { leftEveryMs, serviceMs } = measureCapacity(admission, question, at);
+    return { waitMs: 0, spreadMs: 0, startEveryMs: leftEveryMs, serviceMs };
+  }
   const line = measureLine(admission, question, at);
   return line.estimate(question.team, line.findPlace(question.team) + 1);
 }
@@ -57,48 +59,48 @@
   return {
     findPlace: turns.findPlace,
     estimate: (team, place) => {
-      if (capacity.backInMs !== undefined) {
-        return { ...capacity, waitMs: capacity.backInMs, spreadMs: 0 };
+      const { backInMs, serviceMs } = capacity;
+      if (backInMs !== undefined) {
+        return { waitMs: backInMs, spreadMs: 0, startEveryMs: capacity.leftEveryMs, serviceMs };
       }
-      const ahead = above + turns.countUntil(team, place);
-      return {
-        ...capacity,
-        waitMs: ahead * capacity.startEveryMs,
-        spreadMs: Math.sqrt(ahead) * capacity.startEveryMs * findBurstiness(capacity.share),
-      };
+      const own = turns.countUntil(team, place);
+      return pickSooner(foreseeLeft(capacity, above + own), foreseeOwed(capacity, own));
     },
   };
 }
 
-/** How fast the targets of a request start requests of its class. */
-function measureCapacity(admission: Admission, question: WaitQuestion, at: number) {
-  const isTrial = isTrialWork(question);
-  const stalled = countStalled(admission, at);
-  let starts = 0;
-  let serviceMs = 0;
-  let backAt = Infinity;
-  let share = 1;
-  for (const target of listTargets(admission, question.candidates)) {
-    serviceMs = Math.max(serviceMs, target.serviceMs);
-    if (target.slots === 0) backAt = Math.min(backAt, target.backAt ?? Infinity);
-    const slots = countUsableSlots(target, isTrial) - (stalled.get(target.target) ?? 0);
-    if (slots <= 0) continue;
-    const left = findShare(admission, target, question, at);
-    starts += (slots * left) / target.serviceMs;
-    share = Math.min(share, left);
-  }
-  const startEveryMs = starts > 0 ? 1 / starts : Infinity;
-  const isBackLater = starts === 0 && backAt < Infinity;
-  const backInMs = isBackLater ? Math.max(0, backAt - at) : undefined;
-  return { startEveryMs, serviceMs, backInMs, share };
+/** A wait by what more important classes leave. Their bursts make it vary the more they use. */
+function foreseeLeft({ leftEveryMs, leftShare, serviceMs }: Capacity, ahead: number): WaitEstimate {
+  const burstiness = Math.sqrt((2 - leftShare) / leftShare);
+  return {
+    waitMs: ahead * leftEveryMs,
+    spreadMs: Math.sqrt(ahead) * leftEveryMs * burstiness,
+    startEveryMs: leftEveryMs,
+    serviceMs,
+  };
 }
 
 /**
- * How much more a wait varies when more important classes take all but `share` of the slots: their
- * bursts interrupt it. For exponential service times the variance grows by (1 + use) / (1 - use).
+ * A wait by the guaranteed share alone, whoever else waits. Each start of the class comes after many
+ * of others, so that it varies little. Without it a class beside a flood of a more important one
+ * would be refused for the wait behind that flood, and never use its share.
  */
-function findBurstiness(share: number): number {
-  return Math.sqrt((2 - share) / share);
+function foreseeOwed({ owedEveryMs, owedShare, serviceMs }: Capacity, ahead: number): WaitEstimate {
+  return {
+    waitMs: ahead * owedEveryMs,
+    spreadMs: Math.sqrt(ahead * owedShare) * owedEveryMs,
+    startEveryMs: owedEveryMs,
+    serviceMs,
+  };
+}
+
+function pickSooner(a: WaitEstimate, b: WaitEstimate): WaitEstimate {
+  return findCarefulWait(a) <= findCarefulWait(b) ? a : b;
+}
+
+/** The wait that one in some forty is longer than. */
+export function findCarefulWait({ waitMs, spreadMs }: WaitEstimate): number {
+  return waitMs === Infinity ? Infinity : waitMs + carefulSpreads * spreadMs;
 }
 
 /** Whether a target has a slot for a request, whoever else waits. */
@@ -112,14 +114,6 @@
   return isTrialWork(question) ? canRunTrial(target) : hasFreeSlot(target);
 }
 
-/** The known ones of some targets. */
-export function listTargets(
-  admission: Admission,
-  names: readonly string[],
-): readonly TargetSlots[] {
-  return names.flatMap((name) => admission.targets[name] ?? []);
-}
-
 /** Requests of more important classes that some targets serve first. */
 function countAbove(admission: Admission, question: WaitQuestion): number {
   const above = priorities.slice(0, priorities.indexOf(question.priority));
@@ -131,25 +125,3 @@
   }
   return count;
 }
-
-/** What more important classes leave of a target, by their recent use; never less than the guarantee. */
-function findShare(
-  admission: Admission,
-  target: TargetSlots,
-  question: WaitQuestion,
-  at: number,
-): number {
-  const guaranteed = admission.settings.guaranteedShare[question.priority];
-  return Math.max(guaranteed, 1 - measureUseAbove(target, question.priority, at));
-}
-
-function countStalled(admission: Admission, at: number): ReadonlyMap<string, number> {
-  const stalled = new Map<string, number>();
-  for (const running of listValues(admission.running)) {
-    const serviceMs = admission.targets[running.target]?.serviceMs ?? 0;
-    const longest = Math.max(stalledAfterMs, stalledFactor * serviceMs);
-    if (at - running.startedAt <= longest) continue;
-    stalled.set(running.target, 1 + (stalled.get(running.target) ?? 0));
-  }
-  return stalled;
-}
--- a/test/admission/queue.test.ts
+++ b/test/admission/queue.test.ts
@@ -32,7 +32,9 @@
 // Trial callers would then see nothing but refusals, and a trial that never runs is none.
 // The guaranteed share gives them one start in a hundred.
 test("the guaranteed share keeps trial work from starving", () => {
-  const bench = new Bench();
+  const bench = new Bench({
+    guaranteedShare: { critical: 1, normal: 0, browsing: 0, trial: 0.01 },
+  });
   bench.arrive("trial0", { priority: "critical" });
   for (let i = 1; i < 6; i++) bench.arrive(`trial${i}`, { priority: "trial", team: "t" });
   for (let i = 0; i < 400; i++) bench.arrive(`write${i}`, { priority: "critical" });
@@ -40,6 +42,26 @@
   expect(order.filter((id) => id.startsWith("trial"))).toHaveLength(3);
 });
 
+// Browsing floods the primary, and trial callers may wait for a third of a second.
+// Behind the whole flood they would wait for longer: refused for that they would never use the share
+// that they are guaranteed. Their wait is foreseen by that share, and one start in twenty is theirs.
+test("trial work is admitted to its guaranteed share beside a flood", () => {
+  const bench = new Bench();
+  bench.arrive("first");
+  bench.arrive("browse0", { priority: "browsing", team: "b" });
+  let sent = 0;
+  const order = bench.serve(1000, () => {
+    const asked = { priority: "browsing", maxQueueMs: 300, team: "b" } as const;
+    for (let i = 0; i < 3; i++) bench.arrive(`browse${++sent}`, asked);
+    bench.arrive(`trial${sent}`, { priority: "trial", maxQueueMs: 300, team: "t" });
+    bench.apply({ type: "tick", at: bench.at });
+  });
+  expect(order).toHaveLength(1000);
+  const trial = order.filter((id) => id.startsWith("trial")).length;
+  expect(trial).toBeGreaterThanOrEqual(40);
+  expect(trial).toBeLessThanOrEqual(55);
+});
+
 // A caller's statement would wait longer than its rule allows.
 // It hears so in the same step, with a time to come back, and not when its patience has run out.
 // Those refused together are told different times, so that they do not return together.
@@ -84,7 +106,7 @@
 // Browsing was admitted with a short wait; then more important work arrived and kept arriving.
 // Held, it would hear of it at its deadline. The next tick tells it.
 test("a wait that has grown too long ends with the next tick", () => {
-  const bench = new Bench();
+  const bench = new Bench(strict);
   bench.arrive("running");
   bench.arrive("browse", { priority: "browsing", maxQueueMs: 100 });
   for (let i = 0; i < 40; i++) bench.arrive(`write${i}`, { priority: "critical" });
