Keep the clear slot of a primary from browsing too

Ruled out: routing such reads to replicas after a longer wait (patience; bounded by lag, not enough). Change: the slot that trial work leaves clear is left by browsing as well; both count as background.

--- a/src/controller/admission/capacity.ts
+++ b/src/controller/admission/capacity.ts
@@ -1,4 +1,4 @@
-import { isTrialWork } from "./queue.js";
+import { isBackgroundWork } from "./queue.js";
 import { countUsableSlots, measureUseAbove } from "./slots.js";
 import { listValues } from "./tree.js";
 import type { Admission, AdmissionRequest, TargetSlots } from "./types.js";
@@ -37,7 +37,7 @@
   for (const target of listTargets(admission, candidates)) {
     serviceMs = Math.max(serviceMs, target.serviceMs);
     if (target.slots === 0) backAt = Math.min(backAt, target.backAt ?? Infinity);
-    const usable = countUsableSlots(target, isTrialWork(question));
+    const usable = countUsableSlots(target, isBackgroundWork(question));
     const rate = Math.max(0, usable - (stalled.get(target.target) ?? 0)) / target.serviceMs;
     all += rate;
     left += rate * (1 - measureUseAbove(target, priority, at));
--- a/src/controller/admission/queue.ts
+++ b/src/controller/admission/queue.ts
@@ -12,12 +12,13 @@
   comeBackAt: 0,
 };
 
-/** Whether a request counts as trial work: by its team's plan, or by the class a rule gave it. */
-export function isTrialWork(request: {
+/** Whether a request counts as background work: by its team's plan, or by the class a rule gave it. */
+export function isBackgroundWork(request: {
   readonly plan: Plan;
   readonly priority: Priority;
 }): boolean {
-  return request.plan === "trial" || request.priority === "trial";
+  const { plan, priority } = request;
+  return plan === "trial" || priority === "trial" || priority === "browsing";
 }
 
 /** Puts a request into its team's lane, by order of arrival. */
@@ -28,7 +29,7 @@
   const lane = getEntry(team.lanes, key) ?? {
     key,
     candidates,
-    isTrial: isTrialWork(waiting),
+    isBackground: isBackgroundWork(waiting),
     queue: undefined,
   };
   const longer = { ...lane, queue: putEntry(lane.queue, waiting.seq, waiting) };
@@ -95,13 +96,13 @@
 export function findNext(
   queue: ClassQueue,
   target: string,
-  isTrialAllowed: boolean,
+  isBackgroundAllowed: boolean,
 ): Waiting | undefined {
   if (!hasWorkFor(queue, target)) return undefined;
   let best: { readonly tag: number; readonly waiting: Waiting } | undefined;
   for (const team of listValues(queue.teams)) {
     if (best !== undefined && team.tag > best.tag) continue;
-    const waiting = findHead(team, target, isTrialAllowed);
+    const waiting = findHead(team, target, isBackgroundAllowed);
     if (waiting === undefined) continue;
     const isSooner = best === undefined || team.tag < best.tag || waiting.seq < best.waiting.seq;
     if (isSooner) best = { tag: team.tag, waiting };
@@ -119,21 +120,25 @@
 
 /** The key of the lane that a request belongs to. */
 export function makeLaneKey(waiting: Waiting): string {
-  return `${isTrialWork(waiting) ? "trial" : "other"} ${waiting.candidates.join(" ")}`;
+  return `${isBackgroundWork(waiting) ? "background" : "other"} ${waiting.candidates.join(" ")}`;
 }
 
-function findHead(team: TeamQueue, target: string, isTrialAllowed: boolean): Waiting | undefined {
+function findHead(
+  team: TeamQueue,
+  target: string,
+  isBackgroundAllowed: boolean,
+): Waiting | undefined {
   let head: Waiting | undefined;
   for (const lane of listValues(team.lanes)) {
-    if (!canServeLane(lane, target, isTrialAllowed)) continue;
+    if (!canServeLane(lane, target, isBackgroundAllowed)) continue;
     const first = findFirstEntry(lane.queue)?.value;
     if (first !== undefined && (head === undefined || first.seq < head.seq)) head = first;
   }
   return head;
 }
 
-function canServeLane(lane: Lane, target: string, isTrialAllowed: boolean): boolean {
-  return (isTrialAllowed || !lane.isTrial) && lane.candidates.includes(target);
+function canServeLane(lane: Lane, target: string, isBackgroundAllowed: boolean): boolean {
+  return (isBackgroundAllowed || !lane.isBackground) && lane.candidates.includes(target);
 }
 
 /**
--- a/src/controller/admission/slots.ts
+++ b/src/controller/admission/slots.ts
@@ -20,16 +20,16 @@
     slots: 0,
     backAt: undefined,
     running: 0,
-    runningTrial: 0,
+    runningBackground: 0,
     serviceMs,
     used: nothingUsed,
     usedAt: at,
   };
 }
 
-/** The slots that a kind of work may hold at once: trial work leaves one of a primary's free. */
-export function countUsableSlots(target: TargetSlots, isTrial: boolean): number {
-  return isTrial && target.role === "primary" && target.slots >= 2
+/** The slots that a kind of work may hold at once: background work leaves one of a primary's free. */
+export function countUsableSlots(target: TargetSlots, isBackground: boolean): number {
+  return isBackground && target.role === "primary" && target.slots >= 2
     ? target.slots - 1
     : target.slots;
 }
@@ -40,18 +40,18 @@
 }
 
 /**
- * Whether a target has a slot for trial work. Trial statements in every slot of the primary would
- * make paying writes wait for the longest of them; with one slot kept clear a write always has a
- * slot that only paying work can hold.
+ * Whether a target has a slot for trial or browsing work. Were it in every slot of the primary, paying
+ * writes would wait for the first of it to end; with one slot kept clear a write always has a slot that
+ * only other important work can hold.
  */
-export function canRunTrial(target: TargetSlots): boolean {
-  return hasFreeSlot(target) && target.runningTrial < countUsableSlots(target, true);
+export function canRunBackground(target: TargetSlots): boolean {
+  return hasFreeSlot(target) && target.runningBackground < countUsableSlots(target, true);
 }
 
 /** A target with one more statement. */
-export function takeSlot(target: TargetSlots, isTrial: boolean): TargetSlots {
-  const runningTrial = target.runningTrial + (isTrial ? 1 : 0);
-  return { ...target, running: target.running + 1, runningTrial };
+export function takeSlot(target: TargetSlots, isBackground: boolean): TargetSlots {
+  const runningBackground = target.runningBackground + (isBackground ? 1 : 0);
+  return { ...target, running: target.running + 1, runningBackground };
 }
 
 /** A target after a statement has left its slot, with what its time there tells. */
@@ -61,7 +61,7 @@
   return {
     ...target,
     running: target.running - 1,
-    runningTrial: target.runningTrial - (running.isTrial ? 1 : 0),
+    runningBackground: target.runningBackground - (running.isBackground ? 1 : 0),
     serviceMs: target.serviceMs + serviceWeight * (heldMs - target.serviceMs),
     used: { ...used, [running.priority]: used[running.priority] + heldMs },
     usedAt: at,
--- a/src/controller/admission/start.ts
+++ b/src/controller/admission/start.ts
@@ -1,7 +1,7 @@
 import { assertInvariant, priorities, succeed, type Applied } from "../../model/index.js";
-import { chargeTeam, findNext, hasWorkFor, isTrialWork } from "./queue.js";
+import { chargeTeam, findNext, hasWorkFor, isBackgroundWork } from "./queue.js";
 import { checkWait, refuse } from "./refusal.js";
-import { canRunTrial, hasFreeSlot, takeSlot } from "./slots.js";
+import { canRunBackground, hasFreeSlot, takeSlot } from "./slots.js";
 import { dropWaiting, withClass } from "./state.js";
 import { getEntry, putEntry } from "./tree.js";
 import type { Admission, AdmissionEffect, Running, Waiting } from "./types.js";
@@ -34,14 +34,14 @@
   const target = admission.targets[name];
   if (target === undefined) return succeed(admission);
   assertInvariant("noWorkForLeaving", hasFreeSlot(target), () => `${waiting.id} on full ${name}`);
-  const isTrial = isTrialWork(waiting);
+  const isBackground = isBackgroundWork(waiting);
   const isQueued = getEntry(admission.waiting, waiting.id) !== undefined;
   const running: Running = {
     id: waiting.id,
     target: name,
     team: waiting.team,
     priority: waiting.priority,
-    isTrial,
+    isBackground,
     startedAt: at,
     charged: isQueued ? target.serviceMs : 0,
     isAbandoned: false,
@@ -50,7 +50,7 @@
   const next = {
     ...settled,
     running: putEntry(settled.running, running.id, running),
-    targets: { ...settled.targets, [name]: takeSlot(target, isTrial) },
+    targets: { ...settled.targets, [name]: takeSlot(target, isBackground) },
   };
   return succeed(next, [{ type: "start", id: waiting.id, target: name }]);
 }
@@ -59,10 +59,10 @@
 function pickNext(admission: Admission, name: string): Waiting | undefined {
   const target = admission.targets[name];
   if (target === undefined || !hasFreeSlot(target)) return undefined;
-  const isTrialAllowed = canRunTrial(target);
+  const isBackgroundAllowed = canRunBackground(target);
   const owed = priorities.filter((p) => admission.classes[p].credit >= 1);
   for (const priority of [...owed, ...priorities]) {
-    const waiting = findNext(admission.classes[priority], name, isTrialAllowed);
+    const waiting = findNext(admission.classes[priority], name, isBackgroundAllowed);
     if (waiting !== undefined) return waiting;
   }
   return undefined;
--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -75,7 +75,7 @@
 export interface Lane {
   readonly key: string;
   readonly candidates: readonly string[];
-  readonly isTrial: boolean;
+  readonly isBackground: boolean;
   readonly queue: Tree<number, Waiting>;
 }
 
@@ -112,7 +112,7 @@
   readonly target: string;
   readonly team: string;
   readonly priority: Priority;
-  readonly isTrial: boolean;
+  readonly isBackground: boolean;
   readonly startedAt: number;
   /** Slot time charged to its team in advance; 0 when it started without waiting. */
   readonly charged: number;
@@ -127,7 +127,7 @@
   readonly slots: number;
   readonly backAt: number | undefined;
   readonly running: number;
-  readonly runningTrial: number;
+  readonly runningBackground: number;
   /** Moving average of the time that a statement holds its slot. */
   readonly serviceMs: number;
   /** Slot time used by each class, decaying, as of `usedAt`. */
--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -1,7 +1,7 @@
 import { priorities, type Plan, type Priority } from "../../model/index.js";
 import { measureCapacity, type Capacity } from "./capacity.js";
-import { isTrialWork } from "./queue.js";
-import { canRunTrial, hasFreeSlot } from "./slots.js";
+import { isBackgroundWork } from "./queue.js";
+import { canRunBackground, hasFreeSlot } from "./slots.js";
 import { listValues } from "./tree.js";
 import { findOverlap, foreseeTurns } from "./turns.js";
 import type { Admission } from "./types.js";
@@ -111,7 +111,7 @@
 ): boolean {
   const target = admission.targets[name];
   if (target === undefined) return false;
-  return isTrialWork(question) ? canRunTrial(target) : hasFreeSlot(target);
+  return isBackgroundWork(question) ? canRunBackground(target) : hasFreeSlot(target);
 }
 
 /** Requests of more important classes that some targets serve first. */
