Bench: take the median of five runs, and bytes by what the state frees

Cause: single runs differed by a factor of 2.5 with the load of the machine, and bytes came out negative. Change: medians; the state's bytes are what is freed when it goes, for queues of 1,000 and more.

--- a/bench/admission/slopes.ts
+++ b/bench/admission/slopes.ts
@@ -13,7 +13,7 @@
   readonly eventsPerSecond: number;
   readonly eventMicros: number;
   readonly tickMicros: number;
-  /** 0 when the program runs without `--expose-gc`. */
+  /** 0 for short queues, and when the program runs without `--expose-gc`. */
   readonly bytesPerRequest: number;
 }
 
@@ -28,19 +28,31 @@
 ] as const;
 const rounds = 4000;
 const ticks = 200;
+const runs = 5;
+/** Below this length the heap's own changes are larger than the state. */
+const leastForBytes = 1000;
 
-/** Measures events by length of the queue and number of teams. */
+/** Measures events by length of the queue and number of teams: the median of some runs. */
 export function measureSlopes(): readonly SlopeFigures[] {
   measureSlope(1000, 50);
-  return sizes.map(([waiting, teams]) => measureSlope(waiting, teams));
+  return sizes.map(([waiting, teams]) => {
+    const measured = Array.from({ length: runs }, () => measureSlope(waiting, teams));
+    const middle = (key: keyof SlopeFigures) =>
+      measured.map((m) => m[key]).sort((a, b) => a - b)[(runs - 1) / 2] ?? 0;
+    return {
+      waiting,
+      teams,
+      eventsPerSecond: middle("eventsPerSecond"),
+      eventMicros: middle("eventMicros"),
+      tickMicros: middle("tickMicros"),
+      bytesPerRequest: middle("bytesPerRequest"),
+    };
+  });
 }
 
 function measureSlope(waiting: number, teams: number): SlopeFigures {
-  collect();
-  const before = process.memoryUsage().heapUsed;
+  const bytes = measureBytes(waiting, teams);
   let state = fill(waiting, teams);
-  collect();
-  const bytes = process.memoryUsage().heapUsed - before;
   let next = waiting + 3;
   let running = ["0", "1", "2"];
   let at = 1;
@@ -63,10 +75,21 @@
     eventsPerSecond: Math.round(1e6 / eventMicros),
     eventMicros: round(eventMicros),
     tickMicros: round(micros(tickBegun) / ticks),
-    bytesPerRequest: globalThis.gc === undefined ? 0 : Math.round(bytes / waiting),
+    bytesPerRequest: Math.round(bytes / waiting),
   };
 }
 
+/** What is freed when the state goes: heaps change for other reasons too, so that both are near. */
+function measureBytes(waiting: number, teams: number): number {
+  if (globalThis.gc === undefined || waiting < leastForBytes) return 0;
+  const holder: { state: Admission | undefined } = { state: fill(waiting, teams) };
+  collect();
+  const held = process.memoryUsage().heapUsed;
+  holder.state = undefined;
+  collect();
+  return held - process.memoryUsage().heapUsed;
+}
+
 function fill(waiting: number, teams: number): Admission {
   let state = createAdmission({ maxWaiting: 1e6 });
   for (const target of ["p", "r1", "r2"]) {
