Expect a lasting statement to last as long again

Cause: once every slot of a target was held for 20 times the usual time, callers were refused as if it would never come free: two long reports on a primary of two slots would have turned away reservations. Ruled out: counting such slots as about to end (callers would wait to their deadlines). Change: their slots are expected back after as long again; asserted besides that whoever is refused neither waits nor runs (notRunIsTrue); merged a doubled import.

--- a/src/controller/admission/capacity.ts
+++ b/src/controller/admission/capacity.ts
@@ -13,11 +13,14 @@
   readonly owedEveryMs: number;
   readonly owedShare: number;
   readonly serviceMs: number;
-  /** When slots come back, where there are none now. */
+  /** When slots come back, where there are none now or stalled statements hold all of them. */
   readonly backInMs: number | undefined;
 }
 
-/** A statement that holds its slot this many times the usual time no longer counts as about to end. */
+/**
+ * A statement that holds its slot this many times the usual time no longer counts as about to end; it
+ * is expected to last as long again.
+ */
 const stalledFactor = 20;
 const stalledAfterMs = 1000;
 const smallestShare = 1e-6;
@@ -38,7 +41,9 @@
     serviceMs = Math.max(serviceMs, target.serviceMs);
     if (target.slots === 0) backAt = Math.min(backAt, target.backAt ?? Infinity);
     const usable = countUsableSlots(target, isBackgroundWork(question));
-    const rate = Math.max(0, usable - (stalled.get(target.target) ?? 0)) / target.serviceMs;
+    const held = stalled.get(target.target);
+    const rate = Math.max(0, usable - (held?.count ?? 0)) / target.serviceMs;
+    if (rate === 0 && held !== undefined) backAt = Math.min(backAt, at + held.shortestMs);
     all += rate;
     left += rate * (1 - measureUseAbove(target, priority, at));
   }
@@ -61,13 +66,21 @@
   return names.flatMap((name) => admission.targets[name] ?? []);
 }
 
-function countStalled(admission: Admission, at: number): ReadonlyMap<string, number> {
-  const stalled = new Map<string, number>();
-  for (const running of listValues(admission.running)) {
-    const serviceMs = admission.targets[running.target]?.serviceMs ?? 0;
-    const longest = Math.max(stalledAfterMs, stalledFactor * serviceMs);
-    if (at - running.startedAt <= longest) continue;
-    stalled.set(running.target, 1 + (stalled.get(running.target) ?? 0));
+/** The slots of a target that statements hold for unusually long. */
+interface Stalled {
+  readonly count: number;
+  /** How long the newest of them has held its slot. */
+  readonly shortestMs: number;
+}
+
+function countStalled(admission: Admission, at: number): ReadonlyMap<string, Stalled> {
+  const stalled = new Map<string, Stalled>();
+  for (const { target, startedAt } of listValues(admission.running)) {
+    const serviceMs = admission.targets[target]?.serviceMs ?? 0;
+    const heldMs = at - startedAt;
+    if (heldMs <= Math.max(stalledAfterMs, stalledFactor * serviceMs)) continue;
+    const { count, shortestMs } = stalled.get(target) ?? { count: 0, shortestMs: Infinity };
+    stalled.set(target, { count: count + 1, shortestMs: Math.min(shortestMs, heldMs) });
   }
   return stalled;
 }
--- a/src/controller/admission/refusal.ts
+++ b/src/controller/admission/refusal.ts
@@ -1,6 +1,5 @@
-import type { AdmissionEffect, ClassQueue, Waiting } from "./types.js";
+import type { Admission, AdmissionEffect, ClassQueue, Waiting } from "./types.js";
 import { findCarefulWait, measureWait, type WaitEstimate } from "./wait.js";
-import type { Admission } from "./types.js";
 
 type Refusal = Extract<AdmissionEffect, { type: "refuse" }>;
 
--- a/src/controller/admission/step.ts
+++ b/src/controller/admission/step.ts
@@ -1,4 +1,4 @@
-import { fail, succeed, type Applied } from "../../model/index.js";
+import { assertInvariant, fail, succeed, type Applied } from "../../model/index.js";
 import { listTargets } from "./capacity.js";
 import { refuseLeastImportant } from "./displace.js";
 import { emptyClass, makeLaneKey } from "./queue.js";
@@ -43,6 +43,21 @@
 
 /** Applies one event to the queue of a group. */
 export function applyAdmission(admission: Admission, event: AdmissionEvent): AdmissionResult {
+  const result = handleEvent(admission, event);
+  if (result.type === "applied") result.effects.forEach((e) => assertNotRun(result.state, e));
+  return result;
+}
+
+/** A refusal promises that the request has not run: it holds no slot, and never will. */
+function assertNotRun(admission: Admission, effect: AdmissionEffect): void {
+  if (effect.type !== "refuse") return;
+  const isGone =
+    getEntry(admission.running, effect.id) === undefined &&
+    getEntry(admission.waiting, effect.id) === undefined;
+  assertInvariant("notRunIsTrue", isGone, () => `${effect.id} was refused and kept`);
+}
+
+function handleEvent(admission: Admission, event: AdmissionEvent): AdmissionResult {
   switch (event.type) {
     case "arrive":
       return admit(admission, event.request, event.at);
--- a/test/admission/queue.test.ts
+++ b/test/admission/queue.test.ts
@@ -88,6 +88,20 @@
   expect(bench.finish("gone")).toEqual([{ type: "start", id: "next", target: "p" }]);
 });
 
+// A report holds the only slot for 300 times the usual time; nobody knows when it will end.
+// Counted as about to end it would let callers wait to their deadlines; counted as never ending it
+// would turn all of them away. It is expected to last as long again, and callers are told by that.
+test("a statement that lasts is expected to last as long again", () => {
+  const bench = new Bench();
+  bench.arrive("report");
+  bench.at = 1500;
+  expect(bench.arrive("patient", { maxQueueMs: 2000 })).toEqual([]);
+  expect(bench.arrive("hasty", { maxQueueMs: 1000 })).toMatchObject([
+    { type: "refuse", reason: "queueFull", retryAfterMs: 500 },
+  ]);
+  expect(bench.apply({ type: "tick", at: 3000 })).toMatchObject([{ id: "patient" }]);
+});
+
 // Trial requests have filled the queue when a reservation arrives.
 // Refusing whoever comes last would turn it away; the last trial request goes instead.
 test("a full queue gives up its least important request for a more important one", () => {
