--- a/src/log/events/process.ts
+++ b/src/log/events/process.ts
@@ -38,6 +38,18 @@
     level: "error",
     text: "The settings have faults; the process does not start.",
   },
+  certificatesRead: {
+    id: 7007,
+    name: "certificates-read",
+    level: "info",
+    text: "keys and certificates were read",
+  },
+  certificatesFaulty: {
+    id: 7008,
+    name: "certificates-faulty",
+    level: "error",
+    text: "changed keys or certificates can't be used; the ones before stay in use",
+  },
   invariantBroken: {
     id: 7009,
     name: "invariantBroken",
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -96,7 +96,7 @@
     const links = owned.add(new PeerLinks({ clock, ...describeClientSecurity(certificates) }));
     const peers = new ConnectPeerClient({
       links,
-      getHello: () => this.membership.hello(),
+      getHello: () => this.membership.describe(),
       onHello: (hello) => {
         this.membership.hear(hello);
       },
@@ -154,7 +154,7 @@
     const remote = new RemoteGateway({
       links,
       clock,
-      getHello: () => this.membership.hello(),
+      getHello: () => this.membership.describe(),
       findOwner: (group) => this.gateway.findOther(group),
     });
     this.gateway = new FleetGateway({
@@ -283,7 +283,7 @@
 
   private createHandlers(): PeerHandlers {
     return {
-      getHello: () => this.membership.hello(),
+      getHello: () => this.membership.describe(),
       onHello: (hello) => {
         this.membership.receive(hello);
       },
