--- /dev/null
+++ b/bench/routing/index.ts
@@ -0,0 +1,1 @@
+export { type RoutingFigures, measureRouting, renderRouting } from "./figures.js";
