--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -1,14 +1,16 @@
+import type { Draft } from "../src/controller/configuration/index.js";
 import { openIncarnation } from "../src/controller/membership/index.js";
+import { ConfigurationEditor } from "../src/fleet/index.js";
 import { silentLogger, type Logger } from "../src/log/index.js";
 import {
   DisposableStore,
   setViolationHandler,
   type Address,
-  type Configuration,
   type Disposable,
   type Group,
   type Vm,
 } from "../src/model/index.js";
+import { HttpObjectStore } from "../src/platform/index.js";
 import { Proxy } from "../src/proxy/index.js";
 import { loadProxySettings, type ProxySettings } from "../src/settings/index.js";
 import { createSystemClock, createSystemRandom } from "../src/system/index.js";
@@ -21,7 +23,7 @@
 export interface FleetOptions {
   readonly vms?: number;
   readonly groups?: readonly GroupOptions[];
-  readonly configuration?: Omit<Configuration, "revision" | "changeId">;
+  readonly configuration?: Draft;
   readonly logger?: Logger;
 }
 
@@ -46,7 +48,7 @@
   readonly violations: readonly string[];
 }
 
-const defaultConfiguration: Omit<Configuration, "revision" | "changeId"> = {
+const defaultConfiguration: Draft = {
   teams: [
     { name: "ferrante", plan: "paying" },
     { name: "school", plan: "trial" },
@@ -78,8 +80,7 @@
   const platformLink = store.add(new FaultyLink(() => platform.address));
   await platformLink.start();
   const targetLinks = await linkTargets(store, cluster);
-  const value = { revision: 1, changeId: "first", ...configuration };
-  platform.objects.put("configuration", "current", value as never, 0);
+  await applyFirst(store, platform.url, configuration);
   const planned = await Promise.all(
     Array.from({ length: count }, (_, i) => planMember(store, i, platformLink.address, logger)),
   );
@@ -94,6 +95,16 @@
   return { cluster, members, targetLinks, platformLink, violations, dispose };
 }
 
+async function applyFirst(store: DisposableStore, url: string, draft: Draft): Promise<void> {
+  const editor = new ConfigurationEditor({
+    store: store.add(new HttpObjectStore({ url })),
+    clock: createSystemClock(),
+    random: createSystemRandom(),
+  });
+  const result = await editor.apply({ changeId: "first", draft }, 0);
+  if (result.type !== "applied") throw new Error(`the first configuration: ${result.type}`);
+}
+
 /** Puts a link before each target and tells the platform the links' addresses. */
 async function linkTargets(
   store: DisposableStore,
