Give a write's slot back before it is confirmed

Ruled out: the target, which is idle meanwhile. Change: the confirming filter stands outside the placing ones and finds the request's place in a Placement.

--- a/src/owner/confirmer.ts
+++ b/src/owner/confirmer.ts
@@ -1,6 +1,6 @@
 import type { GroupWatch } from "../groupwatch/index.js";
 import { compareTerms, type Mark } from "../model/index.js";
-import { getPlace, type ServeContext } from "./context.js";
+import type { Place, ServeContext } from "./context.js";
 import type { Confirmed, Confirmer } from "./filters/confirm.js";
 
 /** How often the primary is asked for the position of a commit before it counts as unconfirmed. */
@@ -10,8 +10,7 @@
 export class WatchConfirmer implements Confirmer {
   constructor(private readonly watch: GroupWatch) {}
 
-  async confirm(context: ServeContext): Promise<Confirmed> {
-    const { target, term } = getPlace(context);
+  async confirm(context: ServeContext, { target, term }: Place): Promise<Confirmed> {
     if (term === undefined) return { type: "unconfirmed", reason: "the term was not known" };
     for (let attempt = 0; attempt < readAttempts && !context.signal.aborted; attempt += 1) {
       const reading = await this.watch.readMark(target.name);
--- a/src/owner/context.ts
+++ b/src/owner/context.ts
@@ -17,6 +17,20 @@
   readonly session: TargetSession;
 }
 
+/** Notes where a try of a request was placed, for the filters outside of the placing ones. */
+export class Placement {
+  private place: Place | undefined;
+
+  /** The latest place; a retry may have found another than the try before. */
+  get current(): Place | undefined {
+    return this.place;
+  }
+
+  note(place: Place): void {
+    this.place = place;
+  }
+}
+
 /** A request on its way through the owner's filters. */
 export interface ServeContext {
   readonly request: Request;
@@ -25,6 +39,7 @@
   /** Aborts at the request's deadline, or when its caller goes away. */
   readonly signal: AbortSignal;
   readonly attempt: number;
+  readonly placement: Placement;
   /** The target whose slot the request holds. */
   readonly slotTarget?: string;
   readonly place?: Place;
--- a/src/owner/conversation.ts
+++ b/src/owner/conversation.ts
@@ -1,4 +1,4 @@
-import { composeFilters, type Next } from "../filter/index.js";
+import { composeFilters, type Filter, type Next } from "../filter/index.js";
 import { ownerEvents } from "../log/events/owner.js";
 import {
   assertInvariant,
@@ -8,7 +8,7 @@
   type Request,
 } from "../model/index.js";
 import { HeldAnswer, type Holding } from "./answer.js";
-import { refuse, type Place, type ServeContext } from "./context.js";
+import { Placement, refuse, type Place, type ServeContext } from "./context.js";
 import { startDeadline } from "./deadline.js";
 import { createConfirmFilter } from "./filters/confirm.js";
 import { createConnectFilter, settleConnection } from "./filters/connect.js";
@@ -50,13 +50,13 @@
       createOpenFilter(group),
       group.retry,
       createFloorFilter((signal) => group.confirmer.findFloor(signal)),
+      confirm,
       createPlaceFilter(group, logger),
       createConnectFilter(group, pin),
-      confirm,
       createDeduplicateFilter(logger),
       executeFilter,
     ]);
-    this.servePinned = composeFilters([confirm, executeFilter]);
+    this.servePinned = composeFilters([confirm, this.createPinnedFilter()]);
   }
 
   async run(
@@ -75,7 +75,9 @@
     const deadline = startDeadline(request.deadlineAt - this.group.ports.clock.now(), signal);
     try {
       const answer = new HeldAnswer(sink, findHolding(request));
-      const context = { request, messages, answer, signal: deadline.signal, attempt: 1 };
+      const placement = new Placement();
+      const { signal: inTime } = deadline;
+      const context = { request, messages, answer, signal: inTime, attempt: 1, placement };
       const outcome = await this.serve(context);
       this.noteOutcome(request, outcome);
       return outcome;
@@ -94,23 +96,31 @@
 
   private serve(context: ServeContext): Promise<Outcome> {
     const { pinned } = this;
-    return pinned === undefined ? this.serveFresh(context) : this.runPinned(context, pinned);
+    if (pinned === undefined) return this.serveFresh(context);
+    context.placement.note(pinned.place);
+    return this.servePinned(context);
   }
 
   /** A statement of an open transaction waits for a slot as any other, on its own target. */
-  private async runPinned(context: ServeContext, pinned: Pinned): Promise<Outcome> {
-    const { place, connection } = pinned;
-    const placed = await this.group.acquire(context.request, [place.target.name], context.signal);
-    if (placed.type === "refused") {
-      const { reason, retryAfterMs } = placed;
-      return this.endPinned(
-        refuse(reason, retryAfterMs, "the transaction was rolled back"),
-        pinned,
-      );
-    }
-    const outcome = await runPlaced({ ...context, place }, placed.slot, this.servePinned);
-    if (!connection.session.isUsable) this.group.noteBroken(place.target.name);
-    return this.endPinned(outcome, pinned);
+  private createPinnedFilter(): Filter<ServeContext> {
+    const execute = composeFilters([executeFilter]);
+    return {
+      name: "pinned",
+      apply: async (context) => {
+        const { pinned } = this;
+        if (pinned === undefined) throw new Error("no transaction is open");
+        const { target } = pinned.place;
+        const placed = await this.group.acquire(context.request, [target.name], context.signal);
+        if (placed.type === "refused") {
+          const { reason, retryAfterMs } = placed;
+          const refused = refuse(reason, retryAfterMs, "the transaction was rolled back");
+          return this.endPinned(refused, pinned);
+        }
+        const outcome = await runPlaced({ ...context, place: pinned.place }, placed.slot, execute);
+        if (!pinned.connection.session.isUsable) this.group.noteBroken(target.name);
+        return this.endPinned(outcome, pinned);
+      },
+    };
   }
 
   private endPinned(outcome: Outcome, { place, connection }: Pinned): Outcome {
--- a/src/owner/filters/confirm.ts
+++ b/src/owner/filters/confirm.ts
@@ -2,7 +2,7 @@
 import { assertInvariant, compareTerms, type Mark, type Outcome } from "../../model/index.js";
 import { ownerEvents } from "../../log/events/owner.js";
 import type { Logger } from "../../log/index.js";
-import { failUnknown, getPlace, refuse, type ServeContext } from "../context.js";
+import { failUnknown, refuse, type Place, type ServeContext } from "../context.js";
 
 /** SQLSTATEs with which a target that is no longer primary refuses a write. */
 const refusedByReplica: ReadonlySet<string> = new Set(["25006", "57P01", "57P02", "57P03"]);
@@ -17,13 +17,15 @@
 
 /** Confirms the writes of one group. */
 export interface Confirmer {
-  confirm(context: ServeContext): Promise<Confirmed>;
+  confirm(context: ServeContext, place: Place): Promise<Confirmed>;
 }
 
 /**
  * Holds a write's outcome until the group has confirmed it. A primary on the minority side of a
  * partition commits happily and believes in itself; a caller that heard so would lose its write to
  * the new primary. The confirmation needs a majority that was fenced by nobody after the commit.
+ * It stands outside the placing filters: a slot held while replicas catch up would bound a group's
+ * writes by their lag.
  */
 export function createConfirmFilter(confirmer: Confirmer, logger: Logger): Filter<ServeContext> {
   return {
@@ -38,25 +40,31 @@
         context.answer.drop();
         return refuse("superseded", supersededRetryMs, "the target is no longer primary");
       }
-      if (!needsConfirmation(context, outcome)) {
+      const place = context.placement.current;
+      if (place === undefined || !needsConfirmation(context, outcome)) {
         await context.answer.release();
         return outcome;
       }
-      return confirmWrite(confirmer, logger, context, outcome);
+      return confirmWrite(confirmer, logger, { context, outcome, place });
     },
   };
 }
 
 type Answered = Extract<Outcome, { type: "answered" }>;
 
+interface Committed {
+  readonly context: ServeContext;
+  readonly outcome: Answered;
+  readonly place: Place;
+}
+
 async function confirmWrite(
   confirmer: Confirmer,
   logger: Logger,
-  context: ServeContext,
-  outcome: Answered,
+  { context, outcome, place }: Committed,
 ): Promise<Outcome> {
-  const { target, term } = getPlace(context);
-  const confirmed = await confirmer.confirm(context);
+  const { target, term } = place;
+  const confirmed = await confirmer.confirm(context, place);
   const fields = { request: context.request.id, target: target.name };
   switch (confirmed.type) {
     case "confirmed":
--- a/src/owner/filters/connect.ts
+++ b/src/owner/filters/connect.ts
@@ -35,6 +35,7 @@
       }
       const { connection } = taken;
       const place: Place = { ...group.describe(name), session: observeProgress(connection) };
+      context.placement.note(place);
       const outcome = await next({ ...context, place });
       if (!connection.session.isUsable) group.noteBroken(name);
       settleConnection(outcome, place, connection, pin);
