Refuse writes at once when no primary is to be expected

Ruled out: the admission queue, which refuses at once without a time to expect. Change: a lost primary's successor is expected for 3 s; past that its slots are not, and a request refused for want of a primary is not tried again. Sessions without a mark wait out a short gap too. Conclusion: new test passes; the refusal names noPrimary, not the deadline.

--- a/src/owner/confirmer.ts
+++ b/src/owner/confirmer.ts
@@ -8,7 +8,10 @@
 
 /** Confirms writes through the group's watch. */
 export class WatchConfirmer implements Confirmer {
-  constructor(private readonly watch: GroupWatch) {}
+  constructor(
+    private readonly watch: GroupWatch,
+    private readonly waitForPrimary: (signal: AbortSignal) => Promise<void>,
+  ) {}
 
   async confirm(context: ServeContext, { target, term }: Place): Promise<Confirmed> {
     if (term === undefined) return { type: "unconfirmed", reason: "the term was not known" };
@@ -25,6 +28,7 @@
 
   /** A mark at or beyond every write acknowledged so far, as a majority vouches for it. */
   async findFloor(signal: AbortSignal): Promise<Mark | undefined> {
+    await this.waitForPrimary(signal);
     const { primary } = this.watch.view();
     if (primary === undefined) return undefined;
     const reading = await this.watch.readMark(primary.target);
--- a/src/owner/filters/retry.ts
+++ b/src/owner/filters/retry.ts
@@ -58,6 +58,8 @@
     tries: number,
     startedAt: number,
   ): number | undefined {
+    // A group's queue waits out a change of primary; who is refused for want of one hears it at once.
+    if (verdict.type === "notRun" && verdict.reason === "noPrimary") return undefined;
     const now = this.clock.now();
     const sinceFirstTryMs = now - startedAt;
     // A keyed write is idempotent, as a read is: its repeat finds the first run's record.
--- a/src/owner/group.ts
+++ b/src/owner/group.ts
@@ -32,6 +32,14 @@
 /** How long a group's first requests wait for its targets' first answers, in milliseconds. */
 const openingMs = 1000;
 
+/**
+ * How long a lost primary's successor is waited for, in milliseconds. Past it something stands in
+ * the way of a failover, such as a lost majority, and whoever waited on would only learn so late.
+ */
+const longestGapMs = 3000;
+
+const lookAgainMs = 250;
+
 /** What an owner needs of the world. */
 export interface OwnerPorts {
   readonly vm: string;
@@ -59,6 +67,8 @@
   private readonly primaryBound = new Set<string>();
   private lastPrimary: string | undefined;
   private openedAt = -Infinity;
+  private lostAt: number | undefined;
+  private gapTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private group: Group,
@@ -82,9 +92,12 @@
         },
       }),
     );
-    this.confirmer = new WatchConfirmer(this.watch);
+    this.confirmer = new WatchConfirmer(this.watch, (signal) => this.waitForPrimary(signal));
     this.retry = new RetryFilter(clock, random, logger);
     for (const target of group.targets) this.addPool(target);
+    this.owned.defer(() => {
+      clearTimeout(this.gapTimer);
+    });
     this.owned.add(
       this.watch.subscribe((view) => {
         this.observe(view);
@@ -193,8 +206,14 @@
     await this.watch.readMark(target);
   }
 
-  isOpening(): boolean {
-    return this.ports.clock.now() - this.openedAt < openingMs;
+  hasHadPrimary(): boolean {
+    return this.lastPrimary !== undefined;
+  }
+
+  async waitForPrimary(signal: AbortSignal): Promise<void> {
+    while (this.view().primary === undefined && this.isPrimaryDue() && !signal.aborted) {
+      await this.waitForChange(lookAgainMs, signal);
+    }
   }
 
   take(target: string, deadlineAt: number, signal: AbortSignal): Promise<ConnectionTaken> {
@@ -257,6 +276,7 @@
 
   private observe(view: GroupView): void {
     this.scene.observe(view);
+    this.noteLoss(view);
     const { primary } = view;
     if (primary !== undefined && primary.target !== this.lastPrimary) {
       this.movePrimary(primary.target, view);
@@ -274,6 +294,30 @@
     for (const id of this.primaryBound) this.slots.retarget(id, [name]);
   }
 
+  /** Whether a primary is expected soon: the group has just been opened, or lost its primary. */
+  private isPrimaryDue(): boolean {
+    const now = this.ports.clock.now();
+    if (now - this.openedAt < openingMs) return true;
+    return this.lostAt !== undefined && now - this.lostAt < longestGapMs;
+  }
+
+  private noteLoss({ primary, targets }: GroupView): void {
+    const seen = primary && targets[primary.target];
+    const target = primary && this.findTarget(primary.target);
+    const isServing = target !== undefined && findState(target, seen) === "serving";
+    if (isServing || this.lastPrimary === undefined) {
+      this.lostAt = undefined;
+      return;
+    }
+    if (this.lostAt !== undefined) return;
+    this.lostAt = this.ports.clock.now();
+    // When the gap lasts too long, those who wait are to hear so, though no view may come to tell.
+    clearTimeout(this.gapTimer);
+    this.gapTimer = setTimeout(() => {
+      this.observe(this.watch.view());
+    }, longestGapMs).unref();
+  }
+
   /** Only changes reach the queue: views come with every position that a target reports. */
   private resize(target: Target, view: GroupView): void {
     const state = findState(target, view.targets[target.name]);
@@ -282,9 +326,10 @@
     const isServing = state === "serving" && !isAwaited;
     const role = isPrimary || isAwaited ? "primary" : "replica";
     const slots = isServing ? target.slots : 0;
-    const size = `${role} ${slots}`;
+    const isDue = isAwaited && this.isPrimaryDue();
+    const size = `${role} ${slots} ${String(isDue)}`;
     if (this.sizes.get(target.name) === size) return;
     this.sizes.set(target.name, size);
-    this.slots.resize(target.name, role, slots, isAwaited ? expectedGapMs : undefined);
+    this.slots.resize(target.name, role, slots, isDue ? expectedGapMs : undefined);
   }
 }
--- a/test/owner/failover.test.ts
+++ b/test/owner/failover.test.ts
@@ -84,3 +84,18 @@
   expect(ended.outcome.type).toBe("failed");
   expect(ended.types).not.toContain("C");
 });
+
+// Two of three targets are gone: no majority can be fenced, so no failover can succeed.
+// For a while a write waits, since most gaps are short; past that each is refused at once
+// with the time to come back, long before its deadline, and nothing of it ran.
+test("without a majority writes are refused at once, not held until their deadline", async () => {
+  const [first, second] = group.targets;
+  await first?.kill();
+  await second?.kill();
+  const long = { action: { deadlineMs: 20_000, maxQueueMs: 20_000, retry: { attempts: 10 } } };
+  const sql = "INSERT INTO cello VALUES (8, 'Serra')";
+  const waited = await runOnce(group.gateway, "write", sql, { ...long, key: "k8" });
+  expect(waited.outcome).toMatchObject({ verdict: { type: "notRun", reason: "noPrimary" } });
+  const refused = await runOnce(group.gateway, "write", sql, { ...long, key: "k8" });
+  expect(refused.outcome).toMatchObject({ verdict: { type: "notRun", reason: "noPrimary" } });
+});
