--- a/src/owner/context.ts
+++ b/src/owner/context.ts
@@ -38,7 +38,10 @@
   readonly answer: HeldAnswer;
   /** Aborts at the request's deadline, or when its caller goes away. */
   readonly signal: AbortSignal;
+  /** Counts the tries at the owner, from 1. */
   readonly attempt: number;
+  /** Milliseconds until the request's deadline. */
+  readonly timeLeftMs: () => number;
   readonly placement: Placement;
   /** The target whose slot the request holds. */
   readonly slotTarget?: string;
--- a/src/owner/conversation.ts
+++ b/src/owner/conversation.ts
@@ -10,6 +10,7 @@
 import { HeldAnswer, type Holding } from "./answer.js";
 import { Placement, refuse, type Place, type ServeContext } from "./context.js";
 import { startDeadline } from "./deadline.js";
+import { createAttemptFilter } from "./filters/attempt.js";
 import { createConfirmFilter } from "./filters/confirm.js";
 import { createConnectFilter, settleConnection } from "./filters/connect.js";
 import { createDeduplicateFilter } from "./filters/deduplicate.js";
@@ -45,6 +46,7 @@
     const pin = (place: Place, connection: HeldConnection) => {
       this.pinned = { place, connection };
     };
+    const attempt = createAttemptFilter(group);
     const confirm = createConfirmFilter(group.confirmer, logger);
     this.serveFresh = composeFilters([
       createOpenFilter(group),
@@ -53,10 +55,11 @@
       confirm,
       createPlaceFilter(group, logger),
       createConnectFilter(group, pin),
+      attempt,
       createDeduplicateFilter(logger),
       executeFilter,
     ]);
-    this.servePinned = composeFilters([confirm, this.createPinnedFilter()]);
+    this.servePinned = composeFilters([confirm, this.createPinnedFilter(attempt)]);
   }
 
   async run(
@@ -77,7 +80,16 @@
       const answer = new HeldAnswer(sink, findHolding(request));
       const placement = new Placement();
       const { signal: inTime } = deadline;
-      const context = { request, messages, answer, signal: inTime, attempt: 1, placement };
+      const timeLeftMs = () => request.deadlineAt - this.group.ports.clock.now();
+      const context = {
+        request,
+        messages,
+        answer,
+        signal: inTime,
+        attempt: 1,
+        timeLeftMs,
+        placement,
+      };
       const outcome = await this.serve(context);
       this.noteOutcome(request, outcome);
       return outcome;
@@ -102,8 +114,8 @@
   }
 
   /** A statement of an open transaction waits for a slot as any other, on its own target. */
-  private createPinnedFilter(): Filter<ServeContext> {
-    const execute = composeFilters([executeFilter]);
+  private createPinnedFilter(attempt: Filter<ServeContext>): Filter<ServeContext> {
+    const execute = composeFilters([attempt, executeFilter]);
     return {
       name: "pinned",
       apply: async (context) => {
--- a/src/owner/group.ts
+++ b/src/owner/group.ts
@@ -2,6 +2,7 @@
 import { ownerEvents } from "../log/events/owner.js";
 import type { Logger } from "../log/index.js";
 import {
+  compareTerms,
   DisposableStore,
   type Clock,
   type Disposable,
@@ -13,10 +14,12 @@
   type Target,
   type TargetConnector,
   type TargetControl,
+  type Term,
   type Vm,
 } from "../model/index.js";
 import { routeRead, type ReadRoute } from "../policy/index.js";
 import { WatchConfirmer } from "./confirmer.js";
+import type { AttemptGroup } from "./filters/attempt.js";
 import type { ConnectingGroup } from "./filters/connect.js";
 import type { OpeningGroup } from "./filters/open.js";
 import type { PlacingGroup } from "./filters/place.js";
@@ -55,7 +58,9 @@
 }
 
 /** One group served by this process: its watch, its queue and its connections. */
-export class ServedGroup implements OpeningGroup, PlacingGroup, ConnectingGroup, Disposable {
+export class ServedGroup
+  implements OpeningGroup, PlacingGroup, ConnectingGroup, AttemptGroup, Disposable
+{
   readonly watch: GroupWatch;
   readonly confirmer: WatchConfirmer;
   readonly retry: RetryFilter;
@@ -232,6 +237,12 @@
     };
   }
 
+  watchTerm(term: Term, listener: () => void): Disposable {
+    return this.watch.subscribe(({ primary }) => {
+      if (primary === undefined || compareTerms(primary.term, term) !== 0) listener();
+    });
+  }
+
   noteBroken(target: string): void {
     this.watch.observeFailure(target);
   }
