--- a/src/log/events/peer.ts
+++ b/src/log/events/peer.ts
@@ -22,4 +22,16 @@
     level: "debug",
     text: "A peer's call could not be answered to its end, mostly since the peer gave it up.",
   },
+  certificatesRead: {
+    id: 6510,
+    name: "certificatesRead",
+    level: "info",
+    text: "Certificates were read; connections to come use them.",
+  },
+  certificatesUnreadable: {
+    id: 6511,
+    name: "certificatesUnreadable",
+    level: "error",
+    text: "Changed certificates could not be used; the ones before stay in use.",
+  },
 });
--- a/src/tls/store.ts
+++ b/src/tls/store.ts
@@ -2,7 +2,7 @@
 import { readFile } from "node:fs/promises";
 import type { SecureClientSessionOptions, SecureServerOptions } from "node:http2";
 import { createSecureContext, type SecureContext } from "node:tls";
-import { processEvents } from "../log/events/process.js";
+import { peerEvents } from "../log/events/peer.js";
 import { type Logger, silentLogger } from "../log/index.js";
 import type { Clock, Disposable } from "../model/index.js";
 
@@ -105,10 +105,10 @@
       this.seen = content;
       this.context = createContext(certificates);
       this.certificates = certificates;
-      logger.write(processEvents.certificatesRead, { ...files });
+      logger.write(peerEvents.certificatesRead, { ...files });
       for (const handle of this.handlers) handle();
     } catch (error) {
-      logger.write(processEvents.certificatesFaulty, { ...files, reason: String(error) });
+      logger.write(peerEvents.certificatesUnreadable, { ...files, reason: String(error) });
     }
   }
 }
