Count no pause of this process against its callers and peers

Cause: a process that stood still finds its timers due before it reads what has come meanwhile: it would drop every caller as overdue and every peer as silent. Seen as a test of the peers that failed once while other work starved the machine. Ruled out: longer limits (a pause has no longest length) and one more turn of the event loop (the answer may need several). Change: callers are held to a clock without the gaps between two looks; timers of the links run in four steps, of which a pause uses up one.

--- a/src/caller/server.ts
+++ b/src/caller/server.ts
@@ -3,7 +3,7 @@
 import type { SecureContext } from "node:tls";
 import { callerEvents } from "../log/events/caller.js";
 import { type Logger, silentLogger } from "../log/index.js";
-import type { Address, Clock, Disposable, GroupGateway, Random } from "../model/index.js";
+import type { Address, Disposable, GroupGateway, Random } from "../model/index.js";
 import { applyStep, createSession, type Session, type TokenKey } from "../session/index.js";
 import { buildRequestChain, type ChainOptions } from "./chain.js";
 import { CallerConnection, type ConnectionHost, type Welcome } from "./connection.js";
@@ -11,6 +11,7 @@
 import { type CallerLimits, defaultCallerLimits } from "./limits.js";
 import { findTokenStep } from "./local.js";
 import type { RunnerOptions } from "./runner.js";
+import { SteadyClock } from "./steady-clock.js";
 import {
   type BackendKey,
   drawBackendKey,
@@ -47,7 +48,7 @@
 /** Serves callers by the PostgreSQL protocol. `loadParser` must have resolved. */
 export class CallerServer implements Disposable, ConnectionHost {
   readonly limits: CallerLimits;
-  readonly clock: Clock;
+  readonly clock: SteadyClock;
   readonly logger: Logger;
   readonly runner: RunnerOptions;
   readonly serverVersion: string;
@@ -65,7 +66,7 @@
   constructor(private readonly options: CallerServerOptions) {
     const { clock, logger = silentLogger, gateway, tokenKeys, createId = randomUUID } = options;
     this.limits = { ...defaultCallerLimits, ...options.limits };
-    this.clock = clock;
+    this.clock = new SteadyClock(clock);
     this.logger = logger;
     this.serverVersion = options.serverVersion ?? defaultServerVersion;
     if (options.getSecureContext !== undefined) this.getSecureContext = options.getSecureContext;
@@ -103,9 +104,9 @@
     this.logger.write(callerEvents.draining, { connections: this.connections.size });
     if (this.server.listening) this.server.close();
     for (const connection of this.connections) connection.drain();
-    const endAt = this.clock.now() + this.limits.drainMs;
-    while (this.connections.size > 0 && this.clock.now() < endAt)
-      await this.clock.sleep(drainStepMs);
+    const { clock } = this.options;
+    const endAt = clock.now() + this.limits.drainMs;
+    while (this.connections.size > 0 && clock.now() < endAt) await clock.sleep(drainStepMs);
     const cutOff = this.connections.size;
     for (const connection of this.connections) connection.destroy();
     this.logger.write(callerEvents.drained, { cutOff });
@@ -231,8 +232,9 @@
   /** One timer for all connections: a caller that sends nothing costs no timer of its own. */
   private async sweep(): Promise<void> {
     while (!this.stopped.signal.aborted) {
+      this.clock.look();
       for (const connection of this.connections) connection.checkTime();
-      await this.clock.sleep(sweepMs, this.stopped.signal).catch(() => undefined);
+      await this.options.clock.sleep(sweepMs, this.stopped.signal).catch(() => undefined);
     }
   }
 }
--- a/src/peer/client-stream.ts
+++ b/src/peer/client-stream.ts
@@ -10,6 +10,7 @@
 } from "./gen/radishwalk/peer/v1/peer_pb.js";
 import type { Link } from "./links.js";
 import { splitMessages } from "./messages.js";
+import { startTimer } from "./patience.js";
 import { AsyncQueue } from "./queue.js";
 
 /** One batch to be run at a peer. */
@@ -87,10 +88,10 @@
       return Promise.resolve({ type: "broken", sent: false, reason: failure });
     }
     return new Promise((resolve) => {
-      const timer = setTimeout(() => this.checkSent(), this.options.connectMs);
+      const stopTimer = startTimer(this.options.connectMs, () => this.checkSent());
       const onAbort = (): void => this.close("the request was given up");
       const end = (result: TripResult): void => {
-        clearTimeout(timer);
+        stopTimer();
         signal.removeEventListener("abort", onAbort);
         this.trip = undefined;
         resolve(result);
--- a/src/peer/session.ts
+++ b/src/peer/session.ts
@@ -8,6 +8,7 @@
 } from "node:http2";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { Clock } from "../model/index.js";
+import { startTimer } from "./patience.js";
 
 /** How one peer's connection is kept. Times in milliseconds. */
 export interface SessionOptions {
@@ -26,7 +27,8 @@
   heardAt: number;
   streams: number;
   usedAt: number;
-  pingedAt?: number;
+  /** Set while a sign of life is asked for: stops the timer that ends the connection. */
+  stopWaiting?: () => void;
 }
 
 /** In megabytes, for all streams of one connection; Node's own 10 is meant for browsers. */
@@ -119,25 +121,28 @@
     const connection: Connection = { http, isOpen, heardAt: now, usedAt: now, streams: 0 };
     const timer = setInterval(() => this.watch(connection), this.options.pingIntervalMs / 2);
     timer.unref();
-    http.on("close", () => clearInterval(timer));
+    http.on("close", () => {
+      clearInterval(timer);
+      connection.stopWaiting?.();
+    });
     return connection;
   }
 
   private waitForOpen(http: ClientHttp2Session): Promise<void> {
     return new Promise((resolve, reject) => {
       const fail = (reason: string): void => reject(new ConnectError(reason, Code.Unavailable));
-      const timer = setTimeout(() => {
+      const stopTimer = startTimer(this.options.connectMs, () => {
         fail("the connection did not open in time");
         http.destroy();
-      }, this.options.connectMs);
+      });
       http.on("connect", () => {
-        clearTimeout(timer);
+        stopTimer();
         http.unref();
         resolve();
       });
       http.on("error", (error: Error) => fail(error.message));
       http.on("close", () => {
-        clearTimeout(timer);
+        stopTimer();
         fail("the connection was closed");
       });
     });
@@ -157,7 +162,8 @@
 
   private hear(connection: Connection): void {
     connection.heardAt = this.options.clock.now();
-    delete connection.pingedAt;
+    connection.stopWaiting?.();
+    delete connection.stopWaiting;
   }
 
   /** Whether a connection that was silent for a while is alive. */
@@ -172,24 +178,19 @@
   }
 
   private watch(connection: Connection): void {
-    const { clock, pingIntervalMs, pingTimeoutMs, idleMs } = this.options;
+    const { clock, pingIntervalMs, idleMs } = this.options;
     const now = clock.now();
-    const { pingedAt, streams, usedAt, heardAt, http } = connection;
-    if (pingedAt !== undefined && now - pingedAt >= pingTimeoutMs) {
-      http.destroy(
-        new ConnectError("the peer is silent", Code.Unavailable),
-        constants.NGHTTP2_CANCEL,
-      );
-    } else if (streams > 0 && pingedAt === undefined && now - heardAt >= pingIntervalMs) {
-      this.ping(connection, () => undefined);
-    } else if (streams === 0 && now - usedAt > idleMs) {
-      http.close();
-    }
+    const { streams, usedAt, heardAt, http } = connection;
+    if (streams === 0 && now - usedAt > idleMs) http.close();
+    if (streams > 0 && now - heardAt >= pingIntervalMs) this.ping(connection, () => undefined);
   }
 
   private ping(connection: Connection, onHeard: () => void): void {
-    connection.pingedAt ??= this.options.clock.now();
-    connection.http.ping((error) => {
+    const { http } = connection;
+    connection.stopWaiting ??= startTimer(this.options.pingTimeoutMs, () =>
+      http.destroy(new ConnectError("the peer is silent", Code.Unavailable), cancelled),
+    );
+    http.ping((error) => {
       if (error !== null) return;
       this.hear(connection);
       onHeard();
@@ -197,6 +198,8 @@
   }
 }
 
+const cancelled = constants.NGHTTP2_CANCEL;
+
 function isUsable({ http }: Connection): boolean {
   return !http.closed && !http.destroyed;
 }
--- a/test/caller/limits.test.ts
+++ b/test/caller/limits.test.ts
@@ -3,7 +3,15 @@
 import fc from "fast-check";
 import pgProtocol from "pg-protocol";
 import { encodeInt32, encodeMessage, frontend } from "../../src/caller/message.js";
-import { FakeGroup, type Reply, sendRaw, startServer, startupMessage, waitUntil } from "./fake.js";
+import {
+  clock,
+  FakeGroup,
+  type Reply,
+  sendRaw,
+  startServer,
+  startupMessage,
+  waitUntil,
+} from "./fake.js";
 
 type Running = Awaited<ReturnType<typeof startServer>>;
 let running: Running | undefined;
@@ -127,6 +135,23 @@
   expect([server.connectionCount, group.closed]).toEqual([0, group.opened]);
 });
 
+// The proxy was paused for a day and goes on. What its callers sent meanwhile waits to be read;
+// none of them has overstepped a limit.
+test("a pause of the proxy counts against no caller", async () => {
+  let looks = 0;
+  let pausedMs = 0;
+  const now = () => {
+    looks += 1;
+    return clock.now() + pausedMs;
+  };
+  const { connect } = await start({ clock: { ...clock, now } });
+  const client = await connect();
+  pausedMs = 86_400_000;
+  looks = 0;
+  await waitUntil(() => looks > 6);
+  expect((await client.query("select 1")).command).toBe("SELECT");
+});
+
 // The caller asks for 80 MB and reads nothing. Its answer must wait with the target's connection
 // only until the limit, and what is kept for it here is what a socket buffers.
 test("a caller that stops reading is dropped after its limit", async () => {
--- a/test/peer/converse.test.ts
+++ b/test/peer/converse.test.ts
@@ -37,6 +37,11 @@
   return () => (asked++ === 0 ? { wait: new Promise(() => undefined) } : {});
 };
 
+function standStill(ms: number): void {
+  const until = clock.now() + ms;
+  while (clock.now() < until);
+}
+
 const notRun = { type: "notRun", reason: "noOwner", retryAfterMs: 500 };
 
 test("a request, its answer and its outcome survive the trip", async () => {
@@ -146,6 +151,26 @@
   expect(group.requests).toHaveLength(2);
 });
 
+// This process stands still for longer than a silent connection is borne with. The owner's sign of
+// life has come and waits to be read; the request under way must not be given up.
+test("a pause of the asking process breaks no connection", async () => {
+  let open = (): void => undefined;
+  const wait = new Promise<void>((resolve) => (open = resolve));
+  const group = new FakeGroup(() => ({ wait }));
+  const { gateway } = await start(group);
+  const pending = run(gateway.open("g"));
+  await waitUntil(() => group.requests.length > 0);
+  for (let i = 0; i < 5; i++) {
+    standStill(100);
+    // The connection, silent for so long, is asked for a sign of life now.
+    await new Promise(setImmediate);
+    standStill(100);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  open();
+  expect((await pending).outcome.type).toBe("answered");
+});
+
 // The owner dies between two statements of a transaction. Its target's connection is closed with
 // it, so nothing of the transaction lands and the second statement has not run.
 test("a transaction whose owner is lost between statements has not run", async () => {
--- a/test/peer/fake.ts
+++ b/test/peer/fake.ts
@@ -129,7 +129,6 @@
     clock,
     getHello: () => makeHello("asker"),
     findOwner: () => vm,
-    connectMs: 300,
   });
   return {
     server,
