--- a/src/controller/admission/refusal.ts
+++ b/src/controller/admission/refusal.ts
@@ -1,6 +1,5 @@
-import type { AdmissionEffect, ClassQueue, Waiting } from "./types.js";
-import { measureWait, type WaitEstimate } from "./wait.js";
-import type { Admission } from "./types.js";
+import type { Admission, AdmissionEffect, ClassQueue, Waiting } from "./types.js";
+import { findCarefulWait, measureWait, type WaitEstimate } from "./wait.js";
 
 type Refusal = Extract<AdmissionEffect, { type: "refuse" }>;
 
@@ -55,16 +54,21 @@
   };
 }
 
-/** Estimates the wait of a request and refuses it when it is too long. */
+/**
+ * Estimates the wait of an arrival and tells whether it is too long, with a margin. Admitted up to
+ * the limit itself, half of the last ones would be refused after having waited almost all of it.
+ */
 export function checkWait(admission: Admission, waiting: Waiting, at: number) {
   const estimate = measureWait(admission, waiting, at);
-  const reason = findRefusal(admission, waiting, estimate, at);
+  const waitMs = findCarefulWait(estimate);
+  const reason = findRefusal(admission, waiting, { ...estimate, waitMs }, at);
   return { estimate, reason };
 }
 
 function findExcess(waiting: Waiting, estimate: WaitEstimate, at: number): number {
   if (!Number.isFinite(estimate.waitMs)) return unknownRetryMs;
-  return Math.max(0, estimate.waitMs - Math.max(0, findPatience(waiting, estimate.serviceMs, at)));
+  const patience = Math.max(0, findPatience(waiting, estimate.serviceMs, at));
+  return Math.max(0, findCarefulWait(estimate) - patience);
 }
 
 function findOutage(admission: Admission, waiting: Waiting): "noPrimary" | "overloaded" {
--- a/standin/target/link.ts
+++ b/standin/target/link.ts
@@ -1,7 +1,7 @@
 import pg from "pg";
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatTerm, type Lineage } from "../../src/model/index.js";
-import type { Gate } from "./faults.js";
+import type { Faults } from "./faults.js";
 import type { LogRecord } from "./log.js";
 import type { Following, Member } from "./member.js";
 
@@ -26,16 +26,16 @@
   constructor(
     private readonly member: Member,
     private readonly following: Following,
-    private readonly gates: readonly Gate[],
+    private readonly faults: Faults,
     private readonly getLagMs: () => number,
   ) {
     void this.run();
-    void this.runAppending();
+    void this.runWriting();
   }
 
   stop(): void {
     this.isStopped = true;
-    this.disconnect();
+    this.closeClient();
     this.wake?.();
   }
 
@@ -56,7 +56,7 @@
         // The primary is away or not yet promoted: the link asks again until it is told otherwise.
       }
       this.waiting.length = 0;
-      this.disconnect();
+      this.closeClient();
       await sleep(reconnectMs);
     }
   }
@@ -79,7 +79,7 @@
     const term = formatTerm(this.following.term);
     const [lineage] = await this.ask(client, "SELECT standin_lineage($1)", [term]);
     if (!this.isOpen()) return;
-    this.member.align(lineage as { readonly lineage: Lineage; readonly offset: number });
+    this.member.dropBeyond(lineage as { readonly lineage: Lineage; readonly offset: number });
     let offset = this.member.log.offset;
     while (this.isOpen()) {
       const values = [term, offset, maxRecords, pollMs];
@@ -96,21 +96,23 @@
     text: string,
     values: readonly (string | number)[],
   ): Promise<readonly unknown[]> {
-    await this.waitGates();
+    await this.faults.running.wait();
+    await this.faults.replication.requests.wait();
     const { rows } = await client.query<[string]>({ text, values: [...values], rowMode: "array" });
-    await this.waitGates();
+    await this.faults.running.wait();
+    await this.faults.replication.answers.wait();
     return rows.map(([json]) => JSON.parse(json) as unknown);
   }
 
-  private async runAppending(): Promise<void> {
+  private async runWriting(): Promise<void> {
     while (this.isOpen()) {
-      await this.waitGates();
-      this.appendDue();
+      await this.faults.running.wait();
+      this.writeDue();
       await this.waitForWork();
     }
   }
 
-  private appendDue(): void {
+  private writeDue(): void {
     const dueBefore = performance.now() - this.getLagMs();
     for (let head = this.waiting[0]; head !== undefined; head = this.waiting[0]) {
       if (head.receivedAt > dueBefore || !this.isOpen()) return;
@@ -131,11 +133,7 @@
     });
   }
 
-  private async waitGates(): Promise<void> {
-    for (const gate of this.gates) await gate.wait();
-  }
-
-  private disconnect(): void {
+  private closeClient(): void {
     const { client } = this;
     this.client = undefined;
     client?.end().catch(() => undefined);
--- a/standin/target/output.ts
+++ b/standin/target/output.ts
@@ -12,7 +12,8 @@
 
   constructor(
     private readonly socket: Socket,
-    private readonly running: Gate,
+    /** What must be open before anything goes out. */
+    private readonly gates: readonly Gate[],
   ) {}
 
   get isFull(): boolean {
@@ -25,17 +26,17 @@
   }
 
   /** Sends what was gathered; resolves when the socket takes more. */
-  async flush(): Promise<void> {
+  async send(): Promise<void> {
     const data = Buffer.concat(this.parts);
     this.parts = [];
     this.bytes = 0;
-    await this.running.wait();
+    for (const gate of this.gates) await gate.wait();
     if (this.isSilent || this.socket.destroyed || data.length === 0) return;
     if (!this.socket.write(data)) await waitDrain(this.socket);
   }
 
   /** Loses what was gathered and all that would follow. */
-  lose(how: LostAnswer): void {
+  dropAll(how: LostAnswer): void {
     this.parts = [];
     this.bytes = 0;
     this.isSilent = true;
--- a/standin/target/server.ts
+++ b/standin/target/server.ts
@@ -1,5 +1,5 @@
 import type { Address, Target } from "../../src/model/index.js";
-import type { Services } from "./backend.js";
+import type { Services } from "./work.js";
 import { Control } from "./control.js";
 import { Faults } from "./faults.js";
 import { Link } from "./link.js";
@@ -107,13 +107,13 @@
   async kill(): Promise<void> {
     const stopped = this.listener.stop();
     this.dropLink();
-    this.faults.clear();
+    this.faults.endAll();
     await stopped;
   }
 
   /** Makes the open ordinary connections silent for good; new ones work. */
   silenceConnections(): void {
-    this.listener.silence();
+    this.listener.setSilent();
   }
 
   async dispose(): Promise<void> {
@@ -139,8 +139,7 @@
     if (this.link?.of !== wanted) this.dropLink();
     if (this.link !== undefined && !this.member.canCopy(this.link.of)) this.dropLink();
     if (this.link !== undefined || wanted === undefined || !this.member.canCopy(wanted)) return;
-    const gates = [this.faults.running, this.faults.replication];
-    this.link = { of: wanted, link: new Link(this.member, wanted, gates, () => this.lag) };
+    this.link = { of: wanted, link: new Link(this.member, wanted, this.faults, () => this.lag) };
   }
 
   private dropLink(): void {
