Pass a Query over between an error and the Sync

Cause: after an error before a Flush a Query was answered before the Sync, so that two errors came before one ReadyForQuery; a caller would take the second for its next answer.

--- a/src/caller/runner.ts
+++ b/src/caller/runner.ts
@@ -100,9 +100,9 @@
 
   private skip(batch: Batch): boolean {
     if (!this.isSkipping) return false;
-    if (batch.type === "extended" && batch.end === "flush") return true;
+    // PostgreSQL passes a Query over as well: it would else answer twice before one ReadyForQuery.
+    if (batch.type !== "extended" || batch.end === "flush") return true;
     this.isSkipping = false;
-    if (batch.type !== "extended") return false;
     this.sendReady(batch, findStatus(this.transaction));
     return true;
   }
