--- a/src/settings/proxy.ts
+++ b/src/settings/proxy.ts
@@ -65,6 +65,8 @@
   };
   /** Addresses of the platform's service, tried in order. */
   readonly platform: readonly Address[];
+  /** Peer addresses of other proxies, asked at a start while the platform's service is down. */
+  readonly seeds: readonly Address[];
   readonly tls: { readonly callers: TlsSettings; readonly peers: TlsSettings };
   readonly sessionKeys: readonly SessionKey[];
   readonly limits: CallerLimits;
@@ -129,6 +131,7 @@
   platform: z
     .array(defineAddress(), { error: "must be a list of addresses" })
     .min(1, { error: "must have at least one address" }),
+  seeds: z.array(defineAddress(), { error: "must be a list of addresses" }).default([]),
   tls: defineObject({ callers: tls, peers: tls }),
   sessionKeys: z
     .array(sessionKey, { error: "must be a list of keys, each with id and secret" })
