Probe a few VMs that keep their connections, once the fleet is large

Cause: a probe to each VM in turn opens a new connection a second at 3,800 VMs, and its handshake alone costs more than the 3 KB a second that control may take. Ruled out: neighbours on a circle (news needs n/k hops), random sets (some VM has no observer at all). Change: beyond 16 VMs the round holds those 1, 2, 4 ... places on in the order of hashes: each VM is probed by log2(n) others, news needs log2(n) hops.

--- a/src/controller/membership/index.ts
+++ b/src/controller/membership/index.ts
@@ -1,6 +1,7 @@
 export { compareIncarnations, openIncarnation, refuteIncarnation } from "./incarnation.js";
 export { collectNews, listAllNews, listNewsAbout, markSent } from "./news.js";
 export { membershipOptions, type MembershipOptions } from "./options.js";
+export { buildRing } from "./ring.js";
 export {
   createMembershipState,
   type Member,
--- a/src/controller/membership/list.ts
+++ b/src/controller/membership/list.ts
@@ -31,8 +31,7 @@
     members.set(vm.name, { vm, status: "alive", incarnation: "", since: now });
   }
   const changes = fresh.map((vm) => ({ type: "changed" as const, vm, status: "alive" as const }));
-  const ring = [...state.ring, ...fresh.map(({ name }) => name)];
-  return { state: { ...state, members, ring }, effects: [...effects, ...changes] };
+  return { state: { ...state, members }, effects: [...effects, ...changes] };
 }
 
 function markLeaving(draft: Draft, vm: Vm, now: number): Draft {
--- a/src/controller/membership/member.ts
+++ b/src/controller/membership/member.ts
@@ -41,21 +41,18 @@
 export function removeMember(draft: Draft, { vm }: Member): Draft {
   const members = new Map(draft.state.members);
   members.delete(vm.name);
-  const ring = draft.state.ring.filter((name) => name !== vm.name);
   return {
-    state: { ...draft.state, members, ring },
+    state: { ...draft.state, members },
     effects: [...draft.effects, { type: "changed", vm, status: "removed" }],
   };
 }
 
-/** Puts a VM in the ring at a place that its name and the time of joining give. */
 function setMember(draft: Draft, member: Member): Draft {
   const { state, effects } = draft;
   const name = member.vm.name;
   const before = state.members.get(name);
   const members = new Map(state.members).set(name, member);
-  const ring = before === undefined ? [...state.ring, name] : state.ring;
-  const next = queueNews({ ...state, members, ring }, member);
+  const next = queueNews({ ...state, members }, member);
   if (before?.status === member.status && isSamePlace(before.vm, member.vm)) {
     return { state: next, effects };
   }
--- a/src/controller/membership/state.ts
+++ b/src/controller/membership/state.ts
@@ -29,7 +29,7 @@
     readonly state: PeerHello["state"];
   };
   readonly members: ReadonlyMap<string, Member>;
-  /** The order in which they are probed, gone through from `at` on. */
+  /** The round of those that this VM probes, gone through from `at` on and then built anew. */
   readonly ring: readonly string[];
   readonly at: number;
   readonly ticks: number;
--- a/src/controller/membership/tick.ts
+++ b/src/controller/membership/tick.ts
@@ -1,6 +1,6 @@
-import { hashPair } from "../../policy/index.js";
 import { changeMember, type Draft } from "./member.js";
 import type { MembershipOptions } from "./options.js";
+import { buildRing } from "./ring.js";
 import type { Member, MembershipState } from "./state.js";
 
 /** Begins one probe and takes VMs for down whose time to refute is over. */
@@ -31,41 +31,22 @@
   return [...state.members.values()].some(({ status }) => status === "alive");
 }
 
-function beginProbe(draft: Draft, { downEvery }: MembershipOptions): Draft {
+function beginProbe(draft: Draft, options: MembershipOptions): Draft {
   const state = { ...draft.state, ticks: draft.state.ticks + 1 };
-  const wantsDown = state.ticks % downEvery === 0;
-  const picked = (wantsDown ? pick(state, (m) => m.status === "down") : undefined) ??
-    pick(state, (m) => m.status !== "down") ?? { member: undefined, state };
-  if (picked.member === undefined) return { ...draft, state: picked.state };
-  const { vm } = picked.member;
-  return {
-    state: picked.state,
-    effects: [...draft.effects, { type: "probe", vm, epoch: state.epoch }],
-  };
+  const down = state.ticks % options.downEvery === 0 ? pickDown(state, options) : undefined;
+  if (down !== undefined) return addProbe(draft, state, down);
+  const next = state.at < state.ring.length ? state : { ...state, ring: buildRing(state), at: 0 };
+  const member = next.members.get(next.ring[next.at] ?? "");
+  const moved = { ...next, at: next.at + 1 };
+  return member === undefined ? { ...draft, state: moved } : addProbe(draft, moved, member);
 }
 
-/** Picks the next in the ring that fits; a finished round is shuffled, so that no two VMs march in step. */
-function pick(
-  state: MembershipState,
-  fits: (member: Member) => boolean,
-): { readonly member: Member; readonly state: MembershipState } | undefined {
-  const { ring, members } = state;
-  for (let i = 0; i < ring.length; i++) {
-    const at = (state.at + i) % ring.length;
-    const member = members.get(ring[at] ?? "");
-    if (member === undefined || !fits(member)) continue;
-    const isRoundOver = at + 1 >= ring.length;
-    return {
-      member,
-      state: isRoundOver ? { ...state, ring: shuffle(state), at: 0 } : { ...state, at: at + 1 },
-    };
-  }
-  return undefined;
+function addProbe({ effects }: Draft, state: MembershipState, { vm }: Member): Draft {
+  return { state, effects: [...effects, { type: "probe", vm, epoch: state.epoch }] };
 }
 
-function shuffle({ ring, self, ticks }: MembershipState): readonly string[] {
-  return ring
-    .map((name) => ({ name, hash: hashPair(`${self.vm.name}/${ticks}`, name) }))
-    .sort((a, b) => a.hash - b.hash)
-    .map(({ name }) => name);
+/** Those that are down take turns. */
+function pickDown(state: MembershipState, { downEvery }: MembershipOptions): Member | undefined {
+  const down = [...state.members.values()].filter(({ status }) => status === "down");
+  return down[Math.floor(state.ticks / downEvery) % Math.max(1, down.length)];
 }
--- a/test/fleet/membership.test.ts
+++ b/test/fleet/membership.test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import {
   applyMembershipEvent,
+  buildRing,
   createMembershipState,
   type MembershipEvent,
 } from "../../src/controller/membership/index.js";
@@ -40,6 +41,27 @@
   for (const name of names) expect(members.live(name)).toBe(all);
 });
 
+// In a fleet too large to probe all, each VM probes a few that keep their connections.
+// Each must be probed by as many others, and from any VM news must reach all in few hops.
+test("in a large fleet each VM is probed by log2(n) others and news reaches all", () => {
+  const vms = Array.from({ length: 500 }, (_, i) => makeVm(`vm${i}`, "dc1", i));
+  const rings = vms.map((self) => {
+    const state = createMembershipState(self, "1.0", 0);
+    const applied = applyMembershipEvent(state, { type: "listed", now: 0, vms });
+    return buildRing(applied.type === "applied" ? applied.state : state);
+  });
+  const probed = rings
+    .flat()
+    .reduce((n, name) => n.set(name, (n.get(name) ?? 0) + 1), new Map<string, number>());
+  expect(new Set(probed.values())).toEqual(new Set([9]));
+  const ringOf = new Map(vms.map((vm, i) => [vm.name, rings[i] ?? []]));
+  let reached = new Set(["vm0"]);
+  for (let hop = 0; hop < 9; hop++) {
+    reached = new Set([...reached, ...[...reached].flatMap((name) => ringOf.get(name) ?? [])]);
+  }
+  expect(reached.size).toBe(500);
+});
+
 test("a VM that one observer can't reach stays live: others answer for it", async () => {
   const { clock, members, network } = makeFleet();
   await members.startAll();
