--- /dev/null
+++ b/bench/fleet/node.ts
@@ -0,0 +1,80 @@
+import { openIncarnation } from "../../src/controller/membership/index.js";
+import { ConfigurationKeeper, MembershipKeeper } from "../../src/fleet/index.js";
+import { silentLogger } from "../../src/log/index.js";
+import { DisposableStore, type Clock, type Vm } from "../../src/model/index.js";
+import { ConnectPeerClient, PeerLinks, PeerServer } from "../../src/peer/index.js";
+import { HttpObjectStore } from "../../src/platform/index.js";
+import { createSystemRandom } from "../../src/system/index.js";
+
+/** One node's configuration and membership, with real connections. */
+export class Node {
+  readonly configuration: ConfigurationKeeper;
+  readonly membership: MembershipKeeper;
+  private readonly owned = new DisposableStore();
+  private readonly server: PeerServer;
+
+  constructor(vm: Vm, url: string, clock: Clock) {
+    const random = createSystemRandom();
+    const logger = silentLogger;
+    const store = this.owned.add(new HttpObjectStore({ url }));
+    const links = this.owned.add(new PeerLinks({ clock }));
+    const peers = new ConnectPeerClient({
+      links,
+      getHello: () => this.membership.hello(),
+      onHello: (hello) => {
+        this.membership.hear(hello);
+      },
+    });
+    const ports = { store, peers, clock, random, logger };
+    this.configuration = this.owned.add(
+      new ConfigurationKeeper({
+        ...ports,
+        vm: vm.name,
+        listLive: () => this.membership.listLive(),
+      }),
+    );
+    this.membership = this.owned.add(
+      new MembershipKeeper({
+        ...ports,
+        vm,
+        incarnation: openIncarnation(Date.now()),
+        getRevision: () => this.configuration.current().revision,
+        onHello: (hello) => {
+          this.configuration.hear(hello);
+        },
+      }),
+    );
+    this.server = this.owned.add(this.createServer(vm, clock));
+  }
+
+  async start(): Promise<void> {
+    await this.server.listen();
+    await this.membership.start();
+    await this.configuration.start();
+    this.membership.setState("ready");
+  }
+
+  dispose(): Promise<void> {
+    return this.owned.dispose();
+  }
+
+  private createServer(vm: Vm, clock: Clock): PeerServer {
+    const { membership, configuration } = this;
+    return new PeerServer({
+      address: vm.peer,
+      clock,
+      handlers: {
+        getHello: () => membership.hello(),
+        onHello: (hello) => {
+          membership.hear(hello);
+        },
+        chooseOwner: () => ({ type: "elsewhere" }),
+        probe: (other) => membership.relayProbe(other),
+        checkTarget: () => Promise.resolve({ type: "unreachable", reason: "no targets here" }),
+        fetchConfiguration: (after) => Promise.resolve(configuration.answerFetch(after)),
+        pushConfiguration: (json) => Promise.resolve(configuration.receive(json)),
+        report: () => null,
+      },
+    });
+  }
+}
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -11,3 +11,4 @@
   type MembershipKeeperOptions,
   type MembershipListener,
 } from "./membership.js";
+export { OwnerTable } from "./owners.js";
--- /dev/null
+++ b/src/fleet/owners.ts
@@ -0,0 +1,70 @@
+import type { Vm } from "../model/index.js";
+import { hashPair } from "../policy/index.js";
+
+interface Ranked {
+  readonly name: string;
+  readonly score: number;
+}
+
+/** The two VMs with the highest scores, the owner first; fewer where fewer live. */
+type Pair = readonly Ranked[];
+
+const kept = 2;
+
+/**
+ * Keeps the owner of each group that was asked for, and who would own it next: the first two of
+ * `orderOwners`. Ordering thousands of VMs for each request, or for every group when one VM comes or
+ * goes, would take most of a core; here one that comes is compared with the two that are kept, and
+ * one that goes concerns only the groups it is kept for.
+ */
+export class OwnerTable {
+  private live: readonly Vm[] = [];
+  private vms: ReadonlyMap<string, Vm> = new Map();
+  private readonly pairs = new Map<string, Pair>();
+
+  constructor(private readonly listLive: () => readonly Vm[]) {}
+
+  /** The owner of a group and the next one, where there are such. */
+  find(group: string): readonly Vm[] {
+    this.follow();
+    const known = this.pairs.get(group);
+    const pair = known ?? rank(group, this.live);
+    if (known === undefined) this.pairs.set(group, pair);
+    return pair.flatMap(({ name }) => this.vms.get(name) ?? []);
+  }
+
+  /** Takes changes of the live VMs over. The list keeps its identity while nobody comes or goes. */
+  private follow(): void {
+    const live = this.listLive();
+    if (live === this.live) return;
+    const before = this.vms;
+    const vms = new Map(live.map((vm) => [vm.name, vm]));
+    const joined = live.filter(({ name }) => !before.has(name));
+    this.live = live;
+    this.vms = vms;
+    for (const [group, pair] of this.pairs) {
+      const isBroken = pair.some(({ name }) => !vms.has(name));
+      if (isBroken) this.pairs.delete(group);
+      else if (joined.length > 0) this.pairs.set(group, insert(group, pair, joined));
+    }
+  }
+}
+
+function rank(group: string, vms: readonly Vm[]): Pair {
+  return insert(group, [], vms);
+}
+
+function insert(group: string, pair: Pair, vms: readonly Vm[]): Pair {
+  let best = pair;
+  for (const { name } of vms) {
+    const score = hashPair(group, name);
+    const last = best[kept - 1];
+    if (last !== undefined && score < last.score) continue;
+    best = [...best, { name, score }].sort(compareRanked).slice(0, kept);
+  }
+  return best;
+}
+
+function compareRanked(a: Ranked, b: Ranked): number {
+  return b.score - a.score || (a.name < b.name ? -1 : 1);
+}
