--- a/test/admission/model.test.ts
+++ b/test/admission/model.test.ts
@@ -28,7 +28,7 @@
 });
 const steps = fc.array(
   fc.oneof(
-    { weight: 5, arbitrary: fc.record({ type: fc.constant("arrive" as const), rest: requests }) },
+    { weight: 8, arbitrary: fc.record({ type: fc.constant("arrive" as const), rest: requests }) },
     { weight: 4, arbitrary: fc.record({ type: fc.constant("finish" as const), pick: fc.nat(99) }) },
     fc.record({ type: fc.constant("cancel" as const), pick: fc.nat(99) }),
     fc.record({ type: fc.constant("retarget" as const), pick: fc.nat(99), candidates: sets }),
@@ -39,20 +39,23 @@
     }),
     fc.record({ type: fc.constant("tick" as const) }),
   ),
-  { maxLength: 80 },
+  { minLength: 20, maxLength: 80, size: "max" },
 );
 
+const isBackground = ({ priority }: AdmissionRequest) =>
+  priority === "trial" || priority === "browsing";
+
 /** The plain reading of the rules: lists that are searched in full. */
 class Reference {
   readonly waiting = new Map<string, AdmissionRequest>();
-  readonly running = new Map<string, { readonly target: string; readonly isTrial: boolean }>();
+  readonly running = new Map<string, { readonly target: string; readonly isBackground: boolean }>();
   readonly slots = new Map(names.map((name) => [name, 0]));
 
   canServe(asked: AdmissionRequest, target: string): boolean {
     const slots = this.slots.get(target) ?? 0;
     const there = [...this.running.values()].filter((r) => r.target === target);
-    const trial = there.filter((r) => r.isTrial).length;
-    const isBarred = asked.plan === "trial" && target === "p" && slots >= 2 && trial >= slots - 1;
+    const background = there.filter((r) => r.isBackground).length;
+    const isBarred = isBackground(asked) && target === "p" && slots >= 2 && background >= slots - 1;
     return asked.candidates.includes(target) && there.length < slots && !isBarred;
   }
 
@@ -67,7 +70,7 @@
         (w) => priorities.indexOf(w.priority) < priorities.indexOf(asked.priority),
       );
       expect(better.filter((w) => this.canServe(w, target))).toEqual([]);
-      this.running.set(effect.id, { target, isTrial: asked.plan === "trial" });
+      this.running.set(effect.id, { target, isBackground: isBackground(asked) });
     }
     this.waiting.delete(effect.id);
   }
@@ -82,7 +85,8 @@
     fc.property(steps, (course) => {
       const reference = new Reference();
       let state = createAdmission(strict);
-      course.forEach((step, at) => {
+      const opening = names.map((target) => ({ type: "resize" as const, target, slots: 2 }));
+      [...opening, ...course].forEach((step, at) => {
         const pool = step.type === "finish" ? reference.running : reference.waiting;
         const all =
           step.type === "cancel" ? [...pool.keys(), ...reference.running.keys()] : [...pool.keys()];
