--- a/bench/failover/virtualclock.ts
+++ b/bench/failover/virtualclock.ts
@@ -22,12 +22,16 @@
         reject(new Error("aborted"));
         return;
       }
-      const timer = { at: this.time + Math.max(0, ms), order: this.order++, fire: resolve };
-      this.add(timer);
       const drop = (): void => {
         this.timers = this.timers.filter((t) => t !== timer);
         reject(new Error("aborted"));
       };
+      const fire = (): void => {
+        signal?.removeEventListener("abort", drop);
+        resolve();
+      };
+      const timer = { at: this.time + Math.max(0, ms), order: this.order++, fire };
+      this.add(timer);
       signal?.addEventListener("abort", drop, { once: true });
     });
   }
--- a/test/failover/faults.test.ts
+++ b/test/failover/faults.test.ts
@@ -207,6 +207,28 @@
   await scene.end();
 });
 
+// Callers see nothing. A promotion waits at a frozen target until two later terms have had their
+// primaries; the target then leads its old term, acknowledges nothing, and follows once it is told.
+test("a promotion reaches a frozen target after its term was superseded", async () => {
+  const scene = new Scene();
+  const old = await scene.settle();
+  const [choice = ""] = replicas(old);
+  scene.group.setState(old, "dead");
+  await scene.clock.advance(longMs, () => scene.group.get(choice).fencedAt.round > 1);
+  scene.group.setState(choice, "frozen");
+  await scene.clock.advance(700);
+  scene.group.setState(old, "up");
+  const next = await scene.findPrimary("v1", choice);
+  expect(await scene.write()).toBe("acknowledged");
+  scene.group.setState(choice, "up");
+  await scene.clock.advance(longMs);
+  const late = scene.group.promotions.at(-1);
+  expect(late).toEqual({ target: choice, term: expect.objectContaining({ round: 2 }) as unknown });
+  expect(scene.primary()).toBe(next);
+  expect(scene.group.get(choice).log).toEqual(scene.group.get(next).log);
+  await scene.end();
+});
+
 // A paused owner wakes up after another has changed the primary, with its timers overdue and old
 // answers waiting. It must neither fence the new primary nor vouch for the old one's writes.
 test("a paused owner wakes up after a failover", async () => {
