--- a/standin/target/listener.ts
+++ b/standin/target/listener.ts
@@ -3,8 +3,8 @@
 import { PostgresConnection } from "pg-gateway";
 import type { Address } from "../../src/model/index.js";
 import { FrameSplitter } from "../../src/target/index.js";
-import type { Services } from "./backend.js";
-import type { Gate } from "./faults.js";
+import type { Services } from "./work.js";
+import type { Channel, Faults, Gate } from "./faults.js";
 import { replicationDatabase } from "./link.js";
 import { Output } from "./output.js";
 import { Session } from "./session.js";
@@ -21,8 +21,9 @@
 
 interface Connection {
   readonly socket: Socket;
-  readonly output: Output;
   isOrdinary: boolean;
+  session?: Session;
+  output?: Output;
 }
 
 const announced = {
@@ -63,7 +64,7 @@
 
   /** Listens; a port that was chosen once is kept. */
   async start(): Promise<void> {
-    const server = createServer({ noDelay: true }, (socket) => this.accept(socket));
+    const server = createServer({ noDelay: true }, (socket) => this.admit(socket));
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
       server.listen(this.listening.port, this.listening.host, resolve);
@@ -79,18 +80,22 @@
   async stop(): Promise<void> {
     const { server } = this;
     this.server = undefined;
-    for (const { socket } of this.open) socket.destroy();
+    for (const { socket, session } of this.open) {
+      session?.kill();
+      socket.destroy();
+    }
     if (server !== undefined) await new Promise((resolve) => server.close(resolve));
   }
 
   /** Makes the open ordinary connections silent for good. */
-  silence(): void {
-    for (const { isOrdinary, output } of this.open) output.isSilent ||= isOrdinary;
+  setSilent(): void {
+    for (const { isOrdinary, output } of this.open) {
+      if (isOrdinary && output !== undefined) output.isSilent = true;
+    }
   }
 
-  private accept(socket: Socket): void {
-    const output = new Output(socket, this.services.faults.running);
-    const connection: Connection = { socket, output, isOrdinary: false };
+  private admit(socket: Socket): void {
+    const connection: Connection = { socket, isOrdinary: false };
     this.open.add(connection);
     socket.on("error", () => undefined);
     socket.on("close", () => this.open.delete(connection));
@@ -104,20 +109,23 @@
   }
 
   private startSession(connection: Connection, database: string): void {
-    const { running, control, replication } = this.services.faults;
+    const { faults } = this.services;
+    const { socket } = connection;
     const id = this.nextId++;
     const isFull = this.count >= this.limit;
-    connection.isOrdinary = database !== controlDatabase && database !== replicationDatabase;
-    const gates = [running];
-    if (database === controlDatabase) gates.push(control);
-    if (database === replicationDatabase) gates.push(replication);
-    const { socket, output } = connection;
-    const ready = this.greet(connection, id, connection.isOrdinary && isFull, gates);
-    relayMessages(socket, new Session(socket, output, this.services, id, gates, ready));
+    const channel = findChannel(faults, database);
+    connection.isOrdinary = channel === faults.statements;
+    const gates = [faults.running, channel.requests];
+    const output = new Output(socket, [faults.running, channel.answers]);
+    const ready = this.replyStartUp(socket, output, id, connection.isOrdinary && isFull, gates);
+    connection.output = output;
+    connection.session = new Session(socket, output, this.services, id, gates, ready);
+    relayMessages(socket, connection.session);
   }
 
-  private async greet(
-    { socket, output }: Connection,
+  private async replyStartUp(
+    socket: Socket,
+    output: Output,
     id: number,
     isRefused: boolean,
     gates: readonly Gate[],
@@ -126,7 +134,7 @@
     for (const gate of gates) await gate.wait();
     if (isRefused) {
       output.push(encodeError("FATAL", "53300", "sorry, too many clients already"));
-      await output.flush();
+      await output.send();
       socket.end();
       return;
     }
@@ -136,7 +144,7 @@
     }
     output.push(encodeKeyData(id));
     output.push(encodeReady("I"));
-    await output.flush();
+    await output.send();
   }
 }
 
@@ -148,13 +156,18 @@
   const frames = new FrameSplitter();
   socket.on("data", (chunk: Buffer) => {
     try {
-      for (const message of frames.push(chunk)) session.receive(message);
+      for (const message of frames.push(chunk)) session.take(message);
     } catch {
       socket.destroy();
     }
   });
 }
 
+function findChannel(faults: Faults, database: string): Channel {
+  if (database === controlDatabase) return faults.control;
+  return database === replicationDatabase ? faults.replication : faults.statements;
+}
+
 function readDatabase(parameters: Readonly<Record<string, string>> | undefined): string {
   return parameters?.database ?? "";
 }
