--- a/src/groupwatch/groupwatch.ts
+++ b/src/groupwatch/groupwatch.ts
@@ -1,6 +1,4 @@
-import { allAcknowledgeSafeguards } from "../controller/acknowledge/index.js";
 import {
-  allFailoverSafeguards,
   defaultTimings,
   type FailoverState,
   type FailoverTimings,
@@ -16,7 +14,6 @@
   DisposableStore,
   type GroupView,
   type Mark,
-  type Random,
   type Target,
   type Term,
 } from "../model/index.js";
@@ -27,18 +24,12 @@
 import { GapMeter } from "./gap.js";
 import { MarkHistory } from "./history.js";
 import type { WatchOptions } from "./ports.js";
+import { type MarkReading, toReading } from "./reading.js";
 import { type BareEvent, ControllerRunner } from "./runner.js";
 import { type StreamAnswer, StatusStream } from "./stream.js";
+import { allWatchSafeguards, buildOptions } from "./setup.js";
 import { buildView, findBackedAt } from "./view.js";
 
-/** What a fresh look at a primary after a commit brought. */
-export type MarkReading =
-  /** `askedAt` is when the request was sent, for `confirm`. */
-  | { readonly type: "read"; readonly term: Term; readonly mark: Mark; readonly askedAt: number }
-  /** It leads no more: what was committed there may be lost. */
-  | { readonly type: "notPrimary"; readonly fencedAt: Term }
-  | { readonly type: "unreachable"; readonly reason: string };
-
 interface Watched {
   readonly target: Target;
   readonly stream: StatusStream;
@@ -67,27 +58,11 @@
   constructor(private readonly options: WatchOptions) {
     const { group, random } = options;
     this.timings = options.timings ?? defaultTimings;
-    const safeguards = options.safeguards ?? {
-      ...allFailoverSafeguards,
-      ...allAcknowledgeSafeguards,
-    };
     this.clock = new StrictClock(options.clock);
-    const names = group.targets.map((t) => t.name);
-    this.runner = new ControllerRunner(
-      {
-        group: group.name,
-        targets: names,
-        opener: `${options.vm}-${drawNonce(random)}`,
-        timings: this.timings,
-        safeguards,
-      },
-      this.clock,
-      random,
-      {
-        onEffect: (effect, at) => this.effects.execute(effect, at),
-        onChange: (state) => this.handleChange(state),
-      },
-    );
+    this.runner = new ControllerRunner(buildOptions(options), this.clock, random, {
+      onEffect: (effect, at) => this.effects.execute(effect, at),
+      onChange: (state) => this.handleChange(state),
+    });
     this.current = buildView(this.runner.state);
     this.effects = new EffectRunner(options, this.clock, {
       apply: (event) => this.handleEvent(event),
@@ -102,8 +77,8 @@
     });
     this.confirmations = new Confirmations({
       clock: this.clock,
-      targets: names,
-      safeguards,
+      targets: group.targets.map((t) => t.name),
+      safeguards: options.safeguards ?? allWatchSafeguards,
       ask: (target) => void this.askFresh(target),
       askAgainMs: this.timings.heartbeatMs,
       isSuperseded: (write) => isSuperseded(this.runner.state, write.term),
@@ -155,19 +130,7 @@
     const reading = this.askFresh(target);
     if (mode === "witnessed") this.askOthers(target);
     const asked = await reading;
-    const { askedAt, result } = asked;
-    switch (result.type) {
-      case "unreachable":
-        return result;
-      case "refused":
-        return { type: "notPrimary", fencedAt: result.fencedAt };
-      case "accepted": {
-        const { mark, role, fencedAt } = result.status;
-        const isLeading = role === "primary" && compareTerms(mark.term, fencedAt) === 0;
-        if (!isLeading) return { type: "notPrimary", fencedAt };
-        return { type: "read", term: mark.term, mark, askedAt };
-      }
-    }
+    return toReading(asked);
   }
 
   /**
@@ -288,10 +251,3 @@
     if (backedAt !== undefined && mark !== undefined) this.history.note(backedAt, mark);
   }
 }
-
-/** The part of a promoter's name that differs between two runs on one VM. */
-function drawNonce(random: Random): string {
-  return Math.floor(random.draw() * 2 ** 32)
-    .toString(16)
-    .padStart(8, "0");
-}
--- a/src/groupwatch/index.ts
+++ b/src/groupwatch/index.ts
@@ -1,5 +1,6 @@
 export { type Confirmation } from "./confirmations.js";
-export { GroupWatch, type MarkReading } from "./groupwatch.js";
+export { GroupWatch } from "./groupwatch.js";
+export { type MarkReading } from "./reading.js";
 export {
   type GapSplit,
   type WatchOptions,
--- /dev/null
+++ b/src/groupwatch/setup.ts
@@ -0,0 +1,33 @@
+import { allAcknowledgeSafeguards } from "../controller/acknowledge/index.js";
+import {
+  allFailoverSafeguards,
+  defaultTimings,
+  type FailoverOptions,
+} from "../controller/failover/index.js";
+import type { Random } from "../model/index.js";
+import type { WatchOptions, WatchSafeguards } from "./ports.js";
+
+/** Everything on. */
+export const allWatchSafeguards: WatchSafeguards = {
+  ...allFailoverSafeguards,
+  ...allAcknowledgeSafeguards,
+};
+
+/** Builds what the group's controller is made of. */
+export function buildOptions(options: WatchOptions): FailoverOptions {
+  const { group, vm, random, timings, safeguards } = options;
+  return {
+    group: group.name,
+    targets: group.targets.map((t) => t.name),
+    opener: `${vm}-${drawNonce(random)}`,
+    timings: timings ?? defaultTimings,
+    safeguards: safeguards ?? allWatchSafeguards,
+  };
+}
+
+/** The part of a promoter's name that differs between two runs on one VM. */
+function drawNonce(random: Random): string {
+  return Math.floor(random.draw() * 2 ** 32)
+    .toString(16)
+    .padStart(8, "0");
+}
