--- a/bench/failover/index.ts
+++ b/bench/failover/index.ts
@@ -3,6 +3,7 @@
 export { type GapReport, measureGaps } from "./gaps.js";
 export { type LatencyReport, measureLatency } from "./latency.js";
 export { createFakeRig, type Failure, type Rig } from "./rig.js";
+export { formatFailure, runSoak, type SoakFailure, type SoakReport } from "./soak.js";
 export { measureStalls, type StallReport } from "./stalls.js";
 export { createStandinRig } from "./standinrig.js";
 export { VirtualClock } from "./virtualclock.js";
