Serve a group at the next proxy in order when its owner can't be reached

Cause: a lost owner's group stood still until membership called the VM down (3 s of suspicion), so keyed writes ended at their deadline. Ruled out: a shorter suspicion, which one lost packet misleads. Change: the gateway passes a VM over for 3 s after a connection to it broke under a request; two owners at once break nothing.

--- a/src/peer/gateway.ts
+++ b/src/peer/gateway.ts
@@ -17,6 +17,8 @@
   readonly findOwner: (group: string) => Vm | undefined;
   readonly onHello?: StreamOptions["onHello"];
   readonly connectMs?: number;
+  /** Hears of each VM whose connection broke under a request or could not be opened. */
+  readonly onBroken?: (vm: Vm) => void;
   /** When to come back where no owner can be reached: about when the next is known. */
   readonly retryAfterMs?: number;
 }
@@ -43,6 +45,7 @@
       take: (vm) => this.pool.take(vm),
       give: (stream) => this.pool.give(stream),
       renew: (vm) => links.renew(vm.peer),
+      onBroken: (vm) => this.options.onBroken?.(vm),
       retryAfterMs: this.retryAfterMs,
     });
   }
@@ -53,6 +56,7 @@
   readonly take: (vm: Vm) => Promise<ClientStream>;
   readonly give: (stream: ClientStream) => void;
   readonly renew: (vm: Vm) => void;
+  readonly onBroken: (vm: Vm) => void;
   readonly retryAfterMs: number;
 }
 
@@ -102,7 +106,10 @@
     if (this.stream !== undefined) this.options.give(this.stream);
     this.stream = await this.options.take(owner);
     const result = await this.stream.run(batch, sink, signal);
-    if (result.type === "broken" && !result.sent && !signal.aborted) this.options.renew(owner);
+    if (result.type === "broken" && !signal.aborted) {
+      this.options.onBroken(owner);
+      if (!result.sent) this.options.renew(owner);
+    }
     return result;
   }
 
--- a/src/proxy/gateway.ts
+++ b/src/proxy/gateway.ts
@@ -1,10 +1,14 @@
-import type { Conversation, GroupGateway, Vm } from "../model/index.js";
+import type { Clock, Conversation, GroupGateway, Vm } from "../model/index.js";
 import type { OwnerGateway } from "../owner/index.js";
 import { orderOwners } from "../policy/index.js";
 
+/** How long a VM that could not be reached is passed over, in milliseconds. */
+const doubtMs = 3000;
+
 /** What a `FleetGateway` chooses between. */
 export interface FleetGatewayOptions {
   readonly vm: string;
+  readonly clock: Pick<Clock, "now">;
   readonly listLive: () => readonly Vm[];
   readonly owner: OwnerGateway;
   readonly remote: GroupGateway;
@@ -12,6 +16,9 @@
 
 /** Opens conversations at a group's owner, which is this process or another. */
 export class FleetGateway implements GroupGateway {
+  /** Until when each VM that could not be reached is passed over. */
+  private readonly doubts = new Map<string, number>();
+
   constructor(private readonly options: FleetGatewayOptions) {}
 
   open(group: string): Conversation {
@@ -19,18 +26,44 @@
     return this.findOther(group) === undefined ? owner.open(group) : remote.open(group);
   }
 
+  /**
+   * Passes a VM over for a while. Membership takes seconds to call a VM down, so as not to be misled
+   * by one lost packet; a group's writes would stand still for as long. Two owners at once break
+   * nothing, so the next in order can serve it at the first sign.
+   */
+  noteBroken(vm: string): void {
+    this.doubts.set(vm, this.options.clock.now() + doubtMs);
+  }
+
   /** The VM that owns the group when that is another one; nothing when this process serves it. */
   findOther(group: string): Vm | undefined {
-    const { vm, listLive, owner } = this.options;
-    const [first, second] = orderOwners(group, listLive());
-    if (first?.name !== vm) return first;
-    // Cut off from the group's primary, this process can serve nothing; the next VM may reach it.
-    return owner.find(group)?.watch.isCutOff === true ? second : undefined;
+    const { vm } = this.options;
+    const order = this.listOwners(group);
+    const [first, second] = order.filter((o) => !this.isDoubted(o.name));
+    const chosen = first ?? order[0];
+    if (chosen?.name !== vm) return chosen;
+    return this.isCutOff(group) ? second : undefined;
   }
 
   /** Whether this process owns the group by the live VMs, cut off or not. */
   isOwned(group: string): boolean {
-    const { vm, listLive } = this.options;
-    return orderOwners(group, listLive())[0]?.name === vm;
+    return this.listOwners(group)[0]?.name === this.options.vm;
+  }
+
+  private listOwners(group: string): readonly Vm[] {
+    return orderOwners(group, this.options.listLive());
+  }
+
+  private isDoubted(vm: string): boolean {
+    const until = this.doubts.get(vm);
+    if (until === undefined) return false;
+    if (until > this.options.clock.now()) return true;
+    this.doubts.delete(vm);
+    return false;
+  }
+
+  /** Cut off from the group's primary, this process can serve nothing; the next VM may reach it. */
+  private isCutOff(group: string): boolean {
+    return this.options.owner.find(group)?.watch.isCutOff === true;
   }
 }
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -156,9 +156,14 @@
       clock,
       getHello: () => this.membership.describe(),
       findOwner: (group) => this.gateway.findOther(group),
+      onBroken: (vm) => {
+        this.gateway.noteBroken(vm.name);
+        this.membership.doubt(vm.name);
+      },
     });
     this.gateway = new FleetGateway({
       vm: settings.vm,
+      clock,
       listLive: () => this.membership.listLive(),
       owner: this.owner,
       remote,
