--- a/test/sql/sql.test.ts
+++ b/test/sql/sql.test.ts
@@ -94,9 +94,12 @@
   fc.assert(
     fc.property(sizes, (entries) => {
       const cache = new LruCache<number>({ maxEntries: 3, maxBytes: 160 });
+      cache.set("used", 0, 1);
       for (const [key, bytes] of entries) {
         cache.set(key, bytes, bytes);
         expect(cache.get(key)).toBe(bytes);
+        // What is used all the time stays.
+        expect(cache.get("used")).toBe(0);
         expect(cache.size).toBeLessThanOrEqual(3);
       }
     }),
