Hand the primary role on before its target leaves, and let writes wait for that

Cause: a leaving primary's slots went to none at once, with no successor expected, so the first write was refused as noPrimary (new test red). Ruled out: GroupWatch, which switches when asked, but was asked once only. Change: a leaving primary's successor is awaited as a lost one's is, and the owner asks again each second while it lasts. scripts/safeguards.mjs takes safeguards out one by one. Conclusion: both tests of leaving targets pass.

--- /dev/null
+++ b/scripts/safeguards.mjs
@@ -0,0 +1,134 @@
+// Takes out one safeguard after the other, in a copy of the tree, and shows that the tests named for
+// it turn red. Each is a piece of text that is replaced in one file. Ends with a table.
+import { spawnSync } from "node:child_process";
+import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+
+const safeguards = [
+  {
+    invariant: "No write is acknowledged by a superseded primary",
+    safeguard: "a write's outcome is held until a majority confirms it",
+    file: "src/owner/filters/confirm.ts",
+    find: "  return context.answer.tags.length > 0;",
+    put: "  return context.answer.tags.length > 1000;",
+    tests: "test/owner/failover",
+  },
+  {
+    invariant: "No write is acknowledged by a superseded primary",
+    safeguard: "confirmations are asked for after the commit",
+    file: "src/controller/acknowledge/acknowledge.ts",
+    find: "const isFresh = evidence.askedAt >= closing.since || !state.safeguards.freshness;",
+    put: "const isFresh = true;",
+    tests: "test/failover",
+  },
+  {
+    invariant: "A session has read-your-writes consistency",
+    safeguard: "a replica serves only marks that it holds",
+    file: "src/policy/route.ts",
+    find: "  return compareMarks(target.status.lineage, target.status.mark, mark);",
+    put: '  return { type: "reached" };',
+    tests: "test/policy",
+  },
+  {
+    invariant: "A session has read-your-writes consistency",
+    safeguard: "a session without a mark is floored",
+    file: "src/owner/filters/floor.ts",
+    find: "if (mark !== undefined || !isBound) return next(context);",
+    put: "if (mark !== undefined || isBound || !isBound) return next(context);",
+    tests: "test/owner/serve",
+  },
+  {
+    invariant: "At most once",
+    safeguard: "a keyed write runs with its record in one transaction",
+    file: "src/owner/filters/deduplicate.ts",
+    find: 'if (idempotency === undefined || traits.effect === "read"',
+    put: 'if (idempotency !== undefined || traits.effect === "read"',
+    tests: "test/owner/serve",
+  },
+  {
+    invariant: "At most once",
+    safeguard: "a write without a key that may have run is not tried again",
+    file: "src/filter/retry.ts",
+    find: 'effect: canRepeat ? "read" : request.traits.effect,',
+    put: 'effect: "read",',
+    tests: "test/filter",
+  },
+  {
+    invariant: "A refusal as not run is true",
+    safeguard: "an earlier try that may have run is not forgotten",
+    file: "src/filter/retry.ts",
+    find: "if (delayMs === undefined) return unknown ?? outcome;",
+    put: "if (delayMs === undefined) return outcome;",
+    tests: "test/filter",
+  },
+  {
+    invariant: "A refusal as not run is true",
+    safeguard: "what was sent on a connection that broke may have run",
+    file: "src/owner/filters/execute.ts",
+    find: "if (result.sent) return failUnknown",
+    put: "if (!result.sent) return failUnknown",
+    tests: "test/owner/failover",
+  },
+  {
+    invariant: "Two transactions never mix on one connection",
+    safeguard: "a connection with an open transaction stays with its conversation",
+    file: "src/owner/filters/connect.ts",
+    find: '  else if (outcome.status === "I") connection.giveBack();',
+    put: "  else if (outcome.status.length > 0) connection.giveBack();",
+    tests: "test/owner/serve",
+  },
+  {
+    invariant: "An accepted configuration never reverts",
+    safeguard: "only a greater revision is adopted",
+    file: "src/controller/configuration/state.ts",
+    find: "  if (revision <= state.inForce.revision) return leaveOffer",
+    put: "  if (revision < 0) return leaveOffer",
+    tests: "test/fleet",
+  },
+  {
+    invariant: "A caller receives the whole answer to its own request",
+    safeguard: "an answer that nobody asked for closes the connection",
+    file: "src/target/session.ts",
+    find: 'if (!unasked.has(message[0] ?? 0)) this.drop("an answer came that nobody asked for");',
+    put: "void unasked.has(message[0] ?? 0);",
+    tests: "test/target",
+  },
+  {
+    invariant: "A leaving target gets no new work",
+    safeguard: "a leaving target is no candidate",
+    file: "src/owner/scene.ts",
+    find: 'if (target.isLeaving === true) return "leaving";',
+    put: "",
+    tests: "test/owner/leaving",
+  },
+];
+
+const folders = ["src", "standin", "test", "bench", "docs", "config"];
+const files = ["package.json", "jest.config.js", "tsconfig.json"];
+
+function runMutant({ file, find, put, tests }) {
+  const copy = mkdtempSync(join(tmpdir(), "radishwalk-safeguard-"));
+  for (const name of [...folders, ...files]) cpSync(name, join(copy, name), { recursive: true });
+  symlinkSync(resolve("node_modules"), join(copy, "node_modules"));
+  const path = join(copy, file);
+  const text = readFileSync(path, "utf8");
+  if (!text.includes(find)) return "text not found";
+  writeFileSync(path, text.replace(find, put));
+  const args = ["--experimental-vm-modules", "node_modules/jest/bin/jest.js", tests, "--silent"];
+  const run = spawnSync(process.execPath, [...args, "--forceExit"], {
+    cwd: copy,
+    stdio: "ignore",
+    timeout: 120_000,
+  });
+  rmSync(copy, { recursive: true });
+  return run.status === 0 ? "GREEN" : "red";
+}
+
+const rows = safeguards.map((s) => ({ ...s, off: runMutant(s) }));
+for (const { invariant, safeguard, tests, off } of rows) {
+  console.log(`| ${invariant} | ${safeguard} | \`${tests}\` | ${off} |`);
+}
+const odd = rows.filter(({ off }) => off !== "red");
+console.log(`${rows.length - odd.length} red without their safeguard, ${odd.length} not`);
+process.exit(odd.length === 0 ? 0 : 1);
--- a/src/owner/gateway.ts
+++ b/src/owner/gateway.ts
@@ -45,8 +45,13 @@
     }
   }
 
-  /** Closes groups that this process no longer owns and nobody uses. Call it now and then. */
-  async closeIdle(): Promise<void> {
+  /** Hands on what leaves and closes groups that nobody uses. To be called about once a second. */
+  async tend(): Promise<void> {
+    for (const { group } of this.served.values()) group.switchFromLeaving();
+    await this.closeIdle();
+  }
+
+  private async closeIdle(): Promise<void> {
     const now = this.ports.clock.now();
     for (const [name, served] of [...this.served]) {
       const isUsed = served.conversations > 0 || this.owned.has(name);
--- a/src/owner/group.ts
+++ b/src/owner/group.ts
@@ -123,13 +123,21 @@
 
   /** Takes the platform's latest word about the group: which targets are leaving. */
   setGroup(group: Group): void {
-    const left = this.group.targets.filter((t) => t.isLeaving !== true).map((t) => t.name);
+    const stayed = this.group.targets.filter((t) => t.isLeaving !== true).map((t) => t.name);
     this.group = group;
     this.scene.setGroup(group);
     this.observe(this.watch.view());
-    for (const target of group.targets) {
-      if (target.isLeaving === true && left.includes(target.name)) this.noteLeaving(target.name);
+    for (const { name, isLeaving } of group.targets) {
+      if (isLeaving === true && stayed.includes(name)) this.pools.get(name)?.drain();
     }
+    this.switchFromLeaving();
+  }
+
+  /** Moves the primary role off a target that is leaving. To be called again while that lasts. */
+  switchFromLeaving(): void {
+    const { primary } = this.view();
+    const isLeaving = primary !== undefined && this.findTarget(primary.target).isLeaving === true;
+    if (isLeaving && !this.watch.isSwitching) this.watch.switchFrom(primary.target);
   }
 
   async dispose(): Promise<void> {
@@ -280,11 +288,6 @@
     return target;
   }
 
-  private noteLeaving(target: string): void {
-    this.pools.get(target)?.drain();
-    if (this.view().primary?.target === target) this.watch.switchFrom(target);
-  }
-
   private observe(view: GroupView): void {
     this.scene.observe(view);
     this.noteLoss(view);
@@ -333,7 +336,7 @@
   private resize(target: Target, view: GroupView): void {
     const state = findState(target, view.targets[target.name]);
     const isPrimary = view.primary?.target === target.name;
-    const isAwaited = target.name === this.lastPrimary && (!isPrimary || state === "unreachable");
+    const isAwaited = target.name === this.lastPrimary && (!isPrimary || state !== "serving");
     const isServing = state === "serving" && !isAwaited;
     const role = isPrimary || isAwaited ? "primary" : "replica";
     const slots = isServing ? target.slots : 0;
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -35,7 +35,7 @@
 import { describeClientSecurity, loadCertificates, type Certificates } from "./security.js";
 
 const helperCount = 3;
-const closeIdleMs = 1000;
+const tendMs = 1000;
 
 /** What a proxy runs on. */
 export interface ProxyPorts {
@@ -232,7 +232,7 @@
     await this.followConfiguration();
     this.membership.setState("ready");
     const callers = await this.callers.listen();
-    this.keepIdleGroupsClosed();
+    this.tendGroups();
     this.isReady = true;
     logger.write(processEvents.ready, { callers, peers, health });
     return { callers, peers, health };
@@ -349,11 +349,11 @@
     this.owner.setGroups(groups, new Set(owned));
   }
 
-  private keepIdleGroupsClosed(): void {
+  private tendGroups(): void {
     const timer = setInterval(() => {
-      void this.owner.closeIdle();
+      void this.owner.tend();
       this.metrics.setCallers(this.callers.connectionCount);
-    }, closeIdleMs);
+    }, tendMs);
     this.owned.defer(() => {
       clearInterval(timer);
     });
--- /dev/null
+++ b/test/owner/leaving.test.ts
@@ -0,0 +1,41 @@
+import { afterEach, beforeEach, expect, test } from "@jest/globals";
+import { runOnce, startGroup, type TestGroup } from "./group.js";
+
+let group: TestGroup;
+
+beforeEach(async () => {
+  group = await startGroup(5);
+  await runOnce(group.gateway, "write", "CREATE TABLE cello (id int PRIMARY KEY, family text)");
+});
+
+afterEach(() => group.dispose());
+
+function tellLeaving(name: string): void {
+  const targets = group.group.targets.map((t) => ({ ...t, isLeaving: t.name === name }));
+  const told = new Map([[group.group.name, { ...group.group, targets }]]);
+  group.gateway.setGroups(told, new Set([group.group.name]));
+}
+
+async function countReads(name: string): Promise<number> {
+  for (let id = 0; id < 12; id += 1) await runOnce(group.gateway, "read", "SELECT id FROM cello");
+  const target = group.targets.find((t) => t.name === name);
+  return target?.statements.list("SELECT id").length ?? 0;
+}
+
+// The platform takes a replica's VM away. Reads that went to it would be cut off when it ends;
+// once the owner has heard of it, every read goes to the others.
+test("a replica that is leaving gets no new reads", async () => {
+  tellLeaving("t2");
+  expect(await countReads("t2")).toBe(0);
+});
+
+// The platform takes the primary's VM away. The owner moves the primary role to a replica that holds
+// all it has, and writes go on there; the caller notices a short wait at the most.
+test("a primary that is leaving hands its role on", async () => {
+  tellLeaving("t1");
+  const patient = { action: { retry: { attempts: 10 } } };
+  const sql = "INSERT INTO cello VALUES (1, 'Rossi')";
+  const written = await runOnce(group.gateway, "write", sql, { ...patient, key: "k1" });
+  expect(written.outcome).toMatchObject({ type: "answered" });
+  expect(written.outcome).not.toMatchObject({ servedBy: { target: "t1" } });
+});
