Allow another VM 25 ms of travel instead of 50

Cause: after a silent failure the answers of the two other VMs are waited for longest: 200 of 400 ms of detection, 50 of them for travel that takes 1 ms within a region. Change: peerHopMs 50 -> 25.

--- a/src/controller/failover/options.ts
+++ b/src/controller/failover/options.ts
@@ -50,7 +50,7 @@
     minAllowanceMs: stallMs,
     maxAllowanceMs: 2000,
     confirmMs,
-    peerHopMs: 50,
+    peerHopMs: 25,
     controlMs,
     gatherMs: 50,
     searchMs: heartbeatMs + confirmMs,
