Revert "Allow another VM 25 ms of travel instead of 50"

The wait for the other VMs is part of the stall that is borne; a needless change of primary costs more than 23 ms of a rare gap.

--- a/src/controller/failover/options.ts
+++ b/src/controller/failover/options.ts
@@ -50,7 +50,7 @@
     minAllowanceMs: stallMs,
     maxAllowanceMs: 2000,
     confirmMs,
-    peerHopMs: 25,
+    peerHopMs: 50,
     controlMs,
     gatherMs: 50,
     searchMs: heartbeatMs + confirmMs,
