Begin function names of failover with verbs of the list

Cause: backOff, tendReplicas, acceptLeader and others began with verbs that the list of DEVELOPERS.md does not have. Change: names only. Conclusion: tests of test/failover and test/owner pass (51).

--- a/bench/failover/fakelink.ts
+++ b/bench/failover/fakelink.ts
@@ -51,14 +51,14 @@
     work: () => ControlResult | Promise<ControlResult>,
   ): Promise<ControlResult> {
     if (isFresh) this.connection = "closed";
-    if (this.connection === "silent") return never();
+    if (this.connection === "silent") return waitForever();
     if (this.connection === "closed") await this.clock.sleep(this.delays.connectMs);
     await this.clock.sleep(this.delays.oneWayMs + this.extraMs);
-    if (this.fault === "cut" || this.fault === "requestsLost") return never();
+    if (this.fault === "cut" || this.fault === "requestsLost") return waitForever();
     if (this.connection === "closed") this.connection = "open";
     const result = await this.host.run(work);
     await this.clock.sleep(this.delays.oneWayMs);
-    if (this.isAnswerLost()) return never();
+    if (this.isAnswerLost()) return waitForever();
     if (result !== undefined) return result;
     this.connection = "closed";
     return fail("refused");
@@ -73,6 +73,6 @@
   return { type: "unreachable", reason };
 }
 
-function never(): Promise<never> {
+function waitForever(): Promise<never> {
   return new Promise(() => undefined);
 }
--- a/bench/failover/virtualclock.ts
+++ b/bench/failover/virtualclock.ts
@@ -39,7 +39,7 @@
   /** Lets `ms` pass, or less when `isDone` holds before; tells whether it held. */
   async advance(ms: number, isDone: () => boolean = () => false): Promise<boolean> {
     const end = this.time + ms;
-    await settle();
+    await waitSettled();
     while (!isDone()) {
       const next = this.timers[0];
       if (next === undefined || next.at > end) {
@@ -49,7 +49,7 @@
       this.timers.shift();
       this.time = Math.max(this.time, next.at);
       next.fire();
-      await settle();
+      await waitSettled();
     }
     return true;
   }
@@ -62,6 +62,6 @@
 }
 
 /** Lets every promise that can go on do so. */
-function settle(): Promise<void> {
+function waitSettled(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
--- a/src/controller/failover/answer.ts
+++ b/src/controller/failover/answer.ts
@@ -1,5 +1,5 @@
 import { compareTerms, orderMarks, succeed, type TargetView } from "../../model/index.js";
-import { backOff, beginElection } from "./elect.js";
+import { beginWaiting, beginElection } from "./elect.js";
 import type { FailoverEvent } from "./event.js";
 import {
   findEqual,
@@ -19,7 +19,7 @@
   withHealth,
   withTerm,
 } from "./state.js";
-import { beginSteady, resumeSteady, tendReplicas } from "./tend.js";
+import { beginSteady, keepSteady, tellReplicas } from "./tend.js";
 import { endSearch } from "./tick.js";
 
 type Answer = Extract<FailoverEvent, { type: "answered" }>;
@@ -30,15 +30,15 @@
   const status = getHealth(next, event.status.target).view?.status ?? event.status;
   if (isLeading(status) && !isSuperseded(next, status.mark.term)) {
     if (hasDouble(next, status)) return endDouble(next, event);
-    return acceptLeader(next, { primary: status.target, term: status.mark.term }, event.at);
+    return takeLeader(next, { primary: status.target, term: status.mark.term }, event.at);
   }
   const leadership = findLeadership(next);
   if (leadership === undefined) return checkSearch(next, event);
   const isDeposed = leadership.primary === status.target && !isLeading(status);
   if (isDeposed || isSuperseded(next, leadership.term)) {
-    return backOff(next, `${leadership.primary} was superseded`, event.at, event.draw);
+    return beginWaiting(next, `${leadership.primary} was superseded`, event.at, event.draw);
   }
-  return next.phase.type === "steady" ? tendSteady(next, leadership, event.at) : succeed(next);
+  return next.phase.type === "steady" ? checkSteady(next, leadership, event.at) : succeed(next);
 }
 
 /** Keeps a status, unless a newer one is known already. */
@@ -67,7 +67,7 @@
 }
 
 /** A target leads, and no majority is known to be fenced past it. */
-function acceptLeader(state: FailoverState, found: Leadership, at: number): Step {
+function takeLeader(state: FailoverState, found: Leadership, at: number): Step {
   const { phase } = state;
   switch (phase.type) {
     case "searching":
@@ -75,10 +75,10 @@
       return beginSteady(state, found, at);
     case "steady":
       if (compareTerms(found.term, phase.term) > 0) return beginSteady(state, found, at);
-      return tendSteady(state, phase, at);
+      return checkSteady(state, phase, at);
     case "suspecting":
     case "cutOff":
-      return clearSuspicion(state, phase, found, at);
+      return closeSuspicion(state, phase, found, at);
     case "fencing":
     case "promoting":
       if (compareTerms(found.term, phase.term) < 0) return succeed(state);
@@ -93,7 +93,7 @@
     case "steady":
     case "suspecting":
     case "cutOff":
-      return backOff(state, "two targets lead one term", at, draw);
+      return beginWaiting(state, "two targets lead one term", at, draw);
     case "waiting":
     case "fencing":
     case "promoting":
@@ -102,7 +102,7 @@
 }
 
 /** The suspect itself has answered, or a newer primary has. */
-function clearSuspicion(
+function closeSuspicion(
   state: FailoverState,
   suspected: Suspect,
   found: Leadership,
@@ -111,7 +111,7 @@
   const { term } = suspected;
   if (term !== undefined && compareTerms(found.term, term) < 0) return succeed(state);
   const isSame = term !== undefined && compareTerms(found.term, term) === 0;
-  const steady = isSame ? resumeSteady(state, found, at) : beginSteady(state, found, at);
+  const steady = isSame ? keepSteady(state, found, at) : beginSteady(state, found, at);
   const target = suspected.primary;
   return succeed(steady.state, [
     { type: "note", note: { type: "cleared", target } },
@@ -121,12 +121,12 @@
 }
 
 /** What is due with a steady primary after any answer: replicas astray, a switch that can be made. */
-function tendSteady(state: FailoverState, leadership: Leadership, at: number): Step {
+function checkSteady(state: FailoverState, leadership: Leadership, at: number): Step {
   if (state.switching?.target === leadership.primary) {
     const equal = findEqual(state, leadership.primary);
     if (equal !== undefined) return beginElection(state, "plannedSwitch", at);
   }
-  return tendReplicas(state, leadership, at);
+  return tellReplicas(state, leadership, at);
 }
 
 /**
@@ -140,5 +140,5 @@
   if (isSuspect) return endSearch(state, at, draw);
   const isKnown = state.options.targets.every((target) => isHeard(state, target));
   if (phase.type !== "searching" || !isKnown) return succeed(state);
-  return backOff(state, "no target leads", at, draw);
+  return beginWaiting(state, "no target leads", at, draw);
 }
--- a/src/controller/failover/detect.ts
+++ b/src/controller/failover/detect.ts
@@ -47,7 +47,7 @@
 
 /** The new connection brought no answer. */
 export function recordMissedProbe(state: FailoverState, phase: Suspecting, at: number): Step {
-  return decideSuspicion(state, { ...phase, isMissed: true }, at);
+  return resolveSuspicion(state, { ...phase, isMissed: true }, at);
 }
 
 /** Other VMs have answered. */
@@ -57,19 +57,19 @@
   finding: PeerFinding,
   at: number,
 ): Step {
-  return decideSuspicion(state, { ...phase, finding }, at);
+  return resolveSuspicion(state, { ...phase, finding }, at);
 }
 
 /** The checks took too long, as after a pause of this process: they count as failed. */
 export function endSuspicion(state: FailoverState, phase: Suspecting, at: number): Step {
-  return decideSuspicion(
+  return resolveSuspicion(
     state,
     { ...phase, isMissed: true, finding: phase.finding ?? "silent" },
     at,
   );
 }
 
-function decideSuspicion(state: FailoverState, phase: Suspecting, at: number): Step {
+function resolveSuspicion(state: FailoverState, phase: Suspecting, at: number): Step {
   const next = withPhase(state, phase);
   if (!phase.isMissed || phase.finding === undefined) return succeed(next);
   if (phase.finding === "reached") return beginCutOff(next, phase, "other VMs reach it", at);
--- a/src/controller/failover/elect.ts
+++ b/src/controller/failover/elect.ts
@@ -53,7 +53,7 @@
     case "accepted":
       return checkFenced(state, noteFenced(state, phase, result.status, at), at, draw);
     case "refused":
-      return backOff(state, `${target} is fenced by a rival`, at, draw, phase.suspect);
+      return beginWaiting(state, `${target} is fenced by a rival`, at, draw, phase.suspect);
     case "unreachable":
       return checkFenced(state, { ...phase, missed: [...phase.missed, target] }, at, draw);
   }
@@ -83,7 +83,7 @@
   if (phase.fenced.length >= required) return beginPromotion(next, phase, phase.fenced, at);
   const isHopeless = phase.fenced.length + phase.missed.length === targets.length;
   return isHopeless
-    ? backOff(next, "no majority was fenced", at, draw, phase.suspect)
+    ? beginWaiting(next, "no majority was fenced", at, draw, phase.suspect)
     : succeed(next);
 }
 
@@ -92,7 +92,7 @@
   if (phase.fenced.length >= getMajority(state)) {
     return beginPromotion(state, phase, phase.fenced, at);
   }
-  return backOff(state, "no majority was fenced in time", at, draw, phase.suspect);
+  return beginWaiting(state, "no majority was fenced in time", at, draw, phase.suspect);
 }
 
 /**
@@ -156,7 +156,7 @@
     case "accepted":
       return beginSteady(state, { primary: phase.choice.target, term: phase.term }, at);
     case "refused":
-      return backOff(state, `${phase.choice.target} is fenced by a rival`, at, draw);
+      return beginWaiting(state, `${phase.choice.target} is fenced by a rival`, at, draw);
     case "unreachable":
       return retryPromotion(state, phase, at);
   }
@@ -175,7 +175,7 @@
 }
 
 /** Waits with jitter, so that rivals do not meet again; each failure in a row doubles the wait. */
-export function backOff(
+export function beginWaiting(
   state: FailoverState,
   why: string,
   at: number,
@@ -202,7 +202,7 @@
   draw: number,
 ): Step {
   if (!hasMajority(state)) {
-    return backOff(state, "no majority of targets answers", at, draw, phase.suspect);
+    return beginWaiting(state, "no majority of targets answers", at, draw, phase.suspect);
   }
   const reason = phase.suspect === undefined ? "noPrimary" : "primaryFailed";
   return beginElection(state, reason, at, phase.suspect);
--- a/src/controller/failover/tend.ts
+++ b/src/controller/failover/tend.ts
@@ -16,28 +16,28 @@
   const { switching, ...rest } = state;
   const isSwitching = switching?.target === primary && at < switching.until;
   const next: FailoverState = { ...rest, ...(isSwitching ? { switching } : {}), attempts: 0 };
-  const steady = withPhase(forgetTold(next), { type: "steady", primary, term });
-  const tended = tendReplicas(steady, leadership, at);
+  const steady = withPhase(dropTold(next), { type: "steady", primary, term });
+  const tended = tellReplicas(steady, leadership, at);
   const note = { type: "note", note: { type: "led", target: primary, term } } as const;
   return succeed(tended.state, [note, ...tended.effects]);
 }
 
 /** Goes on believing in a primary; targets that were told to follow it are not told anew. */
-export function resumeSteady(state: FailoverState, leadership: Leadership, at: number): Step {
+export function keepSteady(state: FailoverState, leadership: Leadership, at: number): Step {
   const { primary, term } = leadership;
-  return tendReplicas(withPhase(state, { type: "steady", primary, term }), leadership, at);
+  return tellReplicas(withPhase(state, { type: "steady", primary, term }), leadership, at);
 }
 
 /**
  * What targets were told holds for one primary. Right after a second change of primary they would
  * else count as told, and the first write would wait for a replica that copies from nobody.
  */
-function forgetTold(state: FailoverState): FailoverState {
+function dropTold(state: FailoverState): FailoverState {
   return state.options.targets.reduce((s, t) => withHealth(s, t, { toldAt: -Infinity }), state);
 }
 
 /** Tells every reachable target that does not follow the primary in its term to do so. */
-export function tendReplicas(state: FailoverState, leadership: Leadership, at: number): Step {
+export function tellReplicas(state: FailoverState, leadership: Leadership, at: number): Step {
   let next = state;
   const effects: FailoverEffect[] = [];
   for (const target of state.options.targets) {
--- a/src/controller/failover/tick.ts
+++ b/src/controller/failover/tick.ts
@@ -1,6 +1,6 @@
 import { succeed } from "../../model/index.js";
 import { beginSuspicion, endSuspicion } from "./detect.js";
-import { backOff, beginElection, endFencing, endWaiting, retryPromotion } from "./elect.js";
+import { beginWaiting, beginElection, endFencing, endWaiting, retryPromotion } from "./elect.js";
 import { isFencedPast, isHeard } from "./leader.js";
 import {
   type FailoverState,
@@ -10,7 +10,7 @@
   type Step,
   withPhase,
 } from "./state.js";
-import { tendReplicas } from "./tend.js";
+import { tellReplicas } from "./tend.js";
 
 type Steady = Extract<Phase, { type: "steady" }>;
 
@@ -26,7 +26,7 @@
 /** Does what has become due. */
 export function applyTick(state: FailoverState, at: number, draw: number): Step {
   const { phase } = state;
-  if (phase.type === "steady") return tickSteady(state, phase, at);
+  if (phase.type === "steady") return handleSteady(state, phase, at);
   if (at < phase.until) return succeed(state);
   switch (phase.type) {
     case "searching":
@@ -44,7 +44,7 @@
   }
 }
 
-function tickSteady(state: FailoverState, phase: Steady, at: number): Step {
+function handleSteady(state: FailoverState, phase: Steady, at: number): Step {
   if (at >= findSilentAt(state, phase.primary)) {
     return beginSuspicion(state, phase, "no answer in time", at);
   }
@@ -52,7 +52,7 @@
   if (stray.phase.type === "steady" && isStrayDue(stray, stray.phase, at)) {
     return beginElection(stray, "strayFence", at);
   }
-  return tendReplicas(stray, phase, at);
+  return tellReplicas(stray, phase, at);
 }
 
 /**
@@ -79,6 +79,6 @@
   const heard = targets.flatMap((t) => getHealth(state, t).view?.status ?? []);
   const followed = heard.find((s) => s.follows !== undefined && silent.includes(s.follows));
   const suspect = followed?.follows ?? silent[0];
-  if (suspect === undefined) return backOff(state, "no target leads", at, draw);
+  if (suspect === undefined) return beginWaiting(state, "no target leads", at, draw);
   return beginSuspicion(state, { primary: suspect }, "not heard at the start", at);
 }
--- a/src/groupwatch/confirmations.ts
+++ b/src/groupwatch/confirmations.ts
@@ -56,21 +56,21 @@
       const giveUp = (): void => this.end(waiter, { type: "timedOut" });
       signal.addEventListener("abort", giveUp, { once: true, signal: waiter.ended.signal });
       for (const { targets } of begun.effects) targets.forEach(this.ports.ask);
-      for (const evidence of known) this.feed(waiter, evidence);
+      for (const evidence of known) this.apply(waiter, evidence);
       void this.askAgain(waiter);
     });
   }
 
   /** Takes in an answer of a target. */
   observe(evidence: Evidence): void {
-    for (const waiter of [...this.waiters]) this.feed(waiter, evidence);
+    for (const waiter of [...this.waiters]) this.apply(waiter, evidence);
   }
 
   dispose(): void {
     for (const waiter of [...this.waiters]) this.end(waiter, { type: "timedOut" });
   }
 
-  private feed(waiter: Waiter, evidence: Evidence): void {
+  private apply(waiter: Waiter, evidence: Evidence): void {
     const applied = applyEvidence(waiter.state, evidence);
     if (applied.type === "failed") return;
     waiter.state = applied.state;
--- a/src/groupwatch/stream.ts
+++ b/src/groupwatch/stream.ts
@@ -29,7 +29,7 @@
  */
 export class StatusStream {
   private readonly stopped = new AbortController();
-  private giveUp: () => void = () => undefined;
+  private cancelWait: () => void = () => undefined;
   private last: TargetStatus | undefined;
   private isFresh = false;
 
@@ -42,38 +42,38 @@
   /** Gives the connection up: a request that is still open on it is no longer waited for. */
   renew(): void {
     this.isFresh = true;
-    this.giveUp();
+    this.cancelWait();
   }
 
   dispose(): void {
     this.stopped.abort();
-    this.giveUp();
+    this.cancelWait();
   }
 
   private async run(): Promise<void> {
     while (!this.stopped.signal.aborted) {
-      const result = await this.pollOrGiveUp();
+      const result = await this.askOnce();
       if (result === undefined || result.type === "accepted") continue;
       this.isFresh = true;
       await this.sleep();
     }
   }
 
-  private pollOrGiveUp(): Promise<ControlResult | undefined> {
+  private askOnce(): Promise<ControlResult | undefined> {
     return new Promise((resolve, reject) => {
-      this.giveUp = () => resolve(undefined);
-      this.poll().then(resolve, reject);
+      this.cancelWait = () => resolve(undefined);
+      this.ask().then(resolve, reject);
     });
   }
 
   private async sleep(): Promise<void> {
     const { clock, retryMs } = this.options;
     const ended = new AbortController();
-    this.giveUp = () => ended.abort();
+    this.cancelWait = () => ended.abort();
     await clock.sleep(retryMs, ended.signal).catch(() => undefined);
   }
 
-  private async poll(): Promise<ControlResult> {
+  private async ask(): Promise<ControlResult> {
     const { control, clock, target, findWaitMs, findPatienceMs } = this.options;
     const waitMs = findWaitMs(this.last?.role);
     const after = this.last;
