Run sessions and faults at random over a fleet, and check what targets hold

Cause: the faults were proved one by one; nothing ran them together under load. Change: standin/soak draws faults and work from a seed and checks after each round. A fleet's member can be started anew. Ruled out: a proxy that ends put back the handler of broken invariants from before its start, so a fleet heard of none after a kill; the fleet sets its own again.

--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -8,6 +8,7 @@
   type Address,
   type Disposable,
   type Group,
+  type ViolationHandler,
   type Vm,
 } from "../src/model/index.js";
 import { HttpObjectStore } from "../src/platform/index.js";
@@ -35,6 +36,8 @@
   readonly link: FaultyLink;
   /** Ends it without any farewell. */
   kill(): Promise<void>;
+  /** Starts a fresh proxy in the place of one that was killed, under the same name and link. */
+  restart(): Promise<void>;
 }
 
 /** Stand-ins and proxies in one process, joined by links that can be cut. */
@@ -85,12 +88,14 @@
     Array.from({ length: count }, (_, i) => planMember(store, i, platformLink.address, logger)),
   );
   platform.setVms(planned.map((m) => m.vm));
-  const members = await Promise.all(planned.map((m) => startMember(store, m)));
   const violations: string[] = [];
-  const before = setViolationHandler((invariant, detail) => {
+  const handleViolation: ViolationHandler = (invariant, detail) => {
     violations.push(`${invariant}: ${detail}`);
-  });
+  };
+  const before = setViolationHandler(handleViolation);
   store.defer(() => void setViolationHandler(before));
+  const members = planned.map((m) => new RunningMember(store, m, handleViolation));
+  await Promise.all(members.map((m) => m.start()));
   const dispose = () => store.dispose();
   return { cluster, members, targetLinks, platformLink, violations, dispose };
 }
@@ -128,9 +133,9 @@
 
 interface Planned {
   readonly vm: Vm;
-  readonly proxy: Proxy;
   readonly link: FaultyLink;
   readonly listening: { address: Address | undefined };
+  readonly create: () => Promise<Proxy>;
 }
 
 async function planMember(
@@ -140,40 +145,80 @@
   logger: Logger,
 ): Promise<Planned> {
   const name = `vm-${index + 1}`;
-  const proxy = await Proxy.create({
-    settings: buildSettings(name, platform),
-    logger,
-    clock: createSystemClock(),
-    random: createSystemRandom(),
-    incarnation: openIncarnation(Date.now()),
-  });
-  store.add(proxy);
+  const create = () =>
+    Proxy.create({
+      settings: buildSettings(name, platform),
+      logger,
+      clock: createSystemClock(),
+      random: createSystemRandom(),
+      incarnation: openIncarnation(Date.now()),
+    });
   const listening: Planned["listening"] = { address: undefined };
   const link = store.add(new FaultyLink(() => listening.address ?? { host, port: 1 }));
   const peer = await link.start();
-  return {
-    vm: { name, dataCentre: `dc-${index + 1}`, peer, state: "live" },
-    proxy,
-    link,
-    listening,
-  };
+  const vm: Vm = { name, dataCentre: `dc-${index + 1}`, peer, state: "live" };
+  return { vm, link, listening, create };
 }
 
-async function startMember(
-  store: DisposableStore,
-  { vm, proxy, link, listening }: Planned,
-): Promise<FleetMember> {
-  listening.address = (await proxy.listen()).peers;
-  const addresses = await proxy.start();
-  let isKilled = false;
-  const kill = async () => {
-    if (isKilled) return;
-    isKilled = true;
-    link.setRefusing(true);
-    await proxy.dispose();
-  };
-  store.defer(kill);
-  return { vm, proxy, callers: addresses.callers, link, kill };
+/** A place of the fleet: one proxy after the other runs in it. */
+class RunningMember implements FleetMember {
+  private running: { readonly proxy: Proxy; readonly callers: Address } | undefined;
+  private isKilled = false;
+
+  constructor(
+    store: DisposableStore,
+    private readonly planned: Planned,
+    private readonly handleViolation: ViolationHandler,
+  ) {
+    store.defer(() => this.kill());
+  }
+
+  get vm(): Vm {
+    return this.planned.vm;
+  }
+
+  get link(): FaultyLink {
+    return this.planned.link;
+  }
+
+  get proxy(): Proxy {
+    return this.getRunning().proxy;
+  }
+
+  get callers(): Address {
+    return this.getRunning().callers;
+  }
+
+  async start(): Promise<void> {
+    const proxy = await this.planned.create();
+    this.planned.listening.address = (await proxy.listen()).peers;
+    // A member may be killed before it is ready; callers find nobody there then.
+    this.running = { proxy, callers: { host, port: 1 } };
+    const { callers } = await proxy.start();
+    if (this.running.proxy === proxy) this.running = { proxy, callers };
+    setViolationHandler(this.handleViolation);
+  }
+
+  async kill(): Promise<void> {
+    if (this.running === undefined || this.isKilled) return;
+    this.isKilled = true;
+    this.link.setRefusing(true);
+    await this.running.proxy.dispose();
+    // A proxy that ends puts back the handler from before its start: nobody would hear any more.
+    setViolationHandler(this.handleViolation);
+  }
+
+  async restart(): Promise<void> {
+    await this.kill();
+    this.isKilled = false;
+    this.link.setRefusing(false);
+    await this.start();
+  }
+
+  private getRunning(): { readonly proxy: Proxy; readonly callers: Address } {
+    if (this.running === undefined) throw new Error(`${this.vm.name} was never started`);
+    return this.running;
+  }
 }
 
 function buildSettings(vm: string, platform: Address): ProxySettings {
--- /dev/null
+++ b/standin/soak/apply.ts
@@ -0,0 +1,117 @@
+import type { Fleet, FleetMember } from "../fleet.js";
+import type { FaultyLink } from "../link.js";
+import type { StandinTarget } from "../target/index.js";
+import type { Fault, Way } from "./plan.js";
+
+/** Ends a fault; resolves when what it struck runs again. */
+export type EndFault = () => Promise<void>;
+
+/** Lists the targets of every group in the order by which plans count them. */
+export function listTargets(fleet: Fleet): readonly StandinTarget[] {
+  return fleet.cluster.groups.flatMap((g) => g.targets);
+}
+
+/** Switches a fault on and hands back what ends it. */
+export async function beginFault(fleet: Fleet, fault: Fault): Promise<EndFault> {
+  const { platform } = fleet.cluster;
+  switch (fault.type) {
+    case "killTarget": {
+      const target = getTarget(fleet, fault.target);
+      await target.kill();
+      return () => target.start();
+    }
+    case "freezeTarget": {
+      const { running } = getTarget(fleet, fault.target).faults;
+      running.close();
+      return endWith(() => running.open());
+    }
+    case "silenceTarget":
+      getTarget(fleet, fault.target).silenceConnections();
+      return endWith(() => undefined);
+    case "slowTarget": {
+      const { faults } = getTarget(fleet, fault.target);
+      faults.slowFactor = fault.factor;
+      return endWith(() => (faults.slowFactor = 1));
+    }
+    case "loseCommitAnswers":
+      getTarget(fleet, fault.target).faults.loseCommitAnswers(fault.count, fault.how);
+      return endWith(() => undefined);
+    case "cutTarget":
+      return cutLink(getLink(fleet, fault.target), fault.way);
+    case "cutReplication": {
+      const { replication } = getTarget(fleet, fault.target).faults;
+      replication.close();
+      return endWith(() => replication.open());
+    }
+    case "cutPeer":
+      return cutLink(getMember(fleet, fault.vm).link, fault.way);
+    case "forgetPeer":
+      getMember(fleet, fault.vm).link.forgetAll();
+      return endWith(() => undefined);
+    case "killProxy": {
+      const member = getMember(fleet, fault.vm);
+      await member.kill();
+      return () => member.restart();
+    }
+    case "drainProxy":
+      return drainMember(getMember(fleet, fault.vm));
+    case "platformDown":
+      platform.setDown(true);
+      return endWith(() => platform.setDown(false));
+    case "platformSlow":
+      platform.faults.slowMs = fault.ms;
+      return endWith(() => (platform.faults.slowMs = 0));
+    case "loseStoreAnswers":
+      platform.faults.loseWriteAnswers(fault.count);
+      return endWith(() => undefined);
+    case "dropWatches":
+      platform.dropWatches();
+      return endWith(() => undefined);
+  }
+}
+
+/** Sets each target's lag of a round, in milliseconds. */
+export function setLags(fleet: Fleet, lagMs: readonly number[]): void {
+  for (const [i, target] of listTargets(fleet).entries()) target.setLag(lagMs[i] ?? 0);
+}
+
+/** A drained process ends by itself; a fresh one takes its place at the fault's end. */
+function drainMember(member: FleetMember): EndFault {
+  const drained = member.proxy.drain();
+  return async () => {
+    await drained;
+    await member.restart();
+  };
+}
+
+function cutLink(link: FaultyLink, way: Way): EndFault {
+  link.setFlow(way === "back" ? "pass" : "hold", way === "there" ? "pass" : "hold");
+  return endWith(() => {
+    link.setFlow("pass", "pass");
+  });
+}
+
+function endWith(end: () => unknown): EndFault {
+  return () => {
+    end();
+    return Promise.resolve();
+  };
+}
+
+function getTarget(fleet: Fleet, index: number): StandinTarget {
+  const target = listTargets(fleet)[index];
+  if (target === undefined) throw new Error(`no target ${index}`);
+  return target;
+}
+
+function getLink(fleet: Fleet, index: number): FaultyLink {
+  const link = fleet.targetLinks.get(getTarget(fleet, index).name);
+  if (link === undefined) throw new Error(`no link to target ${index}`);
+  return link;
+}
+
+function getMember(fleet: Fleet, index: number): FleetMember {
+  const member = fleet.members[index];
+  if (member === undefined) throw new Error(`no VM ${index}`);
+  return member;
+}
--- /dev/null
+++ b/standin/soak/context.ts
@@ -0,0 +1,16 @@
+import type { Proxy } from "../../src/proxy/index.js";
+import type { Fleet } from "../fleet.js";
+import type { Counts } from "./counts.js";
+import type { Breach, Ledger } from "./ledger.js";
+import type { Trace } from "./trace.js";
+
+/** What the parts of a run share. */
+export interface SoakContext {
+  readonly fleet: Fleet;
+  readonly ledger: Ledger;
+  readonly trace: Trace;
+  readonly counts: Counts;
+  /** Proxies that leave gracefully and were not killed. */
+  readonly drained: Set<Proxy>;
+  readonly breach: (breach: Breach) => void;
+}
--- /dev/null
+++ b/standin/soak/index.ts
@@ -0,0 +1,1 @@
+export { runSoak, type SoakOptions, type SoakReport } from "./run.js";
--- /dev/null
+++ b/standin/soak/plan.ts
@@ -0,0 +1,132 @@
+import { createDraw, type Draw } from "./random.js";
+
+/** One fault of the plan. `target` and `vm` are indices, counted over all groups. */
+export type Fault =
+  | { readonly type: "killTarget"; readonly target: number }
+  | { readonly type: "freezeTarget"; readonly target: number }
+  | { readonly type: "silenceTarget"; readonly target: number }
+  | { readonly type: "slowTarget"; readonly target: number; readonly factor: number }
+  | {
+      readonly type: "loseCommitAnswers";
+      readonly target: number;
+      readonly count: number;
+      readonly how: "break" | "silence";
+    }
+  | { readonly type: "cutTarget"; readonly target: number; readonly way: Way }
+  | { readonly type: "cutReplication"; readonly target: number }
+  | { readonly type: "cutPeer"; readonly vm: number; readonly way: Way }
+  | { readonly type: "forgetPeer"; readonly vm: number }
+  | { readonly type: "killProxy"; readonly vm: number }
+  | { readonly type: "drainProxy"; readonly vm: number }
+  | { readonly type: "platformDown" }
+  | { readonly type: "platformSlow"; readonly ms: number }
+  | { readonly type: "loseStoreAnswers"; readonly count: number }
+  | { readonly type: "dropWatches" };
+
+/** Which way of a link is cut: towards the address, back from it, or both. */
+export type Way = "there" | "back" | "both";
+
+/** A fault with its times, in milliseconds since the round's beginning. */
+export interface PlannedFault {
+  readonly fault: Fault;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** One round: faults, then everything heals and is checked. */
+export interface RoundPlan {
+  readonly faults: readonly PlannedFault[];
+  readonly lagMs: readonly number[];
+  readonly workMs: number;
+}
+
+/** How many there are of what faults strike. */
+export interface PlanSizes {
+  readonly targets: number;
+  readonly vms: number;
+}
+
+const maxLagMs = 500;
+const pairShare = 0.5;
+const roundStreams = 1000;
+
+/** Every sort of fault, in the order in which rounds draw them. */
+export const faultTypes: readonly Fault["type"][] = [
+  "killTarget",
+  "freezeTarget",
+  "silenceTarget",
+  "slowTarget",
+  "loseCommitAnswers",
+  "cutTarget",
+  "cutReplication",
+  "cutPeer",
+  "forgetPeer",
+  "killProxy",
+  "drainProxy",
+  "platformDown",
+  "platformSlow",
+  "loseStoreAnswers",
+  "dropWatches",
+];
+
+/** Draws one round of a seed: one fault, or two at once. */
+export function planRound(seed: number, round: number, sizes: PlanSizes): RoundPlan {
+  const draw = createDraw(seed, round * roundStreams);
+  const count = draw.chance(pairShare) ? 2 : 1;
+  const faults = Array.from({ length: count }, () => drawTimes(draw, sizes));
+  const last = Math.max(...faults.map((f) => f.toMs));
+  return {
+    faults,
+    lagMs: Array.from({ length: sizes.targets }, () => draw.whole(0, maxLagMs)),
+    workMs: last + draw.whole(200, 800),
+  };
+}
+
+function drawTimes(draw: Draw, sizes: PlanSizes): PlannedFault {
+  const fromMs = draw.whole(200, 900);
+  return { fault: drawFault(draw, sizes), fromMs, toMs: fromMs + draw.whole(300, 3000) };
+}
+
+function drawFault(draw: Draw, sizes: PlanSizes): Fault {
+  const type = draw.pick(faultTypes);
+  const target = draw.whole(0, sizes.targets - 1);
+  const vm = draw.whole(0, sizes.vms - 1);
+  const way = draw.pick<Way>(["there", "back", "both"]);
+  switch (type) {
+    case "killTarget":
+    case "freezeTarget":
+    case "silenceTarget":
+    case "cutReplication":
+      return { type, target };
+    case "slowTarget":
+      return { type, target, factor: draw.whole(5, 100) };
+    case "loseCommitAnswers":
+      return {
+        type,
+        target,
+        count: draw.whole(1, 4),
+        how: draw.pick(["break", "silence"] as const),
+      };
+    case "cutTarget":
+      return { type, target, way };
+    case "cutPeer":
+      return { type, vm, way };
+    case "forgetPeer":
+    case "killProxy":
+    case "drainProxy":
+      return { type, vm };
+    case "platformDown":
+    case "dropWatches":
+      return { type };
+    case "platformSlow":
+      return { type, ms: draw.whole(100, 2000) };
+    case "loseStoreAnswers":
+      return { type, count: draw.whole(1, 3) };
+  }
+}
+
+/** Writes a fault for a trace, such as `cutTarget target=2 way=back`. */
+export function describeFault({ type, ...rest }: Fault): string {
+  const fields = Object.entries(rest).map(([name, value]) => `${name}=${String(value)}`);
+  return [type, ...fields].join(" ");
+}
--- /dev/null
+++ b/standin/soak/verify.ts
@@ -0,0 +1,93 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import pg from "pg";
+import { compareTerms, formatMark } from "../../src/model/index.js";
+import type { RunningGroup } from "../cluster.js";
+import type { StandinTarget } from "../target/index.js";
+import type { SoakContext } from "./context.js";
+import { checkStored, type StoredBooking } from "./ledger.js";
+
+const convergeTries = 300;
+const convergePauseMs = 100;
+
+/** Waits until every target of a group has the log of the one primary, and hands that back. */
+export async function waitConverged(
+  { name, targets }: RunningGroup,
+  context: SoakContext,
+): Promise<StandinTarget> {
+  for (let i = 0; i < convergeTries; i += 1) {
+    const primary = findPrimary(targets);
+    if (primary !== undefined && targets.every((t) => isSameLog(t, primary))) return primary;
+    await sleep(convergePauseMs);
+  }
+  for (const { member } of targets) context.trace.note("check", describeMember(member.status));
+  context.breach({ what: `the targets of ${name} do not agree after healing`, parts: ["check"] });
+  return findPrimary(targets) ?? fail(`${name} has no target`);
+}
+
+/** Holds a table of a group, as its primary has it, against what callers were told. */
+export async function verifyTable(
+  group: string,
+  primary: StandinTarget,
+  table: string,
+  context: SoakContext,
+): Promise<void> {
+  const stored = await readTable(group, primary, table);
+  const bookings = context.ledger.list(group, table);
+  context.counts.add("checked", "rows", bookings.length);
+  for (const breach of checkStored(bookings, stored)) {
+    context.trace.note("check", `${breach.what} at ${primary.name}`);
+    context.breach({ ...breach, what: `${group}: ${breach.what}` });
+  }
+}
+
+/** Notes which targets ran statements that name `part`, and what became of them. */
+export function noteStatements(part: string, context: SoakContext): void {
+  for (const { targets } of context.fleet.cluster.groups) {
+    for (const { name, statements } of targets) {
+      for (const { text, connection, fate } of statements.list(part)) {
+        const what = `connection ${connection}: ${text} → ${JSON.stringify(fate)}`;
+        context.trace.note(name, what);
+      }
+    }
+  }
+}
+
+async function readTable(
+  group: string,
+  { address }: StandinTarget,
+  table: string,
+): Promise<readonly StoredBooking[]> {
+  const client = new pg.Client({ ...address, database: group, user: "check" });
+  client.on("error", () => undefined);
+  await client.connect();
+  try {
+    const { rows } = await client.query<StoredBooking>(`SELECT id, confirmed FROM ${table}`);
+    return rows;
+  } finally {
+    await client.end();
+  }
+}
+
+function findPrimary(targets: readonly StandinTarget[]): StandinTarget | undefined {
+  const primaries = targets.filter((t) => t.member.status.role === "primary");
+  return primaries.reduce<StandinTarget | undefined>(
+    (best, t) => (best === undefined || isNewer(t, best) ? t : best),
+    undefined,
+  );
+}
+
+function isNewer({ member: a }: StandinTarget, { member: b }: StandinTarget): boolean {
+  return compareTerms(a.status.mark.term, b.status.mark.term) > 0;
+}
+
+function isSameLog({ member: a }: StandinTarget, { member: b }: StandinTarget): boolean {
+  return formatMark(a.status.mark) === formatMark(b.status.mark);
+}
+
+function describeMember(status: StandinTarget["member"]["status"]): string {
+  return JSON.stringify(status);
+}
+
+function fail(why: string): never {
+  throw new Error(why);
+}
