--- a/standin/fleet.ts
+++ b/standin/fleet.ts
@@ -164,6 +164,7 @@
 class RunningMember implements FleetMember {
   private running: { readonly proxy: Proxy; readonly callers: Address } | undefined;
   private isKilled = false;
+  private restarted = Promise.resolve();
 
   constructor(
     store: DisposableStore,
@@ -208,7 +209,13 @@
     setViolationHandler(this.handleViolation);
   }
 
-  async restart(): Promise<void> {
+  /** One restart after the other: two at once would leave two proxies in one place. */
+  restart(): Promise<void> {
+    this.restarted = this.restarted.then(() => this.replace());
+    return this.restarted;
+  }
+
+  private async replace(): Promise<void> {
     await this.kill();
     this.isKilled = false;
     this.link.setRefusing(false);
--- a/standin/soak/apply.ts
+++ b/standin/soak/apply.ts
@@ -1,7 +1,8 @@
 import type { Fleet, FleetMember } from "../fleet.js";
 import type { FaultyLink } from "../link.js";
 import type { StandinTarget } from "../target/index.js";
-import type { Fault, Way } from "./plan.js";
+import type { Aim, Fault, Way } from "./plan.js";
+import { findPrimary } from "./verify.js";
 
 /** Ends a fault; resolves when what it struck runs again. */
 export type EndFault = () => Promise<void>;
@@ -11,6 +12,12 @@
   return fleet.cluster.groups.flatMap((g) => g.targets);
 }
 
+/** Names the machine that a fault strikes now, such as `group-1-2`, `vm-3` or `platform`. */
+export function findStruck(fleet: Fleet, fault: Fault): string {
+  if ("vm" in fault) return getMember(fleet, fault.vm).vm.name;
+  return "target" in fault ? getTarget(fleet, fault.target).name : "platform";
+}
+
 /** Switches a fault on and hands back what ends it. */
 export async function beginFault(fleet: Fleet, fault: Fault): Promise<EndFault> {
   const { platform } = fleet.cluster;
@@ -77,10 +84,12 @@
 
 /** A drained process ends by itself; a fresh one takes its place at the fault's end. */
 function drainMember(member: FleetMember): EndFault {
-  const drained = member.proxy.drain();
+  const { proxy } = member;
+  const drained = proxy.drain();
   return async () => {
     await drained;
-    await member.restart();
+    // One that was killed meanwhile has a successor already.
+    if (member.proxy === proxy) await member.restart();
   };
 }
 
@@ -98,15 +107,19 @@
   };
 }
 
-function getTarget(fleet: Fleet, index: number): StandinTarget {
-  const target = listTargets(fleet)[index];
-  if (target === undefined) throw new Error(`no target ${index}`);
+function getTarget(fleet: Fleet, aim: Aim): StandinTarget {
+  const target =
+    aim.type === "index"
+      ? listTargets(fleet)[aim.index]
+      : findPrimary(fleet.cluster.groups[aim.group]?.targets ?? []);
+  if (target === undefined) throw new Error(`no target ${JSON.stringify(aim)}`);
   return target;
 }
 
-function getLink(fleet: Fleet, index: number): FaultyLink {
-  const link = fleet.targetLinks.get(getTarget(fleet, index).name);
-  if (link === undefined) throw new Error(`no link to target ${index}`);
+function getLink(fleet: Fleet, aim: Aim): FaultyLink {
+  const { name } = getTarget(fleet, aim);
+  const link = fleet.targetLinks.get(name);
+  if (link === undefined) throw new Error(`no link to ${name}`);
   return link;
 }
 
--- a/standin/soak/plan.ts
+++ b/standin/soak/plan.ts
@@ -1,19 +1,24 @@
 import { createDraw, type Draw } from "./random.js";
 
-/** One fault of the plan. `target` and `vm` are indices, counted over all groups. */
+/** Which target: an index counted over all groups, or whoever is primary of a group by then. */
+export type Aim =
+  | { readonly type: "index"; readonly index: number }
+  | { readonly type: "primary"; readonly group: number };
+
+/** One fault of the plan. `vm` is an index. */
 export type Fault =
-  | { readonly type: "killTarget"; readonly target: number }
-  | { readonly type: "freezeTarget"; readonly target: number }
-  | { readonly type: "silenceTarget"; readonly target: number }
-  | { readonly type: "slowTarget"; readonly target: number; readonly factor: number }
+  | { readonly type: "killTarget"; readonly target: Aim }
+  | { readonly type: "freezeTarget"; readonly target: Aim }
+  | { readonly type: "silenceTarget"; readonly target: Aim }
+  | { readonly type: "slowTarget"; readonly target: Aim; readonly factor: number }
   | {
       readonly type: "loseCommitAnswers";
-      readonly target: number;
+      readonly target: Aim;
       readonly count: number;
       readonly how: "break" | "silence";
     }
-  | { readonly type: "cutTarget"; readonly target: number; readonly way: Way }
-  | { readonly type: "cutReplication"; readonly target: number }
+  | { readonly type: "cutTarget"; readonly target: Aim; readonly way: Way }
+  | { readonly type: "cutReplication"; readonly target: Aim }
   | { readonly type: "cutPeer"; readonly vm: number; readonly way: Way }
   | { readonly type: "forgetPeer"; readonly vm: number }
   | { readonly type: "killProxy"; readonly vm: number }
@@ -42,12 +47,14 @@
 
 /** How many there are of what faults strike. */
 export interface PlanSizes {
+  readonly groups: number;
   readonly targets: number;
   readonly vms: number;
 }
 
 const maxLagMs = 500;
-const pairShare = 0.5;
+const pairShare = 0.6;
+const primaryShare = 0.5;
 const roundStreams = 1000;
 
 /** Every sort of fault, in the order in which rounds draw them. */
@@ -89,7 +96,7 @@
 
 function drawFault(draw: Draw, sizes: PlanSizes): Fault {
   const type = draw.pick(faultTypes);
-  const target = draw.whole(0, sizes.targets - 1);
+  const target = drawAim(draw, sizes);
   const vm = draw.whole(0, sizes.vms - 1);
   const way = draw.pick<Way>(["there", "back", "both"]);
   switch (type) {
@@ -125,8 +132,21 @@
   }
 }
 
-/** Writes a fault for a trace, such as `cutTarget target=2 way=back`. */
+/** Half of the faults strike a primary: on a replica most of them change little. */
+function drawAim(draw: Draw, { groups, targets }: PlanSizes): Aim {
+  const index = draw.whole(0, targets - 1);
+  const group = draw.whole(0, groups - 1);
+  return draw.chance(primaryShare) ? { type: "primary", group } : { type: "index", index };
+}
+
+/** Writes a fault for a trace, such as `cutTarget primary=0 way=back`. */
 export function describeFault({ type, ...rest }: Fault): string {
-  const fields = Object.entries(rest).map(([name, value]) => `${name}=${String(value)}`);
+  const fields = Object.entries(rest).map(([name, value]: [string, Aim | string | number]) =>
+    typeof value === "object" ? describeAim(value) : `${name}=${value}`,
+  );
   return [type, ...fields].join(" ");
 }
+
+function describeAim(aim: Aim): string {
+  return aim.type === "index" ? `target=${aim.index}` : `primary=${aim.group}`;
+}
--- a/standin/soak/run.ts
+++ b/standin/soak/run.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Proxy } from "../../src/proxy/index.js";
 import { startFleet, type Fleet } from "../fleet.js";
-import { beginFault, listTargets, setLags } from "./apply.js";
+import { beginFault, findStruck, listTargets, setLags } from "./apply.js";
 import { Caller } from "./caller.js";
 import type { SoakContext } from "./context.js";
 import { Counts, type CountTable } from "./counts.js";
@@ -121,7 +121,7 @@
   private async runRound(round: number): Promise<void> {
     const { seed, onRound } = this.options;
     const targets = listTargets(this.fleet).length;
-    const plan = planRound(seed, round, { targets, vms: vmCount });
+    const plan = planRound(seed, round, { groups: this.groups.length, targets, vms: vmCount });
     const said = plan.faults.map((f) => describeFault(f.fault)).join(" + ");
     this.context.trace.clear();
     this.context.trace.note("fault", `round ${round}, lags ${plan.lagMs.join(" ")} ms: ${said}`);
@@ -155,14 +155,14 @@
   private async runFault({ fault, fromMs, toMs }: PlannedFault): Promise<void> {
     const { trace, counts } = this.context;
     const text = describeFault(fault);
-    const place = "target" in fault ? `target ${fault.target}` : "vm" in fault ? fault.vm : 0;
-    const key = `${fault.type} ${place}`;
     await sleep(fromMs);
+    const struck = findStruck(this.fleet, fault);
+    const key = `${fault.type} ${struck}`;
     // The same fault twice on the same place at once is one fault.
     if (this.active.has(key)) return;
     this.active.add(key);
     counts.add("faults", fault.type);
-    trace.note("fault", `begins: ${text}`);
+    trace.note("fault", `begins at ${struck}: ${text}`);
     const member = "vm" in fault ? this.fleet.members[fault.vm] : undefined;
     if (fault.type === "drainProxy" && member !== undefined) this.drained.add(member.proxy);
     if (fault.type === "killProxy" && member !== undefined) this.drained.delete(member.proxy);
@@ -170,7 +170,7 @@
     await sleep(toMs - fromMs);
     await end();
     this.active.delete(key);
-    trace.note("fault", `ended: ${text}`);
+    trace.note("fault", `ended at ${struck}: ${text}`);
   }
 
   private async createTable(group: string, table: string): Promise<void> {
--- a/standin/soak/verify.ts
+++ b/standin/soak/verify.ts
@@ -19,7 +19,7 @@
     if (primary !== undefined && targets.every((t) => isSameLog(t, primary))) return primary;
     await sleep(convergePauseMs);
   }
-  for (const { member } of targets) context.trace.note("check", describeMember(member.status));
+  for (const { member } of targets) context.trace.note("check", JSON.stringify(member.status));
   context.breach({ what: `the targets of ${name} do not agree after healing`, parts: ["check"] });
   return findPrimary(targets) ?? fail(`${name} has no target`);
 }
@@ -68,7 +68,8 @@
   }
 }
 
-function findPrimary(targets: readonly StandinTarget[]): StandinTarget | undefined {
+/** The target that is primary in the newest term, as the targets themselves have it. */
+export function findPrimary(targets: readonly StandinTarget[]): StandinTarget | undefined {
   const primaries = targets.filter((t) => t.member.status.role === "primary");
   return primaries.reduce<StandinTarget | undefined>(
     (best, t) => (best === undefined || isNewer(t, best) ? t : best),
@@ -84,10 +85,6 @@
   return formatMark(a.status.mark) === formatMark(b.status.mark);
 }
 
-function describeMember(status: StandinTarget["member"]["status"]): string {
-  return JSON.stringify(status);
-}
-
 function fail(why: string): never {
   throw new Error(why);
 }
