Confirm every write, and send none to a primary that was superseded meanwhile

Cause: a write that held its slot waited for a connection to a frozen primary. The group failed over; once the old primary was back, the connect filter took it for a replica, sent the write all the same, and the confirm filter passed a replica's outcome on unconfirmed. The caller heard of a commit that its successor's log lacks: an acknowledged write by a superseded primary, lost. Ruled out: the acknowledgement by majority (it was never asked), the stand-in (its commit came before the fence reached it), prepared statements. Change: the connect filter refuses a write whose target is primary no more, and says it has not run; the confirm filter confirms whatever the role.

--- a/src/owner/filters/confirm.ts
+++ b/src/owner/filters/confirm.ts
@@ -91,9 +91,13 @@
   return answer.sqlState !== undefined && refusedByReplica.has(answer.sqlState);
 }
 
+/**
+ * A write is confirmed whatever role its target has by now: what a superseded primary committed
+ * would be acknowledged otherwise, and lost when it follows its successor.
+ */
 function needsConfirmation(context: ServeContext, outcome: Answered): boolean {
   const { traits } = context.request;
-  if (outcome.status !== "I" || outcome.servedBy.role === "replica") return false;
+  if (outcome.status !== "I") return false;
   if (traits.effect === "read") return false;
   return context.answer.tags.length > 0;
 }
--- a/src/owner/filters/connect.ts
+++ b/src/owner/filters/connect.ts
@@ -3,6 +3,9 @@
 import { refuse, type Place, type ServeContext } from "../context.js";
 import type { ConnectionTaken, HeldConnection } from "../pool.js";
 
+/** When a write whose primary was superseded meanwhile may be tried again, in milliseconds. */
+const supersededRetryMs = 200;
+
 /** What connecting asks of the group. */
 export interface ConnectingGroup {
   take(target: string, deadlineAt: number, signal: AbortSignal): Promise<ConnectionTaken>;
@@ -35,6 +38,10 @@
       }
       const { connection } = taken;
       const place: Place = { ...group.describe(name), session: observeProgress(connection) };
+      if (!canRun(context, place)) {
+        connection.giveBack();
+        return refuse("superseded", supersededRetryMs, `${name} is primary no more`);
+      }
       context.placement.note(place);
       const outcome = await next({ ...context, place });
       if (!connection.session.isUsable) group.noteBroken(name);
@@ -44,6 +51,15 @@
   };
 }
 
+/**
+ * While a write waited for its connection the primary may have changed. The old one, back from a
+ * freeze and not fenced yet, would commit what the new one's log lacks: the write would be lost.
+ * Nothing was sent yet, so the refusal is true, and the next try looks for the primary afresh.
+ */
+function canRun({ request }: ServeContext, { role }: Place): boolean {
+  return role === "primary" || request.traits.effect === "read";
+}
+
 /** Gives a connection back, keeps it for its open transaction, or closes it. */
 export function settleConnection(
   outcome: Outcome,
--- a/standin/soak/plan.ts
+++ b/standin/soak/plan.ts
@@ -77,10 +77,15 @@
 ];
 
 /** Draws one round of a seed: one fault, or two at once. */
-export function planRound(seed: number, round: number, sizes: PlanSizes): RoundPlan {
+export function planRound(
+  seed: number,
+  round: number,
+  sizes: PlanSizes,
+  types = faultTypes,
+): RoundPlan {
   const draw = createDraw(seed, round * roundStreams);
   const count = draw.chance(pairShare) ? 2 : 1;
-  const faults = Array.from({ length: count }, () => drawTimes(draw, sizes));
+  const faults = Array.from({ length: count }, () => drawTimes(draw, sizes, types));
   const last = Math.max(...faults.map((f) => f.toMs));
   return {
     faults,
@@ -89,13 +94,13 @@
   };
 }
 
-function drawTimes(draw: Draw, sizes: PlanSizes): PlannedFault {
+function drawTimes(draw: Draw, sizes: PlanSizes, types: readonly Fault["type"][]): PlannedFault {
+  const type = draw.pick(types);
   const fromMs = draw.whole(200, 900);
-  return { fault: drawFault(draw, sizes), fromMs, toMs: fromMs + draw.whole(300, 3000) };
+  return { fault: drawFault(draw, type, sizes), fromMs, toMs: fromMs + draw.whole(300, 3000) };
 }
 
-function drawFault(draw: Draw, sizes: PlanSizes): Fault {
-  const type = draw.pick(faultTypes);
+function drawFault(draw: Draw, type: Fault["type"], sizes: PlanSizes): Fault {
   const target = drawAim(draw, sizes);
   const vm = draw.whole(0, sizes.vms - 1);
   const way = draw.pick<Way>(["there", "back", "both"]);
--- a/standin/soak/run.ts
+++ b/standin/soak/run.ts
@@ -7,10 +7,10 @@
 import { Counts, type CountTable } from "./counts.js";
 import { Ledger, type Breach } from "./ledger.js";
 import { Operators } from "./operators.js";
-import { describeFault, planRound, type PlannedFault, type RoundPlan } from "./plan.js";
+import { describeFault, planRound, type Fault, type PlannedFault, type RoundPlan } from "./plan.js";
 import { createDraw } from "./random.js";
 import { Session, type SessionOptions } from "./session.js";
-import { formatTrace, Trace } from "./trace.js";
+import { createTraceLogger, formatTrace, Trace } from "./trace.js";
 import { noteStatements, verifyTable, waitConverged } from "./verify.js";
 import { Worker } from "./work.js";
 
@@ -19,6 +19,11 @@
   readonly seed: number;
   /** Whether another round begins, by the rounds done. */
   readonly goesOn: (rounds: number) => boolean;
+  /** Draws just these sorts of faults; all by default. */
+  readonly faults?: readonly Fault["type"][];
+  readonly groups?: number;
+  /** Takes the proxies' log lines into the trace, for finding a cause. */
+  readonly logs?: boolean;
   /** Hears of each round. */
   readonly onRound?: (line: string) => void;
 }
@@ -43,11 +48,13 @@
 
 /** Runs rounds of faults under load, and checks after each what the targets hold. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed } = options;
-  const groups = Array.from({ length: seed % 2 === 0 ? 2 : 1 }, (_, i) => `group-${i + 1}`);
+  const { seed, groups: groupCount = seed % 2 === 0 ? 2 : 1 } = options;
+  const trace = new Trace();
+  const groups = Array.from({ length: groupCount }, (_, i) => `group-${i + 1}`);
   const fleet = await startFleet({
     vms: vmCount,
     groups: groups.map((name) => ({ name })),
+    ...(options.logs === true ? { logger: createTraceLogger(trace) } : {}),
     configuration: {
       teams: [
         { name: "ferrante", plan: "paying" },
@@ -56,7 +63,7 @@
       rules: [browseRule],
     },
   });
-  const soak = new Soak(fleet, groups, options);
+  const soak = new Soak(fleet, groups, options, trace);
   try {
     return await soak.run();
   } finally {
@@ -91,8 +98,9 @@
     private readonly fleet: Fleet,
     private readonly groups: readonly string[],
     private readonly options: SoakOptions,
+    trace: Trace,
   ) {
-    const [ledger, trace, counts] = [new Ledger(), new Trace(), new Counts()];
+    const [ledger, counts] = [new Ledger(), new Counts()];
     const breach = (found: Breach) => {
       this.breaches.push(found);
       trace.note("check", found.what);
@@ -121,7 +129,12 @@
   private async runRound(round: number): Promise<void> {
     const { seed, onRound } = this.options;
     const targets = listTargets(this.fleet).length;
-    const plan = planRound(seed, round, { groups: this.groups.length, targets, vms: vmCount });
+    const plan = planRound(
+      seed,
+      round,
+      { groups: this.groups.length, targets, vms: vmCount },
+      this.options.faults,
+    );
     const said = plan.faults.map((f) => describeFault(f.fault)).join(" + ");
     this.context.trace.clear();
     this.context.trace.note("fault", `round ${round}, lags ${plan.lagMs.join(" ")} ms: ${said}`);
@@ -242,8 +255,10 @@
   private report(rounds: number): SoakReport {
     const { counts, trace } = this.context;
     const traced = this.breaches.slice(0, maxTraced);
-    for (const part of new Set(traced.flatMap((b) => b.parts))) noteStatements(part, this.context);
-    const parts = ["check", ...traced.flatMap((b) => b.parts)];
+    const sought = ["VALUES ($1", ...traced.flatMap((b) => b.parts)];
+    for (const part of traced.length === 0 ? [] : new Set(sought))
+      noteStatements(part, this.context);
+    const parts = ["check", "proxy", "VALUES ($1", ...traced.flatMap((b) => b.parts)];
     return {
       seed: this.options.seed,
       rounds,
--- a/standin/soak/trace.ts
+++ b/standin/soak/trace.ts
@@ -1,3 +1,5 @@
+import type { Logger } from "../../src/log/index.js";
+
 /** One line of a run's trace. */
 export interface TraceLine {
   readonly atMs: number;
@@ -32,6 +34,15 @@
   }
 }
 
+/** Takes a proxy's log lines into a trace. */
+export function createTraceLogger(trace: Trace): Logger {
+  return {
+    write: (event, ...fields) => {
+      trace.note("proxy", `${event.name} ${JSON.stringify(fields)}`);
+    },
+  };
+}
+
 /** Writes a trace for a reader: milliseconds, who, what. */
 export function formatTrace(lines: readonly TraceLine[]): string {
   return lines
