Hold ParseComplete and its like back until rows come

Cause: a prepared write that a superseded primary refused was answered with the target's bare 25006: ParseComplete had passed to the caller already, so the confirm filter took the answer for begun, and nothing was tried again. Change: what comes before rows and outcome of a write is held, and let go with the first row or the outcome.

--- a/src/owner/answer.ts
+++ b/src/owner/answer.ts
@@ -5,6 +5,12 @@
 const errorResponse = "E".charCodeAt(0);
 const sqlStateField = "C".charCodeAt(0);
 
+/**
+ * What comes before rows and outcome: ParseComplete, BindComplete, CloseComplete, NoData,
+ * ParameterDescription, RowDescription.
+ */
+const preludeTypes: ReadonlySet<string> = new Set(["1", "2", "3", "n", "t", "T"]);
+
 /** The most that a held answer may take before its request is given up, in bytes. */
 export const maxHeldBytes = 16 * 1024 * 1024;
 
@@ -42,8 +48,8 @@
 export type Holding = "none" | "outcome" | "all";
 
 /**
- * Hands an answer on up to its first outcome (a `CommandComplete` or an `ErrorResponse`) and holds
- * the rest. A caller that saw the outcome of a write takes it for acknowledged; were the primary
+ * Hands an answer's rows on up to its first outcome (a `CommandComplete` or an `ErrorResponse`) and
+ * holds the rest. A caller that saw the outcome of a write takes it for acknowledged; were the primary
  * superseded by then, the write could be lost after all. Rows before it acknowledge nothing.
  */
 export class HeldAnswer {
@@ -82,20 +88,16 @@
     const tag = readCommandTag(message);
     if (tag !== undefined) this.tagList.push(tag);
     this.state = readSqlState(message) ?? this.state;
-    if (this.isHeld()) {
+    if (this.isHeld() || this.isPrelude(message)) {
       this.hold(message);
       return;
     }
-    this.passedCount += 1;
-    return this.sink(message);
+    return this.held.length > 0 ? this.releaseWith(message) : this.pass(message);
   };
 
   /** Hands on what was held. */
   async release(): Promise<void> {
-    for (const message of this.held.splice(0)) {
-      this.passedCount += 1;
-      await this.sink(message);
-    }
+    for (const message of this.held.splice(0)) await this.pass(message);
     this.heldBytes = 0;
   }
 
@@ -107,6 +109,25 @@
     this.state = undefined;
   }
 
+  /**
+   * Once ParseComplete had passed, a prepared write that a superseded primary refuses could not be
+   * tried again: the caller would see it twice, and so saw the target's bare error instead.
+   */
+  private isPrelude(message: Uint8Array): boolean {
+    if (this.holding === "none" || this.hasPassed) return false;
+    return preludeTypes.has(String.fromCharCode(message[0] ?? 0));
+  }
+
+  private async releaseWith(message: Uint8Array): Promise<void> {
+    await this.release();
+    await this.pass(message);
+  }
+
+  private pass(message: Uint8Array): ReturnType<MessageSink> {
+    this.passedCount += 1;
+    return this.sink(message);
+  }
+
   private isHeld(): boolean {
     switch (this.holding) {
       case "none":
--- a/standin/soak/run.ts
+++ b/standin/soak/run.ts
@@ -255,10 +255,8 @@
   private report(rounds: number): SoakReport {
     const { counts, trace } = this.context;
     const traced = this.breaches.slice(0, maxTraced);
-    const sought = ["VALUES ($1", ...traced.flatMap((b) => b.parts)];
-    for (const part of traced.length === 0 ? [] : new Set(sought))
-      noteStatements(part, this.context);
-    const parts = ["check", "proxy", "VALUES ($1", ...traced.flatMap((b) => b.parts)];
+    const parts = [...new Set(traced.flatMap((b) => b.parts))];
+    for (const part of parts) noteStatements(part, this.context);
     return {
       seed: this.options.seed,
       rounds,
--- a/standin/soak/trace.ts
+++ b/standin/soak/trace.ts
@@ -9,6 +9,8 @@
 }
 
 const maxKept = 20_000;
+const lastLines = 12;
+const alwaysListed: ReadonlySet<string> = new Set(["fault", "check", "proxy"]);
 
 /** What happened in a run, the newest lines. */
 export class Trace {
@@ -25,12 +27,26 @@
     this.lines = [];
   }
 
-  /** Lists the faults, and the lines of the sessions or ids that `parts` name. */
+  /**
+   * Lists what a reader needs about `parts`, ids and names of who acts: faults and checks, each line
+   * that names a part with the answer after it, and the last lines of each part that acts.
+   */
   list(parts: readonly string[]): readonly TraceLine[] {
-    return this.lines.filter(
-      ({ who, what }) =>
-        who === "fault" || parts.some((part) => who === part || what.includes(part)),
-    );
+    const kept = new Set<TraceLine>();
+    const awaited = new Set<string>();
+    for (const line of this.lines) {
+      const { who, what } = line;
+      const isNamed = parts.some((part) => what.includes(part));
+      if (isNamed || awaited.has(who) || alwaysListed.has(who)) kept.add(line);
+      if (isNamed) awaited.add(who);
+      else awaited.delete(who);
+    }
+    for (const part of parts) {
+      for (const line of this.lines.filter(({ who }) => who === part).slice(-lastLines)) {
+        kept.add(line);
+      }
+    }
+    return this.lines.filter((line) => kept.has(line));
   }
 }
 
--- a/test/owner/superseded.test.ts
+++ b/test/owner/superseded.test.ts
@@ -107,3 +107,33 @@
   expect(outcome).toMatchObject({ type: "failed", verdict: { type: "mayHaveRun" } });
   expect(passed).toEqual([]);
 });
+
+// A prepared write meets a superseded primary: ParseComplete and BindComplete come, then its refusal.
+// Nothing of that concerns the caller yet. It hears that the write has not run, so that the owner's
+// next try may run it at the new primary, and not the target's bare error.
+test("a prepared write that a superseded primary refuses has not run", async () => {
+  const passed: Uint8Array[] = [];
+  const context = makeContext(passed);
+  const confirmer = {
+    confirm: () => Promise.resolve({ type: "unconfirmed", reason: "no term" } as const),
+  };
+  const confirm = createConfirmFilter(confirmer, silentLogger);
+  const outcome = await confirm.apply(context, async (inner) => {
+    inner.placement.note({ target, role: "primary", term: undefined, session });
+    for (const text of ["1\0\0\0\x04", "2\0\0\0\x04", "E\0\0\0\x0cC25006\0\0"]) {
+      await inner.answer.take(Buffer.from(text, "latin1"));
+    }
+    return answered;
+  });
+  expect(outcome).toMatchObject({ verdict: { type: "notRun", reason: "superseded" } });
+  expect(passed).toEqual([]);
+});
+
+test("rows pass after what comes before them, in order", async () => {
+  const passed: Uint8Array[] = [];
+  const answer = new HeldAnswer((message) => void passed.push(message), "outcome");
+  for (const type of ["1", "2", "T", "D", "D"]) {
+    await answer.take(Buffer.from(`${type}\0\0\0\x04`, "latin1"));
+  }
+  expect(passed.map(([type]) => String.fromCharCode(type ?? 0)).join("")).toBe("12TDD");
+});
