Say that a replica copies only while it does, so that it is told again

Cause: a target fenced past the term it was told to follow in copied nothing, and still said that it followed the primary. When the same primary was elected anew, the owner took it for told: it never copied again, and with all replicas so, no write was ever confirmed. Ruled out: the lag, a broken link (the link to it had nothing to carry).

--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -10,7 +10,10 @@
   readonly lineage: Lineage;
   /** It takes part in no term older than this one: the highest it was fenced, promoted or told to follow at. */
   readonly fencedAt: Term;
-  /** The target it copies, where it is a replica that has been told. */
+  /**
+   * The target it copies now. Absent once it is fenced past the term in which it was told: it copies
+   * nothing then, and must be told again even when the same target is elected anew.
+   */
   readonly follows?: string;
 }
 
--- a/standin/target/member.ts
+++ b/standin/target/member.ts
@@ -45,13 +45,15 @@
   constructor(readonly name: string) {}
 
   get status(): TargetStatus {
+    const { following } = this;
+    const copies = following !== undefined && this.canCopy(following);
     return {
       target: this.name,
       role: this.primaryTerm === undefined ? "replica" : "primary",
       mark: this.log.mark,
       lineage: this.log.lineage,
       fencedAt: this.fencedAt,
-      ...(this.following === undefined ? {} : { follows: this.following.name }),
+      ...(copies ? { follows: following.name } : {}),
     };
   }
 
--- a/test/owner/superseded.test.ts
+++ b/test/owner/superseded.test.ts
@@ -53,6 +53,7 @@
     answer: new HeldAnswer((message) => void passed.push(message), "outcome"),
     signal: new AbortController().signal,
     attempt: 1,
+    timeLeftMs: () => 5000,
     placement: new Placement(),
     slotTarget: "t1",
   };
