End a proxy whose log has no reader any more

Cause: at the end a proxy flushed its log by pino's synchronous flush, which repeats a failed write for ever unless the failure is EAGAIN. With the pipe's reader gone (the demo's group got SIGTERM, its parent died first) the write fails with EPIPE each time: the process loops in blocking sleeps, deaf to SIGTERM, with servers that still show as open and no timers. Ruled out: drain and dispose, which ended in 0.3 s each time while the reader lived (8 of 8 proxies), with platform and targets gone as well. Change: an output of our own (src/log/output.ts) that drops what can't be written and bounds every wait; the process awaits its log at the end; past the drain's limit and 5 s it ends with event 7011 and code 1. The last bound can't mend a blocking loop, it is for a resource that is never released.

--- a/src/bin/proxy.ts
+++ b/src/bin/proxy.ts
@@ -10,6 +10,7 @@
 
 const exitFaulty = 2;
 const exitFailed = 1;
+const endMarginMs = 5000;
 
 interface Flags {
   readonly check?: boolean;
@@ -59,20 +60,38 @@
       random: createSystemRandom(),
       incarnation: openIncarnation(Date.now()),
     });
-    const stop = () => void stopProxy(proxy, logger);
+    const stop = () => void stopProxy(proxy, settings, logger);
     process.once("SIGTERM", stop);
     process.once("SIGINT", stop);
     await proxy.start();
   } catch (error) {
     logger.write(processEvents.unexpectedError, { reason: String(error) });
-    logger.dispose();
     process.exit(exitFailed);
   }
 }
 
-async function stopProxy(proxy: Proxy, logger: PinoLogger): Promise<void> {
-  await proxy.drain();
-  await proxy.dispose();
-  logger.dispose();
-  process.exit(0);
+async function stopProxy(proxy: Proxy, settings: ProxySettings, logger: PinoLogger): Promise<void> {
+  boundEnd(settings, logger);
+  try {
+    await proxy.drain();
+    await proxy.dispose();
+    await logger.finish();
+    process.exit(0);
+  } catch (error) {
+    logger.write(processEvents.unexpectedError, { reason: String(error) });
+    process.exit(exitFailed);
+  }
+}
+
+/**
+ * A resource that is never released would keep the process up for good, unready and deaf to the
+ * platform that wants its VM back. Nothing that is in flight may outlast the drain's limit, so an
+ * end after that and a margin cuts off nothing that was still to be kept.
+ */
+function boundEnd({ drain }: ProxySettings, logger: PinoLogger): void {
+  const limitMs = drain.announceMs + drain.limitMs + endMarginMs;
+  setTimeout(() => {
+    logger.write(processEvents.endForced, { limitMs });
+    process.exit(exitFailed);
+  }, limitMs);
 }
--- a/src/log/events/process.ts
+++ b/src/log/events/process.ts
@@ -62,4 +62,10 @@
     level: "error",
     text: "An error that nothing handled; the process goes on.",
   },
+  endForced: {
+    id: 7011,
+    name: "endForced",
+    level: "error",
+    text: "The process did not end within the drain's limit and a margin; it ends at once.",
+  },
 } as const satisfies Record<string, LogEvent>;
--- a/src/log/pino.ts
+++ b/src/log/pino.ts
@@ -1,14 +1,15 @@
 import { pino, type DestinationStream, type Logger as Pino } from "pino";
 import type { Disposable } from "../model/index.js";
 import type { Level, LogEvent, LogFields, Logger } from "./event.js";
+import { LogOutput } from "./output.js";
 
-const flushBytes = 4096;
-const flushIntervalMs = 500;
+const finishMs = 1000;
 const standardOutput = 1;
 
 /** A destination that can be emptied at once, as pino's own. */
 export interface LogDestination extends DestinationStream {
   flushSync?(): void;
+  finish?(ms: number): Promise<void>;
 }
 
 /** How a `PinoLogger` writes. */
@@ -32,7 +33,7 @@
   };
 
   constructor(options: PinoLoggerOptions) {
-    this.destination = options.destination ?? openStandardOutput();
+    this.destination = options.destination ?? new LogOutput(standardOutput);
     this.pino = pino(
       { level: options.level, base: options.base, timestamp: pino.stdTimeFunctions.isoTime },
       this.destination,
@@ -47,11 +48,12 @@
 
   /** Writes out what is still in memory. */
   flush(): void {
-    try {
-      this.destination.flushSync?.();
-    } catch {
-      // The destination was not open yet; nothing was written to it either.
-    }
+    this.destination.flushSync?.();
+  }
+
+  /** Resolves when what is still in memory is written, or after a second. */
+  async finish(): Promise<void> {
+    await this.destination.finish?.(finishMs);
   }
 
   dispose(): void {
@@ -59,12 +61,3 @@
     this.flush();
   }
 }
-
-function openStandardOutput(): LogDestination {
-  return pino.destination({
-    dest: standardOutput,
-    sync: false,
-    minLength: flushBytes,
-    periodicFlush: flushIntervalMs,
-  });
-}
