--- a/standin/processes/children.ts
+++ b/standin/processes/children.ts
@@ -82,7 +82,8 @@
       };
       this.listeners.add(listener);
       void this.ended.then(({ code }) => {
-        reject(new Error(`${this.name} ended with ${code ?? "a signal"}`));
+        const last = JSON.stringify(this.lines.at(-1));
+        reject(new Error(`${this.name} ended with ${code ?? "a signal"}: ${last}`));
       });
     });
   }
@@ -155,8 +156,10 @@
   return guard;
 }
 
-/** Tests run from the sources: what they start is the built program beside them. */
+/** Tests run from the sources: what they start is the built program of the same place. */
 function locate(script: string): string {
-  const path = fileURLToPath(new URL(script, import.meta.url));
-  return path.includes("/dist/standin/") ? path : path.replace("/standin/", "/dist/standin/");
+  const here = new URL(".", import.meta.url).href;
+  const isBuilt = here.endsWith("/dist/standin/processes/");
+  const base = isBuilt ? here : new URL("../../dist/standin/processes/", here).href;
+  return fileURLToPath(new URL(script, base));
 }
--- /dev/null
+++ b/test/process/end.test.ts
@@ -0,0 +1,85 @@
+import { afterEach, expect, test } from "@jest/globals";
+import type pg from "pg";
+import type { RunningSystem } from "../../standin/processes/index.js";
+import { ask, connectCaller } from "../path/caller.js";
+import {
+  findOwner,
+  getProxy,
+  listLies,
+  listViolations,
+  readSeats,
+  startLedger,
+  waitFor,
+  writeSeat,
+  type Written,
+} from "./build.js";
+
+let system: RunningSystem;
+
+afterEach(async () => {
+  await system.dispose();
+  expect(listViolations(system.proxies.map((p) => p.child))).toEqual([]);
+});
+
+function listenForCode(client: pg.Client): Promise<string | undefined> {
+  return new Promise((resolve) => {
+    client.on("error", (error: Error & { readonly code?: string }) => {
+      resolve(error.code);
+    });
+  });
+}
+
+// The owner itself is asked to end with a transaction open, a statement under way and a caller that
+// does nothing. The idle caller is told to go elsewhere and no new one is let in; the statement gets
+// its whole answer and the transaction goes on to its commit; then the process ends by itself.
+test("a proxy that is asked to end cuts nothing off", async () => {
+  system = await startLedger();
+  const { owner } = await findOwner(system);
+  const [writer, slow, idle] = await Promise.all([1, 2, 3].map(() => connectCaller(owner.callers)));
+  if (writer === undefined || slow === undefined || idle === undefined) throw new Error("callers");
+  const code = listenForCode(idle);
+  await writer.query("BEGIN");
+  await writer.query("INSERT INTO seat VALUES (1, 'Ion')");
+  const answer = ask(slow, "SELECT 7 AS seven, pg_sleep(1.5)");
+  owner.child.send("SIGTERM");
+  expect(await code).toBe("57P01");
+  await expect(connectCaller(owner.callers)).rejects.toThrow();
+  expect(await ask(writer, "INSERT INTO seat VALUES (2, 'Ion')")).toMatchObject({
+    type: "answered",
+  });
+  expect(await ask(writer, "COMMIT")).toMatchObject({ type: "answered" });
+  expect(await answer).toMatchObject({ type: "answered", rows: [{ seven: 7 }] });
+  expect(await owner.child.ended).toEqual({ code: 0, signal: null });
+  expect(owner.child.lines.some((l) => l.name === "drainCutOff")).toBe(false);
+  expect([...(await readSeats(system)).keys()]).toEqual([1, 2]);
+});
+
+// What reads a proxy's log dies, and with it the other end of the pipe; then the proxy is asked to
+// end. The last lines can't be written: trying that for ever would keep the VM from being replaced.
+// They are dropped instead, and the process ends as usual.
+test("a proxy whose log has no reader any more ends all the same", async () => {
+  system = await startLedger({ proxies: 2 });
+  const { child } = getProxy(system, 1);
+  child.process.stdout?.destroy();
+  child.send("SIGTERM");
+  expect(await child.ended).toEqual({ code: 0, signal: null });
+});
+
+// Two callers of different proxies write without a pause when the primary is killed. Writes wait for
+// the promotion; one in flight at that moment is sent again under its key. Both callers go on to the
+// end, and the targets that are left hold each acknowledged seat once.
+test("a killed primary loses no acknowledged write and writes go on", async () => {
+  system = await startLedger({ lagMs: 50 });
+  const clients = await Promise.all([0, 1].map((i) => connectCaller(getProxy(system, i).callers)));
+  const written: Written[] = [];
+  const count = (from: number) => written.filter(({ id }) => id >= from).length;
+  const writing = clients.map(async (client, i) => {
+    for (let id = i; id < 120; id += 2) written.push(await writeSeat(client, id, true));
+  });
+  await waitFor(() => count(0) > 20);
+  system.targets[0]?.child.send("SIGKILL");
+  await Promise.all(writing);
+  expect(written.filter(({ told }) => told.type !== "answered")).toEqual([]);
+  expect(listLies(written, await readSeats(system))).toEqual([]);
+  await Promise.all(clients.map((c) => c.end()));
+});
