Let requests that wait for a peer's sign of life share one ping

Cause: each request on a connection silent for 400 ms added its own listener for the session's close and left it there after the answer: under load node warns of 11 close listeners on ClientHttp2Session (seen in 3 of 3 runs of test/process), and they pile up as long as the connection lives. Change: one wait is shared and takes its listener off. After: no warning in the run of test/peer, path, log and process/owner (29 passed).

--- a/src/peer/session.ts
+++ b/src/peer/session.ts
@@ -27,6 +27,8 @@
   streams: number;
   usedAt: number;
   pingedAt?: number;
+  /** Shared by all that wait for a sign of life. */
+  verifying?: Promise<void>;
 }
 
 /** In megabytes, for all streams of one connection; Node's own 10 is meant for browsers. */
@@ -164,13 +166,28 @@
   private async verify(connection: Connection): Promise<boolean> {
     const { clock, pingIntervalMs } = this.options;
     if (clock.now() - connection.heardAt < pingIntervalMs) return isUsable(connection);
-    await new Promise<void>((resolve) => {
-      connection.http.once("close", resolve);
-      this.ping(connection, resolve);
-    });
+    connection.verifying ??= this.waitForSign(connection);
+    await connection.verifying;
     return isUsable(connection);
   }
 
+  /** One ping and one listener for all requests at once: each its own would pile up by the dozen. */
+  private async waitForSign(connection: Connection): Promise<void> {
+    const { http } = connection;
+    try {
+      await new Promise<void>((resolve) => {
+        const finish = (): void => {
+          http.off("close", finish);
+          resolve();
+        };
+        http.once("close", finish);
+        this.ping(connection, finish);
+      });
+    } finally {
+      delete connection.verifying;
+    }
+  }
+
   private watch(connection: Connection): void {
     const { clock, pingIntervalMs, pingTimeoutMs, idleMs } = this.options;
     const now = clock.now();
