--- /dev/null
+++ b/bench/path/index.ts
@@ -0,0 +1,2 @@
+export { compareWays, works, type Comparison, type Ways } from "./statements.js";
+export { measureIdle, type IdleCost } from "./idle.js";
