--- a/src/peer/session.ts
+++ b/src/peer/session.ts
@@ -29,6 +29,8 @@
   usedAt: number;
   /** Set while a sign of life is asked for: stops the timer that ends the connection. */
   stopWaiting?: () => void;
+  /** Shared by all that wait for a sign of life. */
+  verifying?: Promise<void>;
 }
 
 /** In megabytes, for all streams of one connection; Node's own 10 is meant for browsers. */
@@ -170,13 +172,28 @@
   private async verify(connection: Connection): Promise<boolean> {
     const { clock, pingIntervalMs } = this.options;
     if (clock.now() - connection.heardAt < pingIntervalMs) return isUsable(connection);
-    await new Promise<void>((resolve) => {
-      connection.http.once("close", resolve);
-      this.ping(connection, resolve);
-    });
+    connection.verifying ??= this.waitForSign(connection);
+    await connection.verifying;
     return isUsable(connection);
   }
 
+  /** One ping and one listener for all requests at once: each its own would pile up by the dozen. */
+  private async waitForSign(connection: Connection): Promise<void> {
+    const { http } = connection;
+    try {
+      await new Promise<void>((resolve) => {
+        const finish = (): void => {
+          http.off("close", finish);
+          resolve();
+        };
+        http.once("close", finish);
+        this.ping(connection, finish);
+      });
+    } finally {
+      delete connection.verifying;
+    }
+  }
+
   private watch(connection: Connection): void {
     const { clock, pingIntervalMs, idleMs } = this.options;
     const now = clock.now();
