--- a/scripts/safeguards.mjs
+++ b/scripts/safeguards.mjs
@@ -100,6 +100,7 @@
     file: "src/owner/scene.ts",
     find: 'if (target.isLeaving === true) return "leaving";',
     put: "",
+    also: { file: "src/owner/group.ts", find: "this.pools.get(name)?.drain();", put: "" },
     tests: "test/owner/leaving",
   },
 ];
@@ -107,14 +108,20 @@
 const folders = ["src", "standin", "test", "bench", "docs", "config"];
 const files = ["package.json", "jest.config.js", "tsconfig.json"];
 
-function runMutant({ file, find, put, tests }) {
-  const copy = mkdtempSync(join(tmpdir(), "radishwalk-safeguard-"));
-  for (const name of [...folders, ...files]) cpSync(name, join(copy, name), { recursive: true });
-  symlinkSync(resolve("node_modules"), join(copy, "node_modules"));
+/** Replaces the text; false when the file does not have it. */
+function edit(copy, { file, find, put }) {
   const path = join(copy, file);
   const text = readFileSync(path, "utf8");
-  if (!text.includes(find)) return "text not found";
   writeFileSync(path, text.replace(find, put));
+  return text.includes(find);
+}
+
+function runMutant({ tests, also, ...change }) {
+  const copy = mkdtempSync(join(tmpdir(), "radishwalk-safeguard-"));
+  for (const name of [...folders, ...files]) cpSync(name, join(copy, name), { recursive: true });
+  symlinkSync(resolve("node_modules"), join(copy, "node_modules"));
+  const isEdited = [change, ...(also === undefined ? [] : [also])].every((c) => edit(copy, c));
+  if (!isEdited) return "text not found";
   const args = ["--experimental-vm-modules", "node_modules/jest/bin/jest.js", tests, "--silent"];
   const run = spawnSync(process.execPath, [...args, "--forceExit"], {
     cwd: copy,
--- a/src/owner/confirmer.ts
+++ b/src/owner/confirmer.ts
@@ -16,7 +16,8 @@
   async confirm(context: ServeContext, { target, term }: Place): Promise<Confirmed> {
     if (term === undefined) return { type: "unconfirmed", reason: "the term was not known" };
     for (let attempt = 0; attempt < readAttempts && !context.signal.aborted; attempt += 1) {
-      const reading = await this.watch.readMark(target.name);
+      const mode = context.request.action.acknowledgement;
+      const reading = await this.watch.readMark(target.name, mode);
       if (reading.type === "unreachable") continue;
       if (reading.type === "notPrimary" || compareTerms(reading.term, term) !== 0) {
         return { type: "unconfirmed", reason: "the primary was superseded" };
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -1,7 +1,7 @@
 import type { Client } from "@connectrpc/connect";
 import type {
-  ControlResult,
   Json,
+  PeerCheck,
   PeerClient,
   PeerHello,
   ProbeResult,
@@ -49,13 +49,8 @@
     });
   }
 
-  async checkTarget(
-    via: Vm,
-    group: string,
-    target: string,
-    timeoutMs: number,
-  ): Promise<ControlResult> {
-    return this.call<ControlResult>(via, toUnreachable, async (client) => {
+  async checkTarget(via: Vm, group: string, target: string, timeoutMs: number): Promise<PeerCheck> {
+    return this.call<PeerCheck>(via, toSilent, async (client) => {
       const request = { hello: this.encodeOwnHello(), group, target, timeoutMs };
       const response = await client.checkTarget(request, { timeoutMs: timeoutMs + tripMs });
       this.hear(response.hello);
@@ -140,14 +135,10 @@
   }
 }
 
-function toSilent(reason: string): ProbeResult {
+function toSilent(reason: string): { readonly type: "silent"; readonly reason: string } {
   return { type: "silent", reason };
 }
 
-function toUnreachable(reason: string): ControlResult {
-  return { type: "unreachable", reason };
-}
-
 function toUnavailable(reason: string): { readonly type: "unavailable"; readonly reason: string } {
   return { type: "unavailable", reason };
 }
--- a/src/proxy/gateway.ts
+++ b/src/proxy/gateway.ts
@@ -45,6 +45,12 @@
     return this.isCutOff(group) ? second : undefined;
   }
 
+  /** The next in order when this process serves the group but is cut off from its primary. */
+  findSuccessor(group: string): Vm | undefined {
+    if (!this.isCutOff(group)) return undefined;
+    return this.listOwners(group).find((o) => o.name !== this.options.vm);
+  }
+
   /** Whether this process owns the group by the live VMs, cut off or not. */
   isOwned(group: string): boolean {
     return this.listOwners(group)[0]?.name === this.options.vm;
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -294,7 +294,11 @@
       },
       // Who asks takes this process for the owner. Serving it costs connections at the worst;
       // passing it on would let two processes that disagree send it back and forth.
-      chooseOwner: () => ({ type: "here", gateway: this.owner }),
+      chooseOwner: (group) => {
+        const owner = this.gateway.findSuccessor(group);
+        if (owner !== undefined) return { type: "elsewhere", owner };
+        return { type: "here", gateway: this.owner };
+      },
       probe: (vm) => this.membership.relayProbe(vm),
       checkTarget: (group, name, timeoutMs) => {
         const target = this.findTarget(group, name);
--- a/test/owner/serve.test.ts
+++ b/test/owner/serve.test.ts
@@ -88,3 +88,17 @@
   const read = await runOnce(group.gateway, "read", "SELECT family FROM cello WHERE id = 6");
   expect(read.types).toBe("TC");
 });
+
+// One caller has a transaction open while others write. Were its connection given to the next one,
+// that write would be part of the transaction and go with its rollback, though it was answered.
+test("writes of other callers are no part of an open transaction", async () => {
+  const conversation = group.gateway.open("libro");
+  await runSql(conversation, "write", "BEGIN", { transaction: true });
+  for (let id = 10; id < 14; id += 1) {
+    await runOnce(group.gateway, "write", `INSERT INTO cello VALUES (${id}, 'Sala')`);
+  }
+  await runSql(conversation, "write", "ROLLBACK", { transaction: true });
+  conversation.close();
+  const read = await runOnce(group.gateway, "read", "SELECT count(*) FROM cello");
+  expect(read.text).toContain("4");
+});
