Let apply go above what proxies have in force; find owners by the table; pass seeds

Change: /configuration on the health address, read by apply; the gateway uses OwnerTable and orders all VMs only while one of the two is in doubt; settings' seeds reach the membership.

--- a/src/command/apply.ts
+++ b/src/command/apply.ts
@@ -1,5 +1,6 @@
 import type { MergeConflict } from "../controller/configuration/index.js";
 import { ConfigurationEditor, type EditResult } from "../fleet/index.js";
+import type { Configuration } from "../model/index.js";
 import { formatFault } from "../settings/index.js";
 import { printResult, type CommandContext } from "./context.js";
 import {
@@ -12,6 +13,7 @@
 } from "./errors.js";
 import { exitCodes, type ExitCode } from "./exit.js";
 import { readConfigurationFile } from "./file.js";
+import { findPlaces } from "./places.js";
 import { waitInForce, type Spread } from "./spread.js";
 
 /** Flags of `apply`. */
@@ -45,10 +47,25 @@
   }
   const changeId = context.makeChangeId();
   const draft = { teams: file.teams, rules: file.rules };
-  const result = await new ConfigurationEditor(context).apply({ changeId, draft }, base);
+  const editor = new ConfigurationEditor({ ...context, findInForce: () => findInForce(context) });
+  const result = await editor.apply({ changeId, draft }, base);
   return reportResult(context, result, flags);
 }
 
+/** The greatest configuration in force: a store restored from an old copy may hold a smaller one. */
+async function findInForce(context: CommandContext): Promise<Configuration | undefined> {
+  const places = await findPlaces(context).catch(() => []);
+  const summaries = await Promise.all(
+    places.map(async ({ health }) => ({
+      health,
+      revision: (await context.proxies.readSummary(health))?.revision ?? 0,
+    })),
+  );
+  const [greatest] = summaries.sort((a, b) => b.revision - a.revision);
+  if (greatest === undefined || greatest.revision === 0) return undefined;
+  return context.proxies.readConfiguration(greatest.health);
+}
+
 async function reportResult(
   context: CommandContext,
   result: EditResult,
--- a/src/command/proxies.ts
+++ b/src/command/proxies.ts
@@ -1,6 +1,7 @@
 import { request } from "undici";
 import { z } from "zod";
-import type { Address, Json } from "../model/index.js";
+import { decodeMessage } from "../controller/configuration/index.js";
+import type { Address, Configuration, Json } from "../model/index.js";
 import { formatAddress } from "../settings/index.js";
 import { parseReport, type ProxyReport } from "./report.js";
 
@@ -16,6 +17,8 @@
 export interface ProxyReader {
   readSummary(address: Address): Promise<ProxySummary | undefined>;
   readReport(address: Address): Promise<ProxyReport | undefined>;
+  /** The configuration that it has in force. */
+  readConfiguration(address: Address): Promise<Configuration | undefined>;
   /** Asks it to drain; whether it took that. */
   drain(address: Address): Promise<boolean>;
 }
@@ -30,6 +33,11 @@
       const body = await fetchJson(address, "/report");
       return body === undefined ? undefined : parseReport(body);
     },
+    readConfiguration: async (address) => {
+      const body = await fetchJson(address, "/configuration");
+      const update = body === undefined ? undefined : decodeMessage(body)?.update;
+      return update?.type === "whole" ? update.configuration : undefined;
+    },
     drain: async (address) => (await fetchJson(address, "/drain", "POST")) !== undefined,
   };
 }
--- a/src/metric/health.ts
+++ b/src/metric/health.ts
@@ -18,6 +18,8 @@
   summarise?(): Readonly<Record<string, Json>>;
   /** What the process says of itself to operators, on `/report`. */
   report(): Json | Promise<Json>;
+  /** The configuration in force, on `/configuration`; `undefined` while none is known. */
+  configuration?(): Json | undefined;
   /** Begins a drain, on `POST /drain`; absent where the process does not take it over HTTP. */
   drain?(): void;
 }
@@ -83,6 +85,8 @@
         return this.replyReadiness();
       case "GET /report":
         return replyJson(200, await this.options.report());
+      case "GET /configuration":
+        return this.replyConfiguration();
       case "POST /drain":
         if (this.options.drain === undefined)
           return replyJson(404, { error: "no drain over HTTP here" });
@@ -93,6 +97,12 @@
     }
   }
 
+  private replyConfiguration(): Reply {
+    const configuration = this.options.configuration?.();
+    if (configuration === undefined) return replyJson(404, { error: "no configuration is known" });
+    return replyJson(200, configuration);
+  }
+
   private replyReadiness(): Reply {
     const { configurationKnown, leaving } = this.options.getState();
     const reasons = [
--- a/src/proxy/gateway.ts
+++ b/src/proxy/gateway.ts
@@ -1,3 +1,4 @@
+import { OwnerTable } from "../fleet/index.js";
 import type { Clock, Conversation, GroupGateway, Vm } from "../model/index.js";
 import type { OwnerGateway } from "../owner/index.js";
 import { orderOwners } from "../policy/index.js";
@@ -18,8 +19,11 @@
 export class FleetGateway implements GroupGateway {
   /** Until when each VM that could not be reached is passed over. */
   private readonly doubts = new Map<string, number>();
+  private readonly owners: OwnerTable;
 
-  constructor(private readonly options: FleetGatewayOptions) {}
+  constructor(private readonly options: FleetGatewayOptions) {
+    this.owners = new OwnerTable(options.listLive);
+  }
 
   open(group: string): Conversation {
     const { owner, remote } = this.options;
@@ -53,11 +57,14 @@
 
   /** Whether this process owns the group by the live VMs, cut off or not. */
   isOwned(group: string): boolean {
-    return this.listOwners(group)[0]?.name === this.options.vm;
+    return this.owners.find(group)[0]?.name === this.options.vm;
   }
 
+  /** The first two in order; all of them only while one of those is in doubt. */
   private listOwners(group: string): readonly Vm[] {
-    return orderOwners(group, this.options.listLive());
+    const pair = this.owners.find(group);
+    const hasDoubt = pair.some((o) => this.isDoubted(o.name));
+    return hasDoubt ? orderOwners(group, this.options.listLive()) : pair;
   }
 
   private isDoubted(vm: string): boolean {
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -111,6 +111,7 @@
         random,
         logger,
         getRevision: () => this.configuration.current().revision,
+        seeds: settings.seeds,
         onHello: (hello) => {
           this.configuration.hear(hello);
         },
@@ -193,6 +194,10 @@
           revision: this.configuration.current().revision,
         }),
         report: () => encodeReport(this.report()),
+        configuration: () => {
+          const found = this.configuration.answerFetch(0);
+          return found.type === "found" ? found.value : undefined;
+        },
         drain: () => void this.drain(),
       }),
     );
--- a/standin/demo.ts
+++ b/standin/demo.ts
@@ -123,10 +123,13 @@
   }
 }
 
-async function stayUp([first]: readonly RunningProxy[]): Promise<void> {
+async function stayUp(proxies: readonly RunningProxy[]): Promise<void> {
+  const [first] = proxies;
   if (first === undefined) return;
   const { host, port } = first.callers;
+  const flags = proxies.map(({ health }) => `--proxy ${health.host}:${health.port}`).join(" ");
   console.log(`\nstaying up: psql -h ${host} -p ${port} -U ${teamName} ${groupName}`);
+  console.log(`operators: npx radishwalk status ${flags}`);
   console.log("Ctrl-C ends it");
   await new Promise<void>((resolve) => {
     process.once("SIGINT", () => {
--- a/test/command/command.test.ts
+++ b/test/command/command.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "@jest/globals";
 import { exitCodes, runProgram, type ProxyReport } from "../../src/command/index.js";
 import { configurationKind } from "../../src/fleet/index.js";
+import type { Configuration } from "../../src/model/index.js";
 import { FakeClock, FakeStore, makeRandom, makeVm } from "../fleet/fakes.js";
 
 const rules = (teams: string, revision = "") => `${revision}
@@ -42,7 +43,9 @@
   const [store, clock] = [new FakeStore(), new FakeClock()];
   store.vms = [makeVm("a", "dc1", 1), makeVm("b", "dc1", 2)];
   const files = new Map<string, string>();
-  const desk = { store, files, lag: new Map<string, number>(), down: new Set<string>(), out: "" };
+  const held: Configuration | undefined = undefined;
+  const [lag, down] = [new Map<string, number>(), new Set<string>()];
+  const desk = { store, files, lag, down, held: held as Configuration | undefined, out: "" };
   const nameOf = (host: string) => (host === "10.0.0.1" ? "a" : "b");
   let changes = 0;
   const readRevision = async () => {
@@ -71,6 +74,7 @@
             Promise.resolve(
               desk.down.has(nameOf(host)) ? undefined : report(nameOf(host), [...desk.down]),
             ),
+          readConfiguration: () => Promise.resolve(desk.held),
           drain: ({ host, port }) => Promise.resolve(host === "10.0.0.2" && port === 9432),
         },
         readFile: (path) =>
@@ -129,6 +133,17 @@
   expect(desk.out).toContain("name: t\n    plan: paying\n  - name: u");
 });
 
+// The platform's store was restored from an old copy: it has nothing of what the proxies have in
+// force at revision 7. An accepted change must go above that, or no proxy would ever adopt it.
+test("a change after the store was restored goes above what the proxies have in force", async () => {
+  const { desk, files, run } = makeDesk();
+  desk.held = { revision: 7, changeId: "kept", teams: [{ name: "t", plan: "trial" }], rules: [] };
+  for (const vm of ["a", "b"]) desk.lag.set(vm, -7);
+  files.set("r.yaml", rules("{ name: t, plan: paying }", "revision: 7"));
+  await run("apply", "r.yaml", "--json");
+  expect(JSON.parse(desk.out)).toMatchObject({ revision: 8 });
+});
+
 test("apply says where a revision is not in force, and leaves out a VM that is down", async () => {
   const { desk, files, run } = makeDesk();
   files.set("r.yaml", rules(""));
