--- a/src/groupwatch/stream.ts
+++ b/src/groupwatch/stream.ts
@@ -1,12 +1,5 @@
 import type { Clock, ControlResult, Target, TargetControl, TargetStatus } from "../model/index.js";
 
-/**
- * Least time between the starts of two requests to one target. Under writes every answer comes at
- * once with a new position, and reading positions would cost the owner more than the writes do;
- * writes that are confirmed by one answer in place of many wait no longer than this.
- */
-const minGapMs = 2;
-
 /** An answer that came on a stream. */
 export interface StreamAnswer {
   readonly status: TargetStatus;
@@ -59,15 +52,10 @@
 
   private async run(): Promise<void> {
     while (!this.stopped.signal.aborted) {
-      const startedAt = this.options.clock.now();
       const result = await this.pollOrGiveUp();
-      if (result === undefined) continue;
-      if (result.type === "accepted") {
-        await this.sleep(startedAt + minGapMs - this.options.clock.now());
-        continue;
-      }
+      if (result === undefined || result.type === "accepted") continue;
       this.isFresh = true;
-      await this.sleep(this.options.retryMs);
+      await this.sleep();
     }
   }
 
@@ -78,12 +66,11 @@
     });
   }
 
-  private async sleep(ms: number): Promise<void> {
-    if (ms <= 0) return;
-    const { clock } = this.options;
+  private async sleep(): Promise<void> {
+    const { clock, retryMs } = this.options;
     const ended = new AbortController();
     this.giveUp = () => ended.abort();
-    await clock.sleep(ms, ended.signal).catch(() => undefined);
+    await clock.sleep(retryMs, ended.signal).catch(() => undefined);
   }
 
   private async poll(): Promise<ControlResult> {
