--- a/bench/failover/virtualclock.ts
+++ b/bench/failover/virtualclock.ts
@@ -22,12 +22,16 @@
         reject(new Error("aborted"));
         return;
       }
-      const timer = { at: this.time + Math.max(0, ms), order: this.order++, fire: resolve };
-      this.add(timer);
       const drop = (): void => {
         this.timers = this.timers.filter((t) => t !== timer);
         reject(new Error("aborted"));
       };
+      const fire = (): void => {
+        signal?.removeEventListener("abort", drop);
+        resolve();
+      };
+      const timer = { at: this.time + Math.max(0, ms), order: this.order++, fire };
+      this.add(timer);
       signal?.addEventListener("abort", drop, { once: true });
     });
   }
@@ -35,7 +39,7 @@
   /** Lets `ms` pass, or less when `isDone` holds before; tells whether it held. */
   async advance(ms: number, isDone: () => boolean = () => false): Promise<boolean> {
     const end = this.time + ms;
-    await settle();
+    await waitSettled();
     while (!isDone()) {
       const next = this.timers[0];
       if (next === undefined || next.at > end) {
@@ -45,7 +49,7 @@
       this.timers.shift();
       this.time = Math.max(this.time, next.at);
       next.fire();
-      await settle();
+      await waitSettled();
     }
     return true;
   }
@@ -58,6 +62,6 @@
 }
 
 /** Lets every promise that can go on do so. */
-function settle(): Promise<void> {
+function waitSettled(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
--- a/src/fleet/membership.ts
+++ b/src/fleet/membership.ts
@@ -35,7 +35,7 @@
 const probeTimeoutMs = 500;
 const listMs = 10_000;
 /** Others than relays read the list the more rarely the longer it is, so its bytes stay bounded. */
-const listMsPerVm = 150;
+const listMsPerVm = 600;
 
 /** What a `MembershipKeeper` needs. */
 export interface MembershipKeeperOptions {
