--- a/bench/path/main.ts
+++ b/bench/path/main.ts
@@ -9,7 +9,6 @@
   readonly idle: boolean;
   readonly turnMs: number;
   readonly idleMs: number;
-  readonly level: string;
   readonly only?: string;
   readonly profile?: string;
 }
@@ -38,7 +37,6 @@
   .option("--no-idle", "Leave out the idle proxy")
   .option("--turn-ms <n>", "Length of one turn of statements", { default: 500 })
   .option("--idle-ms <n>", "Length of one look at an idle proxy", { default: 10_000 })
-  .option("--level <level>", "Log level of the proxy", { default: "info" })
   .option("--only <work>", "Only work whose name has this in it")
   .option("--profile <folder>", "Have the proxy write a processor profile")
   .action(runBench);
@@ -51,13 +49,13 @@
     const idle = flags.idle ? await measureProxy(system, flags.idleMs) : [];
     const statements = await measureStatements(system, flags);
     if (!flags.json) console.log(`${formatComparisons(statements)}\n\n${formatIdle(idle)}`);
-    console.log(JSON.stringify({ level: flags.level, statements, idle }));
+    console.log(JSON.stringify({ statements, idle }));
   } finally {
     await system.dispose();
   }
 }
 
-function startBenchSystem({ level, profile }: Flags): Promise<RunningSystem> {
+function startBenchSystem({ profile }: Flags): Promise<RunningSystem> {
   const proxyFlags = profile === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${profile}`];
   return startSystem({
     group: "bench",
@@ -66,7 +64,7 @@
     rules,
     slots: 64,
     connections: 160,
-    settings: `limits: { connectionsPerTeam: 5000 }\nlog: { level: ${level} }`,
+    settings: "limits: { connectionsPerTeam: 5000 }",
     proxyFlags,
   });
 }
