Soak: take an error that no server sent for a broken connection

Change: only a server's error has a verdict. A session's read that misses the table of its own writes is a breach now; unknown outcomes are counted by sort.

--- a/standin/soak/caller.ts
+++ b/standin/soak/caller.ts
@@ -78,7 +78,7 @@
     const query = { ...statement, ...(values === undefined ? {} : { values: [...values] }) };
     const heard = this.client.query<Row>(query).then(
       (result): Heard => ({ type: "answered", tag: result.command, rows: result.rows }),
-      (error: unknown) => classifyError(error as pg.DatabaseError),
+      (error: unknown) => classifyError(error),
     );
     try {
       return await Promise.race([heard, gaveUp]);
@@ -117,11 +117,12 @@
   };
 }
 
-/** Sorts an error by the verdict in its detail. */
-function classifyError({ code = "", detail = "", message }: pg.DatabaseError): Heard {
+/** Sorts an error by the verdict in its detail; one that no server sent says nothing of the request. */
+function classifyError(error: unknown): Heard {
+  if (!(error instanceof pg.DatabaseError)) return { type: "broken", why: String(error) };
+  const { code = "", detail = "", message } = error;
   const why = `${code} ${message} ${detail}`.trim();
   if (detail.includes("verdict: notRun")) return { type: "notRun", why };
-  if (code === "") return { type: "broken", why };
   if (code === unknownOutcome) return { type: "mayHaveRun", why };
   return { type: "failed", code, why };
 }
--- a/standin/soak/session.ts
+++ b/standin/soak/session.ts
@@ -68,7 +68,8 @@
     this.token = caller.token ?? this.token;
     counts.add("operations", operation);
     counts.add("heard", heard.type);
-    if (heard.type === "failed") counts.add("sqlStates", heard.code);
+    if (heard.type === "mayHaveRun" || heard.type === "broken") counts.add("unknown", operation);
+    if (heard.type === "failed") counts.add("sqlStates", `${operation} ${heard.code}`);
     trace.note(name, `hears ${describeHeard(heard)}`);
     if (heard.type === "broken") this.checkDrain(statement, heard.why);
     return heard;
--- a/standin/soak/work.ts
+++ b/standin/soak/work.ts
@@ -27,6 +27,7 @@
 
 const keyedTries = 120;
 const keyedPauseMs = 250;
+const undefinedTable = "42P01";
 const largeRepeats = 40_000;
 const seriesRows = 400;
 
@@ -150,6 +151,10 @@
     const text = `SELECT id, confirmed, '${nonce}' AS nonce FROM ${this.table} WHERE ${condition}`;
     const values = isPrepared ? { values: [name] } : {};
     const heard = await this.session.ask("readOwn", { text, ...values });
+    if (known.length > 0 && heard.type === "failed" && heard.code === undefinedTable) {
+      const parts = [known[0]?.id ?? "", name];
+      this.context.breach({ what: "a read misses the table of its own writes", parts });
+    }
     if (heard.type !== "answered") return;
     this.checkNonces(nonce, heard.rows);
     const isAbsent = (id: string) => this.context.ledger.find(id)?.fate === "absent";
