--- a/standin/soak/work.ts
+++ b/standin/soak/work.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Heard, Row } from "./caller.js";
+import type { Heard, Row, Statement } from "./caller.js";
 import type { SoakContext } from "./context.js";
 import { checkOwnRead, type Booking, type Fate } from "./ledger.js";
 import type { Draw } from "./random.js";
@@ -23,6 +23,7 @@
   "readSeries",
 ] as const;
 
+type Values = Pick<Statement, "values">;
 type Operation = (typeof operations)[number];
 
 const keyedTries = 120;
@@ -144,33 +145,43 @@
   }
 
   private async readOwn(isPrepared: boolean): Promise<void> {
-    const known = this.listLanded().map(({ id, confirmed }) => ({ id, confirmed }));
-    const nonce = this.makeNonce();
     const { name } = this.session.options;
     const condition = isPrepared ? "session = $1" : `session = '${name}'`;
-    const text = `SELECT id, confirmed, '${nonce}' AS nonce FROM ${this.table} WHERE ${condition}`;
     const values = isPrepared ? { values: [name] } : {};
-    const heard = await this.session.ask("readOwn", { text, ...values });
-    if (known.length > 0 && heard.type === "failed" && heard.code === undefinedTable) {
-      const parts = [known[0]?.id ?? "", name];
-      this.context.breach({ what: "a read misses the table of its own writes", parts });
+    await this.readChecked("readOwn", `WHERE ${condition}`, values);
+  }
+
+  /**
+   * A stale read may be old, but not older than what its own session wrote. A rule that states an
+   * age has accepted older data for sessions that show no token: of those nothing is demanded.
+   */
+  private browse(): Promise<void> {
+    return this.readChecked("browse", "/*kind='browse'*/", {});
+  }
+
+  private async readChecked(operation: string, rest: string, values: Values): Promise<void> {
+    const { name, hasToken } = this.session.options;
+    const isBound = hasToken || operation === "readOwn";
+    const known = isBound ? this.listLanded().map(({ id, confirmed }) => ({ id, confirmed })) : [];
+    const nonce = this.makeNonce();
+    const text = `SELECT id, confirmed, '${nonce}' AS nonce FROM ${this.table} ${rest}`;
+    const heard = await this.session.ask(operation, { text, ...values });
+    // A session that came without a token sees what was acknowledged before, so the round's table.
+    const mustSeeTable = known.length > 0 || (operation === "readOwn" && !hasToken);
+    if (mustSeeTable && heard.type === "failed" && heard.code === undefinedTable) {
+      const what = `${operation}: a read misses a table that was there before`;
+      this.context.breach({ what, parts: [known[0]?.id ?? name, name] });
     }
     if (heard.type !== "answered") return;
     this.checkNonces(nonce, heard.rows);
     const isAbsent = (id: string) => this.context.ledger.find(id)?.fate === "absent";
     const read = heard.rows.map((r) => ({ id: String(r.id), confirmed: Number(r.confirmed) }));
     for (const breach of checkOwnRead(known, isAbsent, read)) {
-      this.context.breach({ ...breach, parts: [...breach.parts, name] });
+      const what = `${operation}: ${breach.what}`;
+      this.context.breach({ what, parts: [...breach.parts, name] });
     }
   }
 
-  private async browse(): Promise<void> {
-    const nonce = this.makeNonce();
-    const text = `SELECT id, '${nonce}' AS nonce FROM ${this.table} /*kind='browse'*/`;
-    const heard = await this.session.ask("browse", { text });
-    if (heard.type === "answered") this.checkNonces(nonce, heard.rows);
-  }
-
   private async readLarge(): Promise<void> {
     const nonce = this.makeNonce();
     const text = `SELECT repeat('${nonce}|', ${largeRepeats}) AS body`;
