--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -111,6 +111,7 @@
         random,
         logger,
         getRevision: () => this.configuration.current().revision,
+        seeds: settings.seeds,
         onHello: (hello) => {
           this.configuration.hear(hello);
         },
@@ -193,6 +194,10 @@
           revision: this.configuration.current().revision,
         }),
         report: () => encodeReport(this.report()),
+        configuration: () => {
+          const found = this.configuration.answerFetch(0);
+          return found.type === "found" ? found.value : undefined;
+        },
         drain: () => void this.drain(),
       }),
     );
@@ -294,7 +299,11 @@
       },
       // Who asks takes this process for the owner. Serving it costs connections at the worst;
       // passing it on would let two processes that disagree send it back and forth.
-      chooseOwner: () => ({ type: "here", gateway: this.owner }),
+      chooseOwner: (group) => {
+        const owner = this.gateway.findSuccessor(group);
+        if (owner !== undefined) return { type: "elsewhere", owner };
+        return { type: "here", gateway: this.owner };
+      },
       probe: (vm) => this.membership.relayProbe(vm),
       checkTarget: (group, name, timeoutMs) => {
         const target = this.findTarget(group, name);
