Let open transactions end before a leaving primary hands its role on

Cause: a leaving target's slots went to none, which cut off the statements of open transactions there, and the role moved at once (new test red: the commit was not answered). A first try counted a transaction as ended when its connection came back, before its commit was confirmed; the role moved in between and the commit was unconfirmed. Change: statements of an open transaction on a leaving target need no slot; the role waits up to 2 s for open transactions, confirmation included. Also: a keyed write whose record is not there to be filled is rolled back, and asserted (atMostOnce).

--- a/src/owner/conversation.ts
+++ b/src/owner/conversation.ts
@@ -34,6 +34,8 @@
   private readonly serveFresh: Next<ServeContext>;
   private readonly servePinned: Next<ServeContext>;
   private pinned: Pinned | undefined;
+  /** The target on which the group counts this conversation's transaction. */
+  private counted: string | undefined;
   private isRunning = false;
   private isClosed = false;
 
@@ -96,6 +98,7 @@
     } finally {
       deadline.dispose();
       this.isRunning = false;
+      this.countTransaction(this.pinned?.place.target.name);
       if (this.hasEnded()) this.end();
     }
   }
@@ -122,6 +125,10 @@
         const { pinned } = this;
         if (pinned === undefined) throw new Error("no transaction is open");
         const { target } = pinned.place;
+        // A leaving target has no slots for new work; what it has begun goes on to its end.
+        if (this.group.isLeaving(target.name)) {
+          return this.endPinned(await execute({ ...context, place: pinned.place }), pinned);
+        }
         const placed = await this.group.acquire(context.request, [target.name], context.signal);
         if (placed.type === "refused") {
           const { reason, retryAfterMs } = placed;
@@ -143,6 +150,15 @@
     return outcome;
   }
 
+  /** A transaction counts as open until its commit is confirmed: the role must not move before. */
+  private countTransaction(target: string | undefined): void {
+    if (target === this.counted) return;
+    const before = this.counted;
+    this.counted = target;
+    if (target !== undefined) this.group.countTransaction(target, 1);
+    if (before !== undefined) this.group.countTransaction(before, -1);
+  }
+
   private hasEnded(): boolean {
     return this.isClosed;
   }
@@ -152,6 +168,7 @@
     this.isClosed = true;
     this.pinned?.connection.drop();
     this.pinned = undefined;
+    this.countTransaction(undefined);
     this.onEnd();
   }
 
--- a/src/owner/filters/deduplicate.ts
+++ b/src/owner/filters/deduplicate.ts
@@ -1,5 +1,5 @@
 import type { Filter } from "../../filter/index.js";
-import type { IdempotencyKey, Outcome } from "../../model/index.js";
+import { assertInvariant, type IdempotencyKey, type Outcome } from "../../model/index.js";
 import { ownerEvents } from "../../log/events/owner.js";
 import type { Logger } from "../../log/index.js";
 import { describeShape, splitMessages } from "../answer.js";
@@ -105,7 +105,10 @@
   const broken = describeBroken(kept);
   if (broken !== undefined) return broken;
   if (kept.sqlState !== undefined) return rollBack(context, kept.sqlState);
-  return commit(context);
+  // Without its record the write would commit, and a repeat under its key would run it again.
+  const isKept = kept.tags.includes("UPDATE 1");
+  assertInvariant("atMostOnce", isKept, () => `${context.request.id} has no record of its key`);
+  return isKept ? commit(context) : rollBack(context, serializationFailure);
 }
 
 const noAnswer = { tags: [], rows: [], sqlState: undefined } as const;
--- a/src/owner/group.ts
+++ b/src/owner/group.ts
@@ -43,6 +43,9 @@
 
 const lookAgainMs = 250;
 
+/** How long open transactions may keep the primary role on a leaving target, in milliseconds. */
+const transactionGraceMs = 2000;
+
 /** What an owner needs of the world. */
 export interface OwnerPorts {
   readonly vm: string;
@@ -70,6 +73,7 @@
   private readonly scene: SceneKeeper;
   private readonly sizes = new Map<string, string>();
   private readonly primaryBound = new Set<string>();
+  private readonly transactions = new Map<string, number>();
   private lastPrimary: string | undefined;
   private openedAt = -Infinity;
   private lostAt: number | undefined;
@@ -133,11 +137,27 @@
     this.switchFromLeaving();
   }
 
-  /** Moves the primary role off a target that is leaving. To be called again while that lasts. */
+  /**
+   * Moves the primary role off a target that is leaving, once its open transactions have ended or
+   * had their time. To be called again while that lasts.
+   */
   switchFromLeaving(): void {
     const { primary } = this.view();
-    const isLeaving = primary !== undefined && this.findTarget(primary.target).isLeaving === true;
-    if (isLeaving && !this.watch.isSwitching) this.watch.switchFrom(primary.target);
+    if (primary === undefined || !this.isLeaving(primary.target) || this.watch.isSwitching) return;
+    const lostAt = this.lostAt ?? this.ports.clock.now();
+    const hasTime = this.ports.clock.now() - lostAt < transactionGraceMs;
+    const isBusy = (this.transactions.get(primary.target) ?? 0) > 0;
+    if (!isBusy || !hasTime) this.watch.switchFrom(primary.target);
+  }
+
+  isLeaving(target: string): boolean {
+    return this.findTarget(target).isLeaving === true;
+  }
+
+  /** Keeps count of the open transactions on a target. */
+  countTransaction(target: string, change: number): void {
+    this.transactions.set(target, (this.transactions.get(target) ?? 0) + change);
+    if (this.isLeaving(target)) this.switchFromLeaving();
   }
 
   async dispose(): Promise<void> {
--- a/test/owner/leaving.test.ts
+++ b/test/owner/leaving.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test } from "@jest/globals";
-import { runOnce, startGroup, type TestGroup } from "./group.js";
+import { runOnce, runSql, startGroup, type TestGroup } from "./group.js";
 
 let group: TestGroup;
 
@@ -39,3 +39,21 @@
   expect(written.outcome).toMatchObject({ type: "answered" });
   expect(written.outcome).not.toMatchObject({ servedBy: { target: "t1" } });
 });
+
+// A transaction is open on the primary when the platform takes its VM away. The role waits a moment
+// for it: the caller commits as if nothing were, and only then do writes move on.
+test("an open transaction on a leaving primary commits before the role moves", async () => {
+  const conversation = group.gateway.open("libro");
+  const options = { transaction: true };
+  await runSql(conversation, "write", "BEGIN", options);
+  await runSql(conversation, "write", "INSERT INTO cello VALUES (2, 'Verdi')", options);
+  tellLeaving("t1");
+  await runSql(conversation, "write", "INSERT INTO cello VALUES (3, 'Verdi')", options);
+  const ended = await runSql(conversation, "write", "COMMIT", options);
+  conversation.close();
+  expect(ended.outcome).toMatchObject({ type: "answered", status: "I" });
+  const sql = "INSERT INTO cello VALUES (4, 'Neri')";
+  const next = await runOnce(group.gateway, "write", sql, { key: "k4" });
+  expect(next.outcome).toMatchObject({ type: "answered" });
+  expect(next.outcome).not.toMatchObject({ servedBy: { target: "t1" } });
+});
