--- a/src/owner/gateway.ts
+++ b/src/owner/gateway.ts
@@ -9,7 +9,8 @@
 } from "../model/index.js";
 import { OwnerConversation } from "./conversation.js";
 import { refuse } from "./context.js";
-import { ServedGroup, type OwnerPorts } from "./group.js";
+import { ServedGroup } from "./group.js";
+import type { OwnerPorts } from "./ports.js";
 
 const unknownRetryMs = 1000;
 
--- a/src/owner/group.ts
+++ b/src/owner/group.ts
@@ -1,30 +1,24 @@
 import { findBackedAt, GroupWatch } from "../groupwatch/index.js";
 import { ownerEvents } from "../log/events/owner.js";
-import type { Logger } from "../log/index.js";
 import {
   compareTerms,
   DisposableStore,
-  type Clock,
   type Disposable,
   type Group,
   type GroupView,
-  type PeerClient,
-  type Random,
   type Request,
   type Target,
-  type TargetConnector,
-  type TargetControl,
   type Term,
-  type Vm,
 } from "../model/index.js";
 import { routeRead, type ReadRoute } from "../policy/index.js";
 import { WatchConfirmer } from "./confirmer.js";
+import { PrimaryExpectation } from "./expectation.js";
 import type { AttemptGroup } from "./filters/attempt.js";
 import type { ConnectingGroup } from "./filters/connect.js";
 import type { OpeningGroup } from "./filters/open.js";
 import type { PlacingGroup } from "./filters/place.js";
 import { RetryFilter } from "./filters/retry.js";
-import type { OwnerHooks } from "./hooks.js";
+import type { OwnerPorts } from "./ports.js";
 import { TargetPool, type ConnectionTaken } from "./pool.js";
 import { findState, SceneKeeper } from "./scene.js";
 import { SlotQueue, type SlotResult } from "./slots.js";
@@ -32,34 +26,11 @@
 /** How soon a lost primary's slots are expected back, for those who wait for them. */
 const expectedGapMs = 1000;
 
-/** How long a group's first requests wait for its targets' first answers, in milliseconds. */
-const openingMs = 1000;
-
-/**
- * How long a lost primary's successor is waited for, in milliseconds. Past it something stands in
- * the way of a failover, such as a lost majority, and whoever waited on would only learn so late.
- */
-const longestGapMs = 3000;
-
 const lookAgainMs = 250;
 
 /** How long open transactions may keep the primary role on a leaving target, in milliseconds. */
 const transactionGraceMs = 2000;
 
-/** What an owner needs of the world. */
-export interface OwnerPorts {
-  readonly vm: string;
-  readonly connector: TargetConnector;
-  readonly control: TargetControl;
-  readonly peers: PeerClient;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly hooks: OwnerHooks;
-  /** Other live VMs, the best first. */
-  readonly findHelpers: () => readonly Vm[];
-}
-
 /** One group served by this process: its watch, its queue and its connections. */
 export class ServedGroup
   implements OpeningGroup, PlacingGroup, ConnectingGroup, AttemptGroup, Disposable
@@ -75,9 +46,7 @@
   private readonly primaryBound = new Set<string>();
   private readonly transactions = new Map<string, number>();
   private lastPrimary: string | undefined;
-  private openedAt = -Infinity;
-  private lostAt: number | undefined;
-  private gapTimer: NodeJS.Timeout | undefined;
+  private readonly expectation: PrimaryExpectation;
 
   constructor(
     private group: Group,
@@ -104,9 +73,11 @@
     this.confirmer = new WatchConfirmer(this.watch, (signal) => this.waitForPrimary(signal));
     this.retry = new RetryFilter(clock, random, logger);
     for (const target of group.targets) this.addPool(target);
-    this.owned.defer(() => {
-      clearTimeout(this.gapTimer);
-    });
+    this.expectation = this.owned.add(
+      new PrimaryExpectation(clock, () => {
+        this.observe(this.watch.view());
+      }),
+    );
     this.owned.add(
       this.watch.subscribe((view) => {
         this.observe(view);
@@ -119,7 +90,7 @@
   }
 
   start(): void {
-    this.openedAt = this.ports.clock.now();
+    this.expectation.open();
     this.ports.logger.write(ownerEvents.groupOpened, { group: this.name });
     this.observe(this.watch.view());
     this.watch.start();
@@ -144,8 +115,7 @@
   switchFromLeaving(): void {
     const { primary } = this.view();
     if (primary === undefined || !this.isLeaving(primary.target) || this.watch.isSwitching) return;
-    const lostAt = this.lostAt ?? this.ports.clock.now();
-    const hasTime = this.ports.clock.now() - lostAt < transactionGraceMs;
+    const hasTime = this.expectation.measureGapMs() < transactionGraceMs;
     const isBusy = (this.transactions.get(primary.target) ?? 0) > 0;
     if (!isBusy || !hasTime) this.watch.switchFrom(primary.target);
   }
@@ -244,7 +214,7 @@
   }
 
   async waitForPrimary(signal: AbortSignal): Promise<void> {
-    while (this.view().primary === undefined && this.isPrimaryDue() && !signal.aborted) {
+    while (this.view().primary === undefined && this.expectation.isDue() && !signal.aborted) {
       await this.waitForChange(lookAgainMs, signal);
     }
   }
@@ -328,28 +298,12 @@
     for (const id of this.primaryBound) this.slots.retarget(id, [name]);
   }
 
-  /** Whether a primary is expected soon: the group has just been opened, or lost its primary. */
-  private isPrimaryDue(): boolean {
-    const now = this.ports.clock.now();
-    if (now - this.openedAt < openingMs) return true;
-    return this.lostAt !== undefined && now - this.lostAt < longestGapMs;
-  }
-
+  /** A primary that serves nothing new, since it is silent or leaving, counts as lost. */
   private noteLoss({ primary, targets }: GroupView): void {
     const seen = primary && targets[primary.target];
     const target = primary && this.findTarget(primary.target);
     const isServing = target !== undefined && findState(target, seen) === "serving";
-    if (isServing || this.lastPrimary === undefined) {
-      this.lostAt = undefined;
-      return;
-    }
-    if (this.lostAt !== undefined) return;
-    this.lostAt = this.ports.clock.now();
-    // When the gap lasts too long, those who wait are to hear so, though no view may come to tell.
-    clearTimeout(this.gapTimer);
-    this.gapTimer = setTimeout(() => {
-      this.observe(this.watch.view());
-    }, longestGapMs).unref();
+    this.expectation.observe(isServing || this.lastPrimary === undefined);
   }
 
   /** Only changes reach the queue: views come with every position that a target reports. */
@@ -360,7 +314,7 @@
     const isServing = state === "serving" && !isAwaited;
     const role = isPrimary || isAwaited ? "primary" : "replica";
     const slots = isServing ? target.slots : 0;
-    const isDue = isAwaited && this.isPrimaryDue();
+    const isDue = isAwaited && this.expectation.isDue();
     const size = `${role} ${slots} ${String(isDue)}`;
     if (this.sizes.get(target.name) === size) return;
     this.sizes.set(target.name, size);
--- a/src/owner/index.ts
+++ b/src/owner/index.ts
@@ -1,3 +1,4 @@
 export { OwnerGateway } from "./gateway.js";
-export { type OwnerPorts, ServedGroup } from "./group.js";
+export { ServedGroup } from "./group.js";
+export { type OwnerPorts } from "./ports.js";
 export { type OwnerHooks, silentHooks } from "./hooks.js";
