Share waiters and ticker between the slot queue and the connection pools

Cause: both drivers kept the same map of waiters, abort handling and timer (found by a search for what stands twice). Ruled out: one base class, since only these two pieces are the same. Change: Waiters and Ticker; a connection granted to nobody is closed.

--- a/src/owner/pool.ts
+++ b/src/owner/pool.ts
@@ -16,8 +16,11 @@
   TargetSession,
 } from "../model/index.js";
 import { OpenError } from "../target/index.js";
+import { Ticker } from "./ticker.js";
+import { Waiters } from "./waiters.js";
 
-const tickMs = 50;
+/** Between two notes of progress on one connection, at the least, in milliseconds. */
+const progressMs = 50;
 const refusedRetryMs = 100;
 const tooManyConnectionsState = "53300";
 
@@ -37,17 +40,15 @@
   drop(): void;
 }
 
-interface Waiting {
-  readonly resolve: (taken: ConnectionTaken) => void;
-}
-
 /** The connections of this process to one target: the pure controller with its sockets. */
 export class TargetPool implements Disposable {
   private pool: Pool;
   private readonly sessions = new Map<string, TargetSession>();
-  private readonly waiting = new Map<string, Waiting>();
+  private readonly waiters = new Waiters<ConnectionTaken>();
   private readonly ended = new AbortController();
-  private timer: NodeJS.Timeout | undefined;
+  private readonly ticker = new Ticker(() => {
+    this.apply({ type: "tick", at: this.clock.now() });
+  });
   private nextWaiter = 1;
 
   constructor(
@@ -64,20 +65,14 @@
   take(deadlineAt: number, signal: AbortSignal): Promise<ConnectionTaken> {
     const waiter = `w${this.nextWaiter}`;
     this.nextWaiter += 1;
-    return new Promise((resolve) => {
-      const stop = () => {
-        this.end(waiter, { type: "refused", reason: "deadline", retryAfterMs: refusedRetryMs });
-        this.apply({ type: "giveUp", at: this.clock.now(), waiter });
-      };
-      const settle = (taken: ConnectionTaken) => {
-        signal.removeEventListener("abort", stop);
-        resolve(taken);
-      };
-      this.waiting.set(waiter, { resolve: settle });
-      signal.addEventListener("abort", stop, { once: true });
+    const ask = () => {
       this.apply({ type: "ask", at: this.clock.now(), waiter, deadlineAt });
-      if (signal.aborted && this.waiting.has(waiter)) stop();
-    });
+    };
+    const giveUp = () => {
+      this.refuse(waiter, "deadline");
+      this.apply({ type: "giveUp", at: this.clock.now(), waiter });
+    };
+    return this.waiters.wait(waiter, signal, ask, giveUp);
   }
 
   /** Stops giving out connections; those in use are closed as they come back. */
@@ -96,10 +91,8 @@
 
   dispose(): void {
     this.ended.abort();
-    this.stopTimer();
-    for (const waiter of [...this.waiting.keys()]) {
-      this.end(waiter, { type: "refused", reason: "draining", retryAfterMs: refusedRetryMs });
-    }
+    this.ticker.dispose();
+    for (const waiter of this.waiters.listIds()) this.refuse(waiter, "draining");
     for (const session of this.sessions.values()) session.close();
     this.sessions.clear();
   }
@@ -110,7 +103,7 @@
     if (applied.type === "failed") return;
     this.pool = applied.state;
     for (const effect of applied.effects) this.execute(effect);
-    this.setTimer();
+    this.ticker.setNeeded(!this.isQuiet());
   }
 
   private execute(effect: ConnectionEffect): void {
@@ -131,11 +124,7 @@
         this.close(effect.connection);
         break;
       case "refuse":
-        this.end(effect.waiter, {
-          type: "refused",
-          reason: effect.reason,
-          retryAfterMs: effect.retryAfterMs,
-        });
+        this.refuse(effect.waiter, effect.reason, effect.retryAfterMs);
         break;
     }
   }
@@ -176,15 +165,11 @@
     const session = this.sessions.get(connection);
     if (session?.isUsable !== true) {
       this.apply({ type: "broken", at: this.clock.now(), connection });
-      this.end(waiter, {
-        type: "refused",
-        reason: "noConnection",
-        retryAfterMs: refusedRetryMs,
-      });
+      this.refuse(waiter, "noConnection");
       return;
     }
     const held = this.createHeld(waiter, connection, session);
-    this.end(waiter, { type: "granted", connection: held });
+    if (!this.waiters.settle(waiter, { type: "granted", connection: held })) held.drop();
   }
 
   private createHeld(waiter: string, connection: string, session: TargetSession): HeldConnection {
@@ -194,7 +179,7 @@
       session,
       noteProgress: () => {
         const at = this.clock.now();
-        if (!isHeld || at - lastNotedAt < tickMs) return;
+        if (!isHeld || at - lastNotedAt < progressMs) return;
         lastNotedAt = at;
         this.apply({ type: "progress", at, connection });
       },
@@ -220,26 +205,12 @@
     this.apply({ type: "giveUp", at: this.clock.now(), waiter });
   }
 
-  private end(waiter: string, taken: ConnectionTaken): void {
-    const waiting = this.waiting.get(waiter);
-    this.waiting.delete(waiter);
-    waiting?.resolve(taken);
-  }
-
-  private setTimer(): void {
-    const isQuiet = Object.keys(this.pool.connections).length === 0 && this.waiting.size === 0;
-    if (isQuiet) {
-      this.stopTimer();
-      return;
-    }
-    this.timer ??= setInterval(() => {
-      this.apply({ type: "tick", at: this.clock.now() });
-    }, tickMs).unref();
+  private refuse(waiter: string, reason: NotRunReason, retryAfterMs = refusedRetryMs): void {
+    this.waiters.settle(waiter, { type: "refused", reason, retryAfterMs });
   }
 
-  private stopTimer(): void {
-    clearInterval(this.timer);
-    this.timer = undefined;
+  private isQuiet(): boolean {
+    return Object.keys(this.pool.connections).length === 0 && this.waiters.size === 0;
   }
 }
 
--- a/src/owner/slots.ts
+++ b/src/owner/slots.ts
@@ -12,8 +12,11 @@
   type WaitQuestion,
 } from "../controller/admission/index.js";
 import type { Clock, Disposable, NotRunReason } from "../model/index.js";
+import { Ticker } from "./ticker.js";
+import { Waiters } from "./waiters.js";
 
-const tickMs = 50;
+/** When a request that gave up its place, or met an ending queue, may come back, in milliseconds. */
+const refusedRetryMs = 50;
 
 /** How long a statement whose caller gave up is taken to hold its slot on, in milliseconds. */
 const abandonedHoldMs = 1000;
@@ -31,33 +34,25 @@
   abandon(): void;
 }
 
-interface Waiter {
-  readonly resolve: (result: SlotResult) => void;
-}
-
 /** The admission queue of one group: the pure controller with its timer and its waiters. */
 export class SlotQueue implements Disposable {
   private admission: Admission = createAdmission();
-  private readonly waiters = new Map<string, Waiter>();
-  private timer: NodeJS.Timeout | undefined;
+  private readonly waiters = new Waiters<SlotResult>();
+  private readonly ticker = new Ticker(() => {
+    this.apply({ type: "tick", at: this.clock.now() });
+  });
 
   constructor(private readonly clock: Clock) {}
 
   /** Waits for a slot. An aborted signal gives up the place in the queue. */
   acquire(request: AdmissionRequest, signal: AbortSignal): Promise<SlotResult> {
-    return new Promise((resolve) => {
-      const stop = () => {
-        this.giveUp(request.id);
-      };
-      const end = (result: SlotResult) => {
-        signal.removeEventListener("abort", stop);
-        resolve(result);
-      };
-      this.waiters.set(request.id, { resolve: end });
-      signal.addEventListener("abort", stop, { once: true });
+    const ask = () => {
       this.apply({ type: "arrive", at: this.clock.now(), request });
-      if (signal.aborted) stop();
-    });
+    };
+    const giveUp = () => {
+      this.giveUp(request.id);
+    };
+    return this.waiters.wait(request.id, signal, ask, giveUp);
   }
 
   /** Sets a target's slots; 0 while it takes no work, with the time when it is expected back. */
@@ -86,19 +81,19 @@
   }
 
   dispose(): void {
-    this.stopTimer();
-    for (const id of [...this.waiters.keys()]) this.refuse(id, "draining", tickMs);
+    this.ticker.dispose();
+    for (const id of this.waiters.listIds()) this.refuse(id, "draining", refusedRetryMs);
   }
 
   private apply(event: AdmissionEvent): void {
     const applied = applyAdmission(this.admission, event);
     if (applied.type === "failed") {
-      if (event.type === "arrive") this.refuse(event.request.id, "overloaded", tickMs);
+      if (event.type === "arrive") this.refuse(event.request.id, "overloaded", refusedRetryMs);
       return;
     }
     this.admission = applied.state;
     for (const effect of applied.effects) this.execute(effect);
-    this.setTimer();
+    this.ticker.setNeeded(this.waiters.size > 0);
   }
 
   private execute(effect: AdmissionEffect): void {
@@ -113,13 +108,8 @@
   }
 
   private start(id: string, target: string): void {
-    const waiter = this.waiters.get(id);
-    this.waiters.delete(id);
-    if (waiter === undefined) {
-      this.finish(id);
-      return;
-    }
-    waiter.resolve({ type: "started", slot: this.createSlot(id, target) });
+    const slot = this.createSlot(id, target);
+    if (!this.waiters.settle(id, { type: "started", slot })) slot.release();
   }
 
   private createSlot(id: string, target: string): Slot {
@@ -147,34 +137,16 @@
   }
 
   private refuse(id: string, reason: NotRunReason, retryAfterMs: number): void {
-    const waiter = this.waiters.get(id);
-    this.waiters.delete(id);
-    waiter?.resolve({ type: "refused", reason, retryAfterMs });
+    this.waiters.settle(id, { type: "refused", reason, retryAfterMs });
   }
 
   private giveUp(id: string): void {
     if (!this.waiters.has(id)) return;
-    this.refuse(id, "deadline", tickMs);
+    this.refuse(id, "deadline", refusedRetryMs);
     this.apply({ type: "cancel", at: this.clock.now(), id });
   }
 
   private finish(id: string): void {
     this.apply({ type: "finish", at: this.clock.now(), id });
   }
-
-  /** The queue ticks only while somebody waits: thousands of idle groups must cost nothing. */
-  private setTimer(): void {
-    if (this.waiters.size === 0) {
-      this.stopTimer();
-      return;
-    }
-    this.timer ??= setInterval(() => {
-      this.apply({ type: "tick", at: this.clock.now() });
-    }, tickMs).unref();
-  }
-
-  private stopTimer(): void {
-    clearInterval(this.timer);
-    this.timer = undefined;
-  }
 }
--- /dev/null
+++ b/src/owner/ticker.ts
@@ -0,0 +1,21 @@
+import type { Disposable } from "../model/index.js";
+
+/** Between two ticks of a queue or a pool, in milliseconds. */
+const tickMs = 50;
+
+/** A timer that runs only while it is needed: thousands of idle groups must cost nothing. */
+export class Ticker implements Disposable {
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly tick: () => void) {}
+
+  setNeeded(isNeeded: boolean): void {
+    if (isNeeded) this.timer ??= setInterval(this.tick, tickMs).unref();
+    else this.dispose();
+  }
+
+  dispose(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+  }
+}
