Revert "Carry news of other VMs in the hello of probes"

The try carried news on the wire (tests of 8 and 32 nodes ran), but 96 nodes in one process did not get past their start in 50 s, and the cause was not found; first suspects are the full lists sent at start and false suspicion when the event loop is late. Up to 16 VMs each probes all others, so today's fleets need no news.

--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -1,13 +1,11 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
-import type { Mark, PeerHello, Term, Vm, VmNews } from "../model/index.js";
+import type { Mark, PeerHello, Term, Vm } from "../model/index.js";
 import {
   type Hello,
   HelloSchema,
   type Mark as MarkMessage,
   MarkSchema,
-  type News,
-  Standing,
   State,
   type Term as TermMessage,
   TermSchema,
@@ -42,33 +40,15 @@
   return part;
 }
 
-const standings = {
-  alive: Standing.ALIVE,
-  suspect: Standing.SUSPECT,
-  leaving: Standing.LEAVING,
-  down: Standing.DOWN,
-} as const;
-
 /** Builds a hello. */
 export function encodeHello(hello: PeerHello): Hello {
-  const news = (hello.news ?? []).map(({ vm, incarnation, state }) => ({
-    vm: encodeVm(vm),
-    incarnation,
-    standing: standings[state],
-  }));
-  return create(HelloSchema, { ...hello, state: states[hello.state], news });
+  return create(HelloSchema, { ...hello, state: states[hello.state] });
 }
 
 /** Reads a hello. Throws `ConnectError`. */
 export function decodeHello(message: Hello | undefined): PeerHello {
-  const { vm, incarnation, state, revision, news } = demand(message, "hello");
-  const hello = { vm, incarnation, state: findWord(states, state), revision };
-  return news.length === 0 ? hello : { ...hello, news: news.map(decodeNews) };
-}
-
-function decodeNews({ vm, incarnation, standing }: News): VmNews {
-  const state = findWord(standings, standing);
-  return { vm: decodeVm(demand(vm, "vm of news")), incarnation, state };
+  const { vm, incarnation, state, revision } = demand(message, "hello");
+  return { vm, incarnation, state: findWord(states, state), revision };
 }
 
 /** Builds a term. */
