--- a/src/proxy/index.ts
+++ b/src/proxy/index.ts
@@ -1,2 +1,3 @@
 export { FleetGateway, type FleetGatewayOptions } from "./gateway.js";
-export { Proxy, type ProxyAddresses, type ProxyPorts } from "./proxy.js";
+export { type ProxyPorts } from "./ports.js";
+export { Proxy, type ProxyAddresses } from "./proxy.js";
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -1,51 +1,23 @@
 import type { CallerServer, RuleDecision } from "../caller/index.js";
 import type { ProxyReport } from "../command/index.js";
-import { ConfigurationKeeper, DrainKeeper, MembershipKeeper } from "../fleet/index.js";
+import { DrainKeeper } from "../fleet/index.js";
 import { processEvents } from "../log/events/process.js";
-import type { Logger } from "../log/index.js";
 import { createMetrics, HealthServer, type Metrics } from "../metric/index.js";
-import {
-  DisposableStore,
-  type Address,
-  type Clock,
-  type Random,
-  type RequestTraits,
-  type Target,
-  type Team,
-  type Vm,
-} from "../model/index.js";
-import { OwnerGateway } from "../owner/index.js";
-import {
-  ConnectPeerClient,
-  PeerLinks,
-  PeerServer,
-  RemoteGateway,
-  type PeerHandlers,
-} from "../peer/index.js";
-import { HttpObjectStore } from "../platform/index.js";
+import { DisposableStore, type Address, type RequestTraits, type Team } from "../model/index.js";
+import { PeerServer } from "../peer/index.js";
 import { matchRule } from "../policy/index.js";
-import type { ProxySettings } from "../settings/index.js";
 import { loadParser } from "../sql/index.js";
-import { PgTargetConnector, PgTargetControl } from "../target/index.js";
 import { createCallerServer } from "./callers.js";
-import { GroupDirectory } from "./directory.js";
-import { FleetGateway } from "./gateway.js";
-import { createMetricHooks } from "./hooks.js";
+import { FleetGroups } from "./groups.js";
+import { createPeerHandlers } from "./handlers.js";
+import { FleetMembers } from "./members.js";
+import type { ProxyPorts } from "./ports.js";
 import { describeGroup, encodeReport } from "./report.js";
 import { describeClientSecurity, loadCertificates, type Certificates } from "./security.js";
+import { countCalls, openStore } from "./store.js";
 
-const helperCount = 3;
-const tendMs = 1000;
-
-/** What a proxy runs on. */
-export interface ProxyPorts {
-  readonly settings: ProxySettings;
-  readonly logger: Logger;
-  readonly clock: Clock;
-  readonly random: Random;
-  /** Differs between two runs of the process on one VM, and grows. */
-  readonly incarnation: string;
-}
+/** Between two counts of the callers for the metrics, in milliseconds. */
+const countMs = 1000;
 
 /** Where a proxy listens, once it does. */
 export interface ProxyAddresses {
@@ -58,13 +30,8 @@
 export class Proxy {
   readonly metrics: Metrics = createMetrics({ process: true });
   private readonly owned = new DisposableStore();
-  private readonly store: HttpObjectStore;
-  private readonly control: PgTargetControl;
-  private readonly membership: MembershipKeeper;
-  private readonly configuration: ConfigurationKeeper;
-  private readonly directory: GroupDirectory;
-  private readonly owner: OwnerGateway;
-  private readonly gateway: FleetGateway;
+  private readonly members: FleetMembers;
+  private readonly groups: FleetGroups;
   private readonly callers: CallerServer;
   private readonly peerServer: PeerServer;
   private readonly health: HealthServer;
@@ -82,138 +49,20 @@
     private readonly ports: ProxyPorts,
     private readonly certificates: Certificates,
   ) {
-    const { settings, logger, clock, random } = ports;
+    const { settings, logger } = ports;
     const { metrics, owned } = this;
-    owned.add(
-      metrics.observeViolations((invariant, detail) => {
-        logger.write(processEvents.invariantBroken, { invariant, detail });
-      }),
-    );
-    this.store = owned.add(createStore(settings, logger));
-    this.control = owned.add(new PgTargetControl());
-    if (certificates.callers !== undefined) owned.add(certificates.callers);
-    if (certificates.peers !== undefined) owned.add(certificates.peers);
-    const links = owned.add(new PeerLinks({ clock, ...describeClientSecurity(certificates) }));
-    const peers = new ConnectPeerClient({
-      links,
-      getHello: () => this.membership.describe(),
-      onHello: (hello) => {
-        this.membership.hear(hello);
-      },
-    });
-    this.membership = owned.add(
-      new MembershipKeeper({
-        vm: describeVm(settings),
-        incarnation: ports.incarnation,
-        store: this.store,
-        peers,
-        clock,
-        random,
-        logger,
-        getRevision: () => this.configuration.current().revision,
-        seeds: settings.seeds,
-        onHello: (hello) => {
-          this.configuration.hear(hello);
-        },
-      }),
-    );
-    this.configuration = owned.add(
-      new ConfigurationKeeper({
-        vm: settings.vm,
-        store: this.store,
-        peers,
-        clock,
-        random,
-        logger,
-        listLive: () => this.membership.listLive(),
-      }),
-    );
-    this.owner = owned.add(
-      new OwnerGateway({
-        vm: settings.vm,
-        connector: new PgTargetConnector(),
-        control: this.control,
-        peers,
-        clock,
-        random,
-        logger,
-        hooks: createMetricHooks(metrics),
-        findHelpers: () => this.membership.findHelpers(helperCount),
-      }),
-    );
-    this.directory = owned.add(
-      new GroupDirectory({
-        store: this.store,
-        clock,
-        logger,
-        countVms: () => this.membership.listLive().length,
-        onChange: () => {
-          this.placeGroups();
-        },
-      }),
-    );
-    const remote = new RemoteGateway({
-      links,
-      clock,
-      getHello: () => this.membership.describe(),
-      findOwner: (group) => this.gateway.findOther(group),
-      onBroken: (vm) => {
-        this.gateway.noteBroken(vm.name);
-        this.membership.doubt(vm.name);
-      },
-    });
-    this.gateway = new FleetGateway({
-      vm: settings.vm,
-      clock,
-      listLive: () => this.membership.listLive(),
-      owner: this.owner,
-      remote,
-    });
+    this.watchInvariants();
+    for (const side of [certificates.callers, certificates.peers]) {
+      if (side !== undefined) owned.add(side);
+    }
+    const store = owned.add(countCalls(openStore(settings, logger), metrics));
+    const security = describeClientSecurity(certificates);
+    this.members = owned.add(new FleetMembers(ports, store, security));
+    this.groups = owned.add(new FleetGroups(ports, this.members, store, metrics));
     this.peerServer = owned.add(this.createPeerServer());
-    this.callers = owned.add(
-      createCallerServer({
-        settings,
-        clock,
-        logger,
-        certificates: certificates.callers,
-        gateway: this.gateway,
-        hasGroup: (name) => this.directory.list().has(name),
-        match: (traits) => this.match(traits),
-        findTeam: (name) => this.teams.get(name),
-      }),
-    );
-    this.health = owned.add(
-      new HealthServer({
-        metrics,
-        getState: () => ({
-          configurationKnown: this.configuration.isKnown(),
-          leaving: this.drainKeeper.isLeaving(),
-        }),
-        summarise: () => ({
-          vm: settings.vm,
-          revision: this.configuration.current().revision,
-        }),
-        report: () => encodeReport(this.report()),
-        configuration: () => {
-          const found = this.configuration.answerFetch(0);
-          return found.type === "found" ? found.value : undefined;
-        },
-        drain: () => void this.drain(),
-      }),
-    );
-    this.drainKeeper = new DrainKeeper({
-      clock,
-      logger,
-      times: settings.drain,
-      countInFlight: () => this.owner.countConversations() + this.callers.connectionCount,
-      onAnnounce: () => {
-        this.membership.setState("leaving");
-      },
-      onRefuseNew: () => {
-        this.owner.drain();
-        void this.callers.drain();
-      },
-    });
+    this.callers = owned.add(this.createCallers());
+    this.health = owned.add(this.createHealth());
+    this.drainKeeper = this.createDrain();
   }
 
   /** Begins to answer peers and operators, not yet callers. `start` does so unless it was done. */
@@ -228,18 +77,16 @@
 
   /** Starts every part; resolves when the proxy is ready for callers. */
   async start(): Promise<ProxyAddresses> {
-    const { logger } = this.ports;
     await loadParser();
     const { health, peers } = await this.listen();
-    await this.membership.start();
-    await this.directory.start();
-    this.followMembership();
+    await this.members.membership.start();
+    await this.groups.start();
     await this.followConfiguration();
-    this.membership.setState("ready");
+    this.members.membership.setState("ready");
     const callers = await this.callers.listen();
-    this.tendGroups();
+    this.countCallers();
     this.isReady = true;
-    logger.write(processEvents.ready, { callers, peers, health });
+    this.ports.logger.write(processEvents.ready, { callers, peers, health });
     return { callers, peers, health };
   }
 
@@ -255,20 +102,21 @@
   /** What this process says of itself to operators. */
   report(): ProxyReport {
     const { settings, incarnation } = this.ports;
+    const { membership, configuration } = this.members;
     return {
       vm: settings.vm,
       dataCentre: settings.dataCentre,
       incarnation,
       state: this.findState(),
-      revision: this.configuration.current().revision,
+      revision: configuration.current().revision,
       callers: this.callers.connectionCount,
-      members: this.membership.view().map(({ vm, status }) => ({
+      members: membership.view().map(({ vm, status }) => ({
         name: vm.name,
         dataCentre: vm.dataCentre,
         ...vm.peer,
         status,
       })),
-      groups: this.owner.list().map(describeGroup),
+      groups: this.groups.owner.list().map(describeGroup),
     };
   }
 
@@ -277,108 +125,105 @@
     return this.isReady ? "ready" : "starting";
   }
 
+  private watchInvariants(): void {
+    const { logger } = this.ports;
+    this.owned.add(
+      this.metrics.observeViolations((invariant, detail) => {
+        logger.write(processEvents.invariantBroken, { invariant, detail });
+      }),
+    );
+  }
+
+  private countCallers(): void {
+    const timer = setInterval(() => {
+      this.metrics.setCallers(this.callers.connectionCount);
+    }, countMs);
+    this.owned.defer(() => {
+      clearInterval(timer);
+    });
+  }
+
   private createPeerServer(): PeerServer {
     const { settings, logger, clock } = this.ports;
     const { peers } = this.certificates;
-    const address = settings.listen.peers;
-    const handlers = this.createHandlers();
-    if (peers === undefined) return new PeerServer({ address, handlers, clock, logger });
-    const secure = peers.getServerOptions();
-    const server = new PeerServer({ address, handlers, clock, logger, secure });
+    const report = () => encodeReport(this.report());
+    const handlers = createPeerHandlers(this.members, this.groups, report);
+    const options = { address: settings.listen.peers, handlers, clock, logger };
+    if (peers === undefined) return new PeerServer(options);
+    const server = new PeerServer({ ...options, secure: peers.getServerOptions() });
     peers.subscribe(() => {
       server.setSecureContext(peers.getServerOptions());
     });
     return server;
   }
 
-  private createHandlers(): PeerHandlers {
-    return {
-      getHello: () => this.membership.describe(),
-      onHello: (hello) => {
-        this.membership.receive(hello);
-      },
-      // Who asks takes this process for the owner. Serving it costs connections at the worst;
-      // passing it on would let two processes that disagree send it back and forth.
-      chooseOwner: (group) => {
-        const owner = this.gateway.findSuccessor(group);
-        if (owner !== undefined) return { type: "elsewhere", owner };
-        return { type: "here", gateway: this.owner };
-      },
-      probe: (vm) => this.membership.relayProbe(vm),
-      checkTarget: (group, name, timeoutMs) => {
-        const target = this.findTarget(group, name);
-        if (target === undefined) {
-          return Promise.resolve({ type: "unreachable", reason: "the target is not known here" });
-        }
-        return this.control.status(target, { timeoutMs, fresh: true });
-      },
-      fetchConfiguration: (afterRevision) =>
-        Promise.resolve(this.configuration.answerFetch(afterRevision)),
-      pushConfiguration: (json) => Promise.resolve(this.configuration.receive(json)),
+  private createCallers(): CallerServer {
+    const { settings, logger, clock } = this.ports;
+    return createCallerServer({
+      settings,
+      clock,
+      logger,
+      certificates: this.certificates.callers,
+      gateway: this.groups.gateway,
+      hasGroup: (name) => this.groups.has(name),
+      match: (traits) => this.match(traits),
+      findTeam: (name) => this.teams.get(name),
+    });
+  }
+
+  private createHealth(): HealthServer {
+    const { configuration } = this.members;
+    return new HealthServer({
+      metrics: this.metrics,
+      getState: () => ({
+        configurationKnown: configuration.isKnown(),
+        leaving: this.drainKeeper.isLeaving(),
+      }),
+      summarise: () => ({
+        vm: this.ports.settings.vm,
+        revision: configuration.current().revision,
+      }),
       report: () => encodeReport(this.report()),
-    };
+      configuration: () => {
+        const found = configuration.answerFetch(0);
+        return found.type === "found" ? found.value : undefined;
+      },
+      drain: () => void this.drain(),
+    });
   }
 
-  private findTarget(group: string, target: string): Target | undefined {
-    return this.directory
-      .list()
-      .get(group)
-      ?.targets.find((t) => t.name === target);
+  private createDrain(): DrainKeeper {
+    const { clock, logger, settings } = this.ports;
+    const { owner } = this.groups;
+    return new DrainKeeper({
+      clock,
+      logger,
+      times: settings.drain,
+      countInFlight: () => owner.countConversations() + this.callers.connectionCount,
+      onAnnounce: () => {
+        this.members.membership.setState("leaving");
+      },
+      onRefuseNew: () => {
+        owner.drain();
+        void this.callers.drain();
+      },
+    });
   }
 
   private match(traits: RequestTraits): RuleDecision {
-    const { name, then } = matchRule(this.configuration.current(), traits);
+    const { name, then } = matchRule(this.members.configuration.current(), traits);
     return { rule: name, action: then };
   }
 
-  private followMembership(): void {
-    this.owned.add(
-      this.membership.subscribe(() => {
-        this.placeGroups();
-      }),
-    );
-    this.placeGroups();
-  }
-
   private async followConfiguration(): Promise<void> {
+    const { configuration } = this.members;
     const take = () => {
-      const { teams, revision } = this.configuration.current();
+      const { teams, revision } = configuration.current();
       this.teams = new Map(teams.map((team) => [team.name, team]));
       this.metrics.setRevision(revision);
     };
-    this.owned.add(this.configuration.subscribe(take));
-    await this.configuration.start();
+    this.owned.add(configuration.subscribe(take));
+    await configuration.start();
     take();
   }
-
-  /** Opens the groups that this process owns now. */
-  private placeGroups(): void {
-    const groups = this.directory.list();
-    const owned = [...groups.keys()].filter((name) => this.gateway.isOwned(name));
-    this.owner.setGroups(groups, new Set(owned));
-  }
-
-  private tendGroups(): void {
-    const timer = setInterval(() => {
-      void this.owner.tend();
-      this.metrics.setCallers(this.callers.connectionCount);
-    }, tendMs);
-    this.owned.defer(() => {
-      clearInterval(timer);
-    });
-  }
-}
-
-function createStore(settings: ProxySettings, logger: Logger): HttpObjectStore {
-  const [platform] = settings.platform;
-  if (platform === undefined) throw new Error("the settings name no platform");
-  return new HttpObjectStore({
-    url: `http://${platform.host}:${platform.port}`,
-    timeoutMs: settings.deadlines.storeMs,
-    logger,
-  });
-}
-
-function describeVm({ vm, dataCentre, listen }: ProxySettings): Vm {
-  return { name: vm, dataCentre, peer: listen.peers, state: "live" };
 }
