--- a/src/command/proxies.ts
+++ b/src/command/proxies.ts
@@ -3,7 +3,7 @@
 import { decodeMessage } from "../controller/configuration/index.js";
 import type { Address, Configuration, Json } from "../model/index.js";
 import { formatAddress } from "../settings/index.js";
-import { parseReport, type ProxyReport } from "./report.js";
+import { parseReport, type ProxyReport } from "../report/index.js";
 
 const timeoutMs = 2000;
 
--- a/src/command/status.ts
+++ b/src/command/status.ts
@@ -2,7 +2,7 @@
 import { UnavailableError } from "./errors.js";
 import { exitCodes, type ExitCode } from "./exit.js";
 import { findPlaces } from "./places.js";
-import type { ProxyReport } from "./report.js";
+import type { ProxyReport } from "../report/index.js";
 import { formatTable } from "./table.js";
 
 interface Row {
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -1,5 +1,5 @@
 import type { CallerServer, RuleDecision } from "../caller/index.js";
-import type { ProxyReport } from "../command/index.js";
+import type { ProxyReport } from "../report/index.js";
 import { DrainKeeper } from "../fleet/index.js";
 import { processEvents } from "../log/events/process.js";
 import { createMetrics, HealthServer, type Metrics } from "../metric/index.js";
--- a/src/proxy/report.ts
+++ b/src/proxy/report.ts
@@ -1,4 +1,4 @@
-import type { ProxyReport } from "../command/index.js";
+import type { ProxyReport } from "../report/index.js";
 import { formatMark, formatTerm, type Json, type TargetView } from "../model/index.js";
 import type { ServedGroup } from "../owner/index.js";
 
--- /dev/null
+++ b/src/report/index.ts
@@ -0,0 +1,1 @@
+export { parseReport, proxyReport, type ProxyReport } from "./report.js";
