Decide about a repeated key by policy's planKeyedWrite alone

Cause: the decision stood twice, in policy with its tests and again in the owner's filter, which alone ran. Ruled out: dropping policy's, which is the pure one. Change: the filter reads the record and asks policy.

--- a/src/owner/filters/deduplicate.ts
+++ b/src/owner/filters/deduplicate.ts
@@ -1,5 +1,6 @@
 import type { Filter } from "../../filter/index.js";
 import { assertInvariant, type IdempotencyKey, type Outcome } from "../../model/index.js";
+import { planKeyedWrite, type IdempotencyRecord } from "../../policy/index.js";
 import { ownerEvents } from "../../log/events/owner.js";
 import type { Logger } from "../../log/index.js";
 import { describeShape, splitMessages } from "../answer.js";
@@ -157,17 +158,27 @@
   );
   const broken = describeBroken(ended) ?? describeBroken(read);
   if (broken !== undefined) return broken;
-  const [recordedDigest, recorded] = read.rows[0] ?? [];
-  if (recordedDigest === undefined) return againRound;
-  if (recordedDigest !== digest) {
-    logger.write(ownerEvents.keyMisused, fields);
-    const message = "this idempotency key belongs to another statement; nothing ran";
-    await context.answer.take(buildErrorResponse(keyMisusedState, message));
-    return { type: "done", outcome: answerFrom(context) };
+  const plan = planKeyedWrite({ key: id, digest }, readRecord(id, read));
+  switch (plan.type) {
+    case "run":
+      return againRound;
+    case "conflict": {
+      logger.write(ownerEvents.keyMisused, fields);
+      const message = "this idempotency key belongs to another statement; nothing ran";
+      await context.answer.take(buildErrorResponse(keyMisusedState, message));
+      return { type: "done", outcome: answerFrom(context) };
+    }
+    case "replay":
+      logger.write(ownerEvents.answerRepeated, fields);
+      for (const message of decodeAnswer(plan.answer)) await context.answer.take(message);
+      return { type: "done", outcome: answerFrom(context) };
   }
-  logger.write(ownerEvents.answerRepeated, fields);
-  for (const message of decodeAnswer(recorded ?? tooLarge)) await context.answer.take(message);
-  return { type: "done", outcome: answerFrom(context) };
+}
+
+function readRecord(key: string, { rows }: SqlAnswer): IdempotencyRecord<string> | undefined {
+  const [digest, answer] = rows[0] ?? [];
+  if (typeof digest !== "string") return undefined;
+  return { key, digest, answer: answer ?? tooLarge };
 }
 
 function answerFrom(context: ServeContext): Outcome {
