Tie two load tests to the first reservation, not to the clock

Cause: they struck 100 ms after the start; a busy machine had done its work by then, or not begun it (one run of the whole check beside load found 0 violations). Ruled out: the tool's check itself. Change: both strike when the first reservation is committed, in the same order on any machine; what they expect is unchanged.

--- a/test/load/load.test.ts
+++ b/test/load/load.test.ts
@@ -7,6 +7,7 @@
   type LoadSettings,
 } from "../../src/load/index.js";
 import { DisposableStore, type Address } from "../../src/model/index.js";
+import type { StandinTarget } from "../../standin/target/index.js";
 import { startTargets } from "../standin/build.js";
 
 let store = new DisposableStore();
@@ -35,6 +36,15 @@
   return runLoad(loaded.value, "run");
 }
 
+/** Strikes once the first reservation is committed: the set-up is over then, whatever time it took. */
+function onFirstReservation(target: StandinTarget, strike: () => void): void {
+  const stop = target.member.subscribe(() => {
+    if (target.statements.list("kind='reservation'").length === 0) return;
+    stop();
+    strike();
+  });
+}
+
 test("settings default and refuse what is unknown", () => {
   const loaded = loadLoadSettings("duration: 1s\nentries: []\nspeed: 3", "load.yaml");
   const messages = loaded.type === "faulty" ? loaded.faults.map((f) => `${f.line} ${f.path}`) : [];
@@ -72,7 +82,7 @@
 test("a reservation that lands twice is found", async () => {
   const [target] = await start(1);
   if (target === undefined) throw new Error("no target");
-  setTimeout(() => target.faults.loseCommitAnswers(1, "break"), 100);
+  onFirstReservation(target, () => target.faults.loseCommitAnswers(1, "break"));
   const report = await load([target.address], "reservation: 1");
   expect(report.violations.atMostOnce).toBeGreaterThan(0);
 });
@@ -82,7 +92,7 @@
 test("a write of its own that a session does not see is found", async () => {
   const [primary, replica] = await start(2);
   if (primary === undefined || replica === undefined) throw new Error("no targets");
-  setTimeout(() => replica.setLag(3_600_000), 100);
+  onFirstReservation(primary, () => replica.setLag(3_600_000));
   const work = "reservation: 1, ownRead: 4";
   const report = await load([primary.address, replica.address], work, "roamEvery: 3");
   expect(report.violations.readYourWrites).toBeGreaterThan(0);
