--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -181,10 +181,10 @@
 }
 
 /**
- * One proxy's share of a target's connections. All proxies share one limit and a closed connection
- * counts on for a while, so that a newcomer's share is left free as well.
+ * One proxy's share of a target's connections: all proxies together stay within its limit. A newcomer
+ * may be refused at first; the others' shares shrink as soon as they see its entry.
  */
 export function countShare(connections: number, proxies: number): number {
-  const share = Math.floor((connections - spareConnections) / (proxies + 1));
+  const share = Math.floor((connections - spareConnections) / Math.max(1, proxies));
   return Math.max(1, Math.min(maxShare, share));
 }
--- /dev/null
+++ b/test/direct/decisions.test.ts
@@ -0,0 +1,108 @@
+import { expect, test } from "@jest/globals";
+import { chooseCandidates, type CandidateView } from "../../src/direct/candidates.js";
+import { countShare } from "../../src/direct/group.js";
+import { noteAnswer, noteBehind, noteFailure, soundHealth } from "../../src/direct/health.js";
+import { planPrelude } from "../../src/direct/prelude.js";
+import { judgeResult } from "../../src/direct/verdict.js";
+import type { CommandResult, ErrorCode } from "../../src/statement/index.js";
+
+const view = (name: string, change: Partial<CandidateView> = {}): CandidateView => ({
+  name,
+  isLeaving: false,
+  isLocal: false,
+  health: soundHealth,
+  running: 0,
+  slots: 2,
+  ...change,
+});
+
+const serving = { type: "serving", target: "p" } as const;
+const read = { needsPrimary: false, hasMark: true, excluded: new Set<string>() };
+const choose = (views: readonly CandidateView[], demand = read) =>
+  chooseCandidates(demand, serving, views, 100, () => 0.5);
+
+test("reads go to the least busy replica, the near one first", () => {
+  expect(choose([view("p"), view("a"), view("b", { isLocal: true })])).toMatchObject({
+    names: ["b"],
+  });
+  const busyNear = view("b", { isLocal: true, running: 1 });
+  expect(choose([view("p"), view("a"), busyNear])).toMatchObject({ names: ["a"] });
+  const full = [view("a", { running: 2 }), view("b", { running: 2 })];
+  expect(choose([view("p"), ...full])).toMatchObject({ names: ["a", "b"] });
+});
+
+test("leaving, failing, lagging and excluded replicas are passed over for the primary", () => {
+  const unfit = [
+    view("a", { isLeaving: true }),
+    view("b", { health: noteFailure(soundHealth, 90) }),
+    view("c", { health: noteBehind(soundHealth, 90) }),
+    view("d"),
+  ];
+  const demand = { ...read, excluded: new Set(["d"]) };
+  expect(choose([view("p"), ...unfit], demand)).toMatchObject({ role: "primary", names: ["p"] });
+});
+
+test("without a primary a statement that needs one waits or is refused, a read goes on", () => {
+  const write = { ...read, needsPrimary: true };
+  const changing = { type: "changing", backInMs: 300 } as const;
+  const draw = () => 0.5;
+  expect(chooseCandidates(write, changing, [view("a")], 100, draw)).toEqual({
+    type: "wait",
+    backInMs: 300,
+  });
+  expect(chooseCandidates(read, changing, [view("a")], 100, draw)).toMatchObject({ names: ["a"] });
+  const unknown = { type: "unknown", reason: "x" } as const;
+  expect(chooseCandidates(write, unknown, [view("a")], 100, draw).type).toBe("nowhere");
+  const silent = view("p", { health: noteFailure(soundHealth, 90) });
+  expect(choose([silent], write)).toEqual({ type: "wait", backInMs: 40 });
+});
+
+test("failures of one moment count once, pauses grow, an answer ends them", () => {
+  const first = noteFailure(soundHealth, 0);
+  expect(noteFailure(first, 10)).toEqual(first);
+  expect(noteFailure(first, 60).avoidUntil).toBe(160);
+  expect(noteAnswer(first).avoidUntil).toBe(0);
+});
+
+test("a connection is cleared only of what the session lacks", () => {
+  const has = { values: new Map([["a", "1"]]), prepared: new Set<string>() };
+  const needs = (values: readonly (readonly [string, string])[]) => ({
+    values: new Map(values),
+    prepared: undefined,
+  });
+  expect(planPrelude(has, needs([["a", "1"]]))).toEqual([]);
+  expect(planPrelude(has, needs([["a", "2"]]))).toEqual([{ type: "set", name: "a", value: "2" }]);
+  expect(planPrelude(has, needs([["b", "2"]]))).toEqual([
+    { type: "reset" },
+    { type: "set", name: "b", value: "2" },
+  ]);
+  expect(planPrelude(has, needs([]))).toEqual([{ type: "reset" }]);
+});
+
+const failed = (code: ErrorCode): CommandResult => ({
+  type: "answered",
+  reply: { rows: [], end: { type: "error", code, text: "" }, state: "idle" },
+});
+
+test("a write that may have run is never sent again; what has not run is", () => {
+  const broken = { type: "broken", sent: true, reason: "x" } as const;
+  expect(judgeResult(broken, "write").type).toBe("inDoubt");
+  expect(judgeResult(broken, "read").type).toBe("again");
+  expect(judgeResult({ ...broken, sent: false }, "write").type).toBe("again");
+  for (const code of ["busy", "lagging", "readOnly", "wrongTarget"] as const) {
+    expect(judgeResult(failed(code), "write")).toMatchObject({ type: "again", isNotRun: true });
+  }
+  for (const code of ["failed", "timeout", "inDoubt"] as const) {
+    expect(judgeResult(failed(code), "write").type).toBe("done");
+    expect(judgeResult(failed(code), "read").type).toBe("again");
+  }
+});
+
+test("all proxies together stay within a target's connections", () => {
+  for (let proxies = 1; proxies < 12; proxies += 1) {
+    const share = countShare(16, proxies);
+    expect(share === 1 || share * proxies <= 15).toBe(true);
+  }
+  expect(countShare(16, 7)).toBe(2);
+  expect(countShare(55, 8)).toBe(6);
+});
--- /dev/null
+++ b/test/feed/feed.test.ts
@@ -0,0 +1,73 @@
+import { expect, test } from "@jest/globals";
+import {
+  applyRoutes,
+  applyTargets,
+  decodeSnapshot,
+  encodeSnapshot,
+  firstFeedState,
+  makeScene,
+  noteStoreAnswer,
+  type ListedTarget,
+  type RouteTable,
+} from "../../src/feed/index.js";
+
+const routes = (revision: number): RouteTable => ({
+  revision,
+  databases: new Map(),
+  connections: new Map([["g", 16]]),
+  transactionIdleMs: 3000,
+  lineTimeoutMs: 3000,
+});
+
+const listed = (name: string, port: number): ListedTarget => ({
+  group: "g",
+  target: {
+    name,
+    address: { host: "h", port },
+    dataCentre: "a",
+    slots: 2,
+    connections: 16,
+    announcedRole: "replica",
+  },
+});
+
+const listNames = (state: Parameters<typeof makeScene>[0]) =>
+  (makeScene(state).groups.get("g")?.targets ?? []).map((t) => t.name);
+
+test("configurations only go forward", () => {
+  const state = applyRoutes(applyRoutes(firstFeedState, routes(7)), routes(5));
+  expect(makeScene(state).revision).toBe(7);
+  expect(makeScene(applyRoutes(state, routes(8))).revision).toBe(8);
+});
+
+// The store was away and entries lapsed meanwhile, though their targets live and are back in it within
+// two seconds. Right after its return a missing entry is no news; later it means that the target is gone.
+test("entries that are missing right after an outage are kept for a while", () => {
+  const targets = [listed("a", 1), listed("b", 2)];
+  let state = applyRoutes(firstFeedState, routes(1));
+  state = applyTargets(noteStoreAnswer(state, 0), targets, 0);
+  state = applyTargets(noteStoreAnswer(state, 5000), [listed("a", 1)], 5000);
+  expect(listNames(state)).toEqual(["a", "b"]);
+  for (const at of [5700, 6400, 7100, 7800]) state = noteStoreAnswer(state, at);
+  state = applyTargets(noteStoreAnswer(state, 8000), [listed("a", 1)], 8000);
+  expect(listNames(state)).toEqual(["a"]);
+});
+
+test("without an outage a missing entry is gone at once, and so is one whose address is taken", () => {
+  let state = applyRoutes(firstFeedState, routes(1));
+  state = applyTargets(noteStoreAnswer(state, 0), [listed("a", 1), listed("b", 2)], 0);
+  state = applyTargets(noteStoreAnswer(state, 700), [listed("a", 1)], 700);
+  expect(listNames(state)).toEqual(["a"]);
+  state = applyTargets(noteStoreAnswer(state, 9000), [listed("c", 1)], 9000);
+  expect(listNames(state)).toEqual(["c"]);
+});
+
+test("a snapshot brings everything to a process that can't reach the store", () => {
+  const state = applyTargets(applyRoutes(firstFeedState, routes(3)), [listed("a", 1)], 0);
+  expect(decodeSnapshot(encodeSnapshot(state))).toEqual({
+    routes: routes(3),
+    targets: [listed("a", 1)],
+  });
+  expect(encodeSnapshot(firstFeedState)).toBe("");
+  expect(decodeSnapshot("{")).toBeUndefined();
+});
--- /dev/null
+++ b/test/leadership/decisions.test.ts
@@ -0,0 +1,112 @@
+import { expect, test } from "@jest/globals";
+import {
+  chooseContender,
+  decideChange,
+  decodeLeadership,
+  encodeLeadership,
+  findSuspicion,
+  isConfirmedByPeers,
+  isPermitted,
+  noteContact,
+  permitMs,
+  StallDetector,
+  type Contender,
+} from "../../src/leadership/index.js";
+
+const contender = (target: string, offset: number, change: object = {}): Contender => ({
+  target,
+  isLeaving: false,
+  report: {
+    role: "replica",
+    received: { term: { round: 1, vm: "" }, offset },
+    round: 1,
+    lagMs: 0,
+    ...change,
+  },
+});
+
+test("the longest log leads; a leaving target only where there is no other", () => {
+  const short = contender("a", 3);
+  const long = contender("b", 5);
+  expect(chooseContender([short, long], "old")?.target).toBe("b");
+  expect(chooseContender([short, { ...long, isLeaving: true }], "old")?.target).toBe("a");
+  expect(chooseContender([{ ...long, isLeaving: true }], "old")?.target).toBe("b");
+  expect(chooseContender([], "old")).toBeUndefined();
+});
+
+// An earlier change got as far as the promotion and its holder died. Another promotion would cut off
+// what the new primary acknowledged since; so it is kept, though another log may be as long.
+test("a target that leads a newer term already is kept", () => {
+  const made = contender("b", 5, { role: "primary", round: 2 });
+  expect(chooseContender([contender("a", 9), made], "old")?.target).toBe("b");
+});
+
+test("a primary that most reach stays; one that a third can't reach goes", () => {
+  const unreachable = { type: "unreachable", sinceMs: 300 } as const;
+  expect(decideChange(unreachable, { reaching: 6, missing: 1 }).type).toBe("keep");
+  expect(decideChange(unreachable, { reaching: 4, missing: 3 }).type).toBe("change");
+  expect(decideChange(unreachable, { reaching: 0, missing: 1 }).type).toBe("change");
+  expect(decideChange({ type: "leaving" }, { reaching: 7, missing: 0 }).type).toBe("change");
+});
+
+test("one lost answer is no suspicion; several over a while are", () => {
+  const sight = { target: "p", isListed: true, isLeaving: false };
+  const first = noteContact(undefined, "p", false, 0);
+  expect(findSuspicion({ ...sight, contact: first }, 1000)).toBeUndefined();
+  const second = noteContact(first, "p", false, 10);
+  expect(findSuspicion({ ...sight, contact: second }, 100)).toBeUndefined();
+  expect(findSuspicion({ ...sight, contact: second }, 300)).toEqual({
+    type: "unreachable",
+    sinceMs: 300,
+  });
+  const reached = noteContact(second, "p", true, 310);
+  expect(findSuspicion({ ...sight, contact: reached }, 900)).toBeUndefined();
+  expect(findSuspicion({ ...sight, isListed: false, contact: reached }, 0)?.type).toBe("unlisted");
+});
+
+test("a permission lapses by itself", () => {
+  expect(isPermitted({ confirmedAt: undefined }, 0)).toBe(false);
+  expect(isPermitted({ confirmedAt: 100 }, 100 + permitMs - 1)).toBe(true);
+  expect(isPermitted({ confirmedAt: 100 }, 100 + permitMs)).toBe(false);
+});
+
+test("only a majority that knows of nothing newer confirms", () => {
+  const words = (...versions: readonly number[]) => versions.map((version) => ({ version }));
+  expect(isConfirmedByPeers(5, words(5, 5, 4), 7)).toBe(true);
+  expect(isConfirmedByPeers(5, words(5, 5), 7)).toBe(false);
+  expect(isConfirmedByPeers(5, words(5, 6, 5), 7)).toBe(false);
+  expect(isConfirmedByPeers(5, [], 2)).toBe(false);
+});
+
+// A machine is suspended for seconds. Its steady clock shows none of it, so that a permission measured
+// there would outlive its time; the time of day has gone on.
+test("a stall shows as clocks that have parted, also through a step of the time of day", () => {
+  let steady = 0;
+  let wall = 1_000_000;
+  const detector = new StallDetector({ steady: () => steady, wall: () => wall });
+  steady += 500;
+  wall += 503;
+  expect(detector.check()).toBe(false);
+  wall += 3000;
+  expect(detector.check()).toBe(true);
+  expect(detector.check()).toBe(false);
+  wall += 3500 - 2400;
+  expect(detector.check()).toBe(true);
+});
+
+test("a document survives the store, and what can't be read is none", () => {
+  const document = {
+    holder: { vm: "a", incarnation: "a-1" },
+    groups: {
+      g: { type: "serving", round: 2, target: "t" },
+      h: { type: "changing", round: 1, from: "u" },
+    },
+    renewals: 3,
+  } as const;
+  expect(decodeLeadership(JSON.parse(JSON.stringify(encodeLeadership(document))))).toEqual(
+    document,
+  );
+  for (const value of [null, 3, {}, { groups: { g: { type: "x" } } }]) {
+    expect(decodeLeadership(value)).toBeUndefined();
+  }
+});
--- /dev/null
+++ b/test/platformside/codec.test.ts
@@ -0,0 +1,145 @@
+import { expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { callerCodec } from "../../platform/callers.js";
+import { parseSettings } from "../../platform/settings.js";
+import { decodeRoutes } from "../../platform/feed.js";
+import { parseReport, targetCodec } from "../../platform/targets.js";
+import { formatPosition, parsePosition } from "../../platform/words.js";
+import type { Reply, TargetCommand } from "../../src/statement/index.js";
+
+const word = fc.stringMatching(/^[a-z0-9_]{1,12}$/);
+const data = fc
+  .string({ unit: "binary-ascii", maxLength: 30 })
+  .map((s) => s.replace(/[\r\n]/g, "_"));
+const mark = fc.record({
+  term: fc.record({ round: fc.nat(), vm: fc.constant("") }),
+  offset: fc.nat(),
+});
+
+test("a read or write reaches the target with its id and text unchanged", () => {
+  fc.assert(
+    fc.property(
+      word,
+      word,
+      data,
+      fc.option(mark, { nil: undefined }),
+      (id, item, rest, atLeast) => {
+        const text = `WRITE ${item} ${rest}`;
+        const message = callerCodec.parse(`QUERY ${id} ${text}`);
+        expect(message).toMatchObject({
+          type: "statement",
+          statement: { id, text, effect: "write" },
+        });
+        const work = { type: "access", id, effect: "write", text } as const;
+        const command: TargetCommand =
+          atLeast === undefined ? { type: "work", work } : { type: "work", work, atLeast };
+        const since = atLeast === undefined ? "" : `SINCE ${formatPosition(atLeast)} `;
+        expect(targetCodec.encode(command)).toBe(`QUERY ${id} ${since}${text}`);
+      },
+    ),
+    { seed: 3 },
+  );
+});
+
+test("an answer of a target is passed on as it came", () => {
+  fc.assert(
+    fc.property(fc.array(data), data, mark, (rows, signature, at) => {
+      const lines = [
+        ...rows.map((row) => `DATAROW ${row}`),
+        `COMPLETE ${signature}`,
+        `READY T ${formatPosition(at)}`,
+      ];
+      const reader = targetCodec.createReader("command");
+      const reads = lines.map((line) => reader.read(line));
+      expect(reads.slice(0, -1).every((read) => read === "more")).toBe(true);
+      const reply = reads.at(-1) as Reply;
+      expect(callerCodec.encodeReply(reply)).toBe(lines.map((line) => `${line}\r\n`).join(""));
+    }),
+    { seed: 4 },
+  );
+});
+
+test("positions survive, and what is none is none", () => {
+  fc.assert(
+    fc.property(mark, (m) => expect(parsePosition(formatPosition(m))).toEqual(m)),
+    { seed: 5 },
+  );
+  for (const text of ["-", "", "3", "3.x", "x.3", "3.1.2"])
+    expect(parsePosition(text)).toBeUndefined();
+});
+
+test("no line makes the parser throw", () => {
+  fc.assert(
+    fc.property(data, (line) => {
+      expect(callerCodec.parse(line).type).toBeDefined();
+      expect(callerCodec.parse(`QUERY ${line}`).type).toMatch(/^(badStatement|statement)$/);
+    }),
+    { seed: 6 },
+  );
+});
+
+test("an error word that is not known promises nothing", () => {
+  const reader = targetCodec.createReader("command");
+  reader.read("ERROR NEWWORD why");
+  expect(reader.read("READY I -")).toMatchObject({ end: { code: "inDoubt" } });
+});
+
+test("a refused opening is one error; the target closes after it", () => {
+  const reader = targetCodec.createReader("opening");
+  expect(reader.read("ERROR TOOMANYCON full")).toMatchObject({
+    end: { type: "error", code: "tooManyConnections" },
+  });
+});
+
+test("a target's report is read, and a row of another shape is none", () => {
+  const reply = (row: string): Reply => ({
+    rows: [row],
+    end: { type: "complete", signature: "-" },
+    state: "idle",
+  });
+  expect(parseReport(reply("replica 3 3.1209 4 12 2 17"))).toEqual({
+    role: "replica",
+    received: { term: { round: 3, vm: "" }, offset: 1209 },
+    round: 4,
+    lagMs: 12,
+  });
+  expect(parseReport(reply("busy"))).toBeUndefined();
+});
+
+const settingsText = [
+  "node-name=vm-1",
+  "zone=a",
+  "listen.frontend=10.0.0.1:1",
+  "listen.readiness=10.0.0.1:2",
+  "platform.address=10.0.0.2:3",
+  "cloud-api.address=10.0.0.3:4",
+];
+
+test("settings are read; a missing or unreadable field is named", () => {
+  const read = parseSettings(settingsText.join("\n"));
+  expect(read).toMatchObject({ type: "read", settings: { vm: "vm-1", graceMs: 6000 } });
+  const faulty = parseSettings(
+    [...settingsText.slice(1, 4), "platform.address=here", "bounds.grace-s=soon"].join("\n"),
+  );
+  expect(faulty).toEqual({
+    type: "faulty",
+    faults: [
+      "node-name: missing",
+      "platform.address: not HOST:PORT: here",
+      "cloud-api.address: missing",
+      "bounds.grace-s: not a number: soon",
+    ],
+  });
+});
+
+test.each([
+  ["no version", { routes: [], services: [] }],
+  [
+    "a route of an unknown kind",
+    { version: 1, routes: [{ host: "a", service: "s", type: "x" }], services: [] },
+  ],
+  ["routes that are no list", { version: 1, routes: {}, services: [] }],
+  ["nothing", null],
+])("a configuration with %s is none", (_name, value) => {
+  expect(decodeRoutes(value)).toBeUndefined();
+});
