Leave half of a target's connections for those of dead processes; trace each statement in its line

Ruled out: start-up alone (permission 0.7 s after power, refusals for 1.3 s more). Change: a proxy's share is the limit over twice the proxies, one here. The line of a statement names target, role, tries, the mark asked for and the last reason.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -2,6 +2,7 @@
 import type { DirectGroup } from "./group.js";
 import type { DirectPorts } from "./ports.js";
 import type { Database } from "./scene.js";
+import type { StatementTrace } from "./trace.js";
 
 /** What a statement's run knows of its session. */
 export interface SessionContext {
@@ -14,6 +15,8 @@
   readonly written: Mark | undefined;
   /** Aborts when the caller has gone: what has not begun need not begin. */
   readonly gone: AbortSignal;
+  /** What decided the statement that runs now. */
+  readonly trace: StatementTrace;
   /** Makes ids that no other try of this process has. */
   readonly nextId: () => string;
 }
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -181,10 +181,13 @@
 }
 
 /**
- * One proxy's share of a target's connections: all proxies together stay within its limit. A newcomer
- * may be refused at first; the others' shares shrink as soon as they see its entry.
+ * One proxy's share of a target's connections: twice all proxies' shares stay within its limit. After
+ * a loss of power a target counts the connections of the processes before for three seconds more; with
+ * the whole limit shared out, those that come back find every place taken until then. On a day that ends
+ * so the two seconds after it earned 0.23 and 0.67 of their worth with two connections each, 0.42 and
+ * 0.98 with one.
  */
 export function countShare(connections: number, proxies: number): number {
-  const share = Math.floor((connections - spareConnections) / Math.max(1, proxies));
+  const share = Math.floor((connections - spareConnections) / (2 * Math.max(1, proxies)));
   return Math.max(1, Math.min(maxShare, share));
 }
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -14,6 +14,7 @@
 /** How one statement or transaction's piece ended, for metrics. */
 export interface StatementSample {
   readonly outcome: "answered" | "notRun" | "mayHaveRun";
+  readonly effect: "read" | "write" | "commit";
   readonly role: "primary" | "replica" | "none";
   readonly group: string;
   readonly ms: number;
--- a/src/direct/session.ts
+++ b/src/direct/session.ts
@@ -3,6 +3,7 @@
 import {
   completeLocally,
   failLocally,
+  findEffect,
   type Prepared,
   type Reply,
   type SessionState,
@@ -13,6 +14,7 @@
 import type { GroupDirectory } from "./directory.js";
 import type { DirectPorts, StatementSample } from "./ports.js";
 import { runSingle, type StatementEnd } from "./single.js";
+import { StatementTrace } from "./trace.js";
 import { Transaction } from "./transaction.js";
 
 /** What a session is opened with. */
@@ -152,7 +154,9 @@
     if (transaction === undefined)
       return failLocally("malformed", "no transaction is open", "idle");
     const { body, context } = transaction;
-    const end = await this.observe(context, id, (at) => body.commit(context, id, text, at));
+    const end = await this.observe(context, id, "commit", (traced, at) =>
+      body.commit(traced, id, text, at),
+    );
     this.transaction = undefined;
     this.keepWritten(context, end);
     return end.reply;
@@ -169,15 +173,17 @@
     const { transaction } = this;
     if (transaction !== undefined) {
       const { body, context } = transaction;
-      const end = await this.observe(context, work.id, async (at) => ({
-        reply: await body.run(context, work, at),
+      const end = await this.observe(context, work.id, findEffect(work), async (traced, at) => ({
+        reply: await body.run(traced, work, at),
       }));
       if (this.gone.signal.aborted) body.rollback(context);
       return end.reply;
     }
     const context = this.findContext();
     if (context === undefined) return this.failUnknownDatabase();
-    const end = await this.observe(context, work.id, (at) => runSingle(context, work, at));
+    const end = await this.observe(context, work.id, findEffect(work), (traced, at) =>
+      runSingle(traced, work, at),
+    );
     this.keepWritten(context, end);
     return end.reply;
   }
@@ -186,21 +192,32 @@
   private async observe(
     context: SessionContext,
     id: string,
-    run: (arrivedAt: number) => Promise<StatementEnd>,
+    effect: StatementSample["effect"],
+    run: (traced: SessionContext, arrivedAt: number) => Promise<StatementEnd>,
   ): Promise<StatementEnd> {
     const { clock, logger, onStatement } = context.ports;
     const arrivedAt = clock.now();
-    const end = await run(arrivedAt);
+    const trace = new StatementTrace();
+    const end = await run({ ...context, trace }, arrivedAt);
     const ms = Math.round(clock.now() - arrivedAt);
     const { reply } = end;
     const outcome = reply.end.type === "complete" ? "complete" : reply.end.code;
-    const { database, group, session } = {
-      ...context,
+    logger.write(directEvents.answered, {
+      id,
+      session: context.session,
       database: context.database.name,
       group: context.group.name,
-    };
-    logger.write(directEvents.answered, { id, session, database, group, outcome, ms });
-    onStatement({ outcome: findOutcome(reply), role: "none", group, ms });
+      outcome,
+      ms,
+      ...trace.describe(),
+    });
+    onStatement({
+      outcome: findOutcome(reply),
+      effect,
+      role: trace.role,
+      group: context.group.name,
+      ms,
+    });
     return end;
   }
 
@@ -222,6 +239,7 @@
       values: this.values,
       written: this.written.get(group.name),
       gone: this.gone.signal,
+      trace: new StatementTrace(),
       nextId,
     };
   }
--- a/src/direct/single.ts
+++ b/src/direct/single.ts
@@ -71,6 +71,7 @@
   });
   if (placed.type === "refused") {
     const { reason, retryAfterMs } = placed;
+    context.trace.noteReason(reason);
     logger.write(directEvents.refused, {
       id: work.id,
       session: context.session,
@@ -82,6 +83,7 @@
   if (placed.type === "unreachable") {
     progress.excluded.add(placed.target);
     progress.lastReason = placed.reason;
+    context.trace.noteReason(`${placed.target}: ${placed.reason}`);
     await pauseBeforeRetry(context.ports, progress.tries, deadlineAt);
     return undefined;
   }
@@ -92,8 +94,9 @@
     progress.excluded.add(place.target);
     return undefined;
   }
-  const isMarked = need.type === "replica" && place.role === "replica";
-  const command = { type: "work", work, ...(isMarked ? { atLeast: need.atLeast } : {}) } as const;
+  const atLeast = need.type === "replica" && place.role === "replica" ? need.atLeast : undefined;
+  context.trace.noteTry(place, atLeast);
+  const command = { type: "work", work, ...(atLeast === undefined ? {} : { atLeast }) } as const;
   const timeoutMs = findTryTime(work, deadlineAt - clock.now(), context);
   const result = await sendCommand(context, place, command, timeoutMs);
   const verdict = judgeResult(result, findEffect(work));
@@ -144,6 +147,7 @@
   deadlineAt: number,
 ): Promise<void> {
   progress.lastReason = reason;
+  context.trace.noteReason(reason);
   if (place.role === "replica") progress.excluded.add(place.target);
   if (reason === "lagging") {
     place.group.noteBehind(place.target);
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -186,6 +186,7 @@
   ): Promise<Reply> {
     const { clock } = context.ports;
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
+    context.trace.noteTry(place);
     for (let tries = 1; ; tries += 1) {
       if (!(await prepareLink(context, place, work, deadlineAt))) {
         return this.abort(context, work.id, "the connection broke");
@@ -230,6 +231,7 @@
     const { logger } = context.ports;
     logger.write(directEvents.transactionLost, { id, session: context.session, reason });
     this.phase = { type: "failed", reason };
+    context.trace.noteReason(reason);
     return failLocally("aborted", `rolled back: ${reason}`, "failed");
   }
 
@@ -237,6 +239,7 @@
     const { logger } = context.ports;
     logger.write(directEvents.refused, { session: context.session, reason, retryAfterMs });
     this.phase = { type: "failed", reason };
+    context.trace.noteReason(reason);
     return failLocally("busy", describeRefusal(reason, retryAfterMs), "failed");
   }
 
@@ -249,6 +252,7 @@
   ): Promise<StatementEnd> {
     const { clock, logger } = context.ports;
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
+    context.trace.noteTry(place);
     for (let tries = 1; ; tries += 1) {
       const command = { type: "commit", id, text } as const;
       const leftMs = Math.max(1, deadlineAt - clock.now());
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,4 +1,10 @@
-import { Callers, GroupDirectory, type DirectPorts, type Scene } from "../direct/index.js";
+import {
+  Callers,
+  GroupDirectory,
+  type DirectPorts,
+  type Scene,
+  type StatementSample,
+} from "../direct/index.js";
 import { DirectPeerClient, DirectPeerServer } from "../directpeer/index.js";
 import { DrainKeeper } from "../fleet/drain.js";
 import {
@@ -164,10 +170,17 @@
       logger,
       scene: () => this.follower.scene,
       countProxies: () => Math.max(1, this.follower.listProxies().length),
-      onStatement: ({ outcome, ms }) => this.metrics.recordStatement(outcome, ms / 1000),
+      onStatement: (sample) => this.recordStatement(sample),
     };
   }
 
+  private recordStatement({ outcome, effect, role, group, ms }: StatementSample): void {
+    this.metrics.recordStatement(outcome, ms / 1000);
+    if (outcome === "answered" && effect === "read" && role !== "none") {
+      this.metrics.recordRead(group, role);
+    }
+  }
+
   private async listenHealth(address: Address): Promise<void> {
     const health = this.owned.add(
       new HealthServer({
--- a/test/direct/decisions.test.ts
+++ b/test/direct/decisions.test.ts
@@ -98,11 +98,13 @@
   }
 });
 
-test("all proxies together stay within a target's connections", () => {
+// All machines lose power and come back at once. The targets still count the connections of the
+// processes before, so that those and the new ones have to fit together.
+test("the shares of all proxies fit twice into a target's connections", () => {
   for (let proxies = 1; proxies < 12; proxies += 1) {
     const share = countShare(16, proxies);
-    expect(share === 1 || share * proxies <= 15).toBe(true);
+    expect(share === 1 || share * proxies * 2 <= 15).toBe(true);
   }
-  expect(countShare(16, 7)).toBe(2);
-  expect(countShare(55, 8)).toBe(6);
+  expect(countShare(16, 7)).toBe(1);
+  expect(countShare(55, 8)).toBe(3);
 });
