--- a/src/direct/callers.ts
+++ b/src/direct/callers.ts
@@ -75,6 +75,11 @@
     for (const caller of this.open) caller.closeIfIdle();
   }
 
+  /** Closes the sessions that are idle now; those that come later stay. */
+  moveIdle(): void {
+    for (const caller of this.open) caller.closeIfIdle();
+  }
+
   /** Ends open transactions, which have had their time. */
   endTransactions(): void {
     for (const caller of this.open) caller.endTransaction();
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -1,5 +1,11 @@
 import { leadershipEvents } from "../log/events/leadership.js";
-import type { GroupLeadership, LeadershipDocument, VersionedLeadership } from "./document.js";
+import {
+  emptyLeadership,
+  encodeLeadership,
+  type GroupLeadership,
+  type LeadershipDocument,
+  type VersionedLeadership,
+} from "./document.js";
 import type { LeadershipKeeper } from "./keeper.js";
 import type { LeadershipPorts } from "./ports.js";
 
@@ -117,26 +123,30 @@
 
   /**
    * Edits the document in the store. After a lost answer it is read back: the write may have taken
-   * effect, or may do so later as long as its version still holds, which the next write ends.
+   * effect, which then counts, or may do so later as long as its version still holds, which the next
+   * write ends.
    */
   private async write(edit: Edit): Promise<VersionedLeadership | undefined> {
     const { clock, store } = this.ports;
+    let attempted: LeadershipDocument | undefined;
     for (let tries = 0; tries < maxWriteTries; tries += 1) {
       if (tries > 0) await clock.sleep(writePauseMs * tries);
       const askedAt = clock.now();
       const read = await store.read();
       if (read.type === "unavailable") continue;
-      const held =
-        read.type === "found"
-          ? read.value
-          : { version: 0, document: { holder: undefined, groups: {} } };
+      const held = read.type === "found" ? read.value : { version: 0, document: emptyLeadership };
       this.keeper.adopt({ leadership: held, made: [] });
       this.keeper.confirm(askedAt);
       this.observe();
+      if (attempted !== undefined && isSameDocument(attempted, held.document)) {
+        this.writtenAt = askedAt;
+        return held;
+      }
       const next = edit(held.document);
       if (next === undefined) return undefined;
       const writtenAt = clock.now();
       const result = await store.write(next, held.version);
+      attempted = next;
       if (result.type !== "written") continue;
       const leadership = { version: result.object.version, document: next };
       this.writtenAt = writtenAt;
@@ -147,3 +157,8 @@
     return undefined;
   }
 }
+
+/** Whether two documents say the same; the holder's incarnation makes one's own known. */
+function isSameDocument(a: LeadershipDocument, b: LeadershipDocument): boolean {
+  return JSON.stringify(encodeLeadership(a)) === JSON.stringify(encodeLeadership(b));
+}
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -33,6 +33,7 @@
   private made: readonly MadePrimary[] = [];
   private permit: Permit = noPermit;
   private hasPermit = false;
+  private permitLostAt: number | undefined;
   private readonly contacts = new Map<string, PrimaryContact>();
   private readonly changingSince = new Map<string, number>();
 
@@ -81,7 +82,8 @@
       const event = isNow ? leadershipEvents.permitGained : leadershipEvents.permitLost;
       this.ports.logger.write(event, { version: this.current.version });
     }
-    if (!isNow) return { type: "changing", backInMs: permitBackMs };
+    if (isNow) this.permitLostAt = undefined;
+    if (!isNow) return { type: "changing", backInMs: this.estimatePermitMs() };
     return this.findLeader(group);
   }
 
@@ -135,6 +137,17 @@
     return { type: "serving", target: leader.name };
   }
 
+  /**
+   * When the permission is likely to be back: with the next look, or, the longer it has been away, the
+   * later. Callers that were told to wait by a proxy that is cut off waited 0.6 s each in vain; refused
+   * at once they try again elsewhere.
+   */
+  private estimatePermitMs(): number {
+    const now = this.ports.clock.now();
+    this.permitLostAt ??= now;
+    return Math.max(permitBackMs, 2 * (now - this.permitLostAt));
+  }
+
   private findMade(group: string, entry: GroupLeadership): string | undefined {
     return this.made.find((m) => m.group === group && m.round === entry.round)?.target;
   }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -41,8 +41,10 @@
   readonly metrics?: Address;
 }
 
-/** Without a permission to use primaries for this long a node tells the balancer to pass it by. */
-const unpermittedMs = 2500;
+/** Unconfirmed for this long, a little after its permission lapsed, a node tells the balancer so. */
+const unpermittedMs = 2000;
+/** The balancer asks once a second and believes two answers; only then do callers come elsewhere. */
+const passedByMs = 2300;
 
 /** One node that serves callers by direct connections to targets. */
 export class Node {
@@ -57,6 +59,7 @@
   private readonly drainer: DrainKeeper;
   private readonly drainPlan: DrainPlan;
   private wasReady = false;
+  private moveTimer: NodeJS.Timeout | undefined;
   private missTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: NodeOptions) {
@@ -226,10 +229,21 @@
     if (isReady !== this.wasReady) {
       this.wasReady = isReady;
       logger.write(nodeEvents.readinessChanged, { isReady });
+      this.planMove(isReady);
     }
     return isReady;
   }
 
+  /**
+   * Closes idle sessions once the balancer passes this node by: they come back through another one,
+   * and would otherwise be refused here for as long as the node is cut off.
+   */
+  private planMove(isReady: boolean): void {
+    clearTimeout(this.moveTimer);
+    if (isReady) return;
+    this.moveTimer = setTimeout(() => this.callers.moveIdle(), passedByMs).unref();
+  }
+
   private noteScene(scene: Scene): void {
     this.groups.update(scene);
     this.metrics.setRevision(scene.revision);
--- a/test/node/change.test.ts
+++ b/test/node/change.test.ts
@@ -67,6 +67,7 @@
   await cluster.target(0).crash();
   cluster.store.remove("servers", "i-0");
   await waitUntil(isSettled);
+  expect(leadership()?.groups.ledger).toMatchObject({ round: 1 });
   const tokens = cluster.store.orders.map((order) => order.token);
   expect(tokens).toEqual([...tokens].sort((a, b) => a - b));
   expect(new Set(cluster.store.orders.map((order) => order.holder)).size).toBe(1);
