--- a/src/platform/call.ts
+++ b/src/platform/call.ts
@@ -18,6 +18,8 @@
 }
 
 const firstErrorStatus = 400;
+/** The signal goes first where it works: its reason says more. */
+const signalMarginMs = 5;
 
 /** Failures of connecting: the request was not begun. */
 const connectFailures: ReadonlySet<string> = new Set([
@@ -28,8 +30,29 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-/** Makes one call. Never rejects, and ends within its timeout. */
-export async function sendCall(pool: Pool, call: Call): Promise<CallResult> {
+/** What is needed of a pool of connections. */
+export type CallPool = Pick<Pool, "request">;
+
+/**
+ * Makes one call. Never rejects, and ends within its timeout.
+ *
+ * The pool heeds a signal only once a connection stands. With the store cut off a call would hang for
+ * as long as the pool tries to connect, 10 s, and whoever waits for it stands still meanwhile; a timer
+ * of its own ends it. The signal stays, to end what the pool has begun.
+ */
+export async function sendCall(pool: CallPool, call: Call): Promise<CallResult> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<CallResult>((resolve) => {
+    timer = setTimeout(() => {
+      resolve({ type: "lost", reason: "no answer in time" });
+    }, call.timeoutMs + signalMarginMs);
+  });
+  const result = await Promise.race([sendOverPool(pool, call), late]);
+  clearTimeout(timer);
+  return result;
+}
+
+async function sendOverPool(pool: CallPool, call: Call): Promise<CallResult> {
   const timeout = AbortSignal.timeout(call.timeoutMs);
   const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]);
   try {
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -65,13 +65,13 @@
     this.timeoutMs = timeoutMs ?? 2_000;
     this.logger = logger ?? silentLogger;
     this.connections = connections ?? 4;
-    this.calls = new Pool(url, { connections: this.connections, pipelining: 1 });
+    this.calls = this.openPool(url);
   }
 
   /** Reaches the store at another origin from now on; calls on their way end where they are. */
   setUrl(url: string): void {
     const before = this.calls;
-    this.calls = new Pool(url, { connections: this.connections, pipelining: 1 });
+    this.calls = this.openPool(url);
     void before.close();
   }
 
@@ -121,6 +121,12 @@
     return sendCall(this.calls, { ...call, timeoutMs: this.timeoutMs });
   }
 
+  /** Connecting may take no longer than a call: the next one tries afresh. */
+  private openPool(url: string): Pool {
+    const { connections, timeoutMs } = this;
+    return new Pool(url, { connections, pipelining: 1, connect: { timeout: timeoutMs } });
+  }
+
   /** Reads an answer. One of another shape counts as none. */
   protected parse<T>(
     path: string,
