--- a/src/direct/single.ts
+++ b/src/direct/single.ts
@@ -1,7 +1,13 @@
 import type { Mark } from "../model/index.js";
-import { failLocally, findEffect, type Reply, type Work } from "../statement/index.js";
+import {
+  failLocally,
+  findEffect,
+  type Prepared,
+  type Reply,
+  type Work,
+} from "../statement/index.js";
 import { sendCommand } from "./attempt.js";
-import { findReadNeed, type SessionContext } from "./context.js";
+import { findReadNeed, type ReadNeed, type SessionContext } from "./context.js";
 import { directEvents } from "../log/events/direct.js";
 import { placeStatement, type Place } from "./place.js";
 import { judgeResult } from "./verdict.js";
@@ -23,12 +29,14 @@
 /** Below this no answer can come: two network passes and the shortest work. */
 const leastTryMs = 5;
 
+/** Told after the last try: a slot is likely to be free by then. */
+const outOfTimeRetryMs = 50;
+
 interface Progress {
+  readonly deadlineAt: number;
   readonly excluded: Set<string>;
-  /** A try of a read may have run; that is no obstacle to another. */
   tries: number;
   lastReason: string;
-  retryAfterMs: number;
 }
 
 /** Runs one statement outside a transaction, with as many tries as its time and promises allow. */
@@ -38,76 +46,93 @@
   arrivedAt: number,
 ): Promise<StatementEnd> {
   const deadlineAt = arrivedAt + context.database.action.deadlineMs;
-  const progress: Progress = { excluded: new Set(), tries: 0, lastReason: "", retryAfterMs: 0 };
+  const progress: Progress = { deadlineAt, excluded: new Set(), tries: 0, lastReason: "" };
   const { clock } = context.ports;
   while (progress.tries < maxTries && clock.now() + leastTryMs < deadlineAt) {
     progress.tries += 1;
-    const end = await tryOnce(context, work, arrivedAt, deadlineAt, progress);
+    const end = await tryOnce(context, work, arrivedAt, progress);
     if (end !== undefined) return end;
   }
   return giveUp(context, work, progress);
 }
 
+/** One try; gives the answer, or nothing when another try may follow. */
 async function tryOnce(
   context: SessionContext,
   work: Work,
   arrivedAt: number,
-  deadlineAt: number,
   progress: Progress,
 ): Promise<StatementEnd | undefined> {
-  const { clock, logger } = context.ports;
-  const need =
-    findEffect(work) === "write"
-      ? ({ type: "primary" } as const)
-      : findReadNeed(context, arrivedAt);
+  const { deadlineAt, excluded } = progress;
+  const need = findNeed(context, work, arrivedAt);
   const placed = await placeStatement(context.ports, context.group, {
     id: context.nextId(),
     database: context.database,
     needsPrimary: need.type === "primary",
     hasMark: need.type === "replica",
-    excluded: progress.excluded,
+    excluded,
     deadlineAt,
     signal: context.gone,
   });
-  if (placed.type === "refused") {
-    const { reason, retryAfterMs } = placed;
-    context.trace.noteReason(reason);
-    logger.write(directEvents.refused, {
-      id: work.id,
-      session: context.session,
-      reason,
-      retryAfterMs,
-    });
-    return { reply: failLocally("busy", describeRefusal(reason, retryAfterMs), "idle") };
-  }
-  if (placed.type === "unreachable") {
-    progress.excluded.add(placed.target);
-    progress.lastReason = placed.reason;
-    context.trace.noteReason(`${placed.target}: ${placed.reason}`);
-    await pauseBeforeRetry(context.ports, progress.tries, deadlineAt);
-    return undefined;
+  switch (placed.type) {
+    case "refused":
+      return refuse(context, work, placed.reason, placed.retryAfterMs);
+    case "unreachable":
+      excluded.add(placed.target);
+      progress.lastReason = placed.reason;
+      context.trace.noteReason(`${placed.target}: ${placed.reason}`);
+      await pauseBeforeRetry(context.ports, progress.tries, deadlineAt);
+      return undefined;
+    case "placed":
+      return runOn(context, work, placed.place, need, progress);
   }
-  const { place } = placed;
-  const fit = await prepareLink(context, place, work, deadlineAt);
-  if (!fit) {
+}
+
+function findNeed(context: SessionContext, work: Work, arrivedAt: number): ReadNeed {
+  return findEffect(work) === "write" ? { type: "primary" } : findReadNeed(context, arrivedAt);
+}
+
+function refuse(
+  context: SessionContext,
+  work: Work,
+  reason: string,
+  retryAfterMs: number,
+): StatementEnd {
+  const { session, trace, ports } = context;
+  trace.noteReason(reason);
+  ports.logger.write(directEvents.refused, { id: work.id, session, reason, retryAfterMs });
+  return { reply: failLocally("busy", describeRefusal(reason, retryAfterMs), "idle") };
+}
+
+/** Runs the statement on a connection and judges what came of it. */
+async function runOn(
+  context: SessionContext,
+  work: Work,
+  place: Place,
+  need: ReadNeed,
+  progress: Progress,
+): Promise<StatementEnd | undefined> {
+  const { deadlineAt, excluded } = progress;
+  const prepared = work.type === "execute" ? work.prepared : undefined;
+  if (!(await prepareLink(context, place, prepared, deadlineAt))) {
     progress.lastReason = "the connection broke while it was prepared";
-    progress.excluded.add(place.target);
+    excluded.add(place.target);
     return undefined;
   }
   const atLeast = need.type === "replica" && place.role === "replica" ? need.atLeast : undefined;
   context.trace.noteTry(place, atLeast);
   const command = { type: "work", work, ...(atLeast === undefined ? {} : { atLeast }) } as const;
-  const timeoutMs = findTryTime(work, deadlineAt - clock.now(), context);
+  const timeoutMs = findTryTime(work, deadlineAt - context.ports.clock.now(), context);
   const result = await sendCommand(context, place, command, timeoutMs);
-  const verdict = judgeResult(result, findEffect(work));
   place.release();
+  const verdict = judgeResult(result, findEffect(work));
   switch (verdict.type) {
     case "done":
       return finish(work, result.type === "answered" ? result.reply : undefined, place.role);
     case "inDoubt":
       return { reply: failLocally("inDoubt", `may have run: ${verdict.reason}`, "idle") };
     case "again":
-      await prepareAgain(context, place, verdict.reason, progress, deadlineAt);
+      await noteFailedTry(context, place, verdict.reason, progress);
       return undefined;
   }
 }
@@ -121,14 +146,13 @@
     : { reply };
 }
 
-/** Makes the connection fit for the session and the statement. Closed when that fails. */
+/** Makes the connection fit for the session and what it runs next. Closed when that fails. */
 export async function prepareLink(
   context: SessionContext,
   place: Place,
-  work: Work,
+  prepared: Prepared | undefined,
   deadlineAt: number,
 ): Promise<boolean> {
-  const prepared = work.type === "execute" ? work.prepared : undefined;
   const leftMs = deadlineAt - context.ports.clock.now();
   const isFit = await place.link.prepare({ values: context.values, prepared }, leftMs);
   if (!isFit) {
@@ -139,23 +163,23 @@
 }
 
 /** Takes in why a try failed: the next goes elsewhere, or comes a little later. */
-async function prepareAgain(
+async function noteFailedTry(
   context: SessionContext,
   place: Place,
   reason: string,
   progress: Progress,
-  deadlineAt: number,
 ): Promise<void> {
+  const { excluded } = progress;
   progress.lastReason = reason;
   context.trace.noteReason(reason);
-  if (place.role === "replica") progress.excluded.add(place.target);
+  if (place.role === "replica") excluded.add(place.target);
   if (reason === "lagging") {
     place.group.noteBehind(place.target);
     return;
   }
   if (reason === "busy" && place.role === "replica" && progress.tries === 1) return;
-  if (progress.excluded.size > 0 && reason === "busy") progress.excluded.clear();
-  await pauseBeforeRetry(context.ports, progress.tries, deadlineAt);
+  if (reason === "busy") excluded.clear();
+  await pauseBeforeRetry(context.ports, progress.tries, progress.deadlineAt);
 }
 
 function findTryTime(work: Work, leftMs: number, context: SessionContext): number {
@@ -169,5 +193,5 @@
   const { tries, lastReason } = progress;
   logger.write(directEvents.givenUp, { id: work.id, session: context.session, tries, lastReason });
   const reason = `out of time after ${tries} tries, the last: ${lastReason}`;
-  return { reply: failLocally("busy", describeRefusal(reason, progress.retryAfterMs), "idle") };
+  return { reply: failLocally("busy", describeRefusal(reason, outOfTimeRetryMs), "idle") };
 }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -4,6 +4,7 @@
   findEffect,
   isNotRun,
   type CommandResult,
+  type Prepared,
   type Reply,
   type SessionState,
   type Work,
@@ -160,8 +161,8 @@
     atLeast: Mark | undefined,
     deadlineAt: number,
   ): Promise<string | undefined> {
-    const first = work ?? { type: "access", id: "", effect: "read", text: "" };
-    if (!(await prepareLink(context, place, first, deadlineAt))) return "the connection broke";
+    const prepared = findPrepared(work);
+    if (!(await prepareLink(context, place, prepared, deadlineAt))) return "the connection broke";
     const mark = atLeast === undefined ? {} : { atLeast };
     const command = { type: "begin", isReadOnly: this.isReadOnly, ...mark } as const;
     const leftMs = deadlineAt - context.ports.clock.now();
@@ -188,7 +189,7 @@
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
     context.trace.noteTry(place);
     for (let tries = 1; ; tries += 1) {
-      if (!(await prepareLink(context, place, work, deadlineAt))) {
+      if (!(await prepareLink(context, place, findPrepared(work), deadlineAt))) {
         return this.abort(context, work.id, "the connection broke");
       }
       const result = await this.send(context, place, work, deadlineAt - clock.now());
@@ -297,3 +298,7 @@
     else place.drop();
   }
 }
+
+function findPrepared(work: Work | undefined): Prepared | undefined {
+  return work?.type === "execute" ? work.prepared : undefined;
+}
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -34,6 +34,7 @@
   private permit: Permit = noPermit;
   private hasPermit = false;
   private permitLostAt: number | undefined;
+  private stalledAt: number | undefined;
   private readonly contacts = new Map<string, PrimaryContact>();
   private readonly changingSince = new Map<string, number>();
 
@@ -118,8 +119,6 @@
     return this.contacts.get(group);
   }
 
-  private stalledAt: number | undefined;
-
   private checkStall(): void {
     if (!this.ports.stalls.check()) return;
     this.stalledAt = this.ports.clock.now();
--- a/src/log/events/leadership.ts
+++ b/src/log/events/leadership.ts
@@ -28,7 +28,7 @@
   },
   suspected: {
     id: 3104,
-    name: "primarySuspected",
+    name: "leaderSuspected",
     level: "warn",
     text: "A primary may have to be replaced; the other proxies are asked.",
   },
