--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -94,7 +94,7 @@
       return {
         type: "refused",
         reason: "a new primary is being made",
-        retryAfterMs: choice.backInMs,
+        retryAfterMs: Math.ceil(choice.backInMs),
       };
     }
     await clock.sleep(waitStepMs);
