--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -183,9 +183,8 @@
 /**
  * One proxy's share of a target's connections: twice all proxies' shares stay within its limit. After
  * a loss of power a target counts the connections of the processes before for three seconds more; with
- * the whole limit shared out, those that come back find every place taken until then. On a day that ends
- * so the two seconds after it earned 0.23 and 0.67 of their worth with two connections each, 0.42 and
- * 0.98 with one.
+ * the whole limit shared out (two each for seven proxies and 16 places), those that came back were
+ * refused every connection for over a second, by their log; with one each both generations fit.
  */
 export function countShare(connections: number, proxies: number): number {
   const share = Math.floor((connections - spareConnections) / (2 * Math.max(1, proxies)));
