Ask who leads right before sending; take a new token with each turn of the duty

Cause, by reading: (1) a statement asks who leads, then waits for a slot and a connection for up to its whole time, and was sent without asking again. Replaced meanwhile, the old primary answers plain reads as a replica; a proxy that was told of the change had promised not to use it. (2) A commit was sent to a primary that could not be demoted, after its successor was made. (3) A holder that had lost the duty and took it again kept the token of its first turn, lower than its successor's; a suspended holder's last write looked fresh on a steady clock that had stood still. Change: isStillLeading right before each sending; commits of writes are rolled back instead; the token is kept only while the document names the holder; a stall makes it write first.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -37,6 +37,22 @@
   return end.type === "error" && end.code === "readOnly";
 }
 
+/**
+ * Whether a target still is what it was chosen as. Asked right before a statement is sent to a
+ * primary: for up to its whole time it has waited for a slot and a connection, and a primary that was
+ * replaced meanwhile answers a plain read as the replica that it is by now. Its caller would miss what
+ * the new one acknowledged. Whoever replaces a primary waits until every proxy knows, or its
+ * permission has lapsed, so that what is sent after this question is never late.
+ */
+export function isStillLeading(context: SessionContext, place: Place): boolean {
+  if (place.role !== "primary") return true;
+  const primary = context.ports.primaries.find(place.group.name);
+  return primary.type === "serving" && primary.target === place.target;
+}
+
+/** Why a statement was not sent to a target that leads no more. */
+export const supersededReason = "the target leads no more";
+
 /**
  * Notes where the primary's log ended. Asked whether it is still the primary after its answer came:
  * the mark of one that was superseded meanwhile would make old data look young.
@@ -48,7 +64,6 @@
   askedAt: number,
 ): void {
   if (mark === undefined || place.role !== "primary") return;
-  const primary = context.ports.primaries.find(place.group.name);
-  if (primary.type !== "serving" || primary.target !== place.target) return;
+  if (!isStillLeading(context, place)) return;
   place.group.notePrimaryMark(mark, askedAt);
 }
--- a/src/direct/single.ts
+++ b/src/direct/single.ts
@@ -6,7 +6,7 @@
   type Reply,
   type Work,
 } from "../statement/index.js";
-import { sendCommand } from "./attempt.js";
+import { isStillLeading, sendCommand, supersededReason } from "./attempt.js";
 import { findReadNeed, type ReadNeed, type SessionContext } from "./context.js";
 import { directEvents } from "../log/events/direct.js";
 import { placeStatement, type Place } from "./place.js";
@@ -119,6 +119,11 @@
     excluded.add(place.target);
     return undefined;
   }
+  if (!isStillLeading(context, place)) {
+    place.release();
+    progress.lastReason = supersededReason;
+    return undefined;
+  }
   const atLeast = need.type === "replica" && place.role === "replica" ? need.atLeast : undefined;
   context.trace.noteTry(place, atLeast);
   const command = { type: "work", work, ...(atLeast === undefined ? {} : { atLeast }) } as const;
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -10,7 +10,7 @@
   type Work,
 } from "../statement/index.js";
 import { directEvents } from "../log/events/direct.js";
-import { sendCommand } from "./attempt.js";
+import { isStillLeading, sendCommand, supersededReason } from "./attempt.js";
 import { findReadNeed, type SessionContext } from "./context.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
 import { placeStatement, type Place } from "./place.js";
@@ -163,6 +163,10 @@
   ): Promise<string | undefined> {
     const prepared = findPrepared(work);
     if (!(await prepareLink(context, place, prepared, deadlineAt))) return "the connection broke";
+    if (!isStillLeading(context, place)) {
+      place.release();
+      return supersededReason;
+    }
     const mark = atLeast === undefined ? {} : { atLeast };
     const command = { type: "begin", isReadOnly: this.isReadOnly, ...mark } as const;
     const leftMs = deadlineAt - context.ports.clock.now();
@@ -236,6 +240,15 @@
     return failLocally("aborted", `rolled back: ${reason}`, "failed");
   }
 
+  /**
+   * Rolls back in place of a commit at a target that leads no more. One that nobody could make step
+   * back would still take the commit: its caller would be told of a write that the new primary lacks.
+   */
+  private abandon(context: SessionContext, place: Place, id: string): Reply {
+    void this.releaseRolledBack(context, place);
+    return { ...this.abort(context, id, supersededReason), state: "idle" };
+  }
+
   private refuse(context: SessionContext, reason: string, retryAfterMs: number): Reply {
     const { logger } = context.ports;
     logger.write(directEvents.refused, { session: context.session, reason, retryAfterMs });
@@ -255,6 +268,9 @@
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
     context.trace.noteTry(place);
     for (let tries = 1; ; tries += 1) {
+      if (this.hasWritten && !isStillLeading(context, place)) {
+        return { reply: this.abandon(context, place, id) };
+      }
       const command = { type: "commit", id, text } as const;
       const leftMs = Math.max(1, deadlineAt - clock.now());
       const result = await sendCommand(context, place, command, leftMs);
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -58,12 +58,18 @@
     return this.ports.clock.now() - this.seenAt > takeOverMs;
   }
 
-  /** Takes the duty and begins a change; gives its round, or nothing when another is at it. */
+  /**
+   * Takes the duty and begins a change; gives its round, or nothing when another is at it. A token is
+   * kept only from a turn that has gone on since: another proxy may have had the duty meanwhile, with a
+   * greater one, and an order under the old token would be lower than one given already.
+   */
   async begin(group: string, from: string): Promise<number | undefined> {
     const { vm, incarnation, logger } = this.ports;
     let round = 0;
+    let kept: number | undefined;
     const written = await this.write((document) => {
       const { holder } = document;
+      kept = holder !== undefined && this.isOwn(holder) ? this.token : undefined;
       if (holder !== undefined && !this.isOwn(holder) && !this.canTakeOver()) return undefined;
       const known = document.groups[group];
       if (known?.type === "serving" && known.target !== from) return undefined;
@@ -75,8 +81,8 @@
       logger.write(leadershipEvents.changeBarred, { group, reason: "another proxy is at it" });
       return undefined;
     }
-    this.token ??= written.version;
-    const { token } = this;
+    const token = kept ?? written.version;
+    this.token = token;
     logger.write(leadershipEvents.changeBegun, { group, from, round, token });
     return round;
   }
@@ -84,9 +90,10 @@
   /** The token for an order now; nothing when the duty is lost. Writes first when that is due. */
   async renew(): Promise<number | undefined> {
     if (this.token === undefined) return undefined;
-    if (this.ports.clock.now() - this.writtenAt < renewAfterMs && !this.isOvertaken()) {
-      return this.token;
-    }
+    const isFresh = this.ports.clock.now() - this.writtenAt < renewAfterMs;
+    // While the process stands still its clock may too: another may have had the duty meanwhile.
+    const isUnbroken = !this.keeper.hasStalledSince(this.writtenAt);
+    if (isFresh && isUnbroken && !this.isOvertaken()) return this.token;
     // Written with a changed document, since one that is the same leaves the version as it is.
     const written = await this.write((document) => {
       const { holder } = document;
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -54,6 +54,12 @@
     return this.permit.confirmedAt;
   }
 
+  /** Whether the process stood still at some time after `time`, unseen by its steady clock. */
+  hasStalledSince(time: number): boolean {
+    this.checkStall();
+    return this.stalledAt !== undefined && this.stalledAt >= time;
+  }
+
   /** Takes in a document, and primaries made since. Older documents change nothing. */
   adopt({ leadership, made }: LeadershipWord): void {
     if (leadership.version > this.current.version) {
--- /dev/null
+++ b/test/direct/superseded.test.ts
@@ -0,0 +1,42 @@
+import { afterEach, expect, test } from "@jest/globals";
+import { answered, read, Stage, write } from "./stage.js";
+
+let stage: Stage;
+
+afterEach(() => stage.dispose());
+
+// A read waits for the only connection to the primary, which another statement holds. Meanwhile the
+// primary is replaced. Sent to the old one, the read would be answered by what is a replica by now, and
+// its caller would miss commits that the new primary has acknowledged.
+test("a read that waited while the primary was replaced goes to the new one", async () => {
+  stage = new Stage({ proxies: 8 });
+  const first = stage.open("primary").run(read("1"));
+  await stage.advance(1);
+  const second = stage.open("primary").run(read("2"));
+  await stage.advance(1);
+  stage.primary = { type: "serving", target: "q" };
+  stage.list("p", "work")[0]?.answer(answered());
+  await stage.advance(1);
+  expect(stage.list("p", "work")).toHaveLength(1);
+  stage.list("q", "work")[0]?.answer(answered());
+  expect((await second).end.type).toBe("complete");
+  expect((await first).end.type).toBe("complete");
+});
+
+// A transaction has written at the primary, which is replaced before its commit and could not be made
+// to step back. It would take the commit, which the new primary lacks. It is rolled back instead, and
+// the caller hears that nothing is kept.
+test("a transaction does not commit at a primary that was replaced", async () => {
+  stage = new Stage();
+  const session = stage.open("primary");
+  await session.run({ type: "begin", id: "1", isReadOnly: false });
+  const written = session.run(write("2"));
+  await stage.advance(1);
+  stage.list("p", "work")[0]?.answer(answered("transaction"));
+  expect((await written).end.type).toBe("complete");
+  stage.primary = { type: "changing", backInMs: 500 };
+  const end = await session.run({ type: "commit", id: "3", text: "COMMIT" });
+  expect(end).toMatchObject({ end: { type: "error", code: "aborted" }, state: "idle" });
+  expect(stage.list("p", "commit")).toHaveLength(0);
+  expect(stage.list("p", "rollback")).toHaveLength(1);
+});
--- /dev/null
+++ b/test/leadership/duty.test.ts
@@ -0,0 +1,96 @@
+import { expect, test } from "@jest/globals";
+import { Duty } from "../../src/leadership/duty.js";
+import {
+  LeadershipKeeper,
+  StallDetector,
+  type LeadershipDocument,
+  type LeadershipPorts,
+  type VersionedLeadership,
+} from "../../src/leadership/index.js";
+import { silentLogger } from "../../src/log/index.js";
+import { FakeClock, makeRandom } from "../fleet/fakes.js";
+
+/** The store's one document, and what each proxy needs to take the duty by it. */
+class Scene {
+  readonly clock = new FakeClock();
+  held: VersionedLeadership | undefined;
+  private version = 10;
+
+  makeProxy(vm: string, wall: () => number = () => this.clock.now()) {
+    const { clock } = this;
+    const keeper = new LeadershipKeeper({
+      clock,
+      logger: silentLogger,
+      stalls: new StallDetector({ steady: () => clock.now(), wall }),
+      listTargets: () => [],
+      onStall: () => undefined,
+      onMiss: () => undefined,
+    });
+    const store: LeadershipPorts["store"] = {
+      read: () =>
+        Promise.resolve(
+          this.held === undefined ? { type: "absent" } : { type: "found", value: this.held },
+        ),
+      write: (document) => Promise.resolve(this.put(document)),
+    };
+    const ports: LeadershipPorts = {
+      vm,
+      incarnation: `${vm}-1`,
+      store,
+      peers: {
+        share: () => Promise.resolve(undefined),
+        askTarget: () => Promise.resolve(undefined),
+      },
+      askTarget: () => Promise.resolve(undefined),
+      promote: () => Promise.resolve({ type: "accepted" }),
+      clock,
+      random: makeRandom(1),
+      logger: silentLogger,
+      listProxies: () => [],
+      listTargets: () => [],
+      listGroups: () => [],
+    };
+    return { duty: new Duty(ports, keeper), keeper };
+  }
+
+  private put(document: LeadershipDocument) {
+    this.version += 1;
+    this.held = { version: this.version, document };
+    const object = { kind: "leadership", name: "current", version: this.version, value: null };
+    return { type: "written", object } as const;
+  }
+}
+
+// A proxy begins a change and can't finish it. Another takes over, orders a promotion and gives the
+// duty back. The first begins again: with the token of its first turn, its order would be lower than
+// one that was given since.
+test("a proxy that takes the duty again does not use the token of an earlier turn", async () => {
+  const scene = new Scene();
+  const a = scene.makeProxy("a").duty;
+  const { duty: b, keeper } = scene.makeProxy("b");
+  await a.begin("ledger", "i-0");
+  if (scene.held !== undefined) keeper.adopt({ leadership: scene.held, made: [] });
+  b.observe();
+  scene.clock.time = 6000;
+  const round = (await b.begin("ledger", "i-0")) ?? 0;
+  const between = (await b.renew()) ?? 0;
+  await b.end("ledger", round, "i-1");
+  scene.clock.time = 12_000;
+  await a.begin("ledger", "i-1");
+  expect(round).toBe(2);
+  expect(await a.renew()).toBeGreaterThan(between);
+});
+
+// A holder is suspended, and its steady clock with it. By that clock its last write is fresh; by the
+// time of day another proxy has had the duty. It looks at the store before it gives an order.
+test("a holder that stood still looks at the store before it gives an order", async () => {
+  const scene = new Scene();
+  let suspendedMs = 0;
+  const a = scene.makeProxy("a", () => scene.clock.now() + suspendedMs).duty;
+  await a.begin("ledger", "i-0");
+  expect(await a.renew()).toBeDefined();
+  suspendedMs = 7000;
+  const document = { holder: { vm: "b", incarnation: "b-1" }, groups: {} };
+  scene.held = { version: 40, document };
+  expect(await a.renew()).toBeUndefined();
+});
