Replace no primary on a minority's word or an old suspicion; ask all at once when demoting

(3) A change asked the dead primary twice in turn, from here and then through the others, 0.55 s each. Change: a keep when no more proxies answered than are silent; a change begins only in the round that was suspected; an old primary is asked by all at once, and not again as a contender once nobody reached it.

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -119,18 +119,19 @@
   private async run(group: string, old: string, suspicion: Suspicion): Promise<void> {
     const { clock, random, logger } = this.ports;
     const startedAt = clock.now();
+    const seen = this.keeper.leadership.document.groups[group];
     logger.write(leadershipEvents.suspected, { group, target: old, reason: suspicion.type });
     await clock.sleep(random.draw() * spreadMs);
-    const isResumed = this.keeper.leadership.document.groups[group]?.type === "changing";
-    if (!isResumed) {
-      const reach = await this.measureReach(group, old, suspicion);
+    const isResumed = seen?.type === "changing";
+    const reach = isResumed ? undefined : await this.measureReach(group, old, suspicion);
+    if (reach !== undefined) {
       const decision = decideChange(suspicion, reach);
       if (decision.type === "keep") {
         logger.write(leadershipEvents.kept, { group, target: old, reason: decision.reason });
         return;
       }
     }
-    const round = await this.duty.begin(group, old);
+    const round = await this.duty.begin(group, old, seen?.round ?? 0);
     if (round === undefined) return;
     const target = await this.change(group, old, suspicion);
     if (target === undefined) return;
@@ -145,7 +146,7 @@
     old: string,
     suspicion: Suspicion,
   ): Promise<Reachability> {
-    if (suspicion.type !== "unreachable") return { reaching: 0, missing: 0 };
+    if (suspicion.type !== "unreachable") return { reaching: 0, missing: 0, silent: 0 };
     const question = { group, target: old, demoteRound: undefined };
     const own = this.ports.askTarget(question, askTimeoutMs).then((report) => ({ report }));
     const others = this.listOthers().map((proxy) =>
@@ -154,7 +155,11 @@
     const answers = await Promise.all([own, ...others]);
     const known = answers.filter((answer) => answer !== undefined);
     const reaching = known.filter((answer) => answer.report?.role === "primary").length;
-    return { reaching, missing: known.length - reaching };
+    return {
+      reaching,
+      missing: known.length - reaching,
+      silent: answers.length - known.length,
+    };
   }
 
   /** Carries a change out; gives the target that leads, or nothing when it had to stop. */
@@ -235,14 +240,29 @@
 
   /** Makes the old primary step back, by whoever reaches it; gives where its log ended. */
   private async demote(group: string, old: string): Promise<TargetReport | undefined> {
-    const status = await this.askAnyone({ group, target: old, demoteRound: undefined });
+    const status = await this.askAll({ group, target: old, demoteRound: undefined });
     if (status === undefined) return undefined;
-    const report = await this.askAnyone({ group, target: old, demoteRound: status.round + 1 });
+    const report = await this.askAll({ group, target: old, demoteRound: status.round + 1 });
     const position = report === undefined ? null : formatReport(report);
     this.ports.logger.write(leadershipEvents.demoted, { group, target: old, position });
     return report;
   }
 
+  /**
+   * Asks a target from here and through all other proxies at once, for the first answer. A primary that
+   * is being replaced is likely not to be reached from here: one after the other, each question to it
+   * took 0.55 s.
+   */
+  private async askAll(question: TargetQuestion): Promise<TargetReport | undefined> {
+    const own = this.ports.askTarget(question, askTimeoutMs);
+    const others = this.listOthers().map(async (proxy) => {
+      const { peers } = this.ports;
+      const answer = await peers.askTarget(proxy, question, askTimeoutMs + shareTimeoutMs);
+      return answer?.report;
+    });
+    return findFirst([own, ...others]);
+  }
+
   /** Asks a target from here, else through the other proxies. */
   private async askAnyone(question: TargetQuestion): Promise<TargetReport | undefined> {
     const own = await this.ports.askTarget(question, askTimeoutMs);
@@ -264,7 +284,8 @@
     const { clock, logger } = this.ports;
     const until = clock.now() + catchUpMs;
     for (;;) {
-      const contenders = await this.listContenders(group);
+      const silent = oldReport === undefined ? old : undefined;
+      const contenders = await this.listContenders(group, silent);
       const chosen = chooseContender(contenders, old);
       const isWhole =
         oldReport === undefined ||
@@ -278,8 +299,10 @@
     }
   }
 
-  private async listContenders(group: string): Promise<readonly Contender[]> {
-    const asked = this.ports.listTargets(group).map(async ({ name, isLeaving }) => {
+  /** Asks the targets that may lead; an old primary that nobody reached is not asked again. */
+  private async listContenders(group: string, silent?: string): Promise<readonly Contender[]> {
+    const targets = this.ports.listTargets(group).filter(({ name }) => name !== silent);
+    const asked = targets.map(async ({ name, isLeaving }) => {
       const report = await this.askAnyone({ group, target: name, demoteRound: undefined });
       return report === undefined ? [] : [{ target: name, isLeaving: isLeaving === true, report }];
     });
@@ -327,6 +350,16 @@
   }
 }
 
+/** The first of some answers that is one; none when all are over without. */
+async function findFirst<T>(answers: readonly Promise<T | undefined>[]): Promise<T | undefined> {
+  const found = answers.map(async (answer) => {
+    const value = await answer;
+    if (value === undefined) throw new Error("no answer");
+    return value;
+  });
+  return Promise.any(found).catch(() => undefined);
+}
+
 function formatReport({ role, received, round }: TargetReport): string {
   return `${role} ${received.term.round}.${received.offset} of ${round}`;
 }
--- a/src/leadership/decide.ts
+++ b/src/leadership/decide.ts
@@ -6,6 +6,8 @@
 export interface Reachability {
   readonly reaching: number;
   readonly missing: number;
+  /** Proxies that did not answer the question. */
+  readonly silent: number;
 }
 
 /** What to do about a suspected primary. */
@@ -19,12 +21,21 @@
  */
 const movingShare = 1 / 3;
 
-/** Decides whether a suspected primary is replaced. */
+/**
+ * Decides whether a suspected primary is replaced. Not by a proxy that hears of less than half of the
+ * others: it is most likely the one that is cut off. By the log of a cut that had just healed, one that
+ * reached the store before its peers began a change on its own word, and the primary that all others
+ * used stood unused for 5 s.
+ */
 export function decideChange(suspicion: Suspicion, reach: Reachability): ChangeDecision {
   if (suspicion.type === "leaving") return { type: "change", reason: "the primary is leaving" };
   if (suspicion.type === "unlisted") return { type: "change", reason: "the primary is gone" };
+  const answered = reach.reaching + reach.missing;
+  if (answered <= reach.silent) {
+    return { type: "keep", reason: `${reach.silent} proxies do not say whether they reach it` };
+  }
   if (reach.reaching === 0) return { type: "change", reason: "no proxy reaches the primary" };
-  const share = reach.missing / (reach.reaching + reach.missing);
+  const share = reach.missing / answered;
   if (share >= movingShare) {
     return { type: "change", reason: `${reach.missing} proxies can't reach the primary` };
   }
--- a/src/leadership/duty.ts
+++ b/src/leadership/duty.ts
@@ -59,11 +59,16 @@
   }
 
   /**
-   * Takes the duty and begins a change; gives its round, or nothing when another is at it. A token is
-   * kept only from a turn that has gone on since: another proxy may have had the duty meanwhile, with a
-   * greater one, and an order under the old token would be lower than one given already.
+   * Takes the duty and begins a change; gives its round, or nothing when another is at it.
+   *
+   * `seenRound` is the round that was suspected. Of two proxies that suspect the same primary one may be
+   * done before the other begins, with the same target leading again; on the old suspicion the second
+   * would replace what the first has just made.
+   *
+   * A token is kept only from a turn that has gone on since: another proxy may have had the duty
+   * meanwhile, with a greater one, and an order under the old token would be lower than one given already.
    */
-  async begin(group: string, from: string): Promise<number | undefined> {
+  async begin(group: string, from: string, seenRound: number): Promise<number | undefined> {
     const { vm, incarnation, logger } = this.ports;
     let round = 0;
     let kept: number | undefined;
@@ -72,8 +77,8 @@
       kept = holder !== undefined && this.isOwn(holder) ? this.token : undefined;
       if (holder !== undefined && !this.isOwn(holder) && !this.canTakeOver()) return undefined;
       const known = document.groups[group];
-      if (known?.type === "serving" && known.target !== from) return undefined;
-      round = (known?.round ?? 0) + 1;
+      if ((known?.round ?? 0) !== seenRound) return undefined;
+      round = seenRound + 1;
       const groups = { ...document.groups, [group]: { type: "changing", round, from } as const };
       return { holder: { vm, incarnation }, groups };
     });
--- a/test/leadership/decisions.test.ts
+++ b/test/leadership/decisions.test.ts
@@ -8,6 +8,7 @@
   isConfirmedByPeers,
   isPermitted,
   noteContact,
+  noteSilence,
   permitMs,
   StallDetector,
   type Contender,
@@ -43,10 +44,24 @@
 
 test("a primary that most reach stays; one that a third can't reach goes", () => {
   const unreachable = { type: "unreachable", sinceMs: 300 } as const;
-  expect(decideChange(unreachable, { reaching: 6, missing: 1 }).type).toBe("keep");
-  expect(decideChange(unreachable, { reaching: 4, missing: 3 }).type).toBe("change");
-  expect(decideChange(unreachable, { reaching: 0, missing: 1 }).type).toBe("change");
-  expect(decideChange({ type: "leaving" }, { reaching: 7, missing: 0 }).type).toBe("change");
+  expect(decideChange(unreachable, { reaching: 6, missing: 1, silent: 0 }).type).toBe("keep");
+  expect(decideChange(unreachable, { reaching: 4, missing: 3, silent: 0 }).type).toBe("change");
+  expect(decideChange(unreachable, { reaching: 0, missing: 1, silent: 0 }).type).toBe("change");
+  expect(decideChange({ type: "leaving" }, { reaching: 7, missing: 0, silent: 0 }).type).toBe(
+    "change",
+  );
+});
+
+// A proxy was cut off from the others and from the primary. The cut heals, and it reaches the store
+// before its peers. On its own word alone it would take the primary from all those who use it.
+test("a proxy that hears of less than half of the others replaces nobody", () => {
+  const unreachable = { type: "unreachable", sinceMs: 3000 } as const;
+  expect(decideChange(unreachable, { reaching: 0, missing: 1, silent: 7 }).type).toBe("keep");
+  expect(decideChange(unreachable, { reaching: 0, missing: 3, silent: 4 }).type).toBe("keep");
+  expect(decideChange(unreachable, { reaching: 0, missing: 4, silent: 3 }).type).toBe("change");
+  expect(decideChange({ type: "unlisted" }, { reaching: 0, missing: 0, silent: 0 }).type).toBe(
+    "change",
+  );
 });
 
 test("one lost answer is no suspicion; several over a while are", () => {
@@ -110,3 +125,17 @@
     expect(decodeLeadership(value)).toBeUndefined();
   }
 });
+
+// A dark primary answers nothing, and its one connection is taken by a statement that waits for it. No
+// second failure comes before that has run out of its time; a probe that fails says as much.
+test("a primary that is silent to a probe too is suspected at once", () => {
+  const sight = { target: "p", isListed: true, isLeaving: false };
+  const reached = noteContact(undefined, "p", true, 50);
+  const silent = noteSilence(reached, "p", 100);
+  expect(findSuspicion({ ...sight, contact: silent }, 450)).toEqual({
+    type: "unreachable",
+    sinceMs: 350,
+  });
+  const back = noteContact(silent, "p", true, 460);
+  expect(findSuspicion({ ...sight, contact: back }, 900)).toBeUndefined();
+});
--- a/test/leadership/duty.test.ts
+++ b/test/leadership/duty.test.ts
@@ -25,6 +25,7 @@
       listTargets: () => [],
       onStall: () => undefined,
       onMiss: () => undefined,
+      onSilence: () => undefined,
     });
     const store: LeadershipPorts["store"] = {
       read: () =>
@@ -68,26 +69,38 @@
   const scene = new Scene();
   const a = scene.makeProxy("a").duty;
   const { duty: b, keeper } = scene.makeProxy("b");
-  await a.begin("ledger", "i-0");
+  await a.begin("ledger", "i-0", 0);
   if (scene.held !== undefined) keeper.adopt({ leadership: scene.held, made: [] });
   b.observe();
   scene.clock.time = 6000;
-  const round = (await b.begin("ledger", "i-0")) ?? 0;
+  const round = (await b.begin("ledger", "i-0", 1)) ?? 0;
   const between = (await b.renew()) ?? 0;
   await b.end("ledger", round, "i-1");
   scene.clock.time = 12_000;
-  await a.begin("ledger", "i-1");
+  await a.begin("ledger", "i-1", 2);
   expect(round).toBe(2);
   expect(await a.renew()).toBeGreaterThan(between);
 });
 
+// Two proxies suspect the same primary. The first is done with its change, and the same target leads
+// again, before the second begins. It would replace what was just made, on a suspicion of before.
+test("a change that is over is not begun again on the suspicion that led to it", async () => {
+  const scene = new Scene();
+  const a = scene.makeProxy("a").duty;
+  const b = scene.makeProxy("b").duty;
+  const round = (await a.begin("ledger", "i-0", 0)) ?? 0;
+  await a.end("ledger", round, "i-0");
+  expect(await b.begin("ledger", "i-0", 0)).toBeUndefined();
+  expect(await b.begin("ledger", "i-0", round)).toBe(round + 1);
+});
+
 // A holder is suspended, and its steady clock with it. By that clock its last write is fresh; by the
 // time of day another proxy has had the duty. It looks at the store before it gives an order.
 test("a holder that stood still looks at the store before it gives an order", async () => {
   const scene = new Scene();
   let suspendedMs = 0;
   const a = scene.makeProxy("a", () => scene.clock.now() + suspendedMs).duty;
-  await a.begin("ledger", "i-0");
+  await a.begin("ledger", "i-0", 0);
   expect(await a.renew()).toBeDefined();
   suspendedMs = 7000;
   const document = { holder: { vm: "b", incarnation: "b-1" }, groups: {} };
