Take a drained node out of the store, its permission first; count positions told at opening

Cause: entries of processes that ended stay in the store, so that each change of primary waits 1.75 s for their permission to lapse, also during rolling restarts (listed open in docs/PROOF.md). Change: at the end of a drain a node gives its permission up for good, then removes its entry, under the version that it read. The platform stand-in leaves no listener behind on a connection that serves several waiting calls. Test: a drained node is not waited for (fails before: its entry stays).

--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -211,20 +211,29 @@
 
   /** Opens a connection. One that fails tells of the target, unless the target itself refused it. */
   private async openLink(target: Target, timeoutMs: number): Promise<PreparedLink> {
-    const { dialer, primaries } = this.ports;
+    const { dialer, primaries, clock } = this.ports;
+    const askedAt = clock.now();
     try {
-      return new PreparedLink(await dialer.open(this.name, target, timeoutMs));
+      const link = await dialer.open(this.name, target, timeoutMs);
+      // Tells as much as an answer: right after a start reads need not all go to the primary first.
+      if (link.openedAt !== undefined && this.isPrimary(target)) {
+        this.notePrimaryMark(link.openedAt, askedAt);
+      }
+      return new PreparedLink(link);
     } catch (error) {
       if (!dialer.isTooMany(error)) {
         this.noteFailure(target.name);
-        const primary = primaries.find(this.name);
-        const isPrimary = primary.type === "serving" && primary.target === target.name;
-        if (isPrimary) primaries.noteContact(this.name, target.name, false);
+        if (this.isPrimary(target)) primaries.noteContact(this.name, target.name, false);
       }
       throw error;
     }
   }
 
+  private isPrimary({ name }: Target): boolean {
+    const primary = this.ports.primaries.find(this.name);
+    return primary.type === "serving" && primary.target === name;
+  }
+
   private removeTarget(name: string): void {
     const pool = this.pools.get(name);
     pool?.drain();
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -37,6 +37,7 @@
   private made: readonly MadePrimary[] = [];
   private permit: Permit = noPermit;
   private hasPermit = false;
+  private isRevoked = false;
   private permitLostAt: number | undefined;
   private stalledAt: number | undefined;
   private readonly contacts = new Map<string, PrimaryContact>();
@@ -82,9 +83,16 @@
     // A question sent before the process stood still proves nothing about the time since.
     this.checkStall();
     if (this.stalledAt !== undefined && askedAt <= this.stalledAt) return;
+    if (this.isRevoked) return;
     this.permit = extendPermit(this.permit, askedAt);
   }
 
+  /** Gives the permission up for good: this proxy is about to be one that nobody waits for. */
+  revoke(): void {
+    this.isRevoked = true;
+    this.permit = noPermit;
+  }
+
   find(group: string): PrimaryState {
     this.checkStall();
     const isNow = isPermitted(this.permit, this.ports.clock.now());
--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -26,6 +26,12 @@
     level: "info",
     text: "This proxy has put itself into the platform's store for the others to find.",
   },
+  deregistered: {
+    id: 5210,
+    name: "proxyDeregistered",
+    level: "info",
+    text: "This proxy leaves and has taken itself out of the platform's store, if that was done.",
+  },
   sceneFetched: {
     id: 5202,
     name: "sceneFetched",
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -111,6 +111,21 @@
     this.isStopped = true;
   }
 
+  /**
+   * Stops, and takes this proxy out of the store. While a process that has ended is listed, each change
+   * of primary waits 1.75 s for its permission to lapse. The permission goes first: nobody waits for a
+   * proxy that is not listed.
+   */
+  async leave(): Promise<void> {
+    const { settings, store, keeper, logger } = this.ports;
+    this.stop();
+    keeper.revoke();
+    if (settings.peers === undefined || !this.isRegistered()) return;
+    const own = { vm: settings.vm, address: settings.peers };
+    const isDone = await store.deregister(own);
+    logger.write(nodeEvents.deregistered, { vm: own.vm, isDone });
+  }
+
   /** The pace that keeps all proxies together within their share of the store's reads. */
   private findPace(isAnswered: boolean): number {
     const { settings, keeper } = this.ports;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -156,6 +156,7 @@
     await Promise.race([ended, clock.sleep(this.drainPlan.transactionMs)]);
     this.callers.endTransactions();
     await ended;
+    await this.follower.leave();
   }
 
   /** Takes what can change without a restart from new settings. */
--- a/src/node/ports.ts
+++ b/src/node/ports.ts
@@ -25,6 +25,8 @@
   listProxies(): Promise<StoreRead<readonly Proxy[]>>;
   /** Creates or replaces this proxy's entry. */
   register(proxy: Proxy): Promise<boolean>;
+  /** Removes this proxy's entry; false when that is not known to be done. */
+  deregister(proxy: Proxy): Promise<boolean>;
   /** Reaches the store elsewhere from now on. */
   setAddress(address: NodeSettings["store"]): void;
 }
--- a/standin/direct/store.ts
+++ b/standin/direct/store.ts
@@ -102,6 +102,9 @@
     if (url.pathname === "/failover") return this.promote(request, body);
     const [, , kind = "", name] = url.pathname.split("/").map(decodeURIComponent);
     if (request.method === "GET") return this.read(kind, name);
+    if (request.method === "DELETE") {
+      return this.delete(kind, name ?? "", Number(url.searchParams.get("revision")));
+    }
     return this.write(request.method ?? "", kind, name, body);
   }
 
@@ -115,6 +118,14 @@
     return entry === undefined ? [404, {}] : [200, entry];
   }
 
+  private delete(kind: string, name: string, revision: number): readonly [number, unknown] {
+    const known = this.open(kind).get(name);
+    if (known === undefined) return [404, {}];
+    if (known.meta.revision !== revision) return [409, known];
+    this.remove(kind, name);
+    return [200, {}];
+  }
+
   private write(
     method: string,
     kind: string,
--- a/standin/platform/server.ts
+++ b/standin/platform/server.ts
@@ -176,6 +176,8 @@
         clearTimeout(timer);
         unsubscribe();
         this.watches.delete(drop);
+        // The connection serves further calls, each of which waits with a listener of its own.
+        request.socket.off("close", drop);
         resolve();
       };
       const drop = () => {
--- a/test/node/change.test.ts
+++ b/test/node/change.test.ts
@@ -214,3 +214,21 @@
   await drained;
   await waitUntil(() => first.isClosed && second.isClosed);
 });
+
+// A node is asked to end, and the primary goes away afterwards. Were the node still listed, the change
+// would wait until its permission is over; it took itself out, after giving the permission up.
+test("a node that was drained is not waited for by the next change", async () => {
+  cluster = await Cluster.start({ nodes: 2 });
+  await waitUntil(() => cluster.isListed());
+  const client = await cluster.open("primary", 0);
+  await client.query("WRITE cello taken");
+  const leaving = await cluster.open("primary", 1);
+  await cluster.nodes[1]?.drain();
+  expect(cluster.store.find("radishwalk-proxies", "vm-1")).toBeUndefined();
+  await waitUntil(() => leaving.isClosed);
+  await cluster.target(0).crash();
+  cluster.store.remove("servers", "i-0");
+  await waitUntil(isSettled);
+  const told = cluster.lines.filter((line) => line.event.name === "proxiesTold");
+  expect(told.map((line) => line.fields.silent)).toEqual(told.map(() => 0));
+});
