--- a/src/command/wiring.ts
+++ b/src/command/wiring.ts
@@ -37,7 +37,7 @@
 /** Opens the store at its first use: `check` and `status --proxy` need none. */
 function openStore(url: string | undefined): {
   readonly store: ObjectStore;
-  readonly dispose: () => Promise<void>;
+  readonly dispose: () => void | Promise<void>;
 } {
   let client: HttpObjectStore | undefined;
   const open = (): HttpObjectStore => {
@@ -58,9 +58,7 @@
   };
   return {
     store,
-    dispose: async () => {
-      await client?.dispose();
-    },
+    dispose: () => client?.dispose(),
   };
 }
 
--- a/standin/soak/operators.ts
+++ b/standin/soak/operators.ts
@@ -31,9 +31,9 @@
     }, sampleMs);
   }
 
-  async dispose(): Promise<void> {
+  dispose(): void {
     clearInterval(this.sampler);
-    await this.store.dispose();
+    this.store.dispose();
   }
 
   /** Both operators change their rules at once, each from what it read. */
--- a/standin/soak/run.ts
+++ b/standin/soak/run.ts
@@ -67,7 +67,7 @@
   try {
     return await soak.run();
   } finally {
-    await soak.dispose();
+    soak.dispose();
     await fleet.dispose();
   }
 }
@@ -113,8 +113,8 @@
     });
   }
 
-  dispose(): Promise<void> {
-    return this.operators.dispose();
+  dispose(): void {
+    this.operators.dispose();
   }
 
   async run(): Promise<SoakReport> {
--- a/test/standin/cluster.test.ts
+++ b/test/standin/cluster.test.ts
@@ -17,6 +17,6 @@
   await waitStatus(replica, (s) => s.mark.offset === 1);
   expect(replica.target).toMatchObject({ dataCentre: "barracas", slots: 2, connections: 16 });
   await client.end();
-  await store.dispose();
+  store.dispose();
   await cluster.dispose();
 });
