End served peer connections that went silent; keep long transactions' connections

(2) By reading: a transaction that takes over 10 s lost its connection, whose age counted from its grant. Change: served connections with open streams are asked for a sign of life after 1 s without one, and ended 1 s later; each answer counts as progress of a connection.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -46,6 +46,7 @@
     place.drop();
     return result;
   }
+  place.noteProgress();
   place.group.noteAnswer(place.target);
   if (isBusy(result)) place.group.noteFull(place.target);
   notePosition(context, place, result.reply.mark, askedAt);
--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -20,6 +20,8 @@
   readonly target: string;
   readonly role: "primary" | "replica";
   readonly link: PreparedLink;
+  /** Notes an answer: the connection lives, however long its transaction goes on. */
+  noteProgress(): void;
   /** Gives the connection back: nothing is in flight and no transaction is open on it. */
   release(): void;
   /** Closes the connection: what is on its way must reach nobody. */
@@ -127,6 +129,7 @@
     target,
     role,
     link: connection.session,
+    noteProgress: () => connection.noteProgress(),
     release: () => end(() => connection.giveBack()),
     drop: () => end(() => connection.drop()),
   };
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -12,6 +12,7 @@
 import type { Address, Clock, Disposable } from "../model/index.js";
 import type { PeerHandlers } from "./handlers.js";
 import { createHandler } from "./handler.js";
+import { defaultKeepalive, watchPeer, type KeepaliveOptions } from "./keepalive.js";
 import { createPeerService } from "./service.js";
 import { maxSessionMemory } from "./session.js";
 
@@ -22,6 +23,7 @@
   readonly handlers: PeerHandlers;
   readonly clock: Clock;
   readonly logger?: Logger;
+  readonly keepalive?: KeepaliveOptions;
   /** Certificates for mutual TLS, and the name that a peer's must carry. Absent where TLS is off. */
   readonly secure?: SecureServerOptions & { readonly peerName: string };
 }
@@ -95,6 +97,7 @@
       return;
     }
     this.sessions.add(session);
+    watchPeer(session, this.options.keepalive ?? defaultKeepalive);
     session.on("close", () => this.sessions.delete(session));
   }
 
--- a/test/direct/stage.ts
+++ b/test/direct/stage.ts
@@ -104,6 +104,7 @@
       },
       openedAt: undefined,
       run: (command) => {
+        if (!isUsable) return Promise.resolve({ type: "broken", sent: false, reason: "closed" });
         if (command.type === "begin" || command.type === "rollback") {
           this.sent.push({ target, command, answer: () => undefined });
           const state = command.type === "begin" ? "transaction" : "idle";
--- a/test/peer/converse.test.ts
+++ b/test/peer/converse.test.ts
@@ -171,6 +171,17 @@
   expect((await pending).outcome.type).toBe("answered");
 });
 
+// The connection goes silent in the middle of a transaction, and the asking process gives it up without
+// the owner hearing of it. The transaction must end there too: it holds its target's connection, and a
+// drain of the owner would wait for it in vain.
+test("a transaction whose peer has gone silent ends at the owner", async () => {
+  const group = new FakeGroup(() => ({ status: "T" }));
+  const { gateway, relay } = await start(group);
+  await run(gateway.open("g"), "begin");
+  relay.silence();
+  await waitUntil(() => group.closed > 0);
+});
+
 // The owner dies between two statements of a transaction. Its target's connection is closed with
 // it, so nothing of the transaction lands and the second statement has not run.
 test("a transaction whose owner is lost between statements has not run", async () => {
--- a/test/peer/fake.ts
+++ b/test/peer/fake.ts
@@ -120,7 +120,9 @@
 
 /** A server with handlers, behind a relay, and a gateway that reaches it. */
 export async function startPeer(handlers: PeerHandlers) {
-  const server = new PeerServer({ address: { host: "127.0.0.1", port: 0 }, handlers, clock });
+  const address = { host: "127.0.0.1", port: 0 };
+  const keepalive = { intervalMs: 100, timeoutMs: 100 };
+  const server = new PeerServer({ address, handlers, clock, keepalive });
   const relay = new Relay(await server.listen());
   const vm = makeVm("owner", await relay.listen());
   const links = new PeerLinks({ clock, pingIntervalMs: 60, pingTimeoutMs: 60 });
