--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -31,10 +31,19 @@
 /** What came of a wish for a connection. */
 export type Placed =
   | { readonly type: "placed"; readonly place: Place }
-  | { readonly type: "refused"; readonly reason: string; readonly retryAfterMs: number }
+  | {
+      readonly type: "refused";
+      readonly reason: string;
+      readonly retryAfterMs: number;
+      /** The targets that it waited for; none when it was refused before. */
+      readonly waitedFor: readonly string[];
+    }
   /** The target can't be reached now; another may be. */
   | { readonly type: "unreachable"; readonly target: string; readonly reason: string };
 
+/** A wish that was refused. */
+export type Refused = Extract<Placed, { type: "refused" }>;
+
 /** A primary that is expected back later than this is not waited for, in milliseconds. */
 const longestPrimaryWaitMs = 600;
 const waitStepMs = 20;
@@ -54,7 +63,8 @@
     const { reason } = admitted;
     if (reason === "noPrimary")
       return { type: "unreachable", target: choice.names[0] ?? "", reason };
-    return { type: "refused", reason: admitted.reason, retryAfterMs: admitted.retryAfterMs };
+    const { retryAfterMs } = admitted;
+    return { type: "refused", reason, retryAfterMs, waitedFor: choice.names };
   }
   const { slot } = admitted;
   const taken = await group.take(slot.target, request.deadlineAt, request.signal);
@@ -71,7 +81,7 @@
       readonly role: "primary" | "replica";
       readonly names: readonly string[];
     }
-  | Extract<Placed, { type: "refused" }>;
+  | Refused;
 
 /** Waits for a change of primary only as long as it is expected to end in time. */
 async function choose(
@@ -88,7 +98,8 @@
     if (choice.type === "targets")
       return { type: "chosen", role: choice.role, names: choice.names };
     if (choice.type === "nowhere") {
-      return { type: "refused", reason: choice.reason, retryAfterMs: unknownRetryMs };
+      const { reason } = choice;
+      return { type: "refused", reason, retryAfterMs: unknownRetryMs, waitedFor: [] };
     }
     const isLong = now + choice.backInMs > request.deadlineAt || request.signal.aborted;
     if (isLong || now - startedAt > longestPrimaryWaitMs) {
@@ -96,6 +107,7 @@
         type: "refused",
         reason: "a new primary is being made",
         retryAfterMs: Math.ceil(choice.backInMs),
+        waitedFor: [],
       };
     }
     await clock.sleep(waitStepMs);
--- a/src/direct/single.ts
+++ b/src/direct/single.ts
@@ -9,7 +9,7 @@
 import { isStillLeading, sendCommand, supersededReason, watchSilence } from "./attempt.js";
 import { findReadNeed, type ReadNeed, type SessionContext } from "./context.js";
 import { directEvents } from "../log/events/direct.js";
-import { placeStatement, type Place } from "./place.js";
+import { placeStatement, type Place, type Refused } from "./place.js";
 import { judgeResult } from "./verdict.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
 
@@ -76,7 +76,7 @@
   });
   switch (placed.type) {
     case "refused":
-      return refuse(context, work, placed.reason, placed.retryAfterMs);
+      return refuse(context, work, placed);
     case "unreachable":
       excluded.add(placed.target);
       progress.lastReason = placed.reason;
@@ -95,12 +95,12 @@
 function refuse(
   context: SessionContext,
   work: Work,
-  reason: string,
-  retryAfterMs: number,
+  { reason, retryAfterMs, waitedFor }: Refused,
 ): StatementEnd {
   const { session, trace, ports } = context;
   trace.noteReason(reason);
-  ports.logger.write(directEvents.refused, { id: work.id, session, reason, retryAfterMs });
+  const fields = { id: work.id, session, reason, retryAfterMs, waitedFor };
+  ports.logger.write(directEvents.refused, fields);
   return { reply: failLocally("busy", describeRefusal(reason, retryAfterMs), "idle") };
 }
 
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -13,7 +13,7 @@
 import { isStillLeading, sendCommand, supersededReason } from "./attempt.js";
 import { findReadNeed, type SessionContext } from "./context.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
-import { placeStatement, type Place } from "./place.js";
+import { placeStatement, type Place, type Refused } from "./place.js";
 import { prepareLink, type StatementEnd } from "./single.js";
 
 /** Tries to begin; nothing has run before the first statement's answer, so each may be repeated. */
@@ -133,7 +133,7 @@
         signal: context.gone,
       });
       if (placed.type === "refused") {
-        return this.refuse(context, placed.reason, placed.retryAfterMs);
+        return this.refuse(context, placed);
       }
       if (placed.type === "unreachable") {
         excluded.add(placed.target);
@@ -150,7 +150,7 @@
       if (place.role === "replica") excluded.add(place.target);
       await pauseBeforeRetry(context.ports, tries, deadlineAt);
     }
-    return this.refuse(context, reason, 0);
+    return this.refuse(context, { reason, retryAfterMs: 0, waitedFor: [] });
   }
 
   /** Begins on a connection; gives why it failed, with the connection given back or closed. */
@@ -249,9 +249,11 @@
     return { ...this.abort(context, id, supersededReason), state: "idle" };
   }
 
-  private refuse(context: SessionContext, reason: string, retryAfterMs: number): Reply {
+  private refuse(context: SessionContext, refused: Omit<Refused, "type">): Reply {
     const { logger } = context.ports;
-    logger.write(directEvents.refused, { session: context.session, reason, retryAfterMs });
+    const { reason, retryAfterMs, waitedFor } = refused;
+    const fields = { session: context.session, reason, retryAfterMs, waitedFor };
+    logger.write(directEvents.refused, fields);
     this.phase = { type: "failed", reason };
     context.trace.noteReason(reason);
     return failLocally("busy", describeRefusal(reason, retryAfterMs), "failed");
