Split asking targets from the node and from the changer of primaries

A question through the others ends with the first answer in place of the last; nothing else changes.

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -3,13 +3,12 @@
 import type { TargetReport } from "../statement/index.js";
 import { chooseContender, decideChange, type Contender, type Reachability } from "./decide.js";
 import { Duty } from "./duty.js";
+import { Inquiry } from "./inquiry.js";
 import type { LeadershipKeeper } from "./keeper.js";
 import { permitMs } from "./permit.js";
-import type { LeadershipPorts, Proxy, TargetAnswer, TargetQuestion } from "./ports.js";
+import type { LeadershipPorts } from "./ports.js";
 import { findSuspicion, type Suspicion } from "./suspicion.js";
 
-/** A status takes a round trip of 1 to 3 ms and a slot; twice the longest usual work. */
-const askTimeoutMs = 200;
 /** Telling another proxy takes a round trip; one that runs answers within this, busy or not. */
 const shareTimeoutMs = 150;
 /** Added to a permission's time, for the difference between two steady clocks and their timers. */
@@ -39,6 +38,7 @@
   private readonly working = new Set<string>();
   private readonly notBefore = new Map<string, number>();
   private readonly duty: Duty;
+  private readonly inquiry: Inquiry;
   private readonly leaderlessSince = new Map<string, number>();
   private isStopped = false;
 
@@ -47,6 +47,7 @@
     private readonly keeper: LeadershipKeeper,
   ) {
     this.duty = new Duty(ports, keeper);
+    this.inquiry = new Inquiry(ports);
   }
 
   /** Looks at every group; changes begin in the background. */
@@ -140,26 +141,10 @@
     logger.write(leadershipEvents.changeDone, { group, target, ms });
   }
 
-  /** Asks every proxy, this one included, for a fresh answer of the primary. */
-  private async measureReach(
-    group: string,
-    old: string,
-    suspicion: Suspicion,
-  ): Promise<Reachability> {
-    if (suspicion.type !== "unreachable") return { reaching: 0, missing: 0, silent: 0 };
-    const question = { group, target: old, demoteRound: undefined };
-    const own = this.ports.askTarget(question, askTimeoutMs);
-    const others = this.listOthers().map((proxy) =>
-      this.ports.peers.askTarget(proxy, question, askTimeoutMs + shareTimeoutMs),
-    );
-    const answers = await Promise.all([own, ...others]);
-    const known = answers.filter((answer) => answer !== undefined);
-    const reaching = known.filter(isReached).length;
-    return {
-      reaching,
-      missing: known.length - reaching,
-      silent: answers.length - known.length,
-    };
+  /** Nobody need be asked about a primary that is gone or leaving. */
+  private measureReach(group: string, old: string, { type }: Suspicion): Promise<Reachability> {
+    const nobody = { reaching: 0, missing: 0, silent: 0 };
+    return type === "unreachable" ? this.inquiry.measureReach(group, old) : Promise.resolve(nobody);
   }
 
   /** Carries a change out; gives the target that leads, or nothing when it had to stop. */
@@ -207,7 +192,7 @@
 
   /** Tells all proxies to use the old primary no more; gives how many did not answer. */
   private async tellOthers(): Promise<{ readonly silent: number; readonly proxies: number }> {
-    const others = this.listOthers();
+    const others = this.inquiry.listOthers();
     const { word } = this.keeper;
     const answers = await Promise.all(
       others.map((proxy) => this.ports.peers.share(proxy, word, shareTimeoutMs)),
@@ -242,40 +227,14 @@
 
   /** Makes the old primary step back, by whoever reaches it; gives where its log ended. */
   private async demote(group: string, old: string): Promise<TargetReport | undefined> {
-    const status = await this.askAll({ group, target: old, demoteRound: undefined });
+    const status = await this.inquiry.askAll({ group, target: old, demoteRound: undefined });
     if (status === undefined) return undefined;
-    const report = await this.askAll({ group, target: old, demoteRound: status.round + 1 });
+    const report = await this.inquiry.askAll({ group, target: old, demoteRound: status.round + 1 });
     const position = report === undefined ? null : formatReport(report);
     this.ports.logger.write(leadershipEvents.demoted, { group, target: old, position });
     return report;
   }
 
-  /**
-   * Asks a target from here and through all other proxies at once, for the first answer. A primary that
-   * is being replaced is likely not to be reached from here: one after the other, each question to it
-   * took 0.55 s.
-   */
-  private async askAll(question: TargetQuestion): Promise<TargetReport | undefined> {
-    const own = this.ports.askTarget(question, askTimeoutMs);
-    const others = this.listOthers().map((proxy) =>
-      this.ports.peers.askTarget(proxy, question, askTimeoutMs + shareTimeoutMs),
-    );
-    const reports = [own, ...others].map(async (answer) => findReport(await answer));
-    return findFirst(reports);
-  }
-
-  /** Asks a target from here, else through the other proxies. */
-  private async askAnyone(question: TargetQuestion): Promise<TargetReport | undefined> {
-    const own = findReport(await this.ports.askTarget(question, askTimeoutMs));
-    if (own !== undefined) return own;
-    const answers = await Promise.all(
-      this.listOthers().map((proxy) =>
-        this.ports.peers.askTarget(proxy, question, askTimeoutMs + shareTimeoutMs),
-      ),
-    );
-    return answers.map(findReport).find((report) => report !== undefined);
-  }
-
   /** Waits until a replica holds what the old primary held, if that is known, and chooses. */
   private async chooseTarget(
     group: string,
@@ -304,7 +263,7 @@
   private async listContenders(group: string, silent?: string): Promise<readonly Contender[]> {
     const targets = this.ports.listTargets(group).filter(({ name }) => name !== silent);
     const asked = targets.map(async ({ name, isLeaving }) => {
-      const report = await this.askAnyone({ group, target: name, demoteRound: undefined });
+      const report = await this.inquiry.askAnyone({ group, target: name, demoteRound: undefined });
       return report === undefined ? [] : [{ target: name, isLeaving: isLeaving === true, report }];
     });
     return (await Promise.all(asked)).flat();
@@ -329,7 +288,7 @@
     const { clock } = this.ports;
     const until = clock.now() + servingTimeoutMs;
     while (clock.now() < until) {
-      const report = await this.askAnyone({ group, target, demoteRound: undefined });
+      const report = await this.inquiry.askAnyone({ group, target, demoteRound: undefined });
       if (report?.role === "primary") return true;
       await clock.sleep(servingStepMs);
     }
@@ -345,39 +304,6 @@
     await telling;
     await this.tellOthers();
   }
-
-  private listOthers(): readonly Proxy[] {
-    return this.ports.listProxies().filter((proxy) => proxy.vm !== this.ports.vm);
-  }
-}
-
-function findReport(answer: TargetAnswer | undefined): TargetReport | undefined {
-  return answer?.type === "report" ? answer.report : undefined;
-}
-
-/**
- * Whether an answer shows that the primary runs and leads. One whose slots are all taken runs: taken as
- * gone, a primary would be replaced because much is asked of it, and the next one after it.
- */
-function isReached(answer: TargetAnswer): boolean {
-  switch (answer.type) {
-    case "report":
-      return answer.report.role === "primary";
-    case "alive":
-      return true;
-    case "silent":
-      return false;
-  }
-}
-
-/** The first of some answers that is one; none when all are over without. */
-async function findFirst<T>(answers: readonly Promise<T | undefined>[]): Promise<T | undefined> {
-  const found = answers.map(async (answer) => {
-    const value = await answer;
-    if (value === undefined) throw new Error("no answer");
-    return value;
-  });
-  return Promise.any(found).catch(() => undefined);
 }
 
 function formatReport({ role, received, round }: TargetReport): string {
--- /dev/null
+++ b/src/leadership/inquiry.ts
@@ -0,0 +1,92 @@
+import type { TargetReport } from "../statement/index.js";
+import type { Reachability } from "./decide.js";
+import type { LeadershipPorts, Proxy, TargetAnswer, TargetQuestion } from "./ports.js";
+
+/** A status takes a round trip of 1 to 3 ms and a slot; twice the longest usual work. */
+const askTimeoutMs = 200;
+/** A question through another proxy takes a round trip more, on a busy one some tens of milliseconds. */
+const relayMs = 150;
+
+/** What an inquiry needs. */
+export type InquiryPorts = Pick<LeadershipPorts, "vm" | "peers" | "askTarget" | "listProxies">;
+
+/** Asks targets from here and through the other proxies. */
+export class Inquiry {
+  constructor(private readonly ports: InquiryPorts) {}
+
+  /** Asks every proxy, this one included, for a fresh answer of a primary. */
+  async measureReach(group: string, target: string): Promise<Reachability> {
+    const question = { group, target, demoteRound: undefined };
+    const answers = await Promise.all([this.askHere(question), ...this.askThrough(question)]);
+    const known = answers.filter((answer) => answer !== undefined);
+    const reaching = known.filter(isReached).length;
+    return {
+      reaching,
+      missing: known.length - reaching,
+      silent: answers.length - known.length,
+    };
+  }
+
+  /**
+   * Asks a target from here and through all other proxies at once, for the first answer. A primary that
+   * is being replaced is likely not to be reached from here: one after the other, each question to it
+   * took 0.55 s.
+   */
+  askAll(question: TargetQuestion): Promise<TargetReport | undefined> {
+    const answers = [this.askHere(question), ...this.askThrough(question)];
+    return findFirst(answers.map(async (answer) => findReport(await answer)));
+  }
+
+  /** Asks a target from here, else through the other proxies. */
+  async askAnyone(question: TargetQuestion): Promise<TargetReport | undefined> {
+    const own = findReport(await this.askHere(question));
+    if (own !== undefined) return own;
+    return findFirst(this.askThrough(question).map(async (answer) => findReport(await answer)));
+  }
+
+  /** The other proxies that are registered. */
+  listOthers(): readonly Proxy[] {
+    return this.ports.listProxies().filter((proxy) => proxy.vm !== this.ports.vm);
+  }
+
+  private askHere(question: TargetQuestion): Promise<TargetAnswer> {
+    return this.ports.askTarget(question, askTimeoutMs);
+  }
+
+  private askThrough(question: TargetQuestion): readonly Promise<TargetAnswer | undefined>[] {
+    const { peers } = this.ports;
+    return this.listOthers().map((proxy) =>
+      peers.askTarget(proxy, question, askTimeoutMs + relayMs),
+    );
+  }
+}
+
+function findReport(answer: TargetAnswer | undefined): TargetReport | undefined {
+  return answer?.type === "report" ? answer.report : undefined;
+}
+
+/**
+ * Whether an answer shows that the primary runs and leads. One whose slots are all taken runs: taken as
+ * gone, a primary would be replaced because much is asked of it, and the next one after it.
+ */
+function isReached(answer: TargetAnswer): boolean {
+  switch (answer.type) {
+    case "report":
+      return answer.report.role === "primary";
+    case "alive":
+      return true;
+    case "silent":
+      return false;
+  }
+}
+
+/** The first of some answers that is one; none when all are over without. */
+async function findFirst<T>(answers: readonly Promise<T | undefined>[]): Promise<T | undefined> {
+  const found = answers.map(async (answer) => {
+    const value = await answer;
+    if (value === undefined) throw new Error("no answer");
+    return value;
+  });
+  // All were over without an answer: that is no fault of this program.
+  return Promise.any(found).catch(() => undefined);
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -13,10 +13,8 @@
   StallDetector,
   type LeadershipAnswer,
   type LeadershipWord,
-  type TargetAnswer,
-  type TargetQuestion,
 } from "../leadership/index.js";
-import { LineServer, LinkError } from "../lines/index.js";
+import { LineServer } from "../lines/index.js";
 import { nodeEvents } from "../log/events/node.js";
 import { processEvents } from "../log/events/process.js";
 import type { Logger } from "../log/index.js";
@@ -24,6 +22,7 @@
 import { DisposableStore, type Address, type Clock, type Random } from "../model/index.js";
 import { StoreFollower } from "./follower.js";
 import type { NodeAdapter } from "./ports.js";
+import { TargetQuestioner } from "./questioner.js";
 import { planDrain, type DrainPlan } from "./drain.js";
 import type { NodeSettings } from "./settings.js";
 
@@ -55,6 +54,7 @@
   private readonly owned = new DisposableStore();
   private readonly metrics: Metrics;
   private readonly keeper: LeadershipKeeper;
+  private readonly questioner: TargetQuestioner;
   private readonly changer: PrimaryChanger;
   private readonly follower: StoreFollower;
   private readonly groups: GroupDirectory;
@@ -81,6 +81,13 @@
       onSuperseded: (group, target) => this.groups.find(group)?.evict(target),
       onSilence: (group, target, since) => void this.probe(group, target, since),
     });
+    this.questioner = new TargetQuestioner({
+      adapter,
+      clock,
+      logger,
+      listTargets: (group) => this.listTargets(group),
+      hasReached: (group, target, since) => this.keeper.hasReached(group, target, since),
+    });
     const peers = new DirectPeerClient(settings.vm, logger);
     this.follower = new StoreFollower({
       settings,
@@ -102,7 +109,7 @@
           write: (document, version) => adapter.store.writeLeadership(document, version),
         },
         peers,
-        askTarget: (question, timeoutMs) => this.askTarget(question, timeoutMs),
+        askTarget: (question, timeoutMs) => this.questioner.ask(question, timeoutMs),
         promote: adapter.promote,
         clock,
         random,
@@ -212,7 +219,7 @@
     if (peers === undefined) return;
     const server = new DirectPeerServer(peers, {
       takeWord: (_from, word) => this.takeWord(word),
-      askTarget: (question) => this.askTarget(question, peerAskMs),
+      askTarget: (question) => this.questioner.ask(question, peerAskMs),
       encodeScene: () => this.follower.encodeScene(),
     });
     await this.owned.add(server).listen();
@@ -270,30 +277,12 @@
   private async probe(group: string, target: string, since: number): Promise<void> {
     if (this.probing.has(group)) return;
     this.probing.add(group);
-    const isReached = await this.reachTarget(group, target);
+    const isReached = await this.questioner.probe(group, target);
     this.probing.delete(group);
     this.keeper.noteProbe(group, target, since, isReached);
     if (!isReached) this.changer.look();
   }
 
-  /** Whether a target takes a connection, or refuses one: both are signs of life. */
-  private async reachTarget(group: string, name: string): Promise<boolean> {
-    const target = this.listTargets(group).find((t) => t.name === name);
-    if (target === undefined) return false;
-    try {
-      const link = await this.options.adapter.dialer.open(group, target, probeMs);
-      link.close();
-      return true;
-    } catch (error) {
-      const isRefused = error instanceof LinkError && error.kind === "refused";
-      const reason = String(error);
-      if (!isRefused) {
-        this.options.logger.write(nodeEvents.targetSilent, { group, target: name, reason });
-      }
-      return isRefused;
-    }
-  }
-
   private listTargets(group: string) {
     return this.follower.scene.groups.get(group)?.targets ?? [];
   }
@@ -301,63 +290,9 @@
   private countInFlight(): number {
     return this.callers.countBusy() + (this.changer.isWorking ? 1 : 0);
   }
-
-  /** Asks a target over a fresh connection: one in use may be silent while the target lives. */
-  private async askTarget(
-    { group, target, demoteRound }: TargetQuestion,
-    timeoutMs: number,
-  ): Promise<TargetAnswer> {
-    const { adapter, clock } = this.options;
-    const listed = this.listTargets(group).find((t) => t.name === target);
-    if (listed === undefined) return { type: "silent" };
-    const askedAt = clock.now();
-    const until = askedAt + timeoutMs;
-    try {
-      const link = await adapter.dialer.open(group, listed, timeoutMs);
-      try {
-        return await this.askOn(link, demoteRound, until);
-      } finally {
-        link.close();
-      }
-    } catch (error) {
-      this.options.logger.write(nodeEvents.targetSilent, { group, target, reason: String(error) });
-      return { type: this.keeper.hasReached(group, target, askedAt) ? "alive" : "silent" };
-    }
-  }
-
-  /** The target refuses while all its slots are taken: asked again until the time is over. */
-  private async askOn(
-    link: Awaited<ReturnType<NodeAdapter["dialer"]["open"]>>,
-    demoteRound: number | undefined,
-    until: number,
-  ): Promise<TargetAnswer> {
-    const { adapter, clock } = this.options;
-    const command =
-      demoteRound === undefined
-        ? ({ type: "status" } as const)
-        : ({ type: "demote", round: demoteRound } as const);
-    for (;;) {
-      const leftMs = until - clock.now();
-      const result = await link.run(command, leftMs);
-      // It has just taken the connection.
-      if (result.type === "broken") return { type: "alive" };
-      const { end } = result.reply;
-      if (end.type === "complete") {
-        const report = adapter.parseReport(result.reply);
-        return report === undefined ? { type: "silent" } : { type: "report", report };
-      }
-      if (end.code !== "busy") return { type: "silent" };
-      if (clock.now() + busyPauseMs >= until) return { type: "alive" };
-      await clock.sleep(busyPauseMs);
-    }
-  }
 }
 
 /** A little longer than a primary must have been missing to be suspected. */
 const missLookMs = 270;
-/** A probe opens a connection, 12 ms and one of the target's slots, behind what those slots work on. */
-const probeMs = 200;
 /** A peer's question about a target: as long as this process would wait for its own. */
 const peerAskMs = 200;
-/** Between two tries to ask a target whose slots are all taken: the shortest work. */
-const busyPauseMs = 5;
