Remove the entries of nodes that are gone for good

Weighed: entries that lapse by time (each node would have to write all the while); removal at once (a node that is cut off could use the old primary, and nobody would wait for it). Change: a change marks the entries of those that did not answer; a node that reads its mark takes it off and counts as a member only from then on; peers confirm nobody that they list as marked or not at all; an entry that stays marked for 10 s, several times the longest permission, is removed under the version that was marked, by one node for all. Tests: the entry of a node that is gone is removed; a node that was missed says that it lives.

--- a/src/directpeer/codec.ts
+++ b/src/directpeer/codec.ts
@@ -37,7 +37,8 @@
 
 /** Reads the answer to a word. */
 export function decodeAnswer(message: ShareResponse): LeadershipAnswer {
-  return { ...decodeWord(message), vm: message.vm, confirmedAgoMs: message.confirmedAgoMs };
+  const { vm, confirmedAgoMs, listsAsker } = message;
+  return { ...decodeWord(message), vm, confirmedAgoMs, listsAsker };
 }
 
 /** Writes what a target said to a question. */
--- a/src/directpeer/server.ts
+++ b/src/directpeer/server.ts
@@ -51,9 +51,9 @@
   return {
     share: (request: Parameters<typeof decodeWord>[0] & { readonly vm: string }) => {
       const answer = handlers.takeWord(request.vm, decodeWord(request));
-      const { vm, confirmedAgoMs } = answer;
+      const { vm, confirmedAgoMs, listsAsker } = answer;
       const age = confirmedAgoMs === undefined ? {} : { confirmedAgoMs };
-      return { vm, ...encodeWord(answer), ...age };
+      return { vm, listsAsker, ...encodeWord(answer), ...age };
     },
     askTarget: async (request: {
       readonly group: string;
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -6,7 +6,7 @@
 import { Inquiry } from "./inquiry.js";
 import type { LeadershipKeeper } from "./keeper.js";
 import { permitMs } from "./permit.js";
-import type { LeadershipPorts } from "./ports.js";
+import type { LeadershipPorts, Proxy } from "./ports.js";
 import { findSuspicion, type Suspicion } from "./suspicion.js";
 
 /** Telling another proxy takes a round trip; one that runs answers within this, busy or not. */
@@ -33,6 +33,14 @@
 /** Proxies that see the same failure begin at drawn times, so that one is first. */
 const spreadMs = 80;
 
+/** What came of telling the other proxies. */
+interface Telling {
+  readonly silent: number;
+  /** All that are registered, this one included. */
+  readonly proxies: number;
+  readonly missed: readonly Proxy[];
+}
+
 /** Replaces primaries: suspects, asks the others, takes the duty, and carries the change out. */
 export class PrimaryChanger {
   private readonly working = new Set<string>();
@@ -191,7 +199,7 @@
   }
 
   /** Tells all proxies to use the old primary no more; gives how many did not answer. */
-  private async tellOthers(): Promise<{ readonly silent: number; readonly proxies: number }> {
+  private async tellOthers(): Promise<Telling> {
     const others = this.inquiry.listOthers();
     const { word } = this.keeper;
     const answers = await Promise.all(
@@ -199,14 +207,14 @@
     );
     for (const answer of answers) if (answer !== undefined) this.keeper.adopt(answer);
     const { version } = word.leadership;
-    const holding = answers.filter((a) => a !== undefined && a.leadership.version >= version);
-    const silent = others.length - holding.length;
-    this.ports.logger.write(leadershipEvents.proxiesTold, {
-      version,
-      told: holding.length,
-      silent,
+    const missed = others.filter((_, i) => {
+      const answer = answers[i];
+      return answer === undefined || answer.leadership.version < version;
     });
-    return { silent, proxies: others.length + 1 };
+    const silent = missed.length;
+    const told = others.length - silent;
+    this.ports.logger.write(leadershipEvents.proxiesTold, { version, told, silent });
+    return { silent, proxies: others.length + 1, missed };
   }
 
   /**
@@ -216,7 +224,7 @@
    */
   private async waitOutSilent(
     begunAt: number,
-    { silent, proxies }: { readonly silent: number; readonly proxies: number },
+    { silent, proxies }: Pick<Telling, "silent" | "proxies">,
   ): Promise<void> {
     if (silent === 0) return;
     const isMajority = proxies - silent > proxies / 2;
@@ -302,7 +310,9 @@
     const telling = this.tellOthers();
     await this.duty.end(group, round, target);
     await telling;
-    await this.tellOthers();
+    const { missed } = await this.tellOthers();
+    // One that has ended for good would be waited out by each change from now on.
+    await Promise.all(missed.map((proxy) => this.ports.markMissed(proxy)));
   }
 }
 
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -8,6 +8,10 @@
 export interface Proxy {
   readonly vm: string;
   readonly address: Address;
+  /** Set by a change of primary that it did not answer, until it says that it lives. */
+  readonly isMissed?: boolean;
+  /** Of its entry in the store; changes with each mark and each sign of life. */
+  readonly version?: number;
 }
 
 /** A primary that a change has made, before the store has the document that says so. */
@@ -26,6 +30,8 @@
 /** What a proxy answered; `confirmedAgoMs` is the age of its own confirmation by the store. */
 export interface LeadershipAnswer extends LeadershipWord {
   readonly vm: string;
+  /** Whether it lists the asking proxy, and as one that nobody has missed. */
+  readonly listsAsker: boolean;
   readonly confirmedAgoMs: number | undefined;
 }
 
@@ -102,6 +108,8 @@
   readonly listProxies: () => readonly Proxy[];
   /** Lists them anew; false when the store does not say. */
   readonly refreshProxies: () => Promise<boolean>;
+  /** Writes down that a proxy did not answer, unless its entry has changed. */
+  readonly markMissed: (proxy: Proxy) => Promise<void>;
   readonly listTargets: (group: string) => readonly AnnouncedTarget[];
   readonly listGroups: () => readonly string[];
 }
--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -32,6 +32,12 @@
     level: "info",
     text: "This proxy leaves and has taken itself out of the platform's store, if that was done.",
   },
+  missedRemoved: {
+    id: 5211,
+    name: "missedProxyRemoved",
+    level: "info",
+    text: "The entry of a proxy that did not answer a change of primary, nor say since that it lives.",
+  },
   sceneFetched: {
     id: 5202,
     name: "sceneFetched",
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -43,6 +43,12 @@
 /** Peers are asked once the store's last word is older than this: one look has failed. */
 const askPeersAfterMs = 500;
 
+/**
+ * An entry that was marked for so long is removed, in milliseconds: several times the longest permission
+ * (1.6 s) and the looks of a proxy that lives (0.7 s), so that a slow store does not take one out.
+ */
+const missedMs = 10_000;
+
 /** What a follower needs. */
 export interface FollowerPorts {
   readonly settings: NodeSettings;
@@ -73,6 +79,7 @@
   private hasTriedToRegister = false;
   /** Since when it certainly is there; absent while it may not be. */
   private memberSince: number | undefined;
+  private missedSince = new Map<string, number>();
   private isAway = false;
   private isStopped = false;
 
@@ -152,8 +159,9 @@
     if (beat.value.leadership !== undefined) {
       keeper.adopt({ leadership: beat.value.leadership, made: [] });
     }
-    await this.readChanges(beat.value);
-    if (this.isMemberBefore(askedAt)) keeper.confirm(askedAt);
+    const isListed = await this.readChanges(beat.value);
+    if (isListed && this.isMemberBefore(askedAt)) keeper.confirm(askedAt);
+    await this.removeMissed();
     return true;
   }
 
@@ -165,9 +173,10 @@
     return true;
   }
 
-  private async readChanges({ revision }: StoreBeat): Promise<void> {
+  /** Reads what has changed; false when it is not known which proxies there are. */
+  private async readChanges({ revision }: StoreBeat): Promise<boolean> {
     const isSame = revision === this.readRevision && this.isInformed && this.isRegistered();
-    if (isSame && !isAwaitingReturn(this.feed, this.ports.clock.now())) return;
+    if (isSame && !isAwaitingReturn(this.feed, this.ports.clock.now())) return true;
     const { store } = this.ports;
     const [routes, targets, proxies] = await Promise.all([
       store.readRoutes(),
@@ -186,10 +195,30 @@
     const isWhole = [routes, targets, proxies].every((read) => read.type !== "unavailable");
     this.readRevision = isWhole ? revision : undefined;
     this.publish();
+    return proxies.type === "found";
+  }
+
+  /**
+   * Removes entries that were marked for long: their proxies read the mark at their next look at the
+   * store and would have taken it off. From the mark on nobody confirms them either, so that their
+   * permission is over long before. One proxy does it for all.
+   */
+  private async removeMissed(): Promise<void> {
+    const { clock, store, settings, logger } = this.ports;
+    const remover = this.proxies.find((proxy) => proxy.isMissed !== true);
+    if (remover?.vm !== settings.vm) return;
+    for (const proxy of this.proxies) {
+      const since = this.missedSince.get(formatEntry(proxy));
+      if (since === undefined || clock.now() - since < missedMs) continue;
+      this.missedSince.delete(formatEntry(proxy));
+      logger.write(nodeEvents.missedRemoved, { vm: proxy.vm });
+      await store.removeMissed(proxy);
+    }
   }
 
   private takeProxies(proxies: readonly Proxy[]): void {
-    this.proxies = proxies;
+    this.proxies = [...proxies].sort((a, b) => (a.vm < b.vm ? -1 : 1));
+    this.noteMissed();
     this.ports.logger.write(nodeEvents.proxiesListed, { proxies: proxies.length });
     if (!this.isRegistered()) {
       this.listingsAsMember = 0;
@@ -201,6 +230,14 @@
     this.memberSince ??= this.hasTriedToRegister ? this.ports.clock.now() : -Infinity;
   }
 
+  /** Notes since when the entries that are marked have been seen so, unchanged. */
+  private noteMissed(): void {
+    const now = this.ports.clock.now();
+    const missed = this.proxies.filter((proxy) => proxy.isMissed === true).map(formatEntry);
+    const entries = missed.map((entry) => [entry, this.missedSince.get(entry) ?? now] as const);
+    this.missedSince = new Map(entries);
+  }
+
   /**
    * Whether this proxy was in the store before a question was asked. Whoever replaces a primary writes
    * that down and then lists the proxies that it waits for. An answer to what was asked earlier than
@@ -223,11 +260,12 @@
     logger.write(nodeEvents.registered, { vm: own.vm });
   }
 
+  /** Whether it is listed, and nobody has missed it. */
   private isRegistered(): boolean {
     const { vm, peers } = this.ports.settings;
-    return this.proxies.some(
-      (p) => p.vm === vm && p.address.host === peers?.host && p.address.port === peers.port,
-    );
+    const own = this.proxies.find((proxy) => proxy.vm === vm);
+    if (own === undefined || own.isMissed === true) return false;
+    return own.address.host === peers?.host && own.address.port === peers.port;
   }
 
   private publish(): void {
@@ -265,7 +303,8 @@
   private confirmBy(answers: readonly LeadershipAnswer[], askedAt: number): void {
     const { keeper } = this.ports;
     const { version } = keeper.leadership;
-    for (const { confirmedAgoMs, leadership } of answers) {
+    const listing = answers.filter((answer) => answer.listsAsker);
+    for (const { confirmedAgoMs, leadership } of listing) {
       if (confirmedAgoMs === undefined || leadership.version < version) continue;
       const at = askedAt - confirmedAgoMs;
       if (this.isMemberBefore(at)) keeper.confirm(at);
@@ -273,7 +312,7 @@
     // All start at once: a listing from before this proxy was in the store may lack those that came
     // with it, and a few of them would look like a majority.
     if (this.listingsAsMember === 0) return;
-    const words = answers.map((answer) => ({ version: answer.leadership.version }));
+    const words = listing.map((answer) => ({ version: answer.leadership.version }));
     if (isConfirmedByPeers(version, words, this.proxies.length)) keeper.confirm(askedAt);
   }
 
@@ -296,6 +335,10 @@
   }
 }
 
+function formatEntry({ vm, version }: Proxy): string {
+  return `${vm} ${version ?? 0}`;
+}
+
 interface EncodedScene {
   readonly scene: string;
   readonly proxies: readonly Proxy[];
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -116,6 +116,7 @@
         logger,
         listProxies: () => this.follower.listProxies(),
         refreshProxies: () => this.follower.refreshProxies(),
+        markMissed: (proxy) => adapter.store.markMissed(proxy),
         listTargets: (group) => this.listTargets(group),
         listGroups: () => [...this.follower.scene.groups.keys()],
       },
@@ -218,20 +219,21 @@
     const { peers } = this.options.settings;
     if (peers === undefined) return;
     const server = new DirectPeerServer(peers, {
-      takeWord: (_from, word) => this.takeWord(word),
+      takeWord: (from, word) => this.takeWord(from, word),
       askTarget: (question) => this.questioner.ask(question, peerAskMs),
       encodeScene: () => this.follower.encodeScene(),
     });
     await this.owned.add(server).listen();
   }
 
-  private takeWord(word: LeadershipWord): LeadershipAnswer {
+  private takeWord(from: string, word: LeadershipWord): LeadershipAnswer {
     this.keeper.adopt(word);
     const confirmedAt = this.keeper.confirmedAt;
     const { clock, settings } = this.options;
     return {
       ...this.keeper.word,
       vm: settings.vm,
+      listsAsker: this.follower.listProxies().some((p) => p.vm === from && p.isMissed !== true),
       confirmedAgoMs: confirmedAt === undefined ? undefined : clock.now() - confirmedAt,
     };
   }
--- a/src/node/ports.ts
+++ b/src/node/ports.ts
@@ -27,6 +27,10 @@
   register(proxy: Proxy): Promise<boolean>;
   /** Removes this proxy's entry; false when that is not known to be done. */
   deregister(proxy: Proxy): Promise<boolean>;
+  /** Marks the entry as that of a proxy that was missed, if it still is at this address. */
+  markMissed(proxy: Proxy): Promise<void>;
+  /** Removes the entry if it is the same as when it was read; the next look tells whether. */
+  removeMissed(proxy: Proxy): Promise<void>;
   /** Reaches the store elsewhere from now on. */
   setAddress(address: NodeSettings["store"]): void;
 }
--- a/test/leadership/scene.ts
+++ b/test/leadership/scene.ts
@@ -61,6 +61,7 @@
       logger,
       listProxies: () => [],
       refreshProxies: () => Promise.resolve(true),
+      markMissed: () => Promise.resolve(),
       listTargets,
       listGroups: () => ["ledger"],
     };
--- a/test/node/change.test.ts
+++ b/test/node/change.test.ts
@@ -15,6 +15,9 @@
       }
     | undefined;
 
+const find = (vm: string) =>
+  cluster.store.find("radishwalk-proxies", vm) as { readonly missed?: boolean } | undefined;
+
 const isSettled = () => leadership()?.groups.ledger?.type === "serving";
 
 const readAll = (text: string) =>
@@ -232,3 +235,30 @@
   const told = cluster.lines.filter((line) => line.event.name === "proxiesTold");
   expect(told.map((line) => line.fields.silent)).toEqual(told.map(() => 0));
 });
+
+// A node loses its power for good. The next change of primary finds it silent, waits it out and marks its
+// entry, which is removed some time later: the change after that waits for nobody.
+test("the entry of a node that is gone for good is removed", async () => {
+  cluster = await Cluster.start({ nodes: 2 });
+  await waitUntil(() => cluster.isListed());
+  await (await cluster.open("primary", 0)).query("WRITE cello taken");
+  await cluster.nodes[1]?.dispose();
+  await cluster.target(0).crash();
+  cluster.store.remove("servers", "i-0");
+  await waitUntil(isSettled);
+  await waitUntil(() => find("vm-1")?.missed === true);
+  await waitUntil(() => find("vm-1") === undefined);
+  expect(find("vm-0")?.missed).toBeUndefined();
+});
+
+// A change found a node silent, which lives after all. It takes the mark off its entry, and uses
+// primaries only once that is done.
+test("a node that was missed says that it lives", async () => {
+  cluster = await Cluster.start({ nodes: 1 });
+  const client = await cluster.open("primary");
+  await client.query("WRITE cello taken");
+  const marked = { ...find("vm-0"), missed: true };
+  cluster.store.set("radishwalk-proxies", "vm-0", marked);
+  await waitUntil(() => find("vm-0")?.missed === undefined);
+  await waitUntil(async () => (await client.query("READ cello")).startsWith("DATAROW taken"));
+});
