Remove lost nodes' entries beside the looks at the store

Cause, by reading: the removals were waited for within a look. With a rack of entries and a store 60 times slower than usual they would hold up the next look for seconds, and the node's permission would lapse. Change: they go on beside it.

--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -161,7 +161,8 @@
     }
     const isListed = await this.readChanges(beat.value);
     if (isListed && this.isMemberBefore(askedAt)) keeper.confirm(askedAt);
-    await this.removeMissed();
+    // Not waited for: while the store is slow, calls for a rack of them would hold up the next look.
+    void this.removeMissed();
     return true;
   }
 
