--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -61,6 +61,7 @@
   const admitted = await group.acquire(toAdmission(request, choice.names), request.signal);
   if (admitted.type === "refused") {
     const { reason } = admitted;
+    // The primary that it waited for was replaced: the next try finds the new one.
     if (reason === "noPrimary")
       return { type: "unreachable", target: choice.names[0] ?? "", reason };
     const { retryAfterMs } = admitted;
