Refuse entries that no target writes, and replace a primary that is back with nothing

Cause: an entry without a state, or with an unknown one, counted as ready, one without capacity as one slot, and an address with a port that is no number as an address; and nothing noticed a target that starts again under its name.

Change: the adapter takes an entry only with every field of its type, and names the first that is not; the follower logs each once. A target whose start time changes loses its connections and health. A primary whose log, at the opening of a connection, ends before the newest mark known is not used and is replaced.

Tests: properties over entries; a primary and a replica back with nothing and a stray entry over real sockets.

--- a/scripts/warm/main.ts
+++ b/scripts/warm/main.ts
@@ -73,9 +73,12 @@
       service,
       address: `${host}:${port}`,
       zone: "a",
+      version: "v1",
       capacity: 2,
       state: "ready",
+      "cold-remaining-ms": 0,
       "db-role": role,
+      sequence: 1,
     });
   }
   store.set("config", "main", makeConfiguration());
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -3,6 +3,7 @@
 import {
   compareTerms,
   DisposableStore,
+  orderMarks,
   type Disposable,
   type Mark,
   type Target,
@@ -18,6 +19,7 @@
 import { noteAnswer, noteBehind, noteFailure, soundHealth, type TargetHealth } from "./health.js";
 import type { DirectPorts } from "./ports.js";
 import { PreparedLink } from "./prelude.js";
+import type { TargetLink } from "../statement/index.js";
 import type { AnnouncedGroup, AnnouncedTarget } from "./scene.js";
 
 /** A connection in use by one statement or transaction. */
@@ -85,7 +87,10 @@
     const before = this.targets;
     this.targets = new Map(group.targets.map((t) => [t.name, t]));
     this.share = countShare(group.connections, this.ports.countProxies());
-    for (const target of group.targets) this.updateTarget(target);
+    for (const target of group.targets) {
+      if (hasRestarted(before.get(target.name), target)) this.forgetTarget(target.name);
+      this.updateTarget(target);
+    }
     for (const name of before.keys()) if (!this.targets.has(name)) this.removeTarget(name);
   }
 
@@ -213,12 +218,10 @@
   private async openLink(target: Target, timeoutMs: number): Promise<PreparedLink> {
     const { dialer, primaries, clock } = this.ports;
     const askedAt = clock.now();
+    const newest = findNewestMark(this.history);
     try {
       const link = await dialer.open(this.name, target, timeoutMs);
-      // Tells as much as an answer: right after a start reads need not all go to the primary first.
-      if (link.openedAt !== undefined && this.isPrimary(target)) {
-        this.notePrimaryMark(link.openedAt, askedAt);
-      }
+      if (this.isPrimary(target)) this.noteOpened(target, link, newest, askedAt);
       return new PreparedLink(link);
     } catch (error) {
       if (!dialer.isTooMany(error)) {
@@ -229,20 +232,70 @@
     }
   }
 
-  private isPrimary({ name }: Target): boolean {
+  /**
+   * Takes in where the primary's log ended when a connection to it was opened: that tells as much as an
+   * answer, so that right after a start reads need not all go to the primary first. `newest` was known
+   * before.
+   *
+   * A primary that started again under its name may hold nothing of what it had acknowledged. It would
+   * answer plain reads as before, and callers would miss their own commits. Connections to the process
+   * before are gone, so that each statement for the new one needs an opening, which shows it.
+   */
+  private noteOpened(
+    { name }: Target,
+    link: TargetLink,
+    newest: Mark | undefined,
+    askedAt: number,
+  ): void {
+    const { openedAt } = link;
+    if (hasLostLog(newest, openedAt)) {
+      this.ports.primaries.noteLostLog(this.name, name);
+      if (!this.isPrimary({ name })) {
+        link.close();
+        throw new LostLogError(`${name} lacks commits that it had acknowledged`);
+      }
+    }
+    if (openedAt !== undefined) this.notePrimaryMark(openedAt, askedAt);
+  }
+
+  private isPrimary({ name }: Pick<Target, "name">): boolean {
     const primary = this.ports.primaries.find(this.name);
     return primary.type === "serving" && primary.target === name;
   }
 
   private removeTarget(name: string): void {
-    const pool = this.pools.get(name);
-    pool?.drain();
+    this.forgetTarget(name);
+    this.slots.resize(name, "replica", 0);
+  }
+
+  /**
+   * Forgets what was known of the process behind a target. What still runs there holds its slot until
+   * its connection ends. Marks stay: a replica proves with each read that it holds the one asked for.
+   */
+  private forgetTarget(name: string): void {
+    this.pools.get(name)?.drain();
     this.pools.delete(name);
     this.health.delete(name);
-    this.slots.resize(name, "replica", 0);
   }
 }
 
+/** A primary that may not be read from until it is settled who leads. */
+class LostLogError extends Error {
+  override readonly name = "LostLogError";
+}
+
+/** Whether another process than before answers under a target's name. */
+function hasRestarted(before: AnnouncedTarget | undefined, now: AnnouncedTarget): boolean {
+  const known = before?.startedAt;
+  return known !== undefined && now.startedAt !== undefined && known !== now.startedAt;
+}
+
+/** Whether a primary's log ends before a mark that the primary had been seen at. */
+function hasLostLog(newest: Mark | undefined, openedAt: Mark | undefined): boolean {
+  if (newest === undefined) return false;
+  return openedAt === undefined || orderMarks(openedAt, newest) < 0;
+}
+
 /** What one proxy may open to a target. */
 export interface ConnectionShare {
   /** At any time. */
--- a/src/direct/primary.ts
+++ b/src/direct/primary.ts
@@ -11,6 +11,8 @@
   find(group: string): PrimaryState;
   /** A statement went through to the primary, or did not. */
   noteContact(group: string, target: string, isReached: boolean): void;
+  /** The primary has started again without commits that it had acknowledged. */
+  noteLostLog(group: string, target: string): void;
   /** What was sent to the primary at `since` has had no answer for a while, and nothing else has. */
   noteSilence(group: string, target: string, since: number): void;
 }
--- a/src/direct/scene.ts
+++ b/src/direct/scene.ts
@@ -10,6 +10,8 @@
 /** A target with the role that it last announced for itself. */
 export interface AnnouncedTarget extends Target {
   readonly announcedRole: "primary" | "replica";
+  /** When its process was started, by its own time of day; absent where it does not say. */
+  readonly startedAt?: number;
 }
 
 /** A group and its targets as the platform lists them. */
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -18,8 +18,21 @@
   readonly target: AnnouncedTarget;
 }
 
+/** An entry among the targets that names none: whoever wrote it does not write as targets do. */
+export interface RefusedEntry {
+  readonly name: string;
+  /** The first field that no target would write so, by the platform's name for it. */
+  readonly field: string;
+}
+
+/** The platform's list of targets. */
+export interface TargetListing {
+  readonly targets: readonly ListedTarget[];
+  readonly refused: readonly RefusedEntry[];
+}
+
 /** What the platform's store tells a proxy. No call rejects. */
 export interface PlatformFeed {
   readRoutes(): Promise<StoreRead<RouteTable>>;
-  readTargets(): Promise<StoreRead<readonly ListedTarget[]>>;
+  readTargets(): Promise<StoreRead<TargetListing>>;
 }
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -1,10 +1,17 @@
-export { type ListedTarget, type PlatformFeed, type RouteTable } from "./feed.js";
+export {
+  type ListedTarget,
+  type PlatformFeed,
+  type RefusedEntry,
+  type RouteTable,
+  type TargetListing,
+} from "./feed.js";
 export {
   applyRoutes,
   applyTargets,
   type FeedState,
   firstFeedState,
   isAwaitingReturn,
+  listStrangers,
   makeScene,
   noteStoreAnswer,
 } from "./state.js";
--- a/src/feed/state.ts
+++ b/src/feed/state.ts
@@ -1,6 +1,6 @@
 import type { AnnouncedTarget, Scene } from "../direct/index.js";
 import { emptyScene } from "../direct/index.js";
-import type { ListedTarget, RouteTable } from "./feed.js";
+import type { ListedTarget, RefusedEntry, RouteTable, TargetListing } from "./feed.js";
 
 /** What a proxy knows of the platform's store. Times are on its clock, in milliseconds. */
 export interface FeedState {
@@ -41,21 +41,32 @@
   return routes.revision <= known ? state : { ...state, routes };
 }
 
-/** Takes in a listing. Right after an outage targets that it lacks are kept. */
+/**
+ * Takes in a listing. Right after an outage targets that it lacks are kept, but none whose entry is
+ * there and names no target.
+ */
 export function applyTargets(
   state: FeedState,
-  listed: readonly ListedTarget[],
+  { targets: listed, refused }: TargetListing,
   now: number,
 ): FeedState {
   const targets = new Map(listed.map((entry) => [entry.target.name, entry]));
+  const present = new Set([...targets.keys(), ...refused.map(({ name }) => name)]);
   if (now < state.trustedFrom) {
     for (const [name, entry] of state.targets) {
-      if (!targets.has(name) && !isReplaced(entry, listed)) targets.set(name, entry);
+      if (!present.has(name) && !isReplaced(entry, listed)) targets.set(name, entry);
     }
   }
   return { ...state, targets, hasTargets: true };
 }
 
+/** Targets of groups that the configuration does not name. Nothing is sent to them. */
+export function listStrangers({ routes, targets }: FeedState): readonly RefusedEntry[] {
+  if (routes === undefined) return [];
+  const strangers = [...targets.values()].filter(({ group }) => !routes.connections.has(group));
+  return strangers.map(({ target }) => ({ name: target.name, field: "group" }));
+}
+
 /** Whether the store's listing must be read again though nothing in it has changed. */
 export function isAwaitingReturn(state: FeedState, now: number): boolean {
   return now < state.trustedFrom;
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -108,6 +108,7 @@
       target: old,
       isListed: listed !== undefined,
       isLeaving: listed?.isLeaving === true,
+      hasLostLog: this.keeper.hasLostLog(group, old),
       contact: this.keeper.findContact(group),
     };
     return findSuspicion(sight, this.ports.clock.now());
--- a/src/leadership/decide.ts
+++ b/src/leadership/decide.ts
@@ -30,6 +30,7 @@
 export function decideChange(suspicion: Suspicion, reach: Reachability): ChangeDecision {
   if (suspicion.type === "leaving") return { type: "change", reason: "the primary is leaving" };
   if (suspicion.type === "unlisted") return { type: "change", reason: "the primary is gone" };
+  if (suspicion.type === "emptied") return { type: "change", reason: "the primary lost its log" };
   const answered = reach.reaching + reach.missing;
   if (answered <= reach.silent) {
     return { type: "keep", reason: `${reach.silent} proxies do not say whether they reach it` };
@@ -50,7 +51,8 @@
 }
 
 /**
- * The target that should lead. One that leads a newer term than all others already is taken first:
+ * The target that should lead. One that started again with nothing has the shortest log, so that it
+ * leads only where no other runs. One that leads a newer term than all others already is taken first:
  * an earlier change may have got that far. Else the one with the longest log, which loses least; a
  * target that is leaving only where there is no other.
  */
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -24,6 +24,11 @@
   readonly onSilence: (group: string, target: string, since: number) => void;
 }
 
+interface LostLog {
+  readonly target: string;
+  readonly round: number;
+}
+
 /** The time from a change's beginning to its end that callers are told at first, in milliseconds. */
 const usualChangeMs = 900;
 /** Callers are told to come back no sooner than this. */
@@ -41,6 +46,8 @@
   private permitLostAt: number | undefined;
   private stalledAt: number | undefined;
   private readonly contacts = new Map<string, PrimaryContact>();
+  /** By group: the primary that has lost commits, and the round in which that was seen. */
+  private readonly lostLogs = new Map<string, LostLog>();
   private readonly changingSince = new Map<string, number>();
 
   constructor(private readonly ports: KeeperPorts) {}
@@ -113,7 +120,7 @@
     const target = entry.type === "serving" ? entry.target : this.findMade(group, entry);
     if (target === undefined) return { type: "changing", backInMs: this.estimateBackMs(group) };
     const isListed = this.ports.listTargets(group).some((t) => t.name === target);
-    if (isListed) return { type: "serving", target };
+    if (isListed && !this.hasLostLog(group, target)) return { type: "serving", target };
     return { type: "changing", backInMs: usualChangeMs };
   }
 
@@ -123,7 +130,8 @@
     if (entry?.type === "serving") return entry.target;
     if (entry?.type === "changing") return this.findMade(group, entry);
     const announced = this.findAnnounced(group);
-    return announced.type === "serving" ? announced.target : this.contacts.get(group)?.target;
+    if (announced.type === "serving") return announced.target;
+    return this.lostLogs.get(group)?.target ?? this.contacts.get(group)?.target;
   }
 
   noteContact(group: string, target: string, isReached: boolean): void {
@@ -133,6 +141,22 @@
     if (!isReached) this.ports.onMiss();
   }
 
+  noteLostLog(group: string, target: string): void {
+    const round = this.findRound(group);
+    const known = this.lostLogs.get(group);
+    // It was made primary again since: no other target runs, and what is lost is lost.
+    if (known?.target === target && known.round < round) return;
+    if (known === undefined) this.ports.logger.write(leadershipEvents.logLost, { group, target });
+    this.lostLogs.set(group, { target, round });
+    this.ports.onMiss();
+  }
+
+  /** Whether the primary of the round in force has lost commits that it had acknowledged. */
+  hasLostLog(group: string, target: string): boolean {
+    const known = this.lostLogs.get(group);
+    return known?.target === target && known.round === this.findRound(group);
+  }
+
   noteSilence(group: string, target: string, since: number): void {
     if (!this.hasReached(group, target, since)) this.ports.onSilence(group, target, since);
   }
@@ -158,6 +182,10 @@
     return this.contacts.get(group);
   }
 
+  private findRound(group: string): number {
+    return this.current.document.groups[group]?.round ?? 0;
+  }
+
   private checkStall(): void {
     if (!this.ports.stalls.check()) return;
     this.stalledAt = this.ports.clock.now();
@@ -172,6 +200,7 @@
     const [leader] = leaders;
     if (leader === undefined) return { type: "changing", backInMs: usualChangeMs };
     if (leaders.length > 1) return { type: "unknown", reason: "two targets claim to be primary" };
+    if (this.hasLostLog(group, leader.name)) return { type: "changing", backInMs: usualChangeMs };
     return { type: "serving", target: leader.name };
   }
 
--- a/src/leadership/suspicion.ts
+++ b/src/leadership/suspicion.ts
@@ -13,7 +13,9 @@
   | { readonly type: "leaving" }
   | { readonly type: "unreachable"; readonly sinceMs: number }
   /** Its entry is gone from the platform's list. */
-  | { readonly type: "unlisted" };
+  | { readonly type: "unlisted" }
+  /** It has started again without commits that it had acknowledged. */
+  | { readonly type: "emptied" };
 
 /** Failures within this time are one event, such as a connection reset under several statements. */
 const suspectAfterMs = 250;
@@ -57,12 +59,14 @@
   readonly target: string;
   readonly isListed: boolean;
   readonly isLeaving: boolean;
+  readonly hasLostLog: boolean;
   readonly contact: PrimaryContact | undefined;
 }
 
 /** Whether there is a reason to replace a primary. */
 export function findSuspicion(sight: PrimarySight, now: number): Suspicion | undefined {
   if (!sight.isListed) return { type: "unlisted" };
+  if (sight.hasLostLog) return { type: "emptied" };
   if (sight.isLeaving) return { type: "leaving" };
   const { contact } = sight;
   if (contact?.target !== sight.target || contact.missingSince === undefined) return undefined;
--- a/src/log/events/leadership.ts
+++ b/src/log/events/leadership.ts
@@ -32,6 +32,12 @@
     level: "warn",
     text: "A primary may have to be replaced; the other proxies are asked.",
   },
+  logLost: {
+    id: 3115,
+    name: "primaryLostLog",
+    level: "warn",
+    text: "A primary has started again without commits that it had acknowledged; it is replaced.",
+  },
   kept: {
     id: 3105,
     name: "primaryKept",
--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -50,6 +50,12 @@
     level: "info",
     text: "The targets of a group, their state or their announced roles have changed.",
   },
+  entryRefused: {
+    id: 5212,
+    name: "targetEntryRefused",
+    level: "info",
+    text: "An entry among the targets is not as targets write it, by the field named; it is passed over.",
+  },
   settingsRead: {
     id: 5204,
     name: "settingsReadAgain",
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -7,9 +7,11 @@
   encodeSnapshot,
   firstFeedState,
   isAwaitingReturn,
+  listStrangers,
   makeScene,
   noteStoreAnswer,
   type FeedState,
+  type RefusedEntry,
 } from "../feed/index.js";
 import {
   isConfirmedByPeers,
@@ -80,6 +82,8 @@
   /** Since when it certainly is there; absent while it may not be. */
   private memberSince: number | undefined;
   private missedSince = new Map<string, number>();
+  /** By entry: the field for which it names no target. */
+  private refusedEntries: ReadonlyMap<string, string> = new Map();
   private isAway = false;
   private isStopped = false;
 
@@ -190,6 +194,7 @@
     }
     if (targets.type === "found") {
       this.feed = applyTargets(this.feed, targets.value, this.ports.clock.now());
+      this.logRefused([...targets.value.refused, ...listStrangers(this.feed)]);
     }
     if (proxies.type === "found") this.takeProxies(proxies.value);
     await this.register();
@@ -269,6 +274,16 @@
     return own.address.host === peers?.host && own.address.port === peers.port;
   }
 
+  /** Says once of each entry why it names no target: it stands in the list for as long as it likes. */
+  private logRefused(refused: readonly RefusedEntry[]): void {
+    const known = this.refusedEntries;
+    for (const { name, field } of refused) {
+      if (known.get(name) !== field)
+        this.ports.logger.write(nodeEvents.entryRefused, { name, field });
+    }
+    this.refusedEntries = new Map(refused.map(({ name, field }) => [name, field]));
+  }
+
   private publish(): void {
     const before = this.current;
     this.current = makeScene(this.feed);
@@ -328,7 +343,7 @@
       this.proxies = known.proxies;
       if (this.isRegistered() && !this.hasTriedToRegister) this.memberSince = -Infinity;
       this.feed = applyRoutes(this.feed, snapshot.routes);
-      this.feed = applyTargets(this.feed, snapshot.targets, clock.now());
+      this.feed = applyTargets(this.feed, { targets: snapshot.targets, refused: [] }, clock.now());
       logger.write(nodeEvents.sceneFetched, { seed: `${seed.host}:${seed.port}` });
       this.publish();
       return;
--- a/standin/direct/target.ts
+++ b/standin/direct/target.ts
@@ -62,6 +62,8 @@
   private connections = 0;
   private transactions = 0;
   address: Address = { host: "127.0.0.1", port: 0 };
+  /** Milliseconds since the epoch, as the target says it of itself. */
+  startedAt = Date.now();
 
   constructor(
     readonly id: string,
@@ -94,6 +96,14 @@
     if (server !== undefined) await new Promise((resolve) => server.close(resolve));
   }
 
+  /** Starts again under its name and address, with nothing of what it held. */
+  async restartEmpty(): Promise<void> {
+    await this.crash();
+    this.member.log = [];
+    this.startedAt += 1;
+    await this.start();
+  }
+
   dispose(): Promise<void> {
     return this.crash();
   }
--- a/test/direct/stage.ts
+++ b/test/direct/stage.ts
@@ -46,6 +46,8 @@
   readonly sent: Sent[] = [];
   /** Primaries that were told to be silent. */
   readonly silent: string[] = [];
+  /** Primaries that were told to have lost their log. */
+  readonly emptied: string[] = [];
   primary: PrimaryState = { type: "serving", target: "p" };
   readonly groups: GroupDirectory;
   private readonly ports: DirectPorts;
@@ -62,6 +64,10 @@
       primaries: {
         find: () => this.primary,
         noteContact: () => undefined,
+        noteLostLog: (_group, target) => {
+          this.emptied.push(target);
+          this.primary = { type: "changing", backInMs: 900 };
+        },
         noteSilence: (_group, target) => this.silent.push(target),
       },
       clock: this.clock,
--- a/test/feed/feed.test.ts
+++ b/test/feed/feed.test.ts
@@ -5,9 +5,11 @@
   decodeSnapshot,
   encodeSnapshot,
   firstFeedState,
+  listStrangers,
   makeScene,
   noteStoreAnswer,
   type ListedTarget,
+  type RefusedEntry,
   type RouteTable,
 } from "../../src/feed/index.js";
 
@@ -31,6 +33,11 @@
   },
 });
 
+const listing = (targets: readonly ListedTarget[], refused: readonly RefusedEntry[] = []) => ({
+  targets,
+  refused,
+});
+
 const listNames = (state: Parameters<typeof makeScene>[0]) =>
   (makeScene(state).groups.get("g")?.targets ?? []).map((t) => t.name);
 
@@ -45,25 +52,25 @@
 test("entries that are missing right after an outage are kept for a while", () => {
   const targets = [listed("a", 1), listed("b", 2)];
   let state = applyRoutes(firstFeedState, routes(1));
-  state = applyTargets(noteStoreAnswer(state, 0), targets, 0);
-  state = applyTargets(noteStoreAnswer(state, 5000), [listed("a", 1)], 5000);
+  state = applyTargets(noteStoreAnswer(state, 0), listing(targets), 0);
+  state = applyTargets(noteStoreAnswer(state, 5000), listing([listed("a", 1)]), 5000);
   expect(listNames(state)).toEqual(["a", "b"]);
   for (const at of [5700, 6400, 7100, 7800]) state = noteStoreAnswer(state, at);
-  state = applyTargets(noteStoreAnswer(state, 8000), [listed("a", 1)], 8000);
+  state = applyTargets(noteStoreAnswer(state, 8000), listing([listed("a", 1)]), 8000);
   expect(listNames(state)).toEqual(["a"]);
 });
 
 test("without an outage a missing entry is gone at once, and so is one whose address is taken", () => {
   let state = applyRoutes(firstFeedState, routes(1));
-  state = applyTargets(noteStoreAnswer(state, 0), [listed("a", 1), listed("b", 2)], 0);
-  state = applyTargets(noteStoreAnswer(state, 700), [listed("a", 1)], 700);
+  state = applyTargets(noteStoreAnswer(state, 0), listing([listed("a", 1), listed("b", 2)]), 0);
+  state = applyTargets(noteStoreAnswer(state, 700), listing([listed("a", 1)]), 700);
   expect(listNames(state)).toEqual(["a"]);
-  state = applyTargets(noteStoreAnswer(state, 9000), [listed("c", 1)], 9000);
+  state = applyTargets(noteStoreAnswer(state, 9000), listing([listed("c", 1)]), 9000);
   expect(listNames(state)).toEqual(["c"]);
 });
 
 test("a snapshot brings everything to a process that can't reach the store", () => {
-  const state = applyTargets(applyRoutes(firstFeedState, routes(3)), [listed("a", 1)], 0);
+  const state = applyTargets(applyRoutes(firstFeedState, routes(3)), listing([listed("a", 1)]), 0);
   expect(decodeSnapshot(encodeSnapshot(state))).toEqual({
     routes: routes(3),
     targets: [listed("a", 1)],
@@ -71,3 +78,25 @@
   expect(encodeSnapshot(firstFeedState)).toBe("");
   expect(decodeSnapshot("{")).toBeUndefined();
 });
+
+// The store was away and its entries are coming back. One of them was overwritten by somebody else: it
+// is there, so that it does not count as missing, and what was known under its name is not kept.
+test("right after an outage an entry that names no target is not filled up from before", () => {
+  let state = applyRoutes(firstFeedState, routes(1));
+  const before = listing([listed("a", 1), listed("b", 2), listed("c", 3)]);
+  state = applyTargets(noteStoreAnswer(state, 0), before, 0);
+  const after = listing([listed("a", 1)], [{ name: "b", field: "state" }]);
+  state = applyTargets(noteStoreAnswer(state, 5000), after, 5000);
+  expect(listNames(state)).toEqual(["a", "c"]);
+});
+
+test("targets of groups that the configuration does not name are told apart", () => {
+  const stray = { ...listed("x", 9), group: "elsewhere" };
+  const state = applyTargets(
+    applyRoutes(firstFeedState, routes(1)),
+    listing([listed("a", 1), stray]),
+    0,
+  );
+  expect(listStrangers(state)).toEqual([{ name: "x", field: "group" }]);
+  expect(listNames(state)).toEqual(["a"]);
+});
--- a/test/leadership/decisions.test.ts
+++ b/test/leadership/decisions.test.ts
@@ -65,7 +65,7 @@
 });
 
 test("one lost answer is no suspicion; several over a while are", () => {
-  const sight = { target: "p", isListed: true, isLeaving: false };
+  const sight = { target: "p", isListed: true, isLeaving: false, hasLostLog: false };
   const first = noteContact(undefined, "p", false, 0);
   expect(findSuspicion({ ...sight, contact: first }, 1000)).toBeUndefined();
   const second = noteContact(first, "p", false, 10);
@@ -129,7 +129,7 @@
 // A dark primary answers nothing, and its one connection is taken by a statement that waits for it. No
 // second failure comes before that has run out of its time; a probe that fails says as much.
 test("a primary that is silent to a probe too is suspected at once", () => {
-  const sight = { target: "p", isListed: true, isLeaving: false };
+  const sight = { target: "p", isListed: true, isLeaving: false, hasLostLog: false };
   const reached = noteContact(undefined, "p", true, 50);
   const silent = noteSilence(reached, "p", 100);
   expect(findSuspicion({ ...sight, contact: silent }, 450)).toEqual({
--- a/test/node/cluster.ts
+++ b/test/node/cluster.ts
@@ -89,9 +89,13 @@
       service,
       address: `${host}:${port}`,
       zone: "a",
+      version: "v1",
       capacity: 2,
       state,
+      "cold-remaining-ms": 0,
       "db-role": target.member.role,
+      sequence: 1,
+      born: target.startedAt,
     });
   }
 
