Bound how long proxies without the store confirm one another, and tell silent ones again

Change: proxies confirm one another for 10 s after the store's last answer to any of them, which they hand on with its age; a change that can't tell a majority waits for 12 s in place of 5, but tells the silent ones each 100 ms and goes on at once when all know. What a majority counts from is when it had answered, no longer when the change was written.

--- a/src/directpeer/codec.ts
+++ b/src/directpeer/codec.ts
@@ -37,8 +37,21 @@
 
 /** Reads the answer to a word. */
 export function decodeAnswer(message: ShareResponse): LeadershipAnswer {
-  const { vm, confirmedAgoMs, listsAsker } = message;
-  return { ...decodeWord(message), vm, confirmedAgoMs, listsAsker };
+  const { vm, confirmedAgoMs, listsAsker, storeAgoMs, storeRevision } = message;
+  return { ...decodeWord(message), vm, confirmedAgoMs, listsAsker, storeAgoMs, storeRevision };
+}
+
+/** Writes the answer to a word. What is not known is left out. */
+export function encodeAnswer(answer: LeadershipAnswer) {
+  const { vm, listsAsker, confirmedAgoMs, storeAgoMs, storeRevision } = answer;
+  return {
+    vm,
+    listsAsker,
+    ...encodeWord(answer),
+    ...(confirmedAgoMs === undefined ? {} : { confirmedAgoMs }),
+    ...(storeAgoMs === undefined ? {} : { storeAgoMs }),
+    ...(storeRevision === undefined ? {} : { storeRevision }),
+  };
 }
 
 /** Writes what a target said to a question. */
--- a/src/directpeer/server.ts
+++ b/src/directpeer/server.ts
@@ -9,7 +9,7 @@
 } from "../leadership/index.js";
 import type { Address, Disposable } from "../model/index.js";
 import { DirectPeer } from "../peer/gen/radishwalk/direct/v1/direct_pb.js";
-import { decodeWord, encodeTargetAnswer, encodeWord } from "./codec.js";
+import { decodeWord, encodeAnswer, encodeTargetAnswer } from "./codec.js";
 
 /** What a process does for its peers. */
 export interface DirectPeerHandlers {
@@ -49,12 +49,8 @@
 
 function createService(handlers: DirectPeerHandlers) {
   return {
-    share: (request: Parameters<typeof decodeWord>[0] & { readonly vm: string }) => {
-      const answer = handlers.takeWord(request.vm, decodeWord(request));
-      const { vm, confirmedAgoMs, listsAsker } = answer;
-      const age = confirmedAgoMs === undefined ? {} : { confirmedAgoMs };
-      return { vm, listsAsker, ...encodeWord(answer), ...age };
-    },
+    share: (request: Parameters<typeof decodeWord>[0] & { readonly vm: string }) =>
+      encodeAnswer(handlers.takeWord(request.vm, decodeWord(request))),
     askTarget: async (request: {
       readonly group: string;
       readonly target: string;
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -5,16 +5,14 @@
 import { Duty } from "./duty.js";
 import { Inquiry } from "./inquiry.js";
 import type { LeadershipKeeper } from "./keeper.js";
-import { permitMs } from "./permit.js";
+import { findWaitEnd } from "./permit.js";
 import type { LeadershipPorts, Proxy } from "./ports.js";
 import { findSuspicion, type Suspicion } from "./suspicion.js";
 
 /** Telling another proxy takes a round trip; one that runs answers within this, busy or not. */
 const shareTimeoutMs = 150;
-/** Added to a permission's time, for the difference between two steady clocks and their timers. */
-const permitMarginMs = 150;
-/** With less than a majority told, a change waits this long: the others may confirm one another. */
-const minorityWaitMs = 5000;
+/** Between two tries to tell those that did not answer: they may be back, or the cut may have healed. */
+const tellAgainMs = 100;
 /** How long a planned change lets statements on their way end before the old primary steps back. */
 const settleMs = 60;
 /** A replica gets what the old primary holds within a few times its lag of 60 to 150 ms. */
@@ -35,9 +33,9 @@
 
 /** What came of telling the other proxies. */
 interface Telling {
-  readonly silent: number;
-  /** All that are registered, this one included. */
-  readonly proxies: number;
+  /** When each that holds to the document now had answered, on this proxy's clock. */
+  readonly toldAt: readonly number[];
+  /** Those that did not answer, or hold to an older document. */
   readonly missed: readonly Proxy[];
 }
 
@@ -164,11 +162,10 @@
   ): Promise<string | undefined> {
     const begunAt = this.ports.clock.now();
     const isListed = await this.ports.refreshProxies();
-    const told = await this.tellOthers();
+    const telling = await this.tellOthers();
     if (suspicion.type === "leaving") await this.ports.clock.sleep(settleMs);
     const oldReport = await this.demote(group, old);
-    // One that is not known of may be there, as one that does not answer.
-    await this.waitOutSilent(begunAt, isListed ? told : { ...told, silent: told.silent + 1 });
+    await this.waitOutSilent(begunAt, telling, isListed);
     return this.promoteBest(group, old, oldReport);
   }
 
@@ -201,37 +198,54 @@
 
   /** Tells all proxies to use the old primary no more; gives how many did not answer. */
   private async tellOthers(): Promise<Telling> {
-    const others = this.inquiry.listOthers();
+    const { version } = this.keeper.leadership;
+    const telling = await this.tell(this.inquiry.listOthers());
+    const told = telling.toldAt.length;
+    const silent = telling.missed.length;
+    this.ports.logger.write(leadershipEvents.proxiesTold, { version, told, silent });
+    return telling;
+  }
+
+  private async tell(others: readonly Proxy[]): Promise<Telling> {
     const { word } = this.keeper;
-    const answers = await Promise.all(
-      others.map((proxy) => this.ports.peers.share(proxy, word, shareTimeoutMs)),
-    );
-    for (const answer of answers) if (answer !== undefined) this.keeper.adopt(answer);
     const { version } = word.leadership;
-    const missed = others.filter((_, i) => {
-      const answer = answers[i];
-      return answer === undefined || answer.leadership.version < version;
-    });
-    const silent = missed.length;
-    const told = others.length - silent;
-    this.ports.logger.write(leadershipEvents.proxiesTold, { version, told, silent });
-    return { silent, proxies: others.length + 1, missed };
+    const toldAt: number[] = [];
+    const missed: Proxy[] = [];
+    const tellOne = async (proxy: Proxy) => {
+      const answer = await this.ports.peers.share(proxy, word, shareTimeoutMs);
+      if (answer !== undefined) this.keeper.adopt(answer);
+      if (answer === undefined || answer.leadership.version < version) missed.push(proxy);
+      else toldAt.push(this.ports.clock.now());
+    };
+    await Promise.all(others.map(tellOne));
+    return { toldAt, missed };
   }
 
   /**
-   * Waits until no proxy that did not answer can still use the old primary: its permission was
-   * confirmed before the change stood in the store. Without a majority told, the others might confirm
-   * each other's permissions for longer.
+   * Waits until no proxy that did not answer can still use the old primary, and tells them meanwhile. By
+   * the log of a cut that healed 3 s after a change had begun, those behind it knew of the change 0.3 s
+   * later and stopped using the old primary, and the change waited for them for 1.7 s more.
    */
   private async waitOutSilent(
     begunAt: number,
-    { silent, proxies }: Pick<Telling, "silent" | "proxies">,
+    { toldAt, missed }: Telling,
+    isListed: boolean,
   ): Promise<void> {
-    if (silent === 0) return;
-    const isMajority = proxies - silent > proxies / 2;
-    const waitMs = isMajority ? permitMs + permitMarginMs : minorityWaitMs;
     const { clock } = this.ports;
-    await clock.sleep(Math.max(0, begunAt + waitMs - clock.now()));
+    const own = 1;
+    // One that is not known of may be there, as one that does not answer.
+    const unknown = isListed ? 0 : 1;
+    const proxies = own + toldAt.length + missed.length + unknown;
+    let left = missed;
+    let told = [begunAt, ...toldAt];
+    for (;;) {
+      const leftMs = findWaitEnd({ begunAt, proxies, toldAt: told }) - clock.now();
+      if (leftMs <= 0) return;
+      await clock.sleep(Math.min(tellAgainMs, leftMs));
+      const telling = await this.tell(left);
+      left = telling.missed;
+      told = [...told, ...telling.toldAt];
+    }
   }
 
   /** Makes the old primary step back, by whoever reaches it; gives where its log ended. */
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -10,7 +10,14 @@
 } from "./document.js";
 export { type Contender, chooseContender, decideChange } from "./decide.js";
 export { LeadershipKeeper } from "./keeper.js";
-export { isConfirmedByPeers, isPermitted, permitMs } from "./permit.js";
+export {
+  findWaitEnd,
+  isConfirmedByPeers,
+  isPermitted,
+  minorityWaitMs,
+  peerConfirmMs,
+  permitMs,
+} from "./permit.js";
 export {
   type LeadershipAnswer,
   type LeadershipPeers,
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -41,6 +41,7 @@
   private current: VersionedLeadership = { version: 0, document: emptyLeadership };
   private made: readonly MadePrimary[] = [];
   private permit: Permit = noPermit;
+  private storeAskedAt: number | undefined;
   private hasPermit = false;
   private isRevoked = false;
   private permitLostAt: number | undefined;
@@ -94,6 +95,19 @@
     this.permit = extendPermit(this.permit, askedAt);
   }
 
+  /** Notes that the store has answered, to whomever, a question sent at `askedAt`. */
+  noteStoreAnswer(askedAt: number): void {
+    this.checkStall();
+    if (this.stalledAt !== undefined && askedAt <= this.stalledAt) return;
+    this.storeAskedAt = Math.max(this.storeAskedAt ?? askedAt, askedAt);
+  }
+
+  /** When the question was sent that the store answered last, as far as this process knows. */
+  get storeAnswerAskedAt(): number | undefined {
+    this.checkStall();
+    return this.storeAskedAt;
+  }
+
   /** Gives the permission up for good: this proxy is about to be one that nobody waits for. */
   revoke(): void {
     this.isRevoked = true;
@@ -190,6 +204,7 @@
     if (!this.ports.stalls.check()) return;
     this.stalledAt = this.ports.clock.now();
     this.permit = noPermit;
+    this.storeAskedAt = undefined;
     this.ports.logger.write(leadershipEvents.stalled, {});
     this.ports.onStall();
   }
--- a/src/leadership/permit.ts
+++ b/src/leadership/permit.ts
@@ -35,16 +35,58 @@
   readonly version: number;
 }
 
+/**
+ * How long after the store's last answer to any of them proxies may confirm one another, in
+ * milliseconds. Longer than the store is away but for disasters, so that its outages stop nobody.
+ */
+export const peerConfirmMs = 10_000;
+
+/**
+ * How long a change of primary waits at most for proxies of which it could not tell a majority, in
+ * milliseconds. Those, cut off from the store and from whoever carries the change out, may confirm one
+ * another and go on using the old primary. The store's last answer to any of them was to a question
+ * from before the change stood there; from then on they confirm one another for `peerConfirmMs`, and use
+ * the last permission to its end. The rest is for the difference between two steady clocks.
+ */
+export const minorityWaitMs = peerConfirmMs + permitMs + 400;
+/** Added to a permission's time, for the difference between two steady clocks and their timers. */
+const permitMarginMs = 150;
+
+/** What a change of primary knows of the proxies that it has to tell. Times are on its clock. */
+export interface TellingProgress {
+  readonly begunAt: number;
+  /** All that are registered, the one that carries it out included. */
+  readonly proxies: number;
+  /** When each that was told had answered, the one that carries it out included. */
+  readonly toldAt: readonly number[];
+}
+
+/**
+ * Until when a change of primary has to wait: not at all once all are told. With a majority told no
+ * other majority confirms anybody any more, and permissions from before lapse.
+ */
+export function findWaitEnd({ begunAt, proxies, toldAt }: TellingProgress): number {
+  if (toldAt.length >= proxies) return begunAt;
+  const longest = begunAt + minorityWaitMs;
+  const majorityToldAt = [...toldAt].sort((a, b) => a - b)[Math.floor(proxies / 2)];
+  if (majorityToldAt === undefined) return longest;
+  return Math.min(longest, majorityToldAt + permitMs + permitMarginMs);
+}
+
 /**
  * Whether the answers of other proxies confirm `version` while the store can't be reached: a majority
- * of all, this one included, holds to no newer document. A change of primary has to tell a majority
- * before it goes on, so that at least one of any majority would know of it.
+ * of all, this one included, holds to no newer document, and the store's last answer to any of them was
+ * to a question sent at `storeAskedAt`, not long before `now`. A change of primary has to tell a majority
+ * before it goes on, so that at least one of any majority would know of it, or waits `minorityWaitMs`.
  */
 export function isConfirmedByPeers(
   version: number,
   answers: readonly PeerWord[],
   proxies: number,
+  storeAskedAt: number | undefined,
+  now: number,
 ): boolean {
+  if (storeAskedAt === undefined || now - storeAskedAt > peerConfirmMs) return false;
   const agreeing = answers.filter((answer) => answer.version <= version).length;
   return agreeing === answers.length && agreeing + 1 > proxies / 2;
 }
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -27,12 +27,17 @@
   readonly made: readonly MadePrimary[];
 }
 
-/** What a proxy answered; `confirmedAgoMs` is the age of its own confirmation by the store. */
+/** What a proxy answered. Ages are in milliseconds, as of its answer. */
 export interface LeadershipAnswer extends LeadershipWord {
   readonly vm: string;
   /** Whether it lists the asking proxy, and as one that nobody has missed. */
   readonly listsAsker: boolean;
+  /** Of its own confirmation, by the store or by a majority. */
   readonly confirmedAgoMs: number | undefined;
+  /** Of the question that the store answered last, to it or to one that told it so. */
+  readonly storeAgoMs: number | undefined;
+  /** The store's revision as of that answer, if it has taken in all of it. */
+  readonly storeRevision: number | undefined;
 }
 
 /** Calls to other proxies. `undefined` means that no answer came in time. */
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -160,6 +160,7 @@
     if (this.isAway) logger.write(leadershipEvents.storeRegained, {});
     this.isAway = false;
     this.feed = noteStoreAnswer(this.feed, askedAt);
+    keeper.noteStoreAnswer(askedAt);
     if (beat.value.leadership !== undefined) {
       keeper.adopt({ leadership: beat.value.leadership, made: [] });
     }
@@ -320,8 +321,10 @@
     const { keeper } = this.ports;
     const { version } = keeper.leadership;
     const listing = answers.filter((answer) => answer.listsAsker);
-    for (const { confirmedAgoMs, leadership } of listing) {
-      if (confirmedAgoMs === undefined || leadership.version < version) continue;
+    for (const { confirmedAgoMs, storeAgoMs, leadership } of listing) {
+      if (leadership.version < version) continue;
+      if (storeAgoMs !== undefined) keeper.noteStoreAnswer(askedAt - storeAgoMs);
+      if (confirmedAgoMs === undefined) continue;
       const at = askedAt - confirmedAgoMs;
       if (this.isMemberBefore(at)) keeper.confirm(at);
     }
@@ -329,7 +332,10 @@
     // with it, and a few of them would look like a majority.
     if (this.listingsAsMember === 0) return;
     const words = listing.map((answer) => ({ version: answer.leadership.version }));
-    if (isConfirmedByPeers(version, words, this.proxies.length)) keeper.confirm(askedAt);
+    const storeAskedAt = keeper.storeAnswerAskedAt;
+    if (isConfirmedByPeers(version, words, this.proxies.length, storeAskedAt, askedAt)) {
+      keeper.confirm(askedAt);
+    }
   }
 
   /** A start while the store is away: what the seeds know serves until it is back. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -228,13 +228,15 @@
 
   private takeWord(from: string, word: LeadershipWord): LeadershipAnswer {
     this.keeper.adopt(word);
-    const confirmedAt = this.keeper.confirmedAt;
     const { clock, settings } = this.options;
+    const findAge = (at: number | undefined) => (at === undefined ? undefined : clock.now() - at);
     return {
       ...this.keeper.word,
       vm: settings.vm,
       listsAsker: this.follower.listProxies().some((p) => p.vm === from && p.isMissed !== true),
-      confirmedAgoMs: confirmedAt === undefined ? undefined : clock.now() - confirmedAt,
+      confirmedAgoMs: findAge(this.keeper.confirmedAt),
+      storeAgoMs: findAge(this.keeper.storeAnswerAskedAt),
+      storeRevision: undefined,
     };
   }
 
--- a/test/leadership/decisions.test.ts
+++ b/test/leadership/decisions.test.ts
@@ -5,8 +5,10 @@
   decodeLeadership,
   encodeLeadership,
   findSuspicion,
+  findWaitEnd,
   isConfirmedByPeers,
   isPermitted,
+  minorityWaitMs,
   noteContact,
   noteSilence,
   permitMs,
@@ -87,10 +89,42 @@
 
 test("only a majority that knows of nothing newer confirms", () => {
   const words = (...versions: readonly number[]) => versions.map((version) => ({ version }));
-  expect(isConfirmedByPeers(5, words(5, 5, 4), 7)).toBe(true);
-  expect(isConfirmedByPeers(5, words(5, 5), 7)).toBe(false);
-  expect(isConfirmedByPeers(5, words(5, 6, 5), 7)).toBe(false);
-  expect(isConfirmedByPeers(5, [], 2)).toBe(false);
+  const isConfirmed = (answers: readonly { readonly version: number }[], proxies: number) =>
+    isConfirmedByPeers(5, answers, proxies, 0, 100);
+  expect(isConfirmed(words(5, 5, 4), 7)).toBe(true);
+  expect(isConfirmed(words(5, 5), 7)).toBe(false);
+  expect(isConfirmed(words(5, 6, 5), 7)).toBe(false);
+  expect(isConfirmed([], 2)).toBe(false);
+});
+
+// A cut parts the proxies. The larger part has the old primary and can't reach the store, and its proxies
+// confirm one another; the smaller part has the store and replaces the primary. It waits for a majority
+// that it can't tell; were the wait shorter than the time for which those go on, callers would read at
+// the old primary what the new one has overwritten since.
+test("proxies without the store stop confirming one another before a change goes on without them", () => {
+  const begunAt = 1000;
+  // The store's last answer to any of the larger part was asked for just before the change stood there.
+  const lastAnswer = begunAt;
+  const others = [{ version: 5 }, { version: 5 }, { version: 5 }, { version: 5 }];
+  let lastUse = 0;
+  for (let now = begunAt; now < begunAt + 60_000; now += 100) {
+    if (isConfirmedByPeers(5, others, 9, lastAnswer, now)) lastUse = now + permitMs;
+  }
+  const toldAt = [begunAt, begunAt + 5, begunAt + 6, begunAt + 7];
+  expect(findWaitEnd({ begunAt, proxies: 9, toldAt })).toBeGreaterThan(lastUse);
+  expect(isConfirmedByPeers(5, others, 9, undefined, begunAt)).toBe(false);
+});
+
+// The cut heals while the change waits. Once a majority is told, only permissions from before count; once
+// all are told, nothing does.
+test("a change waits no longer than those need that it has not told", () => {
+  const begunAt = 1000;
+  const wait = (...toldAt: readonly number[]) =>
+    findWaitEnd({ begunAt, proxies: 5, toldAt: [begunAt, ...toldAt] });
+  expect(wait(1010)).toBe(begunAt + minorityWaitMs);
+  expect(wait(1010, 3000)).toBe(3000 + permitMs + 150);
+  expect(wait(1010, 3000, 3100)).toBe(3000 + permitMs + 150);
+  expect(wait(1010, 3000, 3100, 3200)).toBe(begunAt);
 });
 
 // A machine is suspended for seconds. Its steady clock shows none of it, so that a permission measured
