Write down what is known of the targets, for processes that start beside lapsed entries

A process that was just started knows no entry from before the store's outage, so that missing ones count as gone.

Change: one object a group in the store says what its targets were; one proxy writes it once a listing has stayed the same between two looks, and each process takes what its first listing lacks from there, for as long as entries need to come back. Proxies that are leaving, replaced or overwritten by somebody else are not recalled.

Tests: pure decisions, and a node over real sockets that starts beside a lapsed primary.

--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -1,5 +1,6 @@
+import type { GroupRecord } from "./record.js";
 import type { AnnouncedTarget, Database } from "../direct/index.js";
-import type { StoreRead } from "../model/index.js";
+import type { StoreRead, StoreWrite } from "../model/index.js";
 
 /** The operators' accepted configuration. */
 export interface RouteTable {
@@ -35,4 +36,8 @@
 export interface PlatformFeed {
   readRoutes(): Promise<StoreRead<RouteTable>>;
   readTargets(): Promise<StoreRead<TargetListing>>;
+  /** What was last known of the groups' targets, as a proxy wrote it down. */
+  readRecords(): Promise<StoreRead<readonly GroupRecord[]>>;
+  /** Writes a group's record if it still has the version that was read. */
+  writeRecord(record: GroupRecord): Promise<StoreWrite>;
 }
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -15,4 +15,11 @@
   makeScene,
   noteStoreAnswer,
 } from "./state.js";
+export {
+  decodeRecord,
+  encodeRecord,
+  findRecordChanges,
+  type GroupRecord,
+  recallTargets,
+} from "./record.js";
 export { decodeSnapshot, encodeSnapshot } from "./snapshot.js";
--- /dev/null
+++ b/src/feed/record.ts
@@ -0,0 +1,73 @@
+import type { AnnouncedTarget } from "../direct/index.js";
+import type { Json } from "../model/index.js";
+import type { ListedTarget, TargetListing } from "./feed.js";
+import { isReplaced, returnMs, type FeedState } from "./state.js";
+
+/** What the store keeps of a group's targets beside the entries that they write themselves. */
+export interface GroupRecord {
+  readonly group: string;
+  readonly targets: readonly AnnouncedTarget[];
+  /** Of the object in the store; 0 before there is one. */
+  readonly version: number;
+}
+
+/** Writes a group's targets in an order of their own, so that equal ones give equal records. */
+export function encodeRecord(targets: readonly AnnouncedTarget[]): Json {
+  const sorted = [...targets].sort((a, b) => (a.name < b.name ? -1 : 1));
+  return JSON.parse(JSON.stringify({ targets: sorted })) as Json;
+}
+
+/** Reads what `encodeRecord` wrote; nothing comes of what can't be read. */
+export function decodeRecord(value: Json): readonly AnnouncedTarget[] | undefined {
+  if (value === null || typeof value !== "object" || !("targets" in value)) return undefined;
+  const { targets } = value as { readonly targets: unknown };
+  if (!Array.isArray(targets)) return undefined;
+  const known = targets as readonly Partial<AnnouncedTarget>[];
+  const isWhole = known.every((t) => typeof t.name === "string" && t.address !== undefined);
+  return isWhole ? (known as readonly AnnouncedTarget[]) : undefined;
+}
+
+/** The groups whose record is not what is listed now, each as it should be. */
+export function findRecordChanges(
+  { routes, targets }: FeedState,
+  records: readonly GroupRecord[],
+): readonly GroupRecord[] {
+  const groups = [...(routes?.connections.keys() ?? [])];
+  return groups.flatMap((group) => {
+    const record = records.find((known) => known.group === group);
+    const listed = [...targets.values()].filter((t) => t.group === group).map((t) => t.target);
+    const isSame = isSameRecord(record?.targets ?? [], listed);
+    return isSame ? [] : [{ group, targets: listed, version: record?.version ?? 0 }];
+  });
+}
+
+/**
+ * Takes in, beside a process's first listing, the targets that the records name and the listing lacks.
+ *
+ * Entries lapse while the store is away. A process that was started meanwhile, as all are after a loss
+ * of power, knows none from before; by the log of such a day it had its routes and its permission 40 ms
+ * after the store was back, and refused every statement of a group for 1.5 s, until the primary's entry
+ * came. The missing ones count for as long as the others take to be back. One that is gone for good is
+ * no danger: connections name the target that is meant.
+ */
+export function recallTargets(
+  state: FeedState,
+  listing: TargetListing,
+  records: readonly GroupRecord[],
+  now: number,
+): FeedState {
+  const refused = new Set(listing.refused.map(({ name }) => name));
+  const isMissing = ({ target }: ListedTarget) =>
+    !state.targets.has(target.name) && !refused.has(target.name) && target.isLeaving !== true;
+  const recalled = records
+    .flatMap(({ group, targets }) => targets.map((target) => ({ group, target })))
+    .filter((entry) => isMissing(entry) && !isReplaced(entry, listing.targets));
+  if (recalled.length === 0) return state;
+  const targets = new Map(state.targets);
+  for (const entry of recalled) targets.set(entry.target.name, entry);
+  return { ...state, targets, trustedFrom: Math.max(state.trustedFrom, now + returnMs) };
+}
+
+function isSameRecord(a: readonly AnnouncedTarget[], b: readonly AnnouncedTarget[]): boolean {
+  return JSON.stringify(encodeRecord(a)) === JSON.stringify(encodeRecord(b));
+}
--- a/src/feed/state.ts
+++ b/src/feed/state.ts
@@ -27,7 +27,7 @@
  * How long after an outage a missing entry is no news: entries lapse while the store is away, and
  * those of targets that live are back within two seconds of its return.
  */
-const returnMs = 2500;
+export const returnMs = 2500;
 
 /** Notes an answer of the store to what was asked at `now`. */
 export function noteStoreAnswer(state: FeedState, now: number): FeedState {
@@ -93,7 +93,7 @@
 }
 
 /** Another target at its address: whoever was there is gone. */
-function isReplaced({ target }: ListedTarget, listed: readonly ListedTarget[]): boolean {
+export function isReplaced({ target }: ListedTarget, listed: readonly ListedTarget[]): boolean {
   const { host, port } = target.address;
   return listed.some(
     (other) => other.target.address.host === host && other.target.address.port === port,
--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -56,6 +56,18 @@
     level: "info",
     text: "An entry among the targets is not as targets write it, by the field named; it is passed over.",
   },
+  recordWritten: {
+    id: 5213,
+    name: "targetRecordWritten",
+    level: "info",
+    text: "What is known of a group's targets was written down for processes that start later.",
+  },
+  targetsRecalled: {
+    id: 5214,
+    name: "targetsRecalled",
+    level: "info",
+    text: "Targets whose entries are missing are used as they were last written down, for a while.",
+  },
   settingsRead: {
     id: 5204,
     name: "settingsReadAgain",
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -8,10 +8,12 @@
   firstFeedState,
   isAwaitingReturn,
   listStrangers,
+  recallTargets,
   makeScene,
   noteStoreAnswer,
   type FeedState,
   type RefusedEntry,
+  type TargetListing,
 } from "../feed/index.js";
 import {
   isConfirmedByPeers,
@@ -24,6 +26,7 @@
 import type { Logger } from "../log/index.js";
 import type { Clock, Random } from "../model/index.js";
 import type { NodeStore, StoreBeat } from "./ports.js";
+import { TargetRecorder } from "./recorder.js";
 import type { NodeSettings } from "./settings.js";
 
 /**
@@ -86,8 +89,13 @@
   private refusedEntries: ReadonlyMap<string, string> = new Map();
   private isAway = false;
   private isStopped = false;
+  private readonly recorder: TargetRecorder;
+  /** Whether a listing of the targets was taken in beside the records. */
+  private hasListed = false;
 
-  constructor(private readonly ports: FollowerPorts) {}
+  constructor(private readonly ports: FollowerPorts) {
+    this.recorder = new TargetRecorder(ports);
+  }
 
   get scene(): Scene {
     return this.current;
@@ -168,6 +176,7 @@
     if (isListed && this.isMemberBefore(askedAt)) keeper.confirm(askedAt);
     // Not waited for: while the store is slow, calls for a rack of them would hold up the next look.
     void this.removeMissed();
+    if (isListed) void this.updateRecords();
     return true;
   }
 
@@ -188,13 +197,14 @@
       store.readRoutes(),
       store.readTargets(),
       store.listProxies(),
+      this.recorder.load(),
     ]);
     if (routes.type === "found") this.feed = applyRoutes(this.feed, routes.value);
     if (routes.type === "unavailable") {
       this.ports.logger.write(nodeEvents.configurationUnread, { reason: routes.reason });
     }
     if (targets.type === "found") {
-      this.feed = applyTargets(this.feed, targets.value, this.ports.clock.now());
+      this.takeTargets(targets.value);
       this.logRefused([...targets.value.refused, ...listStrangers(this.feed)]);
     }
     if (proxies.type === "found") this.takeProxies(proxies.value);
@@ -211,9 +221,8 @@
    * permission is over long before. One proxy does it for all.
    */
   private async removeMissed(): Promise<void> {
-    const { clock, store, settings, logger } = this.ports;
-    const remover = this.proxies.find((proxy) => proxy.isMissed !== true);
-    if (remover?.vm !== settings.vm) return;
+    const { clock, store, logger } = this.ports;
+    if (!this.isFirst()) return;
     for (const proxy of this.proxies) {
       const since = this.missedSince.get(formatEntry(proxy));
       if (since === undefined || clock.now() - since < missedMs) continue;
@@ -223,6 +232,18 @@
     }
   }
 
+  /** One proxy writes the records, and not while missing entries may come back. */
+  private async updateRecords(): Promise<void> {
+    if (!this.isFirst() || isAwaitingReturn(this.feed, this.ports.clock.now())) return;
+    await this.recorder.update(this.feed);
+  }
+
+  /** Whether this proxy does what one has to do for all: the first that nobody has missed. */
+  private isFirst(): boolean {
+    const first = this.proxies.find((proxy) => proxy.isMissed !== true);
+    return first?.vm === this.ports.settings.vm;
+  }
+
   private takeProxies(proxies: readonly Proxy[]): void {
     this.proxies = [...proxies].sort((a, b) => (a.vm < b.vm ? -1 : 1));
     this.noteMissed();
@@ -275,6 +296,18 @@
     return own.address.host === peers?.host && own.address.port === peers.port;
   }
 
+  private takeTargets(listing: TargetListing): void {
+    const now = this.ports.clock.now();
+    this.feed = applyTargets(this.feed, listing, now);
+    const { known } = this.recorder;
+    if (this.hasListed || known === undefined) return;
+    this.hasListed = true;
+    const before = this.feed.targets.size;
+    this.feed = recallTargets(this.feed, listing, known, now);
+    const targets = this.feed.targets.size - before;
+    if (targets > 0) this.ports.logger.write(nodeEvents.targetsRecalled, { targets });
+  }
+
   /** Says once of each entry why it names no target: it stands in the list for as long as it likes. */
   private logRefused(refused: readonly RefusedEntry[]): void {
     const known = this.refusedEntries;
--- /dev/null
+++ b/test/feed/record.test.ts
@@ -0,0 +1,91 @@
+import { expect, test } from "@jest/globals";
+import {
+  applyRoutes,
+  applyTargets,
+  decodeRecord,
+  encodeRecord,
+  findRecordChanges,
+  firstFeedState,
+  makeScene,
+  noteStoreAnswer,
+  recallTargets,
+  type GroupRecord,
+  type ListedTarget,
+} from "../../src/feed/index.js";
+
+const routes = {
+  revision: 1,
+  databases: new Map(),
+  connections: new Map([["g", 16]]),
+  transactionIdleMs: 3000,
+  lineTimeoutMs: 3000,
+};
+
+const listed = (name: string, port: number, change: object = {}): ListedTarget => ({
+  group: "g",
+  target: {
+    name,
+    address: { host: "h", port },
+    dataCentre: "a",
+    slots: 2,
+    connections: 16,
+    announcedRole: "replica",
+    ...change,
+  },
+});
+
+const record = (...entries: readonly ListedTarget[]): GroupRecord => ({
+  group: "g",
+  targets: entries.map(({ target }) => target),
+  version: 3,
+});
+
+const start = (targets: readonly ListedTarget[], records: readonly GroupRecord[]) => {
+  const listing = { targets, refused: [] };
+  const state = applyTargets(noteStoreAnswer(applyRoutes(firstFeedState, routes), 0), listing, 0);
+  return recallTargets(state, listing, records, 0);
+};
+
+const listNames = (state: Parameters<typeof makeScene>[0]) =>
+  (makeScene(state).groups.get("g")?.targets ?? []).map((t) => t.name);
+
+// All machines lost their power while the store was away, and entries lapsed meanwhile. The processes that
+// come back have seen none of them; the primary's is missing for a second and more. They serve by what
+// was written down, and believe the store again once the entries have had their time.
+test("a process that starts knows the targets whose entries have lapsed", () => {
+  const primary = listed("p", 1, { announcedRole: "primary" });
+  let state = start([listed("r", 2)], [record(primary, listed("r", 2))]);
+  expect(listNames(state).sort()).toEqual(["p", "r"]);
+  state = applyTargets(state, { targets: [listed("r", 2)], refused: [] }, 2000);
+  expect(listNames(state).sort()).toEqual(["p", "r"]);
+  state = applyTargets(state, { targets: [listed("r", 2)], refused: [] }, 2600);
+  expect(listNames(state)).toEqual(["r"]);
+});
+
+test("none is recalled that was leaving, that was replaced, or whose entry names no target", () => {
+  const known = record(
+    listed("leaving", 1, { isLeaving: true }),
+    listed("replaced", 2),
+    listed("stray", 3),
+  );
+  const listing = { targets: [listed("new", 2)], refused: [{ name: "stray", field: "state" }] };
+  const state = applyTargets(applyRoutes(firstFeedState, routes), listing, 0);
+  expect(listNames(recallTargets(state, listing, [known], 0))).toEqual(["new"]);
+});
+
+test("only what has changed is written, whatever the order of the entries", () => {
+  const state = start([listed("b", 2), listed("a", 1)], []);
+  const [change] = findRecordChanges(state, []);
+  expect(change).toMatchObject({ group: "g", version: 0 });
+  expect(findRecordChanges(state, [record(listed("a", 1), listed("b", 2))])).toEqual([]);
+  const moved = record(listed("a", 1), listed("b", 2, { announcedRole: "primary" }));
+  expect(findRecordChanges(state, [moved])).toMatchObject([{ group: "g", version: 3 }]);
+});
+
+test("a record is read as it was written, and nothing comes of what is none", () => {
+  const { targets } = record(listed("a", 1, { startedAt: 7 }));
+  expect(decodeRecord(encodeRecord(targets))).toEqual(targets);
+  for (const value of [null, 3, "x", {}, { targets: 3 }, { targets: [{ name: 4 }] }]) {
+    expect(decodeRecord(value)).toBeUndefined();
+  }
+});
--- /dev/null
+++ b/test/node/recall.test.ts
@@ -0,0 +1,23 @@
+import { afterEach, expect, test } from "@jest/globals";
+import { Cluster, waitUntil } from "./cluster.js";
+
+let cluster: Cluster;
+
+afterEach(() => cluster.dispose());
+
+// All proxies are gone at once and come back while the primary's entry has lapsed. The new process finds
+// routes, replicas and what was written down of the primary, and callers write at once; with the listing
+// alone they were refused until the entry was back.
+test("a new process serves a primary whose entry has lapsed", async () => {
+  cluster = await Cluster.start({ nodes: 1 });
+  const client = await cluster.open("primary");
+  expect(await client.query("WRITE cello taken")).toMatch(/^COMPLETE/);
+  await waitUntil(() => cluster.store.find("radishwalk-targets", "ledger") !== undefined);
+  await cluster.nodes[0]?.dispose();
+  cluster.store.remove("servers", "i-0");
+  await cluster.addNode("vm-1");
+  const later = await cluster.open("primary", 1);
+  await waitUntil(async () => (await later.query("READ cello")).startsWith("DATAROW taken"));
+  expect(cluster.log.findPrimary()?.id).toBe("i-0");
+  expect(cluster.lines.some((line) => line.event.name === "targetsRecalled")).toBe(true);
+});
