Look at the store by one proxy a data centre, and at once after a stall

Change: the first proxy of a data centre looks; the others ask it each 400 ms and take its look with its age, and copy what has changed from it. A reader that is silent, has not read everything, is older than 0.9 s or does not list the asking proxy is none: the store is asked at once and the reader passed over for 3 s.

--- a/src/directpeer/codec.ts
+++ b/src/directpeer/codec.ts
@@ -37,13 +37,14 @@
 
 /** Reads the answer to a word. */
 export function decodeAnswer(message: ShareResponse): LeadershipAnswer {
-  const { vm, confirmedAgoMs, listsAsker, storeAgoMs, storeRevision } = message;
-  return { ...decodeWord(message), vm, confirmedAgoMs, listsAsker, storeAgoMs, storeRevision };
+  const { vm, confirmedAgoMs, listsAsker, storeAgoMs, storeRevision, lookedAgoMs } = message;
+  const ages = { confirmedAgoMs, storeAgoMs, lookedAgoMs };
+  return { ...decodeWord(message), vm, listsAsker, storeRevision, ...ages };
 }
 
 /** Writes the answer to a word. What is not known is left out. */
 export function encodeAnswer(answer: LeadershipAnswer) {
-  const { vm, listsAsker, confirmedAgoMs, storeAgoMs, storeRevision } = answer;
+  const { vm, listsAsker, confirmedAgoMs, storeAgoMs, storeRevision, lookedAgoMs } = answer;
   return {
     vm,
     listsAsker,
@@ -51,6 +52,7 @@
     ...(confirmedAgoMs === undefined ? {} : { confirmedAgoMs }),
     ...(storeAgoMs === undefined ? {} : { storeAgoMs }),
     ...(storeRevision === undefined ? {} : { storeRevision }),
+    ...(lookedAgoMs === undefined ? {} : { lookedAgoMs }),
   };
 }
 
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -8,6 +8,8 @@
 export interface Proxy {
   readonly vm: string;
   readonly address: Address;
+  /** Where it runs; absent where its entry does not say. */
+  readonly dataCentre?: string;
   /** Set by a change of primary that it did not answer, until it says that it lives. */
   readonly isMissed?: boolean;
   /** Of its entry in the store; changes with each mark and each sign of life. */
@@ -36,8 +38,10 @@
   readonly confirmedAgoMs: number | undefined;
   /** Of the question that the store answered last, to it or to one that told it so. */
   readonly storeAgoMs: number | undefined;
-  /** The store's revision as of that answer, if it has taken in all of it. */
+  /** The store's revision of which it has taken in everything. */
   readonly storeRevision: number | undefined;
+  /** Of the question whose answer showed that revision to be current. */
+  readonly lookedAgoMs: number | undefined;
 }
 
 /** Calls to other proxies. `undefined` means that no answer came in time. */
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -27,6 +27,7 @@
 import type { Clock, Random } from "../model/index.js";
 import type { NodeStore, StoreBeat } from "./ports.js";
 import { TargetRecorder } from "./recorder.js";
+import { followMs, ReaderClient, type ReaderLook } from "./reader.js";
 import type { NodeSettings } from "./settings.js";
 
 /**
@@ -54,6 +55,12 @@
  */
 const missedMs = 10_000;
 
+/** What is known of the store, and as of when; on this process's clock. */
+export interface StoreSight {
+  readonly revision: number;
+  readonly askedAt: number;
+}
+
 /** What a follower needs. */
 export interface FollowerPorts {
   readonly settings: NodeSettings;
@@ -89,12 +96,19 @@
   private refusedEntries: ReadonlyMap<string, string> = new Map();
   private isAway = false;
   private isStopped = false;
+  private endRest: () => void = () => undefined;
   private readonly recorder: TargetRecorder;
+  private readonly reader: ReaderClient;
+  private sight: StoreSight | undefined;
+  /** Whether the last look was the reader's. */
+  private isFollowing = false;
   /** Whether a listing of the targets was taken in beside the records. */
   private hasListed = false;
 
   constructor(private readonly ports: FollowerPorts) {
     this.recorder = new TargetRecorder(ports);
+    const { vm, dataCentre } = ports.settings;
+    this.reader = new ReaderClient({ vm, dataCentre, peers: ports.peers, clock: ports.clock });
   }
 
   get scene(): Scene {
@@ -119,10 +133,12 @@
   async run(): Promise<void> {
     const { clock, random } = this.ports;
     while (!this.isStopped) {
-      const isAnswered = await this.look();
+      this.isFollowing = await this.lookThroughReader();
+      const isAnswered = this.isFollowing || (await this.look());
       this.ports.onLook();
       const paceMs = this.findPace(isAnswered);
-      await clock.sleep(paceMs * (1 - jitterShare + 2 * jitterShare * random.draw()));
+      const restMs = paceMs * (1 - jitterShare + 2 * jitterShare * random.draw());
+      await Promise.race([clock.sleep(restMs), this.waitForWake()]);
     }
   }
 
@@ -130,6 +146,20 @@
     this.isStopped = true;
   }
 
+  /**
+   * Looks at once. After a step of the time of day, or a suspension, the permission to use primaries is
+   * void until the next look: by the log of two such proxies their callers waited for 0.5 s.
+   */
+  wake(): void {
+    this.endRest();
+  }
+
+  private waitForWake(): Promise<void> {
+    return new Promise((resolve) => {
+      this.endRest = resolve;
+    });
+  }
+
   /**
    * Stops, and takes this proxy out of the store. While a process that has ended is listed, each change
    * of primary waits 1.75 s for its permission to lapse. The permission goes first: nobody waits for a
@@ -152,9 +182,57 @@
     const leastMs = (this.proxies.length / allowed) * 1000;
     const isNew = !this.isInformed || keeper.confirmedAt === undefined;
     if (isNew && settings.peers !== undefined) return Math.max(firstRetryMs, leastMs);
+    if (this.isFollowing) return followMs;
     return Math.max(isAnswered ? pollMs : retryMs, leastMs);
   }
 
+  /**
+   * The store's revision of which everything is known here, and when the question was sent whose answer
+   * showed it to be current. For those that follow this process; what it hears from others of the store's
+   * answers to them is no look: it says nothing of what has changed there.
+   */
+  get known(): StoreSight | undefined {
+    return this.sight;
+  }
+
+  /**
+   * Takes in the last look of the data centre's reader; false when the store has to be asked. A process
+   * that is new, or may use no primaries, asks the store itself: its callers wait for what it brings.
+   */
+  private async lookThroughReader(): Promise<boolean> {
+    const { keeper } = this.ports;
+    if (!this.isInformed || keeper.confirmedAt === undefined || !this.isRegistered()) return false;
+    const look = await this.reader.ask(this.proxies, keeper.word);
+    if (look === undefined) return false;
+    keeper.adopt(look.answer);
+    if (look.revision !== this.readRevision && !(await this.copyScene(look))) return false;
+    if (this.isAway) this.ports.logger.write(leadershipEvents.storeRegained, {});
+    this.isAway = false;
+    this.feed = noteStoreAnswer(this.feed, look.lookedAt);
+    this.sight = { revision: look.revision, askedAt: look.lookedAt };
+    keeper.noteStoreAnswer(look.lookedAt);
+    const { confirmedAt, answer } = look;
+    const isCurrent = answer.leadership.version >= keeper.leadership.version;
+    if (confirmedAt !== undefined && isCurrent && this.isMemberBefore(confirmedAt)) {
+      keeper.confirm(confirmedAt);
+    }
+    return true;
+  }
+
+  /** Takes over what the reader has read of the store. */
+  private async copyScene({ reader, revision }: ReaderLook): Promise<boolean> {
+    const known = decodeScene(await this.ports.peers.fetchScene(reader.address, peerTimeoutMs));
+    const snapshot = decodeSnapshot(known?.scene ?? "");
+    if (known === undefined || snapshot === undefined) return false;
+    const listing = { targets: snapshot.targets, refused: [] };
+    this.feed = applyRoutes(this.feed, snapshot.routes);
+    this.feed = applyTargets(this.feed, listing, this.ports.clock.now());
+    this.takeProxies(known.proxies);
+    this.readRevision = revision;
+    this.publish();
+    return this.isRegistered();
+  }
+
   private async look(): Promise<boolean> {
     const { store, clock, keeper, logger } = this.ports;
     const askedAt = clock.now();
@@ -168,11 +246,13 @@
     if (this.isAway) logger.write(leadershipEvents.storeRegained, {});
     this.isAway = false;
     this.feed = noteStoreAnswer(this.feed, askedAt);
-    keeper.noteStoreAnswer(askedAt);
     if (beat.value.leadership !== undefined) {
       keeper.adopt({ leadership: beat.value.leadership, made: [] });
     }
     const isListed = await this.readChanges(beat.value);
+    const { revision } = beat.value;
+    if (this.readRevision === revision) this.sight = { revision, askedAt };
+    keeper.noteStoreAnswer(askedAt);
     if (isListed && this.isMemberBefore(askedAt)) keeper.confirm(askedAt);
     // Not waited for: while the store is slow, calls for a rack of them would hold up the next look.
     void this.removeMissed();
@@ -280,7 +360,7 @@
   private async register(): Promise<void> {
     const { settings, store, logger } = this.ports;
     if (settings.peers === undefined || this.isRegistered()) return;
-    const own = { vm: settings.vm, address: settings.peers };
+    const own = { vm: settings.vm, address: settings.peers, dataCentre: settings.dataCentre };
     this.hasTriedToRegister = true;
     if (!(await store.register(own))) return;
     this.memberSince = this.ports.clock.now();
@@ -290,9 +370,9 @@
 
   /** Whether it is listed, and nobody has missed it. */
   private isRegistered(): boolean {
-    const { vm, peers } = this.ports.settings;
+    const { vm, peers, dataCentre } = this.ports.settings;
     const own = this.proxies.find((proxy) => proxy.vm === vm);
-    if (own === undefined || own.isMissed === true) return false;
+    if (own === undefined || own.isMissed === true || own.dataCentre !== dataCentre) return false;
     return own.address.host === peers?.host && own.address.port === peers.port;
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -76,7 +76,7 @@
       logger,
       stalls: new StallDetector({ steady: () => clock.now(), wall: options.wallClock }),
       listTargets: (group) => this.listTargets(group),
-      onStall: () => this.groups.forgetMarks(),
+      onStall: () => this.noteStall(),
       onMiss: () => this.lookSoon(),
       onSuperseded: (group, target) => this.groups.find(group)?.evict(target),
       onSilence: (group, target, since) => void this.probe(group, target, since),
@@ -236,7 +236,8 @@
       listsAsker: this.follower.listProxies().some((p) => p.vm === from && p.isMissed !== true),
       confirmedAgoMs: findAge(this.keeper.confirmedAt),
       storeAgoMs: findAge(this.keeper.storeAnswerAskedAt),
-      storeRevision: undefined,
+      storeRevision: this.follower.known?.revision,
+      lookedAgoMs: findAge(this.follower.known?.askedAt),
     };
   }
 
@@ -287,6 +288,11 @@
     if (!isReached) this.changer.look();
   }
 
+  private noteStall(): void {
+    this.groups.forgetMarks();
+    this.follower.wake();
+  }
+
   private listTargets(group: string) {
     return this.follower.scene.groups.get(group)?.targets ?? [];
   }
--- /dev/null
+++ b/src/node/reader.ts
@@ -0,0 +1,89 @@
+import type { DirectPeerClient } from "../directpeer/index.js";
+import type { LeadershipAnswer, LeadershipWord, Proxy } from "../leadership/index.js";
+import type { Clock } from "../model/index.js";
+
+/**
+ * Between two questions to the reader, in milliseconds. Its own last look may be 0.8 s old by then, and
+ * the permission to use primaries (1.6 s) has to outlive that, one pause and one question that fails.
+ */
+export const followMs = 400;
+/** An answer within the data centre takes 1 ms, on a busy proxy some tens more. */
+const readerTimeoutMs = 150;
+/** What the reader had of the store longer ago than this is no look: one of its own has failed. */
+const oldestLookMs = 900;
+/** A reader that did not do is passed over for this long: several times what a restart takes. */
+const passOverMs = 3000;
+
+/** What a reader has told of its last look at the store. */
+export interface ReaderLook {
+  readonly reader: Proxy;
+  readonly answer: LeadershipAnswer;
+  /** When the store was asked, on this proxy's clock. */
+  readonly lookedAt: number;
+  /** When the reader was confirmed; absent while it is not. */
+  readonly confirmedAt: number | undefined;
+  readonly revision: number;
+}
+
+/**
+ * The proxy that looks at the store for its data centre: the first that nobody has missed and that is
+ * not passed over. All choose alike as long as they have the same listing and see the same failures;
+ * where they don't, one more looks for itself.
+ */
+export function chooseReader(
+  dataCentre: string,
+  proxies: readonly Proxy[],
+  isPassedOver: (vm: string) => boolean,
+): Proxy | undefined {
+  const near = proxies.filter((p) => p.dataCentre === dataCentre && p.isMissed !== true);
+  const fit = near.filter(({ vm }) => !isPassedOver(vm));
+  return fit.reduce<Proxy | undefined>(
+    (first, proxy) => (first === undefined || proxy.vm < first.vm ? proxy : first),
+    undefined,
+  );
+}
+
+/** What a question to the reader needs. */
+export interface ReaderPorts {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly peers: Pick<DirectPeerClient, "share">;
+  readonly clock: Clock;
+}
+
+/**
+ * Asks the data centre's reader instead of the store. Nine proxies in four data centres spent 652 of their
+ * 981 calls of 41 s on steady looks, by a count of calls; one a data centre does for all. It saves calls
+ * and proves nothing less: each answer has its age, and one that is too old or says that the asking proxy
+ * is not listed counts as none, so that the store is asked at once.
+ */
+export class ReaderClient {
+  private readonly passedOverUntil = new Map<string, number>();
+
+  constructor(private readonly ports: ReaderPorts) {}
+
+  /** The reader's last look; nothing where this proxy has to look for itself. */
+  async ask(proxies: readonly Proxy[], word: LeadershipWord): Promise<ReaderLook | undefined> {
+    const { vm, dataCentre, peers, clock } = this.ports;
+    const askedAt = clock.now();
+    const isPassedOver = (name: string) => (this.passedOverUntil.get(name) ?? 0) > askedAt;
+    const reader = chooseReader(dataCentre, proxies, isPassedOver);
+    if (reader === undefined || reader.vm === vm) return undefined;
+    const answer = await peers.share(reader, word, readerTimeoutMs);
+    const look = answer === undefined ? undefined : readLook(reader, answer, askedAt);
+    if (look === undefined) this.passedOverUntil.set(reader.vm, askedAt + passOverMs);
+    return look;
+  }
+}
+
+function readLook(
+  reader: Proxy,
+  answer: LeadershipAnswer,
+  askedAt: number,
+): ReaderLook | undefined {
+  const { lookedAgoMs, storeRevision: revision, confirmedAgoMs, listsAsker } = answer;
+  if (!listsAsker || lookedAgoMs === undefined || revision === undefined) return undefined;
+  if (lookedAgoMs > oldestLookMs) return undefined;
+  const confirmedAt = confirmedAgoMs === undefined ? undefined : askedAt - confirmedAgoMs;
+  return { reader, answer, lookedAt: askedAt - lookedAgoMs, confirmedAt, revision };
+}
--- a/test/node/cluster.ts
+++ b/test/node/cluster.ts
@@ -278,7 +278,7 @@
   }
 }
 
-async function findAddress(): Promise<Address> {
+export async function findAddress(): Promise<Address> {
   const { createServer } = await import("node:net");
   const server = createServer();
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
--- /dev/null
+++ b/test/node/follower.test.ts
@@ -0,0 +1,96 @@
+import { expect, test } from "@jest/globals";
+import { DirectPeerClient } from "../../src/directpeer/index.js";
+import { emptyLeadership, LeadershipKeeper, StallDetector } from "../../src/leadership/index.js";
+import { silentLogger } from "../../src/log/index.js";
+import type { NodeSettings, NodeStore } from "../../src/node/index.js";
+import { StoreFollower } from "../../src/node/follower.js";
+import { FakeClock, makeRandom, settle } from "../fleet/fakes.js";
+
+const address = { host: "10.0.0.1", port: 5000 };
+const settings: NodeSettings = {
+  vm: "vm-0",
+  dataCentre: "a",
+  callers: address,
+  readiness: address,
+  peers: address,
+  seeds: [],
+  store: address,
+  duty: address,
+  graceMs: 6000,
+  targetDrainMs: 7000,
+  configurationApplyMs: 3000,
+  storeReadsPerSecond: 2000,
+};
+
+const found = <T>(value: T) => Promise.resolve({ type: "found", value } as const);
+const done = () => Promise.resolve(true);
+
+/** A store that lists this proxy and nothing else, and counts the looks at it. */
+class CountingStore implements NodeStore {
+  looks = 0;
+  readBeat = () => {
+    this.looks += 1;
+    const leadership = { version: 1, document: emptyLeadership };
+    return found({ leadership, revision: 7 });
+  };
+  readLeadership = () => found({ version: 1, document: emptyLeadership });
+  readRoutes = () =>
+    found({
+      revision: 1,
+      databases: new Map(),
+      connections: new Map(),
+      transactionIdleMs: 3000,
+      lineTimeoutMs: 3000,
+    });
+  readTargets = () => found({ targets: [], refused: [] });
+  readRecords = () => found([]);
+  listProxies = () => found([{ vm: "vm-0", address, dataCentre: "a" }]);
+  writeLeadership = () => Promise.resolve({ type: "conflict" } as const);
+  writeRecord = () => Promise.resolve({ type: "conflict" } as const);
+  register = done;
+  deregister = done;
+  markMissed = () => Promise.resolve();
+  removeMissed = () => Promise.resolve();
+  setAddress = () => undefined;
+  dispose = () => undefined;
+}
+
+// The time of day jumps. Nothing that was confirmed before counts any more, and callers of primaries wait
+// until the next look; it comes at once, not with the usual pause of 0.7 s.
+test("a proxy that is woken looks at the store at once", async () => {
+  const clock = new FakeClock();
+  const store = new CountingStore();
+  let wall = 0;
+  const keeper = new LeadershipKeeper({
+    clock,
+    logger: silentLogger,
+    stalls: new StallDetector({ steady: () => clock.now(), wall: () => clock.now() + wall }),
+    listTargets: () => [],
+    onStall: () => follower.wake(),
+    onMiss: () => undefined,
+    onSuperseded: () => undefined,
+    onSilence: () => undefined,
+  });
+  const follower = new StoreFollower({
+    settings,
+    store,
+    peers: new DirectPeerClient("vm-0", silentLogger),
+    keeper,
+    clock,
+    random: makeRandom(1),
+    logger: silentLogger,
+    onScene: () => undefined,
+    onLook: () => undefined,
+  });
+  void follower.run();
+  await clock.advance(300);
+  const before = store.looks;
+  expect(keeper.confirmedAt).toBeDefined();
+  wall = 5000;
+  expect(keeper.confirmedAt).toBeUndefined();
+  clock.skip(1);
+  await settle();
+  expect(store.looks).toBe(before + 1);
+  expect(keeper.confirmedAt).toBeDefined();
+  follower.stop();
+});
