--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -11,6 +11,8 @@
   /** Statements of this proxy that it works on now. */
   readonly running: number;
   readonly slots: number;
+  /** Of these, taken by what works there or waits for a connection. */
+  readonly held: number;
 }
 
 /** What a statement asks of its target. */
@@ -24,6 +26,14 @@
   readonly excluded: ReadonlySet<string>;
 }
 
+/**
+ * Failures after which a primary gets one statement at a time. One more than a replica: there is no other
+ * to go to, and one lost answer should hold up nobody.
+ */
+const primaryProbeFailures = 2;
+/** What waits for that one looks again after this: about a new connection's time of 12 ms, and its work. */
+const probeWaitMs = 50;
+
 /** Where a statement may go. */
 export type Choice =
   | {
@@ -82,6 +92,8 @@
       if (view === undefined) return { type: "nowhere", reason: "the primary is not listed" };
       const backInMs = view.health.avoidUntil - now;
       if (backInMs > 0) return { type: "wait", backInMs };
+      if (view.health.failures >= primaryProbeFailures && view.held > 0)
+        return { type: "wait", backInMs: probeWaitMs };
       return { type: "targets", role: "primary", names: [view.name] };
     }
   }
@@ -99,9 +111,19 @@
   return isFit(view, { ...demand, hasMark: false }, now) && now >= view.health.fullUntil;
 }
 
+/**
+ * A target that fails gets one statement at a time, to find out whether it is back; the others go
+ * elsewhere. Each that is sent to one that went dark waits up to 0.4 s for a connection, longer than its
+ * callers' aim; by the log of such a day one proxy filled its queue for the dark target nearby for 2 s,
+ * until its entry lapsed, and refused 39 statements that others could have served.
+ */
+function isBeingTried({ health, held }: CandidateView): boolean {
+  return health.failures > 0 && held > 0;
+}
+
 function isFit(view: CandidateView, demand: PlaceDemand, now: number): boolean {
   if (view.isLeaving || view.slots === 0 || demand.excluded.has(view.name)) return false;
-  if (now < view.health.avoidUntil) return false;
+  if (now < view.health.avoidUntil || isBeingTried(view)) return false;
   return !demand.hasMark || now >= view.health.behindUntil;
 }
 
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -110,6 +110,7 @@
       health: this.findHealth(target.name),
       running: this.running.get(target.name) ?? 0,
       slots: this.share.most,
+      held: this.share.most - this.slots.countFree(target.name),
     }));
   }
 
--- a/test/direct/decisions.test.ts
+++ b/test/direct/decisions.test.ts
@@ -19,6 +19,7 @@
   health: soundHealth,
   running: 0,
   slots: 2,
+  held: 0,
   ...change,
 });
 
@@ -87,6 +88,21 @@
   expect(choose([silent], write)).toEqual({ type: "wait", backInMs: 40 });
 });
 
+// A target goes dark, and its entry stands for seconds. Statements that are sent to it wait in vain for a
+// connection. One at a time tries it; the others go elsewhere, or wait a little where there is no other.
+test("a target that fails is tried by one statement at a time", () => {
+  const failing = noteFailure(soundHealth, 0);
+  const dark = view("a", { isLocal: true, health: failing });
+  expect(choose([view("p"), dark, view("b")])).toMatchObject({ names: ["a"] });
+  expect(choose([view("p"), { ...dark, held: 1 }, view("b")])).toMatchObject({ names: ["b"] });
+  const write = { ...read, needsPrimary: true };
+  const once = view("p", { health: failing, held: 1 });
+  expect(choose([once], write)).toMatchObject({ names: ["p"] });
+  const twice = { ...once, health: { ...failing, failures: 2 } };
+  expect(choose([twice], write)).toEqual({ type: "wait", backInMs: 50 });
+  expect(choose([{ ...twice, held: 0 }], write)).toMatchObject({ names: ["p"] });
+});
+
 test("failures of one moment count once, pauses grow, an answer ends them", () => {
   const first = noteFailure(soundHealth, 0);
   expect(noteFailure(first, 10)).toEqual(first);
