--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -33,6 +33,8 @@
 const primaryProbeFailures = 2;
 /** What waits for that one looks again after this: about a new connection's time of 12 ms, and its work. */
 const probeWaitMs = 50;
+/** Why a statement waits, or is refused after it has waited. */
+const failing = "the primary has left statements without an answer just now";
 
 /** Where a statement may go. */
 export type Choice =
@@ -41,7 +43,7 @@
       readonly role: "primary" | "replica";
       readonly names: readonly string[];
     }
-  | { readonly type: "wait"; readonly backInMs: number }
+  | { readonly type: "wait"; readonly backInMs: number; readonly reason: string }
   | { readonly type: "nowhere"; readonly reason: string };
 
 /**
@@ -84,16 +86,16 @@
 ): Choice {
   switch (primary.type) {
     case "changing":
-      return { type: "wait", backInMs: primary.backInMs };
+      return { type: "wait", backInMs: primary.backInMs, reason: primary.reason };
     case "unknown":
       return { type: "nowhere", reason: primary.reason };
     case "serving": {
       const view = views.find((v) => v.name === primary.target);
       if (view === undefined) return { type: "nowhere", reason: "the primary is not listed" };
       const backInMs = view.health.avoidUntil - now;
-      if (backInMs > 0) return { type: "wait", backInMs };
+      if (backInMs > 0) return { type: "wait", backInMs, reason: failing };
       if (view.health.failures >= primaryProbeFailures && view.held > 0)
-        return { type: "wait", backInMs: probeWaitMs };
+        return { type: "wait", backInMs: probeWaitMs, reason: failing };
       return { type: "targets", role: "primary", names: [view.name] };
     }
   }
--- a/src/direct/place.ts
+++ b/src/direct/place.ts
@@ -106,7 +106,7 @@
     if (isLong || now - startedAt > longestPrimaryWaitMs) {
       return {
         type: "refused",
-        reason: "a new primary is being made",
+        reason: choice.reason,
         retryAfterMs: Math.ceil(choice.backInMs),
         waitedFor: [],
       };
--- a/src/direct/primary.ts
+++ b/src/direct/primary.ts
@@ -1,8 +1,8 @@
 /** Who leads a group, as far as this proxy may act on it. */
 export type PrimaryState =
   | { readonly type: "serving"; readonly target: string }
-  /** A new primary is being made; expected to serve in `backInMs`. */
-  | { readonly type: "changing"; readonly backInMs: number }
+  /** None may be used now, for a reason that passes; expected to be over in `backInMs`. */
+  | { readonly type: "changing"; readonly backInMs: number; readonly reason: string }
   /** Nobody is known to lead, or this proxy may not rely on what it knows. */
   | { readonly type: "unknown"; readonly reason: string };
 
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -33,6 +33,10 @@
 const usualChangeMs = 900;
 /** Callers are told to come back no sooner than this. */
 const leastBackMs = 50;
+/** Why no primary may be used, for the log and the text of refusals. */
+const beingMade = "a new primary is being made";
+const unpermitted = "this proxy may use no primary until it is confirmed who leads";
+const lostLog = "the primary has lost commits and is being replaced";
 /** The permission comes back with the next poll unless the store is away. */
 const permitBackMs = 150;
 
@@ -123,7 +127,7 @@
       this.ports.logger.write(event, { version: this.current.version });
     }
     if (isNow) this.permitLostAt = undefined;
-    if (!isNow) return { type: "changing", backInMs: this.estimatePermitMs() };
+    if (!isNow) return { type: "changing", backInMs: this.estimatePermitMs(), reason: unpermitted };
     return this.findLeader(group);
   }
 
@@ -132,10 +136,13 @@
     const entry = this.current.document.groups[group];
     if (entry === undefined) return this.findAnnounced(group);
     const target = entry.type === "serving" ? entry.target : this.findMade(group, entry);
-    if (target === undefined) return { type: "changing", backInMs: this.estimateBackMs(group) };
+    if (target === undefined) {
+      return { type: "changing", backInMs: this.estimateBackMs(group), reason: beingMade };
+    }
     const isListed = this.ports.listTargets(group).some((t) => t.name === target);
     if (isListed && !this.hasLostLog(group, target)) return { type: "serving", target };
-    return { type: "changing", backInMs: usualChangeMs };
+    const reason = isListed ? lostLog : "the primary's entry is missing";
+    return { type: "changing", backInMs: usualChangeMs, reason };
   }
 
   /** The primary of a group by what is held, listed or not. */
@@ -213,9 +220,13 @@
   private findAnnounced(group: string): PrimaryState {
     const leaders = this.ports.listTargets(group).filter((t) => t.announcedRole === "primary");
     const [leader] = leaders;
-    if (leader === undefined) return { type: "changing", backInMs: usualChangeMs };
+    if (leader === undefined) {
+      return { type: "changing", backInMs: usualChangeMs, reason: "no target says that it leads" };
+    }
     if (leaders.length > 1) return { type: "unknown", reason: "two targets claim to be primary" };
-    if (this.hasLostLog(group, leader.name)) return { type: "changing", backInMs: usualChangeMs };
+    if (this.hasLostLog(group, leader.name)) {
+      return { type: "changing", backInMs: usualChangeMs, reason: lostLog };
+    }
     return { type: "serving", target: leader.name };
   }
 
