--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -25,6 +25,7 @@
 import { nodeEvents } from "../log/events/node.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Random } from "../model/index.js";
+import { Members } from "./members.js";
 import type { NodeStore, StoreBeat } from "./ports.js";
 import { TargetRecorder } from "./recorder.js";
 import { followMs, ReaderClient, type ReaderLook } from "./reader.js";
@@ -49,12 +50,6 @@
 /** Peers are asked once the store's last word is older than this: one look has failed. */
 const askPeersAfterMs = 500;
 
-/**
- * An entry that was marked for so long is removed, in milliseconds: several times the longest permission
- * (1.6 s) and the looks of a proxy that lives (0.7 s), so that a slow store does not take one out.
- */
-const missedMs = 10_000;
-
 /** What is known of the store, and as of when; on this process's clock. */
 export interface StoreSight {
   readonly revision: number;
@@ -83,20 +78,14 @@
 export class StoreFollower {
   private feed: FeedState = firstFeedState;
   private current: Scene = emptyScene;
-  private proxies: readonly Proxy[] = [];
   private readRevision: number | undefined;
-  /** Listings of the proxies that were read whole since this one was in the store. */
-  private listingsAsMember = 0;
-  /** Whether this process has tried to put itself into the store. */
-  private hasTriedToRegister = false;
-  /** Since when it certainly is there; absent while it may not be. */
-  private memberSince: number | undefined;
-  private missedSince = new Map<string, number>();
   /** By entry: the field for which it names no target. */
   private refusedEntries: ReadonlyMap<string, string> = new Map();
   private isAway = false;
   private isStopped = false;
   private endRest: () => void = () => undefined;
+  /** The proxies that share the store's groups, this one included. */
+  readonly members: Members;
   private readonly recorder: TargetRecorder;
   private readonly reader: ReaderClient;
   private sight: StoreSight | undefined;
@@ -106,6 +95,7 @@
   private hasListed = false;
 
   constructor(private readonly ports: FollowerPorts) {
+    this.members = new Members(ports);
     this.recorder = new TargetRecorder(ports);
     const { vm, dataCentre } = ports.settings;
     this.reader = new ReaderClient({ vm, dataCentre, peers: ports.peers, clock: ports.clock });
@@ -115,18 +105,13 @@
     return this.current;
   }
 
-  /** All registered proxies, this one included. */
-  listProxies(): readonly Proxy[] {
-    return this.proxies;
-  }
-
   get isInformed(): boolean {
     return this.feed.routes !== undefined && this.feed.hasTargets;
   }
 
   /** What this process knows, for a peer that starts while the store is away. */
   encodeScene(): string {
-    return JSON.stringify({ scene: encodeSnapshot(this.feed), proxies: this.proxies });
+    return JSON.stringify({ scene: encodeSnapshot(this.feed), proxies: this.members.list() });
   }
 
   /** Looks until stopped. */
@@ -166,20 +151,16 @@
    * proxy that is not listed.
    */
   async leave(): Promise<void> {
-    const { settings, store, keeper, logger } = this.ports;
     this.stop();
-    keeper.revoke();
-    if (settings.peers === undefined || !this.isRegistered()) return;
-    const own = { vm: settings.vm, address: settings.peers };
-    const isDone = await store.deregister(own);
-    logger.write(nodeEvents.deregistered, { vm: own.vm, isDone });
+    this.ports.keeper.revoke();
+    await this.members.deregister();
   }
 
   /** The pace that keeps all proxies together within their share of the store's reads. */
   private findPace(isAnswered: boolean): number {
     const { settings, keeper } = this.ports;
     const allowed = settings.storeReadsPerSecond * pollShare;
-    const leastMs = (this.proxies.length / allowed) * 1000;
+    const leastMs = (this.members.list().length / allowed) * 1000;
     const isNew = !this.isInformed || keeper.confirmedAt === undefined;
     if (isNew && settings.peers !== undefined) return Math.max(firstRetryMs, leastMs);
     if (this.isFollowing) return followMs;
@@ -201,8 +182,9 @@
    */
   private async lookThroughReader(): Promise<boolean> {
     const { keeper } = this.ports;
-    if (!this.isInformed || keeper.confirmedAt === undefined || !this.isRegistered()) return false;
-    const look = await this.reader.ask(this.proxies, keeper.word);
+    if (!this.isInformed || keeper.confirmedAt === undefined || !this.members.isRegistered())
+      return false;
+    const look = await this.reader.ask(this.members.list(), keeper.word);
     if (look === undefined) return false;
     keeper.adopt(look.answer);
     if (look.revision !== this.readRevision && !(await this.copyScene(look))) return false;
@@ -213,7 +195,7 @@
     keeper.noteStoreAnswer(look.lookedAt);
     const { confirmedAt, answer } = look;
     const isCurrent = answer.leadership.version >= keeper.leadership.version;
-    if (confirmedAt !== undefined && isCurrent && this.isMemberBefore(confirmedAt)) {
+    if (confirmedAt !== undefined && isCurrent && this.members.isMemberBefore(confirmedAt)) {
       keeper.confirm(confirmedAt);
     }
     return true;
@@ -227,10 +209,10 @@
     const listing = { targets: snapshot.targets, refused: [] };
     this.feed = applyRoutes(this.feed, snapshot.routes);
     this.feed = applyTargets(this.feed, listing, this.ports.clock.now());
-    this.takeProxies(known.proxies);
+    this.members.take(known.proxies);
     this.readRevision = revision;
     this.publish();
-    return this.isRegistered();
+    return this.members.isRegistered();
   }
 
   private async look(): Promise<boolean> {
@@ -253,24 +235,16 @@
     const { revision } = beat.value;
     if (this.readRevision === revision) this.sight = { revision, askedAt };
     keeper.noteStoreAnswer(askedAt);
-    if (isListed && this.isMemberBefore(askedAt)) keeper.confirm(askedAt);
+    if (isListed && this.members.isMemberBefore(askedAt)) keeper.confirm(askedAt);
     // Not waited for: while the store is slow, calls for a rack of them would hold up the next look.
-    void this.removeMissed();
+    void this.members.removeMissed();
     if (isListed) void this.updateRecords();
     return true;
   }
 
-  /** Reads anew which proxies there are; false when the store does not say. */
-  async refreshProxies(): Promise<boolean> {
-    const read = await this.ports.store.listProxies();
-    if (read.type !== "found") return false;
-    this.takeProxies(read.value);
-    return true;
-  }
-
   /** Reads what has changed; false when it is not known which proxies there are. */
   private async readChanges({ revision }: StoreBeat): Promise<boolean> {
-    const isSame = revision === this.readRevision && this.isInformed && this.isRegistered();
+    const isSame = revision === this.readRevision && this.isInformed && this.members.isRegistered();
     if (isSame && !isAwaitingReturn(this.feed, this.ports.clock.now())) return true;
     const { store } = this.ports;
     const [routes, targets, proxies] = await Promise.all([
@@ -287,95 +261,20 @@
       this.takeTargets(targets.value);
       this.logRefused([...targets.value.refused, ...listStrangers(this.feed)]);
     }
-    if (proxies.type === "found") this.takeProxies(proxies.value);
-    await this.register();
+    if (proxies.type === "found") this.members.take(proxies.value);
+    await this.members.register();
     const isWhole = [routes, targets, proxies].every((read) => read.type !== "unavailable");
     this.readRevision = isWhole ? revision : undefined;
     this.publish();
     return proxies.type === "found";
   }
 
-  /**
-   * Removes entries that were marked for long: their proxies read the mark at their next look at the
-   * store and would have taken it off. From the mark on nobody confirms them either, so that their
-   * permission is over long before. One proxy does it for all.
-   */
-  private async removeMissed(): Promise<void> {
-    const { clock, store, logger } = this.ports;
-    if (!this.isFirst()) return;
-    for (const proxy of this.proxies) {
-      const since = this.missedSince.get(formatEntry(proxy));
-      if (since === undefined || clock.now() - since < missedMs) continue;
-      this.missedSince.delete(formatEntry(proxy));
-      logger.write(nodeEvents.missedRemoved, { vm: proxy.vm });
-      await store.removeMissed(proxy);
-    }
-  }
-
   /** One proxy writes the records, and not while missing entries may come back. */
   private async updateRecords(): Promise<void> {
-    if (!this.isFirst() || isAwaitingReturn(this.feed, this.ports.clock.now())) return;
+    if (!this.members.isFirst() || isAwaitingReturn(this.feed, this.ports.clock.now())) return;
     await this.recorder.update(this.feed);
   }
 
-  /** Whether this proxy does what one has to do for all: the first that nobody has missed. */
-  private isFirst(): boolean {
-    const first = this.proxies.find((proxy) => proxy.isMissed !== true);
-    return first?.vm === this.ports.settings.vm;
-  }
-
-  private takeProxies(proxies: readonly Proxy[]): void {
-    this.proxies = [...proxies].sort((a, b) => (a.vm < b.vm ? -1 : 1));
-    this.noteMissed();
-    this.ports.logger.write(nodeEvents.proxiesListed, { proxies: proxies.length });
-    if (!this.isRegistered()) {
-      this.listingsAsMember = 0;
-      this.memberSince = undefined;
-      return;
-    }
-    this.listingsAsMember += 1;
-    // An entry that an earlier process on this VM left has been there all the while.
-    this.memberSince ??= this.hasTriedToRegister ? this.ports.clock.now() : -Infinity;
-  }
-
-  /** Notes since when the entries that are marked have been seen so, unchanged. */
-  private noteMissed(): void {
-    const now = this.ports.clock.now();
-    const missed = this.proxies.filter((proxy) => proxy.isMissed === true).map(formatEntry);
-    const entries = missed.map((entry) => [entry, this.missedSince.get(entry) ?? now] as const);
-    this.missedSince = new Map(entries);
-  }
-
-  /**
-   * Whether this proxy was in the store before a question was asked. Whoever replaces a primary writes
-   * that down and then lists the proxies that it waits for. An answer to what was asked earlier than
-   * this one was listed may know nothing of the change, though nobody waits for this proxy; it would use
-   * the old primary for as long as its permission lasts.
-   */
-  private isMemberBefore(askedAt: number): boolean {
-    return this.memberSince !== undefined && this.memberSince < askedAt;
-  }
-
-  /** A proxy that is not listed would not be waited for by a change of primary. */
-  private async register(): Promise<void> {
-    const { settings, store, logger } = this.ports;
-    if (settings.peers === undefined || this.isRegistered()) return;
-    const own = { vm: settings.vm, address: settings.peers, dataCentre: settings.dataCentre };
-    this.hasTriedToRegister = true;
-    if (!(await store.register(own))) return;
-    this.memberSince = this.ports.clock.now();
-    this.proxies = [...this.proxies.filter((p) => p.vm !== own.vm), own];
-    logger.write(nodeEvents.registered, { vm: own.vm });
-  }
-
-  /** Whether it is listed, and nobody has missed it. */
-  private isRegistered(): boolean {
-    const { vm, peers, dataCentre } = this.ports.settings;
-    const own = this.proxies.find((proxy) => proxy.vm === vm);
-    if (own === undefined || own.isMissed === true || own.dataCentre !== dataCentre) return false;
-    return own.address.host === peers?.host && own.address.port === peers.port;
-  }
-
   private takeTargets(listing: TargetListing): void {
     const now = this.ports.clock.now();
     this.feed = applyTargets(this.feed, listing, now);
@@ -418,12 +317,12 @@
     const askedAt = clock.now();
     const confirmedAt = keeper.confirmedAt;
     if (confirmedAt !== undefined && askedAt - confirmedAt < askPeersAfterMs) return;
-    const others = this.proxies.filter((proxy) => proxy.vm !== settings.vm);
+    const others = this.members.list().filter((proxy) => proxy.vm !== settings.vm);
     const answers = (
       await Promise.all(others.map((proxy) => peers.share(proxy, keeper.word, peerTimeoutMs)))
     ).filter((answer) => answer !== undefined);
     for (const answer of answers) keeper.adopt(answer);
-    if (this.isMemberBefore(askedAt)) this.confirmBy(answers, askedAt);
+    if (this.members.isMemberBefore(askedAt)) this.confirmBy(answers, askedAt);
   }
 
   /**
@@ -439,14 +338,12 @@
       if (storeAgoMs !== undefined) keeper.noteStoreAnswer(askedAt - storeAgoMs);
       if (confirmedAgoMs === undefined) continue;
       const at = askedAt - confirmedAgoMs;
-      if (this.isMemberBefore(at)) keeper.confirm(at);
+      if (this.members.isMemberBefore(at)) keeper.confirm(at);
     }
-    // All start at once: a listing from before this proxy was in the store may lack those that came
-    // with it, and a few of them would look like a majority.
-    if (this.listingsAsMember === 0) return;
+    if (!this.members.isWhole) return;
     const words = listing.map((answer) => ({ version: answer.leadership.version }));
     const storeAskedAt = keeper.storeAnswerAskedAt;
-    if (isConfirmedByPeers(version, words, this.proxies.length, storeAskedAt, askedAt)) {
+    if (isConfirmedByPeers(version, words, this.members.list().length, storeAskedAt, askedAt)) {
       keeper.confirm(askedAt);
     }
   }
@@ -459,8 +356,7 @@
       const known = decodeScene(text);
       const snapshot = decodeSnapshot(known?.scene ?? "");
       if (known === undefined || snapshot === undefined) continue;
-      this.proxies = known.proxies;
-      if (this.isRegistered() && !this.hasTriedToRegister) this.memberSince = -Infinity;
+      this.members.copy(known.proxies);
       this.feed = applyRoutes(this.feed, snapshot.routes);
       this.feed = applyTargets(this.feed, { targets: snapshot.targets, refused: [] }, clock.now());
       logger.write(nodeEvents.sceneFetched, { seed: `${seed.host}:${seed.port}` });
@@ -470,10 +366,6 @@
   }
 }
 
-function formatEntry({ vm, version }: Proxy): string {
-  return `${vm} ${version ?? 0}`;
-}
-
 interface EncodedScene {
   readonly scene: string;
   readonly proxies: readonly Proxy[];
--- /dev/null
+++ b/src/node/members.ts
@@ -0,0 +1,155 @@
+import type { Proxy } from "../leadership/index.js";
+import { nodeEvents } from "../log/events/node.js";
+import type { Logger } from "../log/index.js";
+import type { Clock } from "../model/index.js";
+import type { NodeStore } from "./ports.js";
+import type { NodeSettings } from "./settings.js";
+
+/**
+ * An entry that was marked for so long is removed, in milliseconds: several times the longest permission
+ * (1.6 s) and the looks of a proxy that lives (0.7 s), so that a slow store does not take one out.
+ */
+const missedMs = 10_000;
+
+/** What the list of proxies needs of the world. */
+export interface MembersPorts {
+  readonly settings: NodeSettings;
+  readonly store: Pick<NodeStore, "listProxies" | "register" | "deregister" | "removeMissed">;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** The proxies that are registered in the store, and this one's place among them. */
+export class Members {
+  private proxies: readonly Proxy[] = [];
+  /** Listings that were read whole since this proxy was in the store. */
+  private listingsAsMember = 0;
+  /** Whether this process has tried to put itself into the store. */
+  private hasTriedToRegister = false;
+  /** Since when it certainly is there; absent while it may not be. */
+  private memberSince: number | undefined;
+  private missedSince = new Map<string, number>();
+
+  constructor(private readonly ports: MembersPorts) {}
+
+  /** All registered proxies by name, this one included. */
+  list(): readonly Proxy[] {
+    return this.proxies;
+  }
+
+  /** Takes in a listing of the store. */
+  take(proxies: readonly Proxy[]): void {
+    this.proxies = [...proxies].sort((a, b) => (a.vm < b.vm ? -1 : 1));
+    this.noteMissed();
+    this.ports.logger.write(nodeEvents.proxiesListed, { proxies: proxies.length });
+    if (!this.isRegistered()) {
+      this.listingsAsMember = 0;
+      this.memberSince = undefined;
+      return;
+    }
+    this.listingsAsMember += 1;
+    // An entry that an earlier process on this VM left has been there all the while.
+    this.memberSince ??= this.hasTriedToRegister ? this.ports.clock.now() : -Infinity;
+  }
+
+  /** Takes in what a peer lists, at a start while the store is away. It is no listing of the store's. */
+  copy(proxies: readonly Proxy[]): void {
+    this.proxies = proxies;
+    if (this.isRegistered() && !this.hasTriedToRegister) this.memberSince = -Infinity;
+  }
+
+  /** Reads anew which proxies there are; false when the store does not say. */
+  async refresh(): Promise<boolean> {
+    const read = await this.ports.store.listProxies();
+    if (read.type !== "found") return false;
+    this.take(read.value);
+    return true;
+  }
+
+  /** A proxy that is not listed would not be waited for by a change of primary. */
+  async register(): Promise<void> {
+    const { settings, store, logger } = this.ports;
+    if (settings.peers === undefined || this.isRegistered()) return;
+    const own = { vm: settings.vm, address: settings.peers, dataCentre: settings.dataCentre };
+    this.hasTriedToRegister = true;
+    if (!(await store.register(own))) return;
+    this.memberSince = this.ports.clock.now();
+    this.proxies = [...this.proxies.filter((p) => p.vm !== own.vm), own];
+    logger.write(nodeEvents.registered, { vm: own.vm });
+  }
+
+  /** Takes this proxy out of the store. */
+  async deregister(): Promise<void> {
+    const { settings, store, logger } = this.ports;
+    if (settings.peers === undefined || !this.isRegistered()) return;
+    const own = { vm: settings.vm, address: settings.peers };
+    const isDone = await store.deregister(own);
+    logger.write(nodeEvents.deregistered, { vm: own.vm, isDone });
+  }
+
+  /**
+   * Removes entries that were marked for long: their proxies read the mark at their next look at the
+   * store and would have taken it off. From the mark on nobody confirms them either, so that their
+   * permission is over long before. One proxy does it for all.
+   */
+  async removeMissed(): Promise<void> {
+    const { clock, store, logger } = this.ports;
+    if (!this.isFirst()) return;
+    for (const proxy of this.proxies) {
+      const since = this.missedSince.get(formatEntry(proxy));
+      if (since === undefined || clock.now() - since < missedMs) continue;
+      this.missedSince.delete(formatEntry(proxy));
+      logger.write(nodeEvents.missedRemoved, { vm: proxy.vm });
+      await store.removeMissed(proxy);
+    }
+  }
+
+  /** Whether this proxy does what one has to do for all: the first that nobody has missed. */
+  isFirst(): boolean {
+    const first = this.proxies.find((proxy) => proxy.isMissed !== true);
+    return first?.vm === this.ports.settings.vm;
+  }
+
+  /** Whether this proxy is listed, and nobody has missed it. */
+  isRegistered(): boolean {
+    const { vm, peers, dataCentre } = this.ports.settings;
+    const own = this.proxies.find((proxy) => proxy.vm === vm);
+    if (own === undefined || own.isMissed === true || own.dataCentre !== dataCentre) return false;
+    return own.address.host === peers?.host && own.address.port === peers.port;
+  }
+
+  /** Whether a proxy is listed, and nobody has missed it. */
+  has(vm: string): boolean {
+    return this.proxies.some((proxy) => proxy.vm === vm && proxy.isMissed !== true);
+  }
+
+  /**
+   * Whether this proxy was in the store before a question was asked. Whoever replaces a primary writes
+   * that down and then lists the proxies that it waits for. An answer to what was asked earlier than
+   * this one was listed may know nothing of the change, though nobody waits for this proxy; it would use
+   * the old primary for as long as its permission lasts.
+   */
+  isMemberBefore(askedAt: number): boolean {
+    return this.memberSince !== undefined && this.memberSince < askedAt;
+  }
+
+  /**
+   * Whether the list can tell a majority. All start at once: a listing from before this proxy was in the
+   * store may lack those that came with it, and a few of them would look like a majority.
+   */
+  get isWhole(): boolean {
+    return this.listingsAsMember > 0;
+  }
+
+  /** Notes since when the entries that are marked have been seen so, unchanged. */
+  private noteMissed(): void {
+    const now = this.ports.clock.now();
+    const missed = this.proxies.filter((proxy) => proxy.isMissed === true).map(formatEntry);
+    const entries = missed.map((entry) => [entry, this.missedSince.get(entry) ?? now] as const);
+    this.missedSince = new Map(entries);
+  }
+}
+
+function formatEntry({ vm, version }: Proxy): string {
+  return `${vm} ${version ?? 0}`;
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -114,8 +114,8 @@
         clock,
         random,
         logger,
-        listProxies: () => this.follower.listProxies(),
-        refreshProxies: () => this.follower.refreshProxies(),
+        listProxies: () => this.follower.members.list(),
+        refreshProxies: () => this.follower.members.refresh(),
         markMissed: (proxy) => adapter.store.markMissed(proxy),
         listTargets: (group) => this.listTargets(group),
         listGroups: () => [...this.follower.scene.groups.keys()],
@@ -189,7 +189,7 @@
       random,
       logger,
       scene: () => this.follower.scene,
-      countProxies: () => Math.max(1, this.follower.listProxies().length),
+      countProxies: () => Math.max(1, this.follower.members.list().length),
       onStatement: (sample) => this.recordStatement(sample),
     };
   }
@@ -233,7 +233,7 @@
     return {
       ...this.keeper.word,
       vm: settings.vm,
-      listsAsker: this.follower.listProxies().some((p) => p.vm === from && p.isMissed !== true),
+      listsAsker: this.follower.members.has(from),
       confirmedAgoMs: findAge(this.keeper.confirmedAt),
       storeAgoMs: findAge(this.keeper.storeAnswerAskedAt),
       storeRevision: this.follower.known?.revision,
