Judge each loss of a primary's log anew, and compare records in one pass

Read as a newcomer: a target that had lost its log once, was replaced, led again later and lost it a second time passed for accepted, and would have answered reads. The loss is forgotten once another target leads; one that was made primary in spite of it begins a new history.

--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -263,6 +263,8 @@
         link.close();
         throw new LostLogError(`${name} lacks commits that it had acknowledged`);
       }
+      // It leads all the same, since no other target runs: its log begins anew here.
+      this.history = emptyHistory;
     }
     if (openedAt !== undefined) this.notePrimaryMark(openedAt, askedAt);
   }
--- a/src/feed/record.ts
+++ b/src/feed/record.ts
@@ -22,9 +22,16 @@
   if (value === null || typeof value !== "object" || !("targets" in value)) return undefined;
   const { targets } = value as { readonly targets: unknown };
   if (!Array.isArray(targets)) return undefined;
-  const known = targets as readonly Partial<AnnouncedTarget>[];
-  const isWhole = known.every((t) => typeof t.name === "string" && t.address !== undefined);
-  return isWhole ? (known as readonly AnnouncedTarget[]) : undefined;
+  const known = targets as readonly AnnouncedTarget[];
+  return known.every(isTarget) ? known : undefined;
+}
+
+function isTarget({ name, address }: Partial<AnnouncedTarget>): boolean {
+  return (
+    typeof name === "string" &&
+    typeof address?.host === "string" &&
+    typeof address.port === "number"
+  );
 }
 
 /** The groups whose record is not what is listed now, each as it should be. */
@@ -32,12 +39,14 @@
   { routes, targets }: FeedState,
   records: readonly GroupRecord[],
 ): readonly GroupRecord[] {
-  const groups = [...(routes?.connections.keys() ?? [])];
-  return groups.flatMap((group) => {
-    const record = records.find((known) => known.group === group);
-    const listed = [...targets.values()].filter((t) => t.group === group).map((t) => t.target);
-    const isSame = isSameRecord(record?.targets ?? [], listed);
-    return isSame ? [] : [{ group, targets: listed, version: record?.version ?? 0 }];
+  const byGroup = new Map(records.map((record) => [record.group, record]));
+  const listed = new Map<string, AnnouncedTarget[]>();
+  for (const group of routes?.connections.keys() ?? []) listed.set(group, []);
+  for (const { group, target } of targets.values()) listed.get(group)?.push(target);
+  return [...listed].flatMap(([group, now]) => {
+    const record = byGroup.get(group);
+    const isSame = isSameRecord(record?.targets ?? [], now);
+    return isSame ? [] : [{ group, targets: now, version: record?.version ?? 0 }];
   });
 }
 
--- a/src/leadership/keeper.ts
+++ b/src/leadership/keeper.ts
@@ -165,8 +165,11 @@
   noteLostLog(group: string, target: string): void {
     const round = this.findRound(group);
     const known = this.lostLogs.get(group);
-    // It was made primary again since: no other target runs, and what is lost is lost.
-    if (known?.target === target && known.round < round) return;
+    if (known?.target === target && known.round < round) {
+      // It was made primary again: no other target runs, and what is lost is lost.
+      this.lostLogs.delete(group);
+      return;
+    }
     if (known === undefined) this.ports.logger.write(leadershipEvents.logLost, { group, target });
     this.lostLogs.set(group, { target, round });
     this.ports.onMiss();
@@ -203,6 +206,12 @@
     return this.contacts.get(group);
   }
 
+  /** A loss is over once another target leads. */
+  private forgetLostLog(group: string, entry: GroupLeadership): void {
+    const isOver = entry.type === "serving" && entry.target !== this.lostLogs.get(group)?.target;
+    if (isOver) this.lostLogs.delete(group);
+  }
+
   private findRound(group: string): number {
     return this.current.document.groups[group]?.round ?? 0;
   }
@@ -255,6 +264,7 @@
   private noteChanges(): void {
     const now = this.ports.clock.now();
     for (const [group, entry] of Object.entries(this.current.document.groups)) {
+      this.forgetLostLog(group, entry);
       if (entry.type === "serving") this.changingSince.delete(group);
       else if (!this.changingSince.has(group)) {
         this.changingSince.set(group, now);
--- a/test/feed/record.test.ts
+++ b/test/feed/record.test.ts
@@ -73,7 +73,8 @@
 test("a record is read as it was written, and nothing comes of what is none", () => {
   const { targets } = record(listed("a", 1, { startedAt: 7 }));
   expect(decodeRecord(encodeRecord(targets))).toEqual(targets);
-  for (const value of [null, 3, "x", {}, { targets: 3 }, { targets: [{ name: 4 }] }]) {
+  const stray = { targets: [{ name: "a", address: { host: "h" } }] };
+  for (const value of [null, 3, "x", {}, { targets: 3 }, { targets: [{ name: 4 }] }, stray]) {
     expect(decodeRecord(value)).toBeUndefined();
   }
 });
