Hold against a primary only the end of the log that it has shown itself

Change: the newest end is kept with the target that showed it, and forgotten when that target is superseded.

Test: a crash with a commit that reached no replica, over real sockets; it fails before (one primaryLostLog, expected none). 18 tests of direct and restart pass, restart four times.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -97,5 +97,5 @@
 ): void {
   if (mark === undefined || place.role !== "primary") return;
   if (!isStillLeading(context, place)) return;
-  place.group.notePrimaryMark(mark, askedAt);
+  place.group.notePrimaryMark(place.target, mark, askedAt);
 }
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -4,6 +4,7 @@
   compareTerms,
   DisposableStore,
   orderMarks,
+  pickLaterMark,
   type Disposable,
   type Mark,
   type Target,
@@ -74,6 +75,8 @@
   private readonly running = new Map<string, number>();
   private targets = new Map<string, AnnouncedTarget>();
   private history: PositionHistory = emptyHistory;
+  /** The newest end of its log that the primary has shown since it leads. */
+  private shownEnd: ShownEnd | undefined;
   private share: ConnectionShare = { base: 1, most: 1 };
 
   constructor(
@@ -124,6 +127,7 @@
    * free only as its statements run out of their time, 0.8 s; what waited behind them was refused unsent.
    */
   evict(target: string): void {
+    this.shownEnd = undefined;
     this.slots.evict(target);
   }
 
@@ -162,7 +166,9 @@
   }
 
   /** Notes where the primary's log ended in an answer to what was sent at `askedAt`. */
-  notePrimaryMark(mark: Mark, askedAt: number): void {
+  notePrimaryMark(target: string, mark: Mark, askedAt: number): void {
+    const shown = this.findShownEnd(target);
+    this.shownEnd = { target, mark: shown === undefined ? mark : pickLaterMark(shown, mark) };
     const newest = findNewestMark(this.history);
     if (newest !== undefined && compareTerms(mark.term, newest.term) < 0) return;
     this.history = observePrimary(this.history, { status: { mark }, askedAt });
@@ -227,10 +233,10 @@
   private async openLink(target: Target, timeoutMs: number): Promise<PreparedLink> {
     const { dialer, primaries, clock } = this.ports;
     const askedAt = clock.now();
-    const newest = findNewestMark(this.history);
+    const shown = this.findShownEnd(target.name);
     try {
       const link = await dialer.open(this.name, target, timeoutMs);
-      if (this.isPrimary(target)) this.noteOpened(target, link, newest, askedAt);
+      if (this.isPrimary(target)) this.noteOpened(target, link, shown, askedAt);
       return new PreparedLink(link);
     } catch (error) {
       if (!dialer.isTooMany(error)) {
@@ -243,21 +249,24 @@
 
   /**
    * Takes in where the primary's log ended when a connection to it was opened: that tells as much as an
-   * answer, so that right after a start reads need not all go to the primary first. `newest` was known
-   * before.
+   * answer, so that right after a start reads need not all go to the primary first. `shown` was its newest
+   * end when the opening began.
    *
    * A primary that started again under its name may hold nothing of what it had acknowledged. It would
    * answer plain reads as before, and callers would miss their own commits. Connections to the process
-   * before are gone, so that each statement for the new one needs an opening, which shows it.
+   * before are gone, so that each statement for the new one needs an opening, which shows it. Only what
+   * this primary has shown itself counts: one that was just promoted may begin before the end of the one
+   * before it, by commits that had reached no replica. Held against it, that made a second change of
+   * primary follow the first, by the log of one such cut.
    */
   private noteOpened(
     { name }: Target,
     link: TargetLink,
-    newest: Mark | undefined,
+    shown: Mark | undefined,
     askedAt: number,
   ): void {
     const { openedAt } = link;
-    if (hasLostLog(newest, openedAt)) {
+    if (hasLostLog(shown, openedAt)) {
       this.ports.primaries.noteLostLog(this.name, name);
       if (!this.isPrimary({ name })) {
         link.close();
@@ -265,8 +274,13 @@
       }
       // It leads all the same, since no other target runs: its log begins anew here.
       this.history = emptyHistory;
+      this.shownEnd = undefined;
     }
-    if (openedAt !== undefined) this.notePrimaryMark(openedAt, askedAt);
+    if (openedAt !== undefined) this.notePrimaryMark(name, openedAt, askedAt);
+  }
+
+  private findShownEnd(target: string): Mark | undefined {
+    return this.shownEnd?.target === target ? this.shownEnd.mark : undefined;
   }
 
   private isPrimary({ name }: Pick<Target, "name">): boolean {
@@ -290,6 +304,12 @@
   }
 }
 
+/** Where a primary's log ended when it last told. */
+interface ShownEnd {
+  readonly target: string;
+  readonly mark: Mark;
+}
+
 /** A primary that may not be read from until it is settled who leads. */
 class LostLogError extends Error {
   override readonly name = "LostLogError";
@@ -301,10 +321,10 @@
   return known !== undefined && now.startedAt !== undefined && known !== now.startedAt;
 }
 
-/** Whether a primary's log ends before a mark that the primary had been seen at. */
-function hasLostLog(newest: Mark | undefined, openedAt: Mark | undefined): boolean {
-  if (newest === undefined) return false;
-  return openedAt === undefined || orderMarks(openedAt, newest) < 0;
+/** Whether a primary's log ends before the end that the primary had shown. */
+function hasLostLog(shown: Mark | undefined, openedAt: Mark | undefined): boolean {
+  if (shown === undefined) return false;
+  return openedAt === undefined || orderMarks(openedAt, shown) < 0;
 }
 
 /** What one proxy may open to a target. */
--- a/test/node/restart.test.ts
+++ b/test/node/restart.test.ts
@@ -55,3 +55,21 @@
   await waitUntil(() => countEvents("routesInForce") > 1);
   expect(countEvents("targetEntryRefused")).toBe(1);
 });
+
+// The primary crashes with a commit that reached no replica. The next one begins before it, and its log ends
+// so in the answer that opens a connection, until its own first commit. Taken for a primary that has lost
+// its log it would be replaced in turn: callers waited twice as long for the group.
+test("a new primary that begins before the old one's end has lost nothing", async () => {
+  cluster = await Cluster.start({ nodes: 3 });
+  const client = await cluster.open("primary");
+  expect(await client.query("WRITE cello taken")).toMatch(/^COMPLETE/);
+  cluster.log.isCopying = false;
+  expect(await client.query("WRITE viola taken")).toMatch(/^COMPLETE/);
+  await cluster.target(0).crash();
+  cluster.store.remove("servers", "i-0");
+  await waitUntil(async () => (await client.query("READ cello")).startsWith("DATAROW taken"));
+  await waitUntil(() => countEvents("primaryChangeDone") > 0);
+  for (let i = 0; i < 10; i += 1) expect(await client.query("READ cello")).toMatch(/^DATAROW/);
+  expect(countEvents("primaryLostLog")).toBe(0);
+  expect(cluster.store.orders).toHaveLength(1);
+});
