Soak the deployed node as real processes under a site's load

This rig runs the bundle as deploy/system.toml starts it, many processes on loopback, before the stand-in store and targets: callers arrive at the site's rates, a balancer asks for readiness, processes are killed, restarted, frozen, and compete with busy ones for the processor, and the store and the targets fail as before. It reports what part of what callers ask is served, by kind, zone, team and second (operations beyond a team's rate are not owed), and compares what callers were told of their writes with the logs of the primaries.

An unknown side or fault ends with exit code 2. The stand-in target takes work and opening times, and the stand-in store takes an answer time and rates.

--- a/standin/direct/group.ts
+++ b/standin/direct/group.ts
@@ -21,6 +21,10 @@
   readonly members = new Map<string, StandinMember>();
   /** Whether each commit is replicated immediately; otherwise only by `copy`. */
   isCopying = true;
+  /** The writes that promotions have rolled back: the log of the target promoted lacked them. */
+  readonly rolledBack = new Set<string>();
+  /** How long after a commit the replicas receive it, in milliseconds. */
+  lagMs = 0;
 
   add(id: string, role: "primary" | "replica"): StandinMember {
     const member: StandinMember = {
@@ -39,17 +43,26 @@
   commit(member: StandinMember, writes: StandinCommit["writes"]): void {
     if (writes.length === 0) return;
     const commit = { term: member.term, number: member.log.length + 1, writes };
-    member.log = [...member.log, commit];
-    if (this.isCopying) this.copy();
+    const log = [...member.log, commit];
+    member.log = log;
+    if (!this.isCopying) return;
+    if (this.lagMs === 0) this.copy();
+    else setTimeout(() => this.copyLog(member, log), this.lagMs).unref();
   }
 
   /** Replaces the log of every receiving replica by that of the primary of the newest term. */
   copy(): void {
     const primary = this.findPrimary();
-    if (primary === undefined) return;
+    if (primary !== undefined) this.copyLog(primary, primary.log);
+  }
+
+  /** Replaces the log of every receiving replica by one of the primary, unless another has been promoted since. */
+  private copyLog(primary: StandinMember, log: StandinMember["log"]): void {
+    if (primary !== this.findPrimary()) return;
     for (const member of this.members.values()) {
       if (member === primary || member.role === "primary" || !member.isReceiving) continue;
-      member.log = primary.log;
+      if (member.term === primary.term && member.log.length > log.length) continue;
+      member.log = log;
       member.term = primary.term;
     }
   }
@@ -60,6 +73,15 @@
     return primaries.sort((a, b) => b.term - a.term)[0];
   }
 
+  private recordRolledBack(promoted: StandinMember): void {
+    const listIds = ({ log }: StandinMember) =>
+      log.flatMap(({ writes }) => writes.map((w) => w.id));
+    const kept = new Set(listIds(promoted));
+    for (const id of [...this.members.values()].flatMap(listIds)) {
+      if (!kept.has(id)) this.rolledBack.add(id);
+    }
+  }
+
   /** Makes a member the primary of a new term, with the log that it has. False when it does not exist. */
   promote(id: string): boolean {
     const member = this.members.get(id);
@@ -67,6 +89,7 @@
     if (member.role === "primary" && this.findPrimary() === member) return true;
     const term =
       Math.max(...[...this.members.values()].map((m) => Math.max(m.term, m.heldTerm))) + 1;
+    this.recordRolledBack(member);
     member.role = "primary";
     member.term = term;
     member.heldTerm = term;
--- a/standin/direct/store.ts
+++ b/standin/direct/store.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Address, Disposable } from "../../src/model/index.js";
 
 interface Entry {
@@ -15,6 +16,12 @@
   readonly token: number;
 }
 
+/** Numbers of reading and of writing calls. */
+export interface StandinCallLimits {
+  readonly reads: number;
+  readonly writes: number;
+}
+
 /**
  * An in-process metadata store and platform API for promotions. Both listen on one address and
  * differ by path.
@@ -29,8 +36,16 @@
   isBusy = false;
   /** The number of further writes that are applied but whose connection is closed without a response. */
   loseAnswers = 0;
+  /** The delay of each answer, in milliseconds. */
+  answerMs = 0;
+  /** The calls that are answered per second; further ones get 429. */
+  limits: StandinCallLimits = { reads: Infinity, writes: Infinity };
+  private second = 0;
+  private calls: StandinCallLimits = { reads: 0, writes: 0 };
+  /** The number of calls that `limits` refused. */
+  refusedCalls = 0;
   /** Executes a promotion; returns false when the target is not running, which gives a 409. */
-  onPromote: (service: string, id: string) => boolean = () => true;
+  onPromote: (service: string, id: string) => boolean | Promise<boolean> = () => true;
   address: Address = { host: "127.0.0.1", port: 0 };
 
   async start(): Promise<void> {
@@ -84,7 +99,12 @@
       response.writeHead(503).end();
       return;
     }
-    const [status, answer] = this.route(request, body);
+    if (!this.countCall(request.method === "GET" ? "reads" : "writes")) {
+      response.writeHead(429).end();
+      return;
+    }
+    const [status, answer] = await this.route(request, body);
+    if (this.answerMs > 0) await sleep(this.answerMs);
     if (request.method !== "GET" && this.loseAnswers > 0) {
       this.loseAnswers -= 1;
       response.destroy();
@@ -94,10 +114,21 @@
     response.end(JSON.stringify(answer));
   }
 
-  private route(
+  /** Counts a call; false when those of the second are used up. */
+  private countCall(type: keyof StandinCallLimits): boolean {
+    const second = Math.floor(performance.now() / 1000);
+    if (second !== this.second) this.calls = { reads: 0, writes: 0 };
+    this.second = second;
+    this.calls = { ...this.calls, [type]: this.calls[type] + 1 };
+    const isAllowed = this.calls[type] <= this.limits[type];
+    if (!isAllowed) this.refusedCalls += 1;
+    return isAllowed;
+  }
+
+  private async route(
     request: IncomingMessage,
     body: Readonly<Record<string, unknown>>,
-  ): readonly [number, unknown] {
+  ): Promise<readonly [number, unknown]> {
     const url = new URL(request.url ?? "/", "http://store");
     if (url.pathname === "/failover") return this.promote(request, body);
     const [, , kind = "", name] = url.pathname.split("/").map(decodeURIComponent);
@@ -144,15 +175,15 @@
     return [200, this.getEntries(kind).get(meta.name)];
   }
 
-  private promote(
+  private async promote(
     request: IncomingMessage,
     body: Readonly<Record<string, unknown>>,
-  ): readonly [number, unknown] {
+  ): Promise<readonly [number, unknown]> {
     const service = String(body.service);
     const id = String(body.id);
     const holder = String(request.headers["x-radishwalk-lease-holder"]);
     const token = Number(request.headers["x-radishwalk-fencing-token"]);
     this.orders.push({ service, id, holder, token });
-    return this.onPromote(service, id) ? [200, {}] : [409, {}];
+    return (await this.onPromote(service, id)) ? [200, {}] : [409, {}];
   }
 }
--- a/standin/direct/target.ts
+++ b/standin/direct/target.ts
@@ -22,8 +22,14 @@
   readonly maxConnections?: number;
   /** Concurrent statements; further ones are refused as busy. Default 2. */
   readonly slots?: number;
-  /** How long a statement holds its slot. Default 0. */
+  /** How long a statement holds its slot, in milliseconds. Default 0. */
   readonly workMs?: number;
+  /** Computes that time from the statement's text, in place of `workMs`. */
+  readonly getWorkMs?: (text: string) => number;
+  /** How long the opening of a connection takes, in milliseconds; it holds a slot. Default 0. */
+  readonly connectMs?: number;
+  /** Whether `runs` is kept; a long run sets it to false. Default true. */
+  readonly keepsRuns?: boolean;
 }
 
 /** Faults that a test injects and clears. */
@@ -104,14 +110,19 @@
     if (server !== undefined) await new Promise((resolve) => server.close(resolve));
   }
 
-  /** Restarts under the same id and address with an empty log. */
-  async startEmpty(): Promise<void> {
+  /** Restarts under the same id and address with its log. */
+  async restart(): Promise<void> {
     await this.crash();
-    this.member.log = [];
     this.startedAt += 1;
     await this.start();
   }
 
+  /** Restarts under the same id and address with an empty log. */
+  async startEmpty(): Promise<void> {
+    this.member.log = [];
+    await this.restart();
+  }
+
   dispose(): Promise<void> {
     return this.crash();
   }
@@ -142,13 +153,13 @@
     if (this.faults.isSilent) return;
     const answer = session.isStarted
       ? await this.runQuery(session, text)
-      : this.open(session, text);
+      : await this.open(session, text);
     if (answer === undefined) return;
     if (!socket.destroyed) socket.write(answer.map((part) => `${part}\r\n`).join(""), "latin1");
     if (!session.isStarted) socket.end();
   }
 
-  private open(session: LineSession, text: string): Answer {
+  private async open(session: LineSession, text: string): Promise<Answer> {
     const [verb, service, team = "", id] = text.split(" ");
     if (verb !== "STARTUP") return ["ERROR MALFORMED no start"];
     if (service !== this.options.service || (id !== undefined && id !== this.id)) {
@@ -158,6 +169,8 @@
       this.refusedConnections += 1;
       return ["ERROR TOOMANYCON full"];
     }
+    const { connectMs = 0 } = this.options;
+    if (connectMs > 0) await this.holdSlot(connectMs);
     session.isStarted = true;
     session.team = team;
     return [this.formatReady(session)];
@@ -197,7 +210,8 @@
       return this.refuseAsBusy(session, "BUSY no slot");
     this.runningCount += 1;
     try {
-      const { workMs = 0 } = this.options;
+      const { workMs: fixedMs = 0, getWorkMs } = this.options;
+      const workMs = getWorkMs?.(text) ?? fixedMs;
       if (workMs > 0) await new Promise((resolve) => setTimeout(resolve, workMs));
       const answer = this.execute(session, id, text);
       return this.faults.loseAnswer?.test(text) === true ? undefined : answer;
@@ -206,6 +220,12 @@
     }
   }
 
+  private async holdSlot(ms: number): Promise<void> {
+    this.runningCount += 1;
+    await new Promise((resolve) => setTimeout(resolve, ms));
+    this.runningCount -= 1;
+  }
+
   private execute(session: LineSession, id: string, text: string): Answer {
     const [verb = "", ...rest] = text.split(" ");
     if (verb === "STATUS") return this.complete(session, "-", this.formatStatus());
@@ -235,8 +255,7 @@
 
   private read(session: LineSession, item: string): string {
     const own = session.transaction?.writes.findLast((w) => w.item === item);
-    const writes = this.member.log.flatMap((commit) => commit.writes);
-    return (own ?? writes.findLast((w) => w.item === item))?.data ?? "none";
+    return (own ?? findLastWrite(this.member.log, item))?.data ?? "none";
   }
 
   private commit(session: LineSession, id: string, text: string): Answer {
@@ -322,9 +341,18 @@
   }
 
   private recordRun(session: LineSession, id: string, text: string): void {
+    if (this.options.keepsRuns === false) return;
     const values = Object.fromEntries(session.values);
     const transaction = session.transaction?.number ?? 0;
     const { number: connection, team } = session;
     this.runs.push({ id, text, values, transaction, connection, team });
   }
 }
+
+function findLastWrite(log: StandinMember["log"], item: string): Write | undefined {
+  for (let i = log.length - 1; i >= 0; i -= 1) {
+    const write = log[i]?.writes.findLast((w) => w.item === item);
+    if (write !== undefined) return write;
+  }
+  return undefined;
+}
--- a/standin/processes/children.ts
+++ b/standin/processes/children.ts
@@ -54,6 +54,11 @@
     return this.exit === undefined;
   }
 
+  /** Calls `listener` with each further line. */
+  onLine(listener: Listener): void {
+    this.listeners.add(listener);
+  }
+
   /** Sends a signal unless the process has ended, as its id may have been reused by then. */
   send(signal: NodeJS.Signals): void {
     if (this.isRunning) this.process.kill(signal);
@@ -119,15 +124,48 @@
     flags: readonly string[] = [],
   ): Child {
     const path = resolveBuiltPath(script);
-    const process_ = spawn(process.execPath, [...flags, path, ...args], {
-      stdio: ["ignore", "pipe", "inherit"],
-    });
+    return this.add(
+      name,
+      spawn(process.execPath, [...flags, path, ...args], { stdio: ["ignore", "pipe", "inherit"] }),
+    );
+  }
+
+  /** Starts a program by its path, with only these environment variables besides PATH. */
+  startProgram(
+    name: string,
+    path: string,
+    args: readonly string[],
+    environment: Readonly<Record<string, string>>,
+  ): Child {
+    const env = { PATH: process.env.PATH, ...environment };
+    return this.add(
+      name,
+      spawn(process.execPath, [path, ...args], { stdio: ["ignore", "pipe", "inherit"], env }),
+    );
+  }
+
+  /** Starts a built program that exchanges messages with this process. */
+  startWithMessages(name: string, script: string): Child {
+    return this.add(
+      name,
+      spawn(process.execPath, [resolveBuiltPath(script)], {
+        stdio: ["ignore", "pipe", "inherit", "ipc"],
+      }),
+    );
+  }
+
+  private add(name: string, process_: ChildProcess): Child {
     const child = new Child(name, process_);
     this.started.push(child);
     this.registerWithGuard(child);
     return child;
   }
 
+  /** Ends all programs at once, without letting them finish. */
+  killAll(): void {
+    for (const child of this.started) child.send("SIGKILL");
+  }
+
   /** Stops all programs, in reverse order of their start. */
   async dispose(): Promise<void> {
     for (let child = this.started.pop(); child !== undefined; child = this.started.pop()) {
--- a/standin/soak/main.ts
+++ b/standin/soak/main.ts
@@ -1,23 +1,34 @@
 import { cac } from "cac";
 import { formatCounts } from "./counts.js";
+import { runNodesSide, type NodesSideFlags } from "./nodes/side.js";
 import { faultTypes, type Fault } from "./plan.js";
 import { runSoak } from "./run.js";
+import { UsageError } from "./usage.js";
 
-interface Flags {
+interface Flags extends NodesSideFlags {
+  readonly side: string;
   readonly minutes: number;
   readonly rounds?: number;
-  readonly seed: number;
-  readonly faults?: string;
   readonly groups?: number;
   readonly logs: boolean;
   readonly json: boolean;
 }
 
+const sides = ["callers", "platform"];
+const usageExitCode = 2;
 const msPerMinute = 60_000;
 
 const cli = cac("soak");
 cli
   .command("", "Run sessions under random faults and check the stored data")
+  .option("--side <side>", `What is soaked: ${sides.join(" or ")}`, { default: sides[0] })
+  .option("--site <file>", "The site as YAML (side platform; default: nine nodes)")
+  .option("--scale <factor>", "Multiply the traffic (side platform)", { default: 1 })
+  .option("--lead <s>", "Seconds from the nodes' start to that of the traffic (side platform)", {
+    default: 0,
+  })
+  .option("--count <n>", "Number of faults in a run (side platform)", { default: 4 })
+  .option("--log <file>", "Write the lines of all nodes to a file (side platform)")
   .option("--minutes <n>", "Start new rounds for this long", { default: 1 })
   .option("--rounds <n>", "Run this number of rounds instead")
   .option("--seed <n>", "Seed of the faults and of the operations", { default: 1 })
@@ -33,6 +44,27 @@
 cli.parse();
 
 async function run(flags: Flags): Promise<void> {
+  try {
+    await runSide(flags);
+  } catch (error) {
+    if (!(error instanceof UsageError)) throw error;
+    console.error(error.message);
+    process.exit(usageExitCode);
+  }
+}
+
+function runSide(flags: Flags): Promise<void> {
+  switch (flags.side) {
+    case "callers":
+      return runCallersSide(flags);
+    case "platform":
+      return runNodesSide(flags, print);
+    default:
+      throw new UsageError(`--side: must be ${sides.join(" or ")}: ${flags.side}`);
+  }
+}
+
+async function runCallersSide(flags: Flags): Promise<void> {
   const { minutes, rounds, seed, json, groups, logs } = flags;
   const endsAt = Date.now() + minutes * msPerMinute;
   const shouldContinue = (done: number) =>
@@ -60,7 +92,7 @@
 function parseFaults(text: string): readonly Fault["type"][] {
   const wanted = text.split(",");
   const unknown = wanted.filter((name) => !faultTypes.some((type) => type === name));
-  if (unknown.length > 0) throw new Error(`unknown faults: ${unknown.join(", ")}`);
+  if (unknown.length > 0) throw new UsageError(`--faults: unknown: ${unknown.join(", ")}`);
   return faultTypes.filter((type) => wanted.includes(type));
 }
 
--- /dev/null
+++ b/standin/soak/nodes/allowances.ts
@@ -0,0 +1,43 @@
+import type { SoakTeam } from "./site.js";
+
+interface Allowance {
+  readonly ratePerMs: number;
+  readonly burst: number;
+  tokens: number;
+  updatedAtMs: number;
+}
+
+const msPerSecond = 1000;
+
+/** Which operations lie within their team's rate: those beyond it may be refused. */
+export class TeamAllowances {
+  private readonly byTeam: ReadonlyMap<string, Allowance>;
+
+  constructor(teams: readonly SoakTeam[]) {
+    this.byTeam = new Map(
+      teams.flatMap(({ name, ratePerSecond, burst }) =>
+        ratePerSecond === undefined
+          ? []
+          : [
+              [
+                name,
+                { ratePerMs: ratePerSecond / msPerSecond, burst, tokens: burst, updatedAtMs: 0 },
+              ],
+            ],
+      ),
+    );
+  }
+
+  /** Counts an operation; false if it is beyond the rate and the burst of its team. */
+  take(team: string, atMs: number): boolean {
+    const allowance = this.byTeam.get(team);
+    if (allowance === undefined) return true;
+    const { ratePerMs, burst, updatedAtMs } = allowance;
+    const refilled = allowance.tokens + (atMs - updatedAtMs) * ratePerMs;
+    allowance.tokens = Math.min(burst, refilled);
+    allowance.updatedAtMs = atMs;
+    if (allowance.tokens < 1) return false;
+    allowance.tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/standin/soak/nodes/backend-main.ts
@@ -0,0 +1,30 @@
+import { Backends } from "./backends.js";
+import type { BackendAnswer, BackendRequest } from "./commands.js";
+
+/*
+ * The process with the store and the targets. It is driven by the messages of the process that started it,
+ * and ends with it.
+ */
+
+let backends: Backends | undefined;
+
+process.on("message", (request: BackendRequest) => void handle(request));
+process.on("disconnect", () => process.exit(0));
+
+async function handle(request: BackendRequest): Promise<void> {
+  switch (request.type) {
+    case "start":
+      backends = new Backends(request.site);
+      send({ type: "started", stores: await backends.start(request.nodes) });
+      return;
+    case "apply":
+      await backends?.apply(request.command);
+      return;
+    case "listWrites":
+      send({ type: "writes", writes: backends?.collectWrites() ?? { kept: [], rolledBack: [] } });
+  }
+}
+
+function send(answer: BackendAnswer): void {
+  process.send?.(answer);
+}
--- /dev/null
+++ b/standin/soak/nodes/backends.ts
@@ -0,0 +1,268 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { DisposableStore, type Address, type Disposable } from "../../../src/model/index.js";
+import { StandinLineTarget, StandinLog, StandinMetadata } from "../../direct/index.js";
+import { FaultyLink } from "../../link.js";
+import type { BackendCommand, StoredWrites } from "./commands.js";
+import { formatDatabase, formatGroup, formatKey, type SoakSite } from "./site.js";
+
+interface BackendGroup {
+  readonly name: string;
+  readonly log: StandinLog;
+  readonly targets: readonly BackendTarget[];
+}
+
+interface BackendTarget {
+  readonly target: StandinLineTarget;
+  /** What nodes connect to, so that a target can be silent without the kernel closing its connections. */
+  readonly link: FaultyLink;
+  readonly zone: string;
+  isRunning: boolean;
+}
+
+const heartbeatMs = 1200;
+/** After this long without a heartbeat a target's entry is removed, in milliseconds. */
+const entryLifetimeMs = 3 * heartbeatMs;
+
+/** The store and all targets of a site, in one process. */
+export class Backends implements Disposable {
+  private readonly owned = new DisposableStore();
+  private readonly store = new StandinMetadata();
+  private readonly groups: BackendGroup[] = [];
+  private readonly storeLinks: FaultyLink[] = [];
+  private version = 0;
+  private sequence = 0;
+  private readonly droppedTeams = new Set<string>();
+
+  constructor(private readonly site: SoakSite) {}
+
+  /** Starts everything; returns one address of the store for each node, so that each can be cut off alone. */
+  async start(nodes: number): Promise<readonly Address[]> {
+    const { site, store } = this;
+    store.answerMs = site.storeMs;
+    store.limits = { reads: site.storeReadsPerSecond, writes: site.storeWritesPerSecond };
+    await store.start();
+    this.owned.add(store);
+    store.onPromote = (service, id) => this.promote(service, id);
+    for (let i = 0; i < site.groups; i += 1) await this.addGroup(i);
+    for (let i = 0; i < nodes; i += 1) this.storeLinks.push(await this.openLink(store));
+    this.writeConfiguration();
+    this.announceAll();
+    const timer = setInterval(() => this.announceAll(), heartbeatMs);
+    this.owned.defer(() => clearInterval(timer));
+    return this.storeLinks.map((link) => link.address);
+  }
+
+  dispose(): Promise<void> {
+    return this.owned.dispose();
+  }
+
+  async apply(command: BackendCommand): Promise<void> {
+    const { store } = this;
+    switch (command.type) {
+      case "storeBusy":
+        store.isBusy = command.isBusy;
+        return;
+      case "storeSlow":
+        store.answerMs = this.site.storeMs + command.ms;
+        return;
+      case "loseStoreAnswers":
+        store.loseAnswers = command.count;
+        return;
+      case "cutStore":
+        for (const node of command.nodes) this.storeLinks[node]?.setFlow("hold", "hold");
+        return;
+      case "resetStore":
+        for (const node of command.nodes) this.storeLinks[node]?.setRefusing(true);
+        return;
+      case "healStore":
+        for (const link of this.storeLinks) link.clearFaults();
+        return;
+      case "crashPrimary":
+        return this.crashPrimary(command.group, command.forMs);
+      case "silencePrimary":
+        return this.silencePrimary(command.group, command.forMs);
+      case "losePrimaryAnswers":
+        return this.losePrimaryAnswers(command.group, command.forMs);
+      case "stopReplica":
+        return this.stopReplica(command.group, command.forMs);
+      case "changeConfiguration":
+        this.writeConfiguration();
+        return;
+      case "setTeam":
+        if (command.isHolding) this.droppedTeams.delete(command.team);
+        else this.droppedTeams.add(command.team);
+        this.writeConfiguration();
+    }
+  }
+
+  /** Collects the writes in the logs of all primaries, and those that promotions rolled back. */
+  collectWrites(): StoredWrites {
+    const logs = this.groups.map(({ log }) => log);
+    return {
+      kept: logs.flatMap((log) =>
+        (log.findPrimary()?.log ?? []).flatMap(({ writes }) => writes.map(({ id }) => id)),
+      ),
+      rolledBack: logs.flatMap((log) => [...log.rolledBack]),
+    };
+  }
+
+  private async addGroup(index: number): Promise<void> {
+    const { site } = this;
+    const log = new StandinLog();
+    log.lagMs = site.lagMs;
+    const name = formatGroup(index);
+    const targets: BackendTarget[] = [];
+    for (let i = 0; i < site.targetsPerGroup; i += 1) {
+      const target = new StandinLineTarget(
+        `i-${index}-${i}`,
+        i === 0 ? "primary" : "replica",
+        log,
+        {
+          service: name,
+          slots: site.slots,
+          maxConnections: site.connections,
+          connectMs: site.connectMs,
+          getWorkMs: findWorkMs,
+          keepsRuns: false,
+        },
+      );
+      await target.start();
+      this.owned.add(target);
+      const zone = site.zones[i % site.zones.length] ?? "";
+      targets.push({ target, link: await this.openLink(target), zone, isRunning: true });
+    }
+    this.groups.push({ name, log, targets });
+  }
+
+  private async openLink(destination: { readonly address: Address }): Promise<FaultyLink> {
+    const link = this.owned.add(new FaultyLink(() => destination.address));
+    await link.start();
+    return link;
+  }
+
+  private writeConfiguration(): void {
+    const { site } = this;
+    this.version += 1 + (this.version % 3);
+    const groups = Array.from({ length: site.groups }, (_, index) => index);
+    const routes = groups.flatMap((group) =>
+      site.kinds.map((kind) => ({
+        name: `r-${kind.name}-${group}`,
+        host: formatDatabase(kind.name, group),
+        service: formatGroup(group),
+        type: kind.type,
+        priority: kind.type === "primary" ? 1 : 2,
+        public: false,
+        "timeout-ms": kind.timeoutMs,
+        "target-latency-ms": kind.objectiveMs,
+        "max-staleness-ms": kind.maxAgeMs,
+      })),
+    );
+    const services = groups.map((group) => ({
+      name: formatGroup(group),
+      "max-conns": site.connections,
+      "sync-replicas": 0,
+    }));
+    const limits = { "tx-idle-ms": 3000, "header-timeout-ms": 3000 };
+    const tenants = site.teams.map(({ name, ratePerSecond, burst }) => ({
+      name,
+      "api-keys": this.droppedTeams.has(name) ? [] : [formatKey(name)],
+      ...(ratePerSecond === undefined ? {} : { "rate-per-s": ratePerSecond, burst }),
+    }));
+    const teams = tenants.length === 0 ? {} : { tenants };
+    this.store.set("config", "main", { version: this.version, routes, services, limits, ...teams });
+  }
+
+  /** Writes the entry of each target that runs, as their heartbeats do. */
+  private announceAll(): void {
+    if (this.store.isBusy) return;
+    this.sequence += 1;
+    for (const { name, targets } of this.groups) {
+      for (const { target, link, zone, isRunning } of targets) {
+        if (isRunning) this.announce(name, target, link.address, zone);
+      }
+    }
+  }
+
+  private announce(group: string, target: StandinLineTarget, at: Address, zone: string): void {
+    const entry = {
+      service: group,
+      address: `${at.host}:${at.port}`,
+      zone,
+      version: "v1",
+      capacity: this.site.slots,
+      state: "ready",
+      "cold-remaining-ms": 0,
+      "db-role": target.member.role,
+      born: target.startedAt,
+    };
+    const known = this.store.find("servers", target.id) as
+      { readonly sequence: number } | undefined;
+    // An unchanged entry keeps its revision, as on the platform.
+    const { sequence = this.sequence } = known ?? {};
+    const isSame = JSON.stringify({ ...entry, sequence }) === JSON.stringify(known);
+    if (!isSame) this.store.set("servers", target.id, { ...entry, sequence: this.sequence });
+  }
+
+  private async promote(service: string, id: string): Promise<boolean> {
+    const group = this.groups.find(({ name }) => name === service);
+    const named = group?.targets.find(({ target }) => target.id === id);
+    if (group === undefined || named?.isRunning !== true) return false;
+    await sleep(this.site.promoteMs);
+    group.log.promote(id);
+    this.announceAll();
+    return true;
+  }
+
+  private findPrimary(index: number): BackendTarget | undefined {
+    const group = this.groups[index % this.groups.length];
+    const id = group?.log.findPrimary()?.id;
+    return group?.targets.find(({ target }) => target.id === id);
+  }
+
+  /** Ends the primary as a crash does, and starts it again with its log. */
+  private async crashPrimary(group: number, forMs: number): Promise<void> {
+    const primary = this.findPrimary(group);
+    if (primary === undefined) return;
+    primary.isRunning = false;
+    const expiry = setTimeout(() => {
+      if (!primary.isRunning) this.store.remove("servers", primary.target.id);
+    }, entryLifetimeMs);
+    await primary.target.crash();
+    await sleep(forMs);
+    clearTimeout(expiry);
+    await primary.target.restart();
+    primary.isRunning = true;
+    this.announceAll();
+  }
+
+  private async silencePrimary(group: number, forMs: number): Promise<void> {
+    const primary = this.findPrimary(group);
+    primary?.link.setFlow("hold", "hold");
+    await sleep(forMs);
+    primary?.link.clearFaults();
+  }
+
+  private async losePrimaryAnswers(group: number, forMs: number): Promise<void> {
+    const primary = this.findPrimary(group);
+    if (primary === undefined) return;
+    primary.target.faults.loseAnswer = /[0-7]$/;
+    await sleep(forMs);
+    primary.target.faults.loseAnswer = undefined;
+  }
+
+  private async stopReplica(index: number, forMs: number): Promise<void> {
+    const group = this.groups[index % this.groups.length];
+    const replica = group?.targets.find(({ target }) => target.member.role === "replica");
+    if (group === undefined || replica === undefined) return;
+    replica.target.member.isReceiving = false;
+    await sleep(forMs);
+    replica.target.member.isReceiving = true;
+    group.log.copy();
+  }
+}
+
+/** How long a statement takes: its item is named after it, such as `30-17` for 30 ms. */
+function findWorkMs(text: string): number {
+  const item = / (\d+)-\d+/.exec(text);
+  return item === null ? 0 : Number(item[1]);
+}
--- /dev/null
+++ b/standin/soak/nodes/commands.ts
@@ -0,0 +1,36 @@
+import type { Address } from "../../../src/model/index.js";
+import type { SoakSite } from "./site.js";
+
+/** A fault or a change that the process with the store and the targets carries out. Times are in milliseconds. */
+export type BackendCommand =
+  | { readonly type: "storeBusy"; readonly isBusy: boolean }
+  | { readonly type: "storeSlow"; readonly ms: number }
+  | { readonly type: "loseStoreAnswers"; readonly count: number }
+  /** The store's links of these nodes stay open and pass nothing. */
+  | { readonly type: "cutStore"; readonly nodes: readonly number[] }
+  /** The store resets the connections of these nodes and refuses new ones. */
+  | { readonly type: "resetStore"; readonly nodes: readonly number[] }
+  | { readonly type: "healStore" }
+  | { readonly type: "crashPrimary"; readonly group: number; readonly forMs: number }
+  | { readonly type: "silencePrimary"; readonly group: number; readonly forMs: number }
+  | { readonly type: "losePrimaryAnswers"; readonly group: number; readonly forMs: number }
+  | { readonly type: "stopReplica"; readonly group: number; readonly forMs: number }
+  | { readonly type: "changeConfiguration" }
+  | { readonly type: "setTeam"; readonly team: string; readonly isHolding: boolean };
+
+/** The ids of the writes in the logs of all primaries, and of those that promotions rolled back. */
+export interface StoredWrites {
+  readonly kept: readonly string[];
+  readonly rolledBack: readonly string[];
+}
+
+/** What the run sends to the process with the store and the targets. */
+export type BackendRequest =
+  | { readonly type: "start"; readonly site: SoakSite; readonly nodes: number }
+  | { readonly type: "apply"; readonly command: BackendCommand }
+  | { readonly type: "listWrites" };
+
+/** What that process answers. `started` has one address of the store for each node. */
+export type BackendAnswer =
+  | { readonly type: "started"; readonly stores: readonly Address[] }
+  | { readonly type: "writes"; readonly writes: StoredWrites };
--- /dev/null
+++ b/standin/soak/nodes/faults.ts
@@ -0,0 +1,168 @@
+import { createRandomStream, type RandomStream } from "../random.js";
+import type { BackendCommand } from "./commands.js";
+import type { SoakSite } from "./site.js";
+
+/** A fault of the nodes' processes or of the machine. Nodes are indexes; times are in milliseconds. */
+export type NodeFault =
+  | { readonly type: "killNodes"; readonly nodes: readonly number[]; readonly downMs: number }
+  | {
+      readonly type: "restartNodes";
+      readonly nodes: readonly number[];
+      readonly gapMs: number;
+      readonly downMs: number;
+    }
+  | { readonly type: "freezeNodes"; readonly nodes: readonly number[]; readonly forMs: number }
+  | { readonly type: "reloadNodes" }
+  /** Other processes compete for the processor. */
+  | { readonly type: "busyProcessor"; readonly processes: number; readonly forMs: number }
+  /** A fault of the store or the targets; `thenMs` later `end` ends it. */
+  | { readonly type: "backend"; readonly command: BackendCommand }
+  | {
+      readonly type: "backendFor";
+      readonly command: BackendCommand;
+      readonly forMs: number;
+      readonly end: BackendCommand;
+    };
+
+/** A fault and when it starts, in milliseconds since traffic started. */
+export interface TimedFault {
+  readonly atMs: number;
+  readonly fault: NodeFault;
+}
+
+/** Names of the faults that can be selected for a run. */
+export const nodeFaultNames = [
+  "kill",
+  "killMany",
+  "killAll",
+  "restart",
+  "freeze",
+  "reload",
+  "busy",
+  "storeBusy",
+  "storeSlow",
+  "storeLost",
+  "storeCut",
+  "storeReset",
+  "crash",
+  "silence",
+  "lostAnswers",
+  "deafReplica",
+  "config",
+] as const;
+
+/** The name of a fault that can be selected for a run. */
+export type NodeFaultName = (typeof nodeFaultNames)[number];
+
+const firstFaultMs = 3000;
+/** No fault starts in the last part of a run, so that its end shows whether everything recovered. */
+const calmEndMs = 10_000;
+const oneNode = 1;
+const thirdOfNodes = 1 / 3;
+const mostNodes = 0.55;
+
+/** Plans the faults of a run: equal arguments give equal plans. They may overlap. */
+export function planFaults(
+  seed: number,
+  site: SoakSite,
+  durationMs: number,
+  names: readonly NodeFaultName[],
+  count: number,
+): readonly TimedFault[] {
+  const random = createRandomStream(seed, 0);
+  const lastMs = Math.max(firstFaultMs, durationMs - calmEndMs);
+  const planned = Array.from({ length: names.length === 0 ? 0 : count }, () => ({
+    atMs: random.nextInteger(firstFaultMs, lastMs),
+    fault: createFault(random.pick(names), random, site),
+  }));
+  return planned.sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Formats a planned fault for the trace. */
+export function describeTimedFault({ atMs, fault }: TimedFault): string {
+  return `${(atMs / 1000).toFixed(2)} s: ${JSON.stringify(fault)}`;
+}
+
+function createFault(name: NodeFaultName, random: RandomStream, site: SoakSite): NodeFault {
+  const pick = (share: number) => pickNodes(random, site, share);
+  const forMs = random.nextInteger(2000, 7000);
+  const group = random.nextInteger(0, site.groups - 1);
+  switch (name) {
+    case "kill":
+      return { type: "killNodes", nodes: pick(oneNode), downMs: random.nextInteger(300, 3500) };
+    case "killMany":
+      return { type: "killNodes", nodes: pick(mostNodes), downMs: random.nextInteger(300, 2000) };
+    case "killAll":
+      return { type: "killNodes", nodes: listNodes(site), downMs: random.nextInteger(300, 2000) };
+    case "restart":
+      return {
+        type: "restartNodes",
+        nodes: pick(random.nextInteger(1, 3) * thirdOfNodes),
+        gapMs: random.nextInteger(500, 2000),
+        downMs: random.nextInteger(300, 1500),
+      };
+    case "freeze":
+      return { type: "freezeNodes", nodes: pick(thirdOfNodes / 2), forMs };
+    case "reload":
+      return { type: "reloadNodes" };
+    case "busy":
+      return { type: "busyProcessor", processes: random.nextInteger(4, 16), forMs };
+    case "storeBusy":
+      return createEnding(
+        { type: "storeBusy", isBusy: true },
+        { type: "storeBusy", isBusy: false },
+        forMs,
+      );
+    case "storeSlow":
+      return createEnding(
+        { type: "storeSlow", ms: random.nextInteger(40, 400) },
+        { type: "storeSlow", ms: 0 },
+        forMs,
+      );
+    case "storeLost":
+      return {
+        type: "backend",
+        command: { type: "loseStoreAnswers", count: random.nextInteger(1, 20) },
+      };
+    case "storeCut":
+      return createEnding(
+        { type: "cutStore", nodes: pick(thirdOfNodes) },
+        { type: "healStore" },
+        forMs,
+      );
+    case "storeReset":
+      return createEnding(
+        { type: "resetStore", nodes: pick(thirdOfNodes) },
+        { type: "healStore" },
+        forMs,
+      );
+    case "crash":
+      return { type: "backend", command: { type: "crashPrimary", group, forMs } };
+    case "silence":
+      return { type: "backend", command: { type: "silencePrimary", group, forMs } };
+    case "lostAnswers":
+      return { type: "backend", command: { type: "losePrimaryAnswers", group, forMs } };
+    case "deafReplica":
+      return { type: "backend", command: { type: "stopReplica", group, forMs } };
+    case "config":
+      return { type: "backend", command: { type: "changeConfiguration" } };
+  }
+}
+
+function createEnding(command: BackendCommand, end: BackendCommand, forMs: number): NodeFault {
+  return { type: "backendFor", command, forMs, end };
+}
+
+/** Picks a share of the nodes, or one if the share is 1 or would be none. */
+function pickNodes(random: RandomStream, site: SoakSite, share: number): readonly number[] {
+  const all = [...listNodes(site)];
+  const count = share === oneNode ? 1 : Math.max(1, Math.round(all.length * share));
+  return Array.from({ length: Math.min(count, all.length) }, () =>
+    all.splice(random.nextInteger(0, all.length - 1), 1),
+  ).flat();
+}
+
+function listNodes(site: SoakSite): readonly number[] {
+  const count = site.nodesPerZone.reduce((sum, nodes) => sum + nodes, 0);
+  return Array.from({ length: count }, (_, index) => index);
+}
--- /dev/null
+++ b/standin/soak/nodes/site.ts
@@ -0,0 +1,121 @@
+import { readFileSync } from "node:fs";
+import { parse } from "yaml";
+import { z } from "zod";
+
+const kindSchema = z.object({
+  name: z.string(),
+  type: z.enum(["primary", "bounded_staleness", "read_your_writes"]),
+  /** Operations per second over all zones. */
+  perSecond: z.number().positive(),
+  workMs: z.number().nonnegative(),
+  objectiveMs: z.number().positive(),
+  deadlineMs: z.number().positive(),
+  /** Timeout of one statement in the configuration. */
+  timeoutMs: z.number().positive(),
+  maxAgeMs: z.number().nonnegative().default(0),
+  /** The share of statements that write, and of operations that are transactions. */
+  writes: z.number().min(0).max(1).default(0),
+  transactions: z.number().min(0).max(1).default(0),
+});
+
+const teamSchema = z.object({
+  name: z.string(),
+  weight: z.number().positive().default(1),
+  ratePerSecond: z.number().positive().optional(),
+  burst: z.number().nonnegative().default(0),
+});
+
+const siteSchema = z.object({
+  name: z.string(),
+  zones: z.array(z.string()).min(1),
+  nodesPerZone: z.array(z.number().int().positive()).min(1),
+  groups: z.number().int().positive(),
+  targetsPerGroup: z.number().int().positive().default(3),
+  slots: z.number().int().positive(),
+  connections: z.number().int().positive(),
+  connectMs: z.number().nonnegative().default(12),
+  lagMs: z.number().nonnegative().default(60),
+  promoteMs: z.number().nonnegative().default(300),
+  storeMs: z.number().nonnegative().default(4),
+  storeReadsPerSecond: z.number().positive().default(2000),
+  storeWritesPerSecond: z.number().positive().default(400),
+  power: z.number().positive().default(0.675),
+  sessionsPerZone: z.number().int().positive().default(68),
+  retries: z.number().int().nonnegative().default(2),
+  kinds: z.array(kindSchema).min(1),
+  /** Without teams callers need no keys. */
+  teams: z.array(teamSchema).default([]),
+});
+
+/** What is deployed and what its callers ask for. Times are in milliseconds. */
+export type SoakSite = Readonly<z.infer<typeof siteSchema>>;
+/** A kind of operation, with its own databases. */
+export type SoakKind = SoakSite["kinds"][number];
+/** A team of callers, with its weight in the traffic and its rate. */
+export type SoakTeam = SoakSite["teams"][number];
+
+/** A site of nine nodes with spare capacity, for runs without a site file. */
+export const defaultSite: SoakSite = siteSchema.parse({
+  name: "nine",
+  zones: ["a", "b", "c"],
+  nodesPerZone: [3, 3, 3],
+  groups: 3,
+  slots: 5,
+  connections: 50,
+  kinds: [
+    {
+      name: "reserve",
+      type: "primary",
+      perSecond: 50,
+      workMs: 10,
+      objectiveMs: 200,
+      deadlineMs: 4000,
+      timeoutMs: 1000,
+      writes: 0.2,
+      transactions: 0.25,
+    },
+    {
+      name: "browse",
+      type: "bounded_staleness",
+      perSecond: 50,
+      workMs: 50,
+      objectiveMs: 800,
+      deadlineMs: 12_000,
+      timeoutMs: 3000,
+      maxAgeMs: 1500,
+      transactions: 0.1,
+    },
+    {
+      name: "confirm",
+      type: "read_your_writes",
+      perSecond: 200,
+      workMs: 30,
+      objectiveMs: 400,
+      deadlineMs: 4000,
+      timeoutMs: 1000,
+      maxAgeMs: 2500,
+      writes: 0.12,
+      transactions: 0.12,
+    },
+  ],
+});
+
+/** Reads a site from a YAML file. Throws if a field is missing or invalid. */
+export function readSite(path: string): SoakSite {
+  return siteSchema.parse(parse(readFileSync(path, "utf8")));
+}
+
+/** Formats the name of the database of a kind in a group. */
+export function formatDatabase(kind: string, group: number): string {
+  return `${kind}-${group}`;
+}
+
+/** Formats the name of a group. */
+export function formatGroup(group: number): string {
+  return `group-${group}`;
+}
+
+/** Formats the key of a team. */
+export function formatKey(team: string): string {
+  return `key-${team}`;
+}
