Let timeouts of peers, targets and the store follow the response times

Cause: timeouts of 150 to 500 ms were fixed. Timers are due before what has arrived meanwhile is read, so a process that had waited for the processor gave up answers that lay in its sockets; and a peer whose processor is busy answers later than that for as long as it is busy.

Change: calls use the timer that a stall does not use up; their timeouts grow to twice the longest recent response time, to four times the usual one at most. A late answer is recorded as well, so that a jump of the response times is followed; a peer that is gone does not lengthen them. The timer moves to src/system, where all of these can import it.

--- a/src/directpeer/client.ts
+++ b/src/directpeer/client.ts
@@ -1,4 +1,4 @@
-import { createClient, type Client } from "@connectrpc/connect";
+import { createClient, type CallOptions, type Client } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
 import { peerEvents } from "../log/events/peer.js";
 import type { Logger } from "../log/index.js";
@@ -10,8 +10,9 @@
   TargetAnswer,
   TargetQuestion,
 } from "../leadership/index.js";
-import type { Address } from "../model/index.js";
+import type { Address, Clock } from "../model/index.js";
 import { DirectPeer } from "../peer/gen/radishwalk/direct/v1/direct_pb.js";
+import { ResponseTimes, startStallTolerantTimer } from "../system/index.js";
 import type { TokenGrant } from "../rates/index.js";
 import { decodeLeadershipAnswer, decodeTargetAnswer, encodeLeadershipUpdate } from "./codec.js";
 
@@ -26,10 +27,15 @@
 export class DirectPeerClient implements LeadershipPeers {
   private readonly clients = new Map<string, Client<typeof DirectPeer>>();
 
+  private readonly responseTimes: ResponseTimes;
+
   constructor(
     private readonly vm: string,
     private readonly logger: Logger,
-  ) {}
+    clock: Pick<Clock, "now">,
+  ) {
+    this.responseTimes = new ResponseTimes(() => clock.now());
+  }
 
   async share(
     proxy: Proxy,
@@ -37,8 +43,8 @@
     timeoutMs: number,
   ): Promise<LeadershipAnswer | undefined> {
     const request = { vm: this.vm, ...encodeLeadershipUpdate(word) };
-    const answer = await this.callPeer(proxy.vm, () =>
-      this.getClient(proxy.address).share(request, { timeoutMs }),
+    const answer = await this.callPeer("share", proxy.vm, timeoutMs, (options) =>
+      this.getClient(proxy.address).share(request, options),
     );
     return answer === undefined ? undefined : decodeLeadershipAnswer(answer);
   }
@@ -49,8 +55,8 @@
     timeoutMs: number,
   ): Promise<TargetAnswer | undefined> {
     const request = { group, target, ...(demoteRound === undefined ? {} : { demoteRound }) };
-    const answer = await this.callPeer(proxy.vm, () =>
-      this.getClient(proxy.address).askTarget(request, { timeoutMs }),
+    const answer = await this.callPeer("askTarget", proxy.vm, timeoutMs, (options) =>
+      this.getClient(proxy.address).askTarget(request, options),
     );
     return answer === undefined ? undefined : decodeTargetAnswer(answer);
   }
@@ -61,26 +67,46 @@
     request: TokenRequest,
     timeoutMs: number,
   ): Promise<TokenGrant | undefined> {
-    return this.callPeer(proxy.vm, () =>
-      this.getClient(proxy.address).takeTokens(request, { timeoutMs }),
+    return this.callPeer("takeTokens", proxy.vm, timeoutMs, (options) =>
+      this.getClient(proxy.address).takeTokens(request, options),
     );
   }
 
   /** Fetches the scene that a peer knows, as JSON. */
   async fetchScene(address: Address, timeoutMs: number): Promise<string | undefined> {
-    const answer = await this.callPeer(`${address.host}:${address.port}`, () =>
-      this.getClient(address).fetchScene({}, { timeoutMs }),
+    const answer = await this.callPeer(
+      "fetchScene",
+      `${address.host}:${address.port}`,
+      timeoutMs,
+      (options) => this.getClient(address).fetchScene({}, options),
     );
     return answer?.snapshot;
   }
 
-  private async callPeer<T>(peer: string, call: () => Promise<T>): Promise<T | undefined> {
+  private async callPeer<T>(
+    method: string,
+    peer: string,
+    usualTimeoutMs: number,
+    call: (options: CallOptions) => Promise<T>,
+  ): Promise<T | undefined> {
+    const longest = new AbortController();
+    const stopTimer = startStallTolerantTimer(
+      ResponseTimes.getLongestTimeoutMs(usualTimeoutMs),
+      () => longest.abort(),
+    );
+    const pending = call({ signal: longest.signal }).finally(stopTimer);
     try {
-      return await call();
+      const answer = await this.responseTimes.awaitAnswer(pending, usualTimeoutMs);
+      if (answer !== undefined) return answer;
+      this.logFailure(peer, method, "no answer in time");
     } catch (error) {
-      this.logger.write(peerEvents.directCallFailed, { peer, reason: String(error) });
-      return undefined;
+      this.logFailure(peer, method, String(error));
     }
+    return undefined;
+  }
+
+  private logFailure(peer: string, method: string, reason: string): void {
+    this.logger.write(peerEvents.directCallFailed, { peer, method, reason });
   }
 
   private getClient({ host, port }: Address): Client<typeof DirectPeer> {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -102,7 +102,7 @@
       listTargets: (group) => this.listTargets(group),
       hasReached: (group, target, since) => this.tracker.hasReached(group, target, since),
     });
-    const peers = new DirectPeerClient(settings.vm, logger);
+    const peers = new DirectPeerClient(settings.vm, logger, clock);
     this.follower = new StoreFollower({
       settings,
       store: this.owned.add(adapter.store),
--- a/src/node/target-status.ts
+++ b/src/node/target-status.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "../log/index.js";
 import type { Clock } from "../model/index.js";
 import type { TargetLink } from "../statement/index.js";
+import { ResponseTimes } from "../system/index.js";
 import type { NodeAdapter } from "./ports.js";
 
 /** The dependencies of `TargetStatusClient`. */
@@ -27,14 +28,18 @@
 
 /** Asks targets over new connections, since an existing one may be dead while its target is alive. */
 export class TargetStatusClient {
-  constructor(private readonly ports: TargetStatusClientPorts) {}
+  private readonly responseTimes: ResponseTimes;
+
+  constructor(private readonly ports: TargetStatusClientPorts) {
+    this.responseTimes = new ResponseTimes(() => ports.clock.now());
+  }
 
   /** Whether a target accepts or refuses a connection; either shows that it is alive. */
   async probe(group: string, name: string): Promise<boolean> {
     const target = this.findTarget(group, name);
     if (target === undefined) return false;
     try {
-      const link = await this.ports.adapter.dialer.open(group, target, probeTimeoutMs, undefined);
+      const link = await this.open(group, target, probeTimeoutMs);
       link.close();
       return true;
     } catch (error) {
@@ -49,12 +54,13 @@
     const { group, target, demoteRound } = question;
     const listed = this.findTarget(group, target);
     if (listed === undefined) return { type: "silent" };
-    const { adapter, clock, hasReached } = this.ports;
+    const { clock, hasReached } = this.ports;
     const askedAt = clock.now();
     try {
-      const link = await adapter.dialer.open(group, listed, timeoutMs, undefined);
+      const link = await this.open(group, listed, timeoutMs);
+      const until = askedAt + this.responseTimes.computeTimeoutMs(timeoutMs);
       try {
-        return await this.askOverLink(link, demoteRound, askedAt + timeoutMs);
+        return await this.askOverLink(link, demoteRound, until);
       } finally {
         link.close();
       }
@@ -90,6 +96,21 @@
     }
   }
 
+  /** Opens a connection; the timeout is stretched while connections take long to open. */
+  private async open(
+    group: string,
+    target: AnnouncedTarget,
+    usualTimeoutMs: number,
+  ): Promise<TargetLink> {
+    const longestMs = ResponseTimes.getLongestTimeoutMs(usualTimeoutMs);
+    const opening = this.ports.adapter.dialer.open(group, target, longestMs, undefined);
+    const link = await this.responseTimes.awaitAnswer(opening, usualTimeoutMs, (late) =>
+      late.close(),
+    );
+    if (link === undefined) throw new LinkError("no connection in time", "unreachable");
+    return link;
+  }
+
   private findTarget(group: string, name: string): AnnouncedTarget | undefined {
     return this.ports.listTargets(group).find((target) => target.name === name);
   }
--- a/src/peer/client-stream.ts
+++ b/src/peer/client-stream.ts
@@ -10,7 +10,7 @@
 } from "./gen/radishwalk/peer/v1/peer_pb.js";
 import type { PeerConnection } from "./connections.js";
 import { splitMessages } from "./messages.js";
-import { startStallTolerantTimer } from "./stall-tolerant-timer.js";
+import { startStallTolerantTimer } from "../system/index.js";
 import { AsyncQueue } from "./queue.js";
 
 /** Messages of the database protocol that the peer runs as one request. */
--- a/src/peer/keepalive.ts
+++ b/src/peer/keepalive.ts
@@ -1,5 +1,5 @@
 import type { ServerHttp2Session, ServerHttp2Stream } from "node:http2";
-import { startStallTolerantTimer } from "./stall-tolerant-timer.js";
+import { startStallTolerantTimer } from "../system/index.js";
 
 /** When served connections are pinged and closed. Times are in milliseconds. */
 export interface KeepaliveOptions {
--- a/src/peer/session.ts
+++ b/src/peer/session.ts
@@ -8,7 +8,7 @@
 } from "node:http2";
 import { Code, ConnectError } from "@connectrpc/connect";
 import type { Clock } from "../model/index.js";
-import { startStallTolerantTimer } from "./stall-tolerant-timer.js";
+import { startStallTolerantTimer } from "../system/index.js";
 
 /** Options of a `PeerSession`; see `PeerConnectionOptions`. Times are in milliseconds. */
 export interface PeerSessionOptions {
--- a/src/platform/call.ts
+++ b/src/platform/call.ts
@@ -1,3 +1,4 @@
+import { startStallTolerantTimer } from "../system/index.js";
 import { UnsentError, type HttpPool } from "./pool.js";
 
 /** The outcome of one HTTP request. */
@@ -19,8 +20,8 @@
 }
 
 const minErrorStatus = 400;
-/** Lets the abort signal fire before the timer, because its reason is more specific. */
-const timerDelayMs = 5;
+/** How long an aborted request may take to settle, in milliseconds. */
+const abortGraceMs = 5;
 
 /** Node.js error codes of a failed connection attempt, after which nothing was sent. */
 const connectFailures: ReadonlySet<string> = new Set([
@@ -41,22 +42,25 @@
   pool: Pick<HttpPool, "request">,
   call: HttpCall,
 ): Promise<HttpCallResult> {
-  let timer: NodeJS.Timeout | undefined;
+  const timeout = new AbortController();
+  let stopTimer: () => void = () => undefined;
   const timedOut = new Promise<HttpCallResult>((resolve) => {
-    timer = setTimeout(() => {
-      resolve({ type: "lost", reason: "no answer in time" });
-    }, call.timeoutMs + timerDelayMs);
+    stopTimer = startStallTolerantTimer(call.timeoutMs, () => {
+      timeout.abort(new Error("no answer in time"));
+      // Lets the result of the aborted request settle first, which tells whether anything was sent.
+      setTimeout(() => resolve({ type: "lost", reason: "no answer in time" }), abortGraceMs);
+    });
   });
-  const result = await Promise.race([sendOverPool(pool, call), timedOut]);
-  clearTimeout(timer);
+  const result = await Promise.race([sendOverPool(pool, call, timeout.signal), timedOut]);
+  stopTimer();
   return result;
 }
 
 async function sendOverPool(
   pool: Pick<HttpPool, "request">,
   call: HttpCall,
+  timeout: AbortSignal,
 ): Promise<HttpCallResult> {
-  const timeout = AbortSignal.timeout(call.timeoutMs);
   const signal = call.signal === undefined ? timeout : AbortSignal.any([timeout, call.signal]);
   try {
     const { statusCode, text } = await pool.request({
--- a/test/node/follower.test.ts
+++ b/test/node/follower.test.ts
@@ -4,6 +4,7 @@
 import { encodeSnapshot, initialFeedState } from "../../src/feed/index.js";
 import { emptyLeadership, LeadershipTracker, StallDetector } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
+import { createSystemClock } from "../../src/system/index.js";
 import type { NodeSettings, NodeStore } from "../../src/node/index.js";
 import { StoreFollower } from "../../src/node/follower.js";
 import { strictBounds } from "../../src/rates/index.js";
@@ -110,7 +111,7 @@
   const follower = new StoreFollower({
     settings: { ...settings, vm: "vm-1", gateway: address },
     store,
-    peers: new DirectPeerClient("vm-1", silentLogger),
+    peers: new DirectPeerClient("vm-1", silentLogger, createSystemClock()),
     tracker,
     clock,
     random: makeRandom(1),
@@ -128,7 +129,7 @@
 /** Peers that answer nothing but a seed's request for the configuration. */
 class SeedPeers extends DirectPeerClient {
   constructor(private readonly getSnapshot: () => string) {
-    super("vm-1", silentLogger);
+    super("vm-1", silentLogger, createSystemClock());
   }
 
   override share = () => Promise.resolve(undefined);
@@ -225,7 +226,7 @@
   const follower = new StoreFollower({
     settings,
     store,
-    peers: new DirectPeerClient("vm-0", silentLogger),
+    peers: new DirectPeerClient("vm-0", silentLogger, createSystemClock()),
     tracker,
     clock,
     random: makeRandom(1),
--- a/test/node/reader.test.ts
+++ b/test/node/reader.test.ts
@@ -2,6 +2,7 @@
 import type { LeadershipAnswer, Proxy } from "../../src/leadership/index.js";
 import { DirectPeerClient } from "../../src/directpeer/index.js";
 import { silentLogger } from "../../src/log/index.js";
+import { createSystemClock } from "../../src/system/index.js";
 import { chooseReader, ReaderClient } from "../../src/node/reader.js";
 import { FakeClock } from "../fleet/fakes.js";
 import { Cluster, findAddress, waitUntil } from "./cluster.js";
@@ -117,7 +118,7 @@
   if (reader === undefined || other === undefined) throw new Error("two nodes were started");
   running.nodes[0]?.setSettings({ ...reader, store: await findAddress() });
   running.setRoutes({ without: "stale" });
-  const peers = new DirectPeerClient(other.vm, silentLogger);
+  const peers = new DirectPeerClient(other.vm, silentLogger, createSystemClock());
   const address = reader.peers ?? reader.callers;
   let reply: LeadershipAnswer | undefined;
   await waitUntil(async () => {
