Ask a few peers for a confirmation before all of them

What callers saw: refusals for want of a permit to use primaries while the store was slow to answer.

Cause: a process whose poll of the store fails asked all other listed ones at once.

Change: three peers first; one of them that reaches the store confirms. All others are asked only if these don't. The confirmation counts from the time at which the first of them was asked, as it did with one round.

--- a/src/node/confirmer.ts
+++ b/src/node/confirmer.ts
@@ -3,15 +3,28 @@
   isConfirmedByPeers,
   type LeadershipAnswer,
   type LeadershipTracker,
+  type Proxy,
 } from "../leadership/index.js";
-import type { Clock } from "../model/index.js";
+import type { Clock, Random } from "../model/index.js";
+import { shuffle } from "../system/index.js";
 import type { ProxyRegistry } from "./proxy-registry.js";
 
 /** Peers are asked once the last confirmation is older than this, in milliseconds: one poll has failed. */
 const askPeersAfterMs = 500;
+/**
+ * How many peers are asked first. One that reaches the store is enough, and all are asked only when none of
+ * these confirms: if every process asked all others whenever the store is slow to answer, these requests
+ * alone would keep the processors too busy for the store's answers to be read in time.
+ */
+const firstPeers = 3;
 /** Timeout of a request to a peer: a round trip takes 1 to 3 ms, on a busy peer some tens more. */
 export const peerTimeoutMs = 250;
 
+/** A peer's answer, and when the request was sent. */
+interface TimedAnswer extends LeadershipAnswer {
+  readonly askedAt: number;
+}
+
 /** The dependencies of `PeerConfirmer`. */
 export interface PeerConfirmerPorts {
   readonly vm: string;
@@ -19,38 +32,62 @@
   readonly tracker: LeadershipTracker;
   readonly registry: ProxyRegistry;
   readonly clock: Pick<Clock, "now">;
+  readonly random: Random;
 }
 
 /** Confirms the known leadership by the other listed proxies while the store does not answer. */
 export class PeerConfirmer {
   constructor(private readonly ports: PeerConfirmerPorts) {}
 
-  /** Asks all peers in parallel and returns their answers; none if the last confirmation is recent. */
+  /**
+   * Asks a few peers, and all others if these do not confirm what is known here. Returns the answers; none if
+   * the last confirmation is recent.
+   */
   async askPeers(): Promise<readonly LeadershipAnswer[]> {
-    const { vm, tracker, clock, peers, registry } = this.ports;
+    const { vm, clock, registry, random } = this.ports;
+    const startedAt = clock.now();
+    if (this.isConfirmedSince(startedAt - askPeersAfterMs)) return [];
+    const others = shuffle(
+      registry.list().filter((proxy) => proxy.vm !== vm),
+      random,
+    );
+    const first = await this.askAll(others.slice(0, firstPeers), []);
+    if (this.isConfirmedSince(startedAt - askPeersAfterMs)) return first;
+    return this.askAll(others.slice(firstPeers), first);
+  }
+
+  /** Asks peers in parallel, and applies their answers together with earlier ones. */
+  private async askAll(
+    proxies: readonly Proxy[],
+    earlier: readonly TimedAnswer[],
+  ): Promise<readonly TimedAnswer[]> {
+    const { tracker, clock, peers, registry } = this.ports;
     const askedAt = clock.now();
-    const { confirmedAt } = tracker;
-    if (confirmedAt !== undefined && askedAt - confirmedAt < askPeersAfterMs) return [];
-    const others = registry.list().filter((proxy) => proxy.vm !== vm);
-    const answers = (
-      await Promise.all(
-        others.map((proxy) => peers.share(proxy, tracker.latestUpdate, peerTimeoutMs)),
-      )
-    ).filter((answer) => answer !== undefined);
-    for (const answer of answers) tracker.adopt(answer);
-    if (registry.wasRegisteredBefore(askedAt)) this.applyAnswers(answers, askedAt);
-    return answers;
+    const answers = await Promise.all(
+      proxies.map((proxy) => peers.share(proxy, tracker.latestUpdate, peerTimeoutMs)),
+    );
+    const known = answers.filter((answer) => answer !== undefined);
+    for (const answer of known) tracker.adopt(answer);
+    const all = [...earlier, ...known.map((answer) => ({ ...answer, askedAt }))];
+    const firstAskedAt = Math.min(askedAt, ...earlier.map((answer) => answer.askedAt));
+    if (registry.wasRegisteredBefore(firstAskedAt)) this.applyAnswers(all, firstAskedAt);
+    return all;
+  }
+
+  private isConfirmedSince(time: number): boolean {
+    const { confirmedAt } = this.ports.tracker;
+    return confirmedAt !== undefined && confirmedAt > time;
   }
 
   /**
    * Adopts the confirmation, with its age, of a peer that reaches the store. If no proxy reaches the store,
    * none can begin a change of primary, so a majority of peers that know of no change confirms as well.
    */
-  private applyAnswers(answers: readonly LeadershipAnswer[], askedAt: number): void {
+  private applyAnswers(answers: readonly TimedAnswer[], firstAskedAt: number): void {
     const { tracker, registry } = this.ports;
     const { version } = tracker.leadership;
     const listingThis = answers.filter((answer) => answer.listsAsker);
-    for (const { confirmedAgoMs, storeAgoMs, leadership } of listingThis) {
+    for (const { confirmedAgoMs, storeAgoMs, leadership, askedAt } of listingThis) {
       if (leadership.version < version) continue;
       if (storeAgoMs !== undefined) tracker.noteStoreAnswer(askedAt - storeAgoMs);
       if (confirmedAgoMs === undefined) continue;
@@ -60,8 +97,8 @@
     if (!registry.isListingComplete) return;
     const versions = listingThis.map((answer) => ({ version: answer.leadership.version }));
     const storeAskedAt = tracker.lastAnsweredStoreQueryAt;
-    if (isConfirmedByPeers(version, versions, registry.list().length, storeAskedAt, askedAt)) {
-      tracker.confirm(askedAt);
+    if (isConfirmedByPeers(version, versions, registry.list().length, storeAskedAt, firstAskedAt)) {
+      tracker.confirm(firstAskedAt);
     }
   }
 }
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -71,9 +71,16 @@
     this.registry = new ProxyRegistry(ports);
     this.configTracker = new ServingConfigTracker(ports);
     const { vm, dataCentre } = ports.settings;
-    const { peers, clock, tracker } = ports;
+    const { peers, clock, tracker, random } = ports;
     this.reader = new ReaderClient({ vm, dataCentre, peers, clock });
-    this.confirmer = new PeerConfirmer({ vm, peers, tracker, registry: this.registry, clock });
+    this.confirmer = new PeerConfirmer({
+      vm,
+      peers,
+      tracker,
+      registry: this.registry,
+      clock,
+      random,
+    });
   }
 
   get servingConfig(): ServingConfig {
