Keep a slow primary when no other target answers either

Cause: every gateway that had no answer from a primary within 150 ms asked all other gateways of the group, which each opened a connection to it (500 to 900 status requests and as many peer calls a second). Those openings kept slots and processors busy, so the primary looked dead to most of them; and its successor was as slow.

Change: a proxy that finds a primary unreachable replaces it only if another target of the group answers it; where none does, its own view shows nothing. Three other gateways are asked first, and the rest only if one of these does not reach the primary. While a primary is kept again and again, the pause before it is checked grows from 0.4 to 1.6 s.

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -22,6 +22,8 @@
 const maxPromotionCandidates = 3;
 /** Delay until a group is checked again after its primary was kept, replaced or could not be replaced. */
 const recheckDelayMs = 400;
+/** The longest such pause after a primary has been kept several times in a row, in milliseconds. */
+const maxRecheckDelayMs = 1600;
 /** Targets announce a change of role at once, so a group in which none is primary for longer has lost its primary. */
 const leaderlessTimeoutMs = 2000;
 /** Upper limit of a random delay, so that of several proxies that see the same failure one starts first. */
@@ -30,6 +32,8 @@
 /** Replaces primaries: detects a failure, asks the other proxies, acquires the lease and carries out the change. */
 export class PrimaryChanger {
   private readonly changingGroups = new Set<string>();
+  /** By group: how often its primary was kept in a row, and when it had last answered. */
+  private readonly kept = new Map<string, { times: number; reachedAt: number | undefined }>();
   private readonly nextCheckAt = new Map<string, number>();
   private readonly lease: ChangeLease;
   private readonly inquirer: TargetInquirer;
@@ -110,10 +114,23 @@
       })
       .finally(() => {
         this.changingGroups.delete(group);
-        this.nextCheckAt.set(group, this.ports.clock.now() + recheckDelayMs);
+        this.nextCheckAt.set(group, this.ports.clock.now() + this.computeRecheckDelayMs(group));
       });
   }
 
+  /** Counts how often a primary was kept in a row without having answered this proxy in between. */
+  private noteKept(group: string): void {
+    const reachedAt = this.tracker.getContact(group)?.reachedAt;
+    const known = this.kept.get(group);
+    const times = known?.reachedAt === reachedAt ? (known?.times ?? 0) + 1 : 1;
+    this.kept.set(group, { times, reachedAt });
+  }
+
+  private computeRecheckDelayMs(group: string): number {
+    const times = this.kept.get(group)?.times ?? 1;
+    return Math.min(maxRecheckDelayMs, recheckDelayMs * 2 ** (times - 1));
+  }
+
   private async runChange(group: string, oldTarget: string, suspicion: Suspicion): Promise<void> {
     const { clock, random, logger } = this.ports;
     const startedAt = clock.now();
@@ -126,15 +143,16 @@
       : await this.measureReachability(group, oldTarget, suspicion);
     if (reach !== undefined) {
       const decision = decideChange(suspicion, reach);
-      if (decision.type === "keep") {
-        logger.write(leadershipEvents.primaryKept, {
-          group,
-          target: oldTarget,
-          reason: decision.reason,
-        });
+      const isJudged =
+        decision.type === "keep" || (await this.canJudge(group, oldTarget, suspicion));
+      const reason = isJudged ? decision.reason : "no other target of the group answers either";
+      if (decision.type === "keep" || !isJudged) {
+        logger.write(leadershipEvents.primaryKept, { group, target: oldTarget, reason });
+        this.noteKept(group);
         return;
       }
     }
+    this.kept.delete(group);
     const round = await this.lease.beginChange(group, oldTarget, seen?.round ?? 0);
     if (round === undefined) return;
     const target = await this.executeChange(group, oldTarget, suspicion);
@@ -144,6 +162,21 @@
     logger.write(leadershipEvents.changeDone, { group, target, ms });
   }
 
+  /**
+   * Whether this proxy can judge an unreachable primary: another target of the group must answer it. While
+   * processors are busy, the answers of all targets come late. Replacing every primary then would interrupt all
+   * callers, and each new primary would be as slow as the one before.
+   */
+  private canJudge(group: string, oldTarget: string, { type }: Suspicion): Promise<boolean> {
+    if (type !== "unreachable") return Promise.resolve(true);
+    const others = this.ports.listTargets(group).filter(({ name }) => name !== oldTarget);
+    if (others.length === 0) return Promise.resolve(true);
+    return this.inquirer.reachesAny(
+      group,
+      others.map(({ name }) => name),
+    );
+  }
+
   /** Asks the other proxies only if the primary is unreachable; the other reasons do not depend on them. */
   private measureReachability(
     group: string,
--- a/src/leadership/inquirer.ts
+++ b/src/leadership/inquirer.ts
@@ -1,3 +1,4 @@
+import { shuffle } from "../system/index.js";
 import type { TargetReport } from "../statement/index.js";
 import type { Reachability } from "./decide.js";
 import type { LeadershipPorts, Proxy, TargetAnswer, TargetQuestion } from "./ports.js";
@@ -7,30 +8,44 @@
 /** Added for a request through another proxy: one more round trip, some tens of milliseconds if that proxy is busy. */
 const relayTimeoutMs = 150;
 
+/** How many other proxies are asked first; if all of them reach the primary, the others would not change that. */
+const firstProxies = 3;
+
 /** Dependencies of a `TargetInquirer`. */
 export type TargetInquirerPorts = Pick<
   LeadershipPorts,
-  "vm" | "peers" | "askTarget" | "listProxies" | "listGroupProxies"
+  "vm" | "peers" | "askTarget" | "listProxies" | "listGroupProxies" | "random"
 >;
 
 /** Sends status requests to targets, directly and through other proxies. */
 export class TargetInquirer {
   constructor(private readonly ports: TargetInquirerPorts) {}
 
-  /** Counts the proxies that reach a primary now, among those that hold the group's connections (this one included). */
+  /**
+   * Counts the proxies that reach a primary now, among those that hold the group's connections (this one
+   * included). If a few of them all reach it, the others are not asked: while processors are busy, many
+   * proxies suspect a primary at once, and each opens a connection to it for each question.
+   */
   async measureReachability(group: string, target: string): Promise<Reachability> {
     const question = { group, target, demoteRound: undefined };
-    const answers = await Promise.all([
+    const holders = this.listOtherHolders(group);
+    const first = await Promise.all([
       this.askDirectly(question),
-      ...this.askThroughOthers(question),
+      ...this.askThrough(holders.slice(0, firstProxies), question),
     ]);
-    const known = answers.filter((answer) => answer !== undefined);
-    const reaching = known.filter(showsLeadingPrimary).length;
-    return {
-      reaching,
-      notReaching: known.length - reaching,
-      silent: answers.length - known.length,
-    };
+    const sample = countReaching(first);
+    if (sample.reaching >= firstProxies) return sample;
+    const others = await Promise.all(this.askThrough(holders.slice(firstProxies), question));
+    return countReaching([...first, ...others]);
+  }
+
+  /** Whether this proxy reaches any of some targets now. */
+  async reachesAny(group: string, targets: readonly string[]): Promise<boolean> {
+    const answers = targets.map(async (target) => {
+      const answer = await this.askDirectly({ group, target, demoteRound: undefined });
+      return answer.type === "silent" ? undefined : answer;
+    });
+    return (await findFirstDefined(answers)) !== undefined;
   }
 
   /**
@@ -62,11 +77,38 @@
   }
 
   private askThroughOthers(question: TargetQuestion): readonly Promise<TargetAnswer | undefined>[] {
-    const { peers, vm, listGroupProxies: listHolders } = this.ports;
-    // Proxies outside this list hold no connection to the target; asking them would make each of them open one at once.
-    const holders = listHolders(question.group).filter((proxy) => proxy.vm !== vm);
-    return holders.map((proxy) => peers.askTarget(proxy, question, askTimeoutMs + relayTimeoutMs));
+    return this.askThrough(this.listOtherHolders(question.group), question);
+  }
+
+  private askThrough(
+    proxies: readonly Proxy[],
+    question: TargetQuestion,
+  ): readonly Promise<TargetAnswer | undefined>[] {
+    const { peers } = this.ports;
+    return proxies.map((proxy) => peers.askTarget(proxy, question, askTimeoutMs + relayTimeoutMs));
   }
+
+  /**
+   * The other proxies that hold the group's connections, in random order. The rest hold none; asking them would
+   * make each of them open one at once.
+   */
+  private listOtherHolders(group: string): readonly Proxy[] {
+    const { vm, listGroupProxies, random } = this.ports;
+    return shuffle(
+      listGroupProxies(group).filter((proxy) => proxy.vm !== vm),
+      random,
+    );
+  }
+}
+
+function countReaching(answers: readonly (TargetAnswer | undefined)[]): Reachability {
+  const known = answers.filter((answer) => answer !== undefined);
+  const reaching = known.filter(showsLeadingPrimary).length;
+  return {
+    reaching,
+    notReaching: known.length - reaching,
+    silent: answers.length - known.length,
+  };
 }
 
 function findReport(answer: TargetAnswer | undefined): TargetReport | undefined {
