Serve teams within their rates while processors are busy

Cause: a proxy without a token asks others. One that did not answer within 50 ms was not asked for 5 s, and its late answer was dropped with its tokens; with busy processors no issuer was left (4,370 of 8,382 refusals with none to ask). A request was a peer call of some 3 ms of processor time for both ends and three were made for one operation: 4 of the 6.5 cores that 60 nodes used at 300 operations a second. Refused operations counted as demand, so that retries made every process ask for and keep more; and parts of a token were handed over, which let nothing run at their new place.

Change: operations wait up to 0.3 s for answers, late ones are used, a silent issuer is asked last instead of never. Requests go over the connections between gateways, where a message is cheap; a gateway of a build that does not answer there is asked as before (its greeting tells). Whole tokens are handed over, and granted operations alone count as demand; a team that found none backs off for up to 1.6 s. A grant that crosses a suspension is dropped. On these connections a late greeting or a late answer to a probe no longer costs the connection: the timeouts follow the response times, and a connection that opens slowly is kept for the calls that follow.

The log line of a refusal (4050) tells why no token was at hand: how many issuers could be asked, were, answered and had none.

--- a/bench/rates/main.ts
+++ b/bench/rates/main.ts
@@ -57,7 +57,7 @@
   const keepers: TokenRateLimiter[] = scenario.weights.map(
     (_, index) =>
       new TokenRateLimiter({
-        clock: { now: () => now },
+        clock: { now: () => now, sleep: () => new Promise(() => undefined) },
         random,
         logger: silentLogger,
         bounds,
@@ -68,8 +68,10 @@
           const all = chosen.reduce((sum, vm) => sum + (weights.get(vm) ?? 0), 0);
           return (weights.get(String(index)) ?? 0) / all;
         },
-        listIssuers: (team, makers) =>
-          chooseIssuers(team, makers, weights).filter((vm) => vm !== String(index)),
+        listIssuers: (team, makers) => ({
+          responsive: chooseIssuers(team, makers, weights).filter((vm) => vm !== String(index)),
+          silent: [],
+        }),
         requestTokens: (peer, team, wanted): Promise<TokenGrant | undefined> => {
           messages += 1;
           if (isLost(scenario, Number(peer))) return Promise.resolve(undefined);
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -7,9 +7,11 @@
   GatewayResponseSchema,
   type GatewayResponse,
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
+import type { TokenGrant } from "../rates/index.js";
 import { decodeAnswer, type GatewayAnswer, type RequestStep } from "./codec.js";
 import { FrameChannel } from "./channel.js";
 import { maxFrameBytes } from "./frames.js";
+import { startStallTolerantTimer, type ResponseTimes } from "../system/index.js";
 import { LivenessMonitor } from "./liveness.js";
 
 /** The result of a call to a gateway. */
@@ -22,8 +24,16 @@
   /** When `isSent`, the call may have reached the gateway and run. */
   | { readonly type: "broken"; readonly isSent: boolean; readonly reason: string };
 
-/** A connection within a data centre opens in 1 ms, or in some tens of milliseconds on a busy machine. */
-const connectTimeoutMs = 250;
+/**
+ * How long a call waits for the greeting, in milliseconds. A connection within a data centre opens in 1 ms, or
+ * in some tens of milliseconds on a busy machine.
+ */
+const greetingTimeoutMs = 250;
+/**
+ * A connection without a greeting is closed after this time, in milliseconds. It is longer than a call waits:
+ * opening a connection anew for each call keeps busy gateways from ever greeting one in time.
+ */
+const maxConnectMs = 1000;
 /** Longer than most statements take with their time in the queue; by themselves they take 14 to 55 ms. */
 const probeAfterMs = 200;
 /** A running process answers a ping within this time even when it is busy. */
@@ -31,10 +41,32 @@
 /** More concurrent calls on one connection fail at once, to bound memory. */
 const maxConcurrentCalls = 4096;
 
+/** The result of a request for tokens. */
+export type TokenResult =
+  | { readonly type: "granted"; readonly grant: TokenGrant }
+  /** The gateway's build does not answer such requests here. */
+  | { readonly type: "unsupported" }
+  | { readonly type: "silent" };
+
 interface Call {
   readonly settle: (result: ForwardResult) => void;
 }
 
+/** A message that waits for the greeting. */
+interface QueuedMessage {
+  /** The call it belongs to; 0 for a message without an answer. */
+  readonly call: number;
+  readonly bytes: Uint8Array;
+}
+
+/** What a connection reports to its owner. */
+export interface GatewayConnectionHandlers {
+  /** The gateway has not greeted in time; the connection may still come about. */
+  readonly onSlow: (reason: string) => void;
+  /** The connection has ended. */
+  readonly onEnd: (reason: string) => void;
+}
+
 /**
  * A connection to a gateway, with its pending calls. Nothing is sent before the gateway's greeting: for a
  * process that is being killed, the system may still accept connections, and a statement sent on one would be
@@ -43,30 +75,34 @@
 export class GatewayConnection {
   private readonly channel: FrameChannel;
   private readonly calls = new Map<number, Call>();
+  private readonly tokenRequests = new Map<number, (result: TokenResult) => void>();
   private readonly liveness: LivenessMonitor;
-  private readonly connectTimer: NodeJS.Timeout;
+  private readonly openedAt = performance.now();
+  private readonly stopConnectTimer: () => void;
+  private stopGreetingTimer: (() => void) | undefined;
   private nextCall = 1;
   private nextTransaction = 1;
   private isGreeted = false;
-  /** Messages that wait for the greeting. */
-  private readonly queued: Uint8Array[] = [];
+  private grantsTokens = false;
+  private queued: readonly QueuedMessage[] = [];
 
   constructor(
     address: Address,
-    private readonly onEnd: (reason: string) => void,
+    private readonly responseTimes: ResponseTimes,
+    private readonly handlers: GatewayConnectionHandlers,
   ) {
     this.channel = new FrameChannel(connect({ ...address, noDelay: true }), {
       onData: () => this.liveness.recordData(),
       onFrame: (frame) => this.handle(fromBinary(GatewayResponseSchema, frame)),
       onClose: (reason) => this.handleClose(reason),
     });
-    this.connectTimer = setTimeout(
-      () => this.channel.close(`no greeting from the gateway within ${connectTimeoutMs} ms`),
-      connectTimeoutMs,
+    this.stopConnectTimer = startStallTolerantTimer(maxConnectMs, () =>
+      this.channel.close(`no greeting from the gateway within ${maxConnectMs} ms`),
     );
     this.liveness = new LivenessMonitor({
       probeAfterMs,
-      probeTimeoutMs,
+      getProbeTimeoutMs: () => responseTimes.computeTimeoutMs(probeTimeoutMs),
+      onProbeAnswered: (ms) => responseTimes.record(ms),
       sendProbe: () => this.send({ case: "ping", value: true }),
       onTimeout: () => this.channel.close("the gateway does not answer"),
     });
@@ -99,7 +135,8 @@
     if (bytes.length > maxFrameBytes) return Promise.resolve({ type: "tooLarge" });
     return new Promise((resolve) => {
       const cancel = (reason: string) => {
-        this.send({ case: "cancel", value: id });
+        if (this.isGreeted) this.send({ case: "cancel", value: id });
+        else this.queued = this.queued.filter(({ call }) => call !== id);
         this.calls.get(id)?.settle({ type: "broken", isSent: this.isGreeted, reason });
       };
       const onAbort = () => cancel("the caller has disconnected");
@@ -116,19 +153,54 @@
       };
       this.calls.set(id, { settle });
       signal.addEventListener("abort", onAbort, { once: true });
-      this.write(bytes);
-      this.liveness.setAwaiting(true);
+      this.write({ call: id, bytes });
+      this.liveness.setAwaiting(this.isGreeted);
+      if (!this.isGreeted) this.awaitGreeting();
+    });
+  }
+
+  /** Asks the gateway for tokens of a team's rate. Never rejects. */
+  requestTokens(team: string, wanted: number, timeoutMs: number): Promise<TokenResult> {
+    if (!this.isOpen) return Promise.resolve({ type: "silent" });
+    if (this.isGreeted && !this.grantsTokens) return Promise.resolve({ type: "unsupported" });
+    const id = this.nextCall;
+    this.nextCall += 1;
+    return new Promise((resolve) => {
+      const stopTimer = startStallTolerantTimer(timeoutMs, () => {
+        this.tokenRequests.get(id)?.({ type: "silent" });
+      });
+      this.tokenRequests.set(id, (result) => {
+        stopTimer();
+        this.tokenRequests.delete(id);
+        resolve(result);
+      });
+      const step = { case: "tokens", value: { team, wanted } } as const;
+      this.write({ call: id, bytes: encodeRequest(step, id) });
     });
   }
 
   /** Sends a step that gets no answer. */
   send(step: RequestStep): void {
-    this.write(encodeRequest(step, 0));
+    this.write({ call: 0, bytes: encodeRequest(step, 0) });
+  }
+
+  private write(message: QueuedMessage): void {
+    if (this.isGreeted) this.channel.write(message.bytes);
+    else this.queued = [...this.queued, message];
   }
 
-  private write(bytes: Uint8Array): void {
-    if (this.isGreeted) this.channel.write(bytes);
-    else this.queued.push(bytes);
+  /** Gives up the calls that wait for the greeting if it takes too long; nothing of them was sent. */
+  private awaitGreeting(): void {
+    const timeoutMs = this.responseTimes.computeTimeoutMs(greetingTimeoutMs);
+    this.stopGreetingTimer ??= startStallTolerantTimer(timeoutMs, () => {
+      this.stopGreetingTimer = undefined;
+      const reason = `no greeting from the gateway within ${timeoutMs} ms`;
+      this.queued = [];
+      this.handlers.onSlow(reason);
+      for (const { settle } of [...this.calls.values()]) {
+        settle({ type: "broken", isSent: false, reason });
+      }
+    });
   }
 
   /** Closes the connection; pending calls end as `broken`. */
@@ -136,8 +208,8 @@
     this.channel.close("closed by this process");
   }
 
-  private handle({ call, outcome }: GatewayResponse): void {
-    this.handleGreeting();
+  private handle({ call, outcome, grantsTokens }: GatewayResponse): void {
+    this.handleGreeting(grantsTokens);
     switch (outcome.case) {
       case "reply":
         this.calls.get(call)?.settle({ type: "answered", answer: decodeAnswer(outcome.value) });
@@ -148,26 +220,44 @@
       case "ping":
         this.send({ case: "pong", value: true });
         return;
+      case "tokens":
+        this.tokenRequests.get(call)?.({ type: "granted", grant: outcome.value });
+        return;
       case "pong":
       case undefined:
         return;
     }
   }
 
+  private endTokenRequests(result: TokenResult): void {
+    for (const settle of [...this.tokenRequests.values()]) settle(result);
+  }
+
   /** The gateway's first message is its greeting, whatever it is. */
-  private handleGreeting(): void {
+  private handleGreeting(grantsTokens: boolean): void {
     if (this.isGreeted) return;
     this.isGreeted = true;
-    clearTimeout(this.connectTimer);
-    for (const bytes of this.queued.splice(0)) this.channel.write(bytes);
+    this.grantsTokens = grantsTokens;
+    if (!grantsTokens) this.endTokenRequests({ type: "unsupported" });
+    this.stopTimers();
+    this.responseTimes.record(performance.now() - this.openedAt);
+    for (const { bytes } of this.queued) this.channel.write(bytes);
+    this.queued = [];
+    this.liveness.setAwaiting(this.calls.size > 0);
+  }
+
+  private stopTimers(): void {
+    this.stopConnectTimer();
+    this.stopGreetingTimer?.();
   }
 
   private handleClose(reason: string): void {
-    clearTimeout(this.connectTimer);
+    this.stopTimers();
     const isSent = this.isGreeted;
     for (const { settle } of [...this.calls.values()]) settle({ type: "broken", isSent, reason });
+    this.endTokenRequests({ type: "silent" });
     this.liveness.stop();
-    this.onEnd(reason);
+    this.handlers.onEnd(reason);
   }
 }
 
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -2,6 +2,7 @@
 import { gatewayEvents } from "../log/events/gateway.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Disposable } from "../model/index.js";
+import { ResponseTimes } from "../system/index.js";
 import { recordGatewayFailure, type GatewayHealth } from "./health.js";
 import { GatewayConnection } from "./connection.js";
 
@@ -14,9 +15,12 @@
 /** This process's connections to gateways, one to each that is in use, with its recent failures. */
 export class GatewayConnections implements Disposable {
   private readonly connections = new Map<string, GatewayConnection>();
+  private readonly responseTimes: ResponseTimes;
   private readonly health = new Map<string, GatewayHealth>();
 
-  constructor(private readonly ports: GatewayConnectionsPorts) {}
+  constructor(private readonly ports: GatewayConnectionsPorts) {
+    this.responseTimes = new ResponseTimes(() => ports.clock.now());
+  }
 
   /**
    * Returns the connection to a gateway, which is opened at its first use; undefined when the proxy takes no
@@ -27,9 +31,12 @@
     const key = `${vm} ${gateway.host}:${gateway.port}`;
     const known = this.connections.get(key);
     if (known?.isOpen === true) return known;
-    const connection: GatewayConnection = new GatewayConnection(gateway, (reason) => {
-      if (this.connections.get(key) === connection) this.connections.delete(key);
-      this.recordFailure(vm, reason);
+    const connection: GatewayConnection = new GatewayConnection(gateway, this.responseTimes, {
+      onSlow: (reason) => this.recordFailure(vm, reason),
+      onEnd: (reason) => {
+        if (this.connections.get(key) === connection) this.connections.delete(key);
+        this.recordFailure(vm, reason);
+      },
     });
     this.connections.set(key, connection);
     return connection;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export { type GatewayPlan } from "./choose.js";
+export { type TokenResult } from "./connection.js";
 export { GatewayConnections } from "./connections.js";
 export { GatewayRouter } from "./router.js";
 export { RoutedRunner } from "./runner.js";
--- a/src/gateway/liveness.ts
+++ b/src/gateway/liveness.ts
@@ -1,11 +1,13 @@
-import { startStallTolerantTimer } from "../peer/stall-tolerant-timer.js";
+import { startStallTolerantTimer } from "../system/index.js";
 
 /** How a dead connection is detected. Times are in milliseconds. */
 export interface LivenessOptions {
   /** A probe is sent when nothing arrived for this long while something is awaited. */
   readonly probeAfterMs: number;
   /** The connection counts as lost when nothing arrives for this long after a probe. */
-  readonly probeTimeoutMs: number;
+  readonly getProbeTimeoutMs: () => number;
+  /** Called with the time that the answer to a probe took. */
+  readonly onProbeAnswered?: (ms: number) => void;
   readonly sendProbe: () => void;
   readonly onTimeout: () => void;
 }
@@ -18,12 +20,16 @@
 export class LivenessMonitor {
   private stopTimer: (() => void) | undefined;
   private hasReceived = false;
+  private probedAt: number | undefined;
 
   constructor(private readonly options: LivenessOptions) {}
 
   /** Records that data arrived. */
   recordData(): void {
     this.hasReceived = true;
+    if (this.probedAt === undefined) return;
+    this.options.onProbeAnswered?.(performance.now() - this.probedAt);
+    this.probedAt = undefined;
   }
 
   /** Sets whether something is awaited on the connection. */
@@ -35,6 +41,7 @@
   stop(): void {
     this.stopTimer?.();
     this.stopTimer = undefined;
+    this.probedAt = undefined;
   }
 
   private waitForData(): void {
@@ -46,8 +53,9 @@
   }
 
   private probe(): void {
+    this.probedAt = performance.now();
     this.options.sendProbe();
-    this.stopTimer = startStallTolerantTimer(this.options.probeTimeoutMs, () => {
+    this.stopTimer = startStallTolerantTimer(this.options.getProbeTimeoutMs(), () => {
       if (this.hasReceived) this.waitForData();
       else this.options.onTimeout();
     });
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -22,6 +22,7 @@
   type SessionPart,
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
 import type { Team } from "../model/index.js";
+import type { TokenGrant } from "../rates/index.js";
 import { failLocally, type Reply } from "../statement/index.js";
 import { decodeSession, decodeWork, encodeAnswer, type TransactionPart } from "./codec.js";
 import { FrameChannel } from "./channel.js";
@@ -34,6 +35,8 @@
   /** Why this process does not serve a group now; undefined while it does. */
   readonly findRefusal: (group: string) => string | undefined;
   readonly nextId: () => string;
+  /** Transfers tokens of a team to the node that asks. */
+  readonly grantTokens: (team: string, wanted: number) => TokenGrant;
 }
 
 type ResponseOutcome = NonNullable<MessageInitShape<typeof GatewayResponseSchema>["outcome"]>;
@@ -75,12 +78,12 @@
     });
     this.liveness = new LivenessMonitor({
       probeAfterMs,
-      probeTimeoutMs,
+      getProbeTimeoutMs: () => probeTimeoutMs,
       sendProbe: () => this.send(0, { case: "ping", value: true }),
       onTimeout: () => this.channel.close("the node does not answer"),
     });
     // The greeting: from now on the node may send steps.
-    this.send(0, { case: "pong", value: true });
+    this.write({ call: 0, outcome: { case: "pong", value: true }, grantsTokens: true });
   }
 
   /** The number of the node's running calls and open transactions. */
@@ -117,6 +120,11 @@
       case "ping":
         this.send(0, { case: "pong", value: true });
         return;
+      case "tokens": {
+        const { team, wanted } = step.value;
+        this.send(call, { case: "tokens", value: this.ports.grantTokens(team, wanted) });
+        return;
+      }
       case "pong":
       case undefined:
         return;
@@ -297,8 +305,12 @@
   }
 
   private send(call: number, outcome: ResponseOutcome): void {
+    this.write({ call, outcome });
+  }
+
+  private write(response: MessageInitShape<typeof GatewayResponseSchema>): void {
     if (!this.channel.isOpen) return;
-    const message = create(GatewayResponseSchema, { call, outcome });
+    const message = create(GatewayResponseSchema, response);
     this.channel.write(sizeDelimitedEncode(GatewayResponseSchema, message));
   }
 
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -11,10 +11,13 @@
   GatewayRouter,
   GatewayServer,
   RoutedRunner,
+  type TokenResult,
 } from "../gateway/index.js";
+import type { TokenRequest } from "../directpeer/index.js";
 import type { Proxy } from "../leadership/index.js";
 import type { Logger } from "../log/index.js";
 import { DisposableStore, type Clock, type Disposable } from "../model/index.js";
+import type { TokenGrant } from "../rates/index.js";
 import type { NodeSettings } from "./settings.js";
 
 /** The dependencies of `Forwarding`. */
@@ -32,6 +35,8 @@
   readonly findLeader: (group: string) => PrimaryState;
   /** Called when no known gateway accepted a statement. */
   readonly onNoneAccepted: () => void;
+  /** Transfers tokens of a team to another node. */
+  readonly grantTokens: (team: string, wanted: number) => TokenGrant;
 }
 
 /** Forwards this node's statements to gateways, and runs statements as a gateway of other nodes. */
@@ -79,11 +84,26 @@
       groups,
       findRefusal: () => this.findRefusal(),
       nextId: () => `h${nextCall++}`,
+      grantTokens: this.ports.grantTokens,
     });
     this.server = this.owned.add(server);
     await server.listen();
   }
 
+  /**
+   * Asks another node for tokens over the connection for statements, where one message costs a small part of a
+   * peer call; `unsupported` when that node does not answer there.
+   */
+  async requestTokens(
+    proxy: Proxy,
+    { team, wanted }: TokenRequest,
+    timeoutMs: number,
+  ): Promise<TokenResult> {
+    const connection = this.isEnabled ? this.connections.open(proxy) : undefined;
+    if (connection === undefined) return { type: "unsupported" };
+    return connection.requestTokens(team, wanted, timeoutMs);
+  }
+
   /** Counts the statements and transactions in progress for other nodes. */
   countActive(): number {
     return this.server?.countActive() ?? 0;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -136,12 +136,14 @@
         findGroup: (group) => this.follower.servingConfig.groups.get(group),
         findLeader: (group) => this.tracker.findLeader(group),
         onNoneAccepted: () => this.refreshGateways(),
+        grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
       }),
     );
     this.rates = this.owned.add(
       new NodeRates({
         settings,
         peers,
+        gateways: this.forwarding,
         tracker: this.tracker,
         getRegistry: () => this.follower.registry,
         findPolledAt: () => this.follower.lastPoll?.requestedAt,
--- a/src/node/rates.ts
+++ b/src/node/rates.ts
@@ -1,5 +1,5 @@
 import type { ServingConfig, TeamRoster } from "../direct/index.js";
-import type { DirectPeerClient } from "../directpeer/index.js";
+import type { DirectPeerClient, TokenRequest } from "../directpeer/index.js";
 import type { LeadershipTracker, Proxy } from "../leadership/index.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Disposable, Random } from "../model/index.js";
@@ -9,22 +9,30 @@
   RateShares,
   type TokenGrant,
   type RateLimiter,
+  type TokenIssuers,
   type WeightedProxy,
 } from "../rates/index.js";
+import type { Forwarding } from "./forwarding.js";
 import type { ProxyRegistry } from "./proxy-registry.js";
 import type { NodeSettings } from "./settings.js";
 
-/** In milliseconds. A peer answers in 1 to 3 ms; an operation must not wait for one that is unreachable. */
-const tokenRequestTimeoutMs = 50;
+/**
+ * In milliseconds. The operations that wait for the answer give up earlier; one that comes later than that
+ * still brings tokens for those that follow.
+ */
+const tokenRequestTimeoutMs = 1000;
+/** A peer that takes longer to answer counts as silent until it does, in milliseconds. */
+const silentAfterMs = 50;
 /** The capacity in cores that a proxy is counted with at least. */
 const minPower = 0.3;
-/** A peer that did not answer is avoided for this long, in milliseconds: about as long as partitions last. */
-const avoidMs = 5000;
+/** A silent peer is asked last for this long, in milliseconds: about as long as partitions last. */
+const silentForMs = 5000;
 
 /** The dependencies of `NodeRates`. */
 export interface NodeRatesPorts {
   readonly settings: Pick<NodeSettings, "vm" | "peers" | "rateBounds">;
   readonly peers: Pick<DirectPeerClient, "takeTokens">;
+  readonly gateways: Pick<Forwarding, "requestTokens">;
   readonly tracker: Pick<LeadershipTracker, "confirmedAt" | "hasStalledSince">;
   readonly getRegistry: () => Pick<ProxyRegistry, "list">;
   /** When the poll was sent whose answer showed that the list of proxies is current. */
@@ -45,7 +53,7 @@
   /** When this process last knew that it is listed and not marked as missed. */
   private knownListedAt: number | undefined;
   private isStopped = false;
-  private readonly avoidedUntil = new Map<string, number>();
+  private readonly silentUntil = new Map<string, number>();
 
   constructor(private readonly ports: NodeRatesPorts) {
     const { settings, tracker, clock, random, logger, getServingConfig } = ports;
@@ -133,12 +141,16 @@
     return isListed && clock.now() - knownListedAt < maxListingAgeMs;
   }
 
-  /** The other nodes that issue the team's tokens, without those that recently did not answer. */
-  private listIssuers(team: string, issuers: number): readonly string[] {
+  /** The other nodes that issue the team's tokens. */
+  private listIssuers(team: string, issuers: number): TokenIssuers {
     const now = this.ports.clock.now();
     const { vm: own } = this.ports.settings;
-    const names = this.shares.listIssuers(team, issuers);
-    return names.filter((vm) => vm !== own && now >= (this.avoidedUntil.get(vm) ?? 0));
+    const names = this.shares.listIssuers(team, issuers).filter((vm) => vm !== own);
+    const isSilent = (vm: string) => now < (this.silentUntil.get(vm) ?? 0);
+    return {
+      responsive: names.filter((vm) => !isSilent(vm)),
+      silent: names.filter(isSilent),
+    };
   }
 
   private async requestTokens(
@@ -146,15 +158,32 @@
     team: string,
     wanted: number,
   ): Promise<TokenGrant | undefined> {
-    const { peers, getRegistry, clock } = this.ports;
-    const proxy = getRegistry()
-      .list()
-      .find((listed) => listed.vm === vm);
+    const proxy = this.listedProxies.find((listed) => listed.vm === vm);
     if (proxy === undefined) return undefined;
-    const grant = await peers.takeTokens(proxy, { team, wanted }, tokenRequestTimeoutMs);
-    if (grant === undefined) this.avoidedUntil.set(vm, clock.now() + avoidMs);
+    const timer = setTimeout(() => this.noteSilence(vm), silentAfterMs);
+    const grant = await this.takeTokens(proxy, { team, wanted });
+    clearTimeout(timer);
+    if (grant === undefined) this.noteSilence(vm);
+    else this.silentUntil.delete(vm);
     return grant;
   }
+
+  private async takeTokens(proxy: Proxy, request: TokenRequest): Promise<TokenGrant | undefined> {
+    const { peers, gateways } = this.ports;
+    const result = await gateways.requestTokens(proxy, request, tokenRequestTimeoutMs);
+    switch (result.type) {
+      case "granted":
+        return result.grant;
+      case "silent":
+        return undefined;
+      case "unsupported":
+        return peers.takeTokens(proxy, request, tokenRequestTimeoutMs);
+    }
+  }
+
+  private noteSilence(vm: string): void {
+    this.silentUntil.set(vm, this.ports.clock.now() + silentForMs);
+  }
 }
 
 /** Squares the capacity: a powerful machine is a gateway of many groups and sends most statements. */
--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -1,6 +1,7 @@
 import { rateEvents } from "../log/events/rates.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Disposable, Random, Team, TeamRate } from "../model/index.js";
+import { shuffle } from "../system/index.js";
 import {
   unlimitedReservation,
   type RateClaim,
@@ -9,11 +10,19 @@
 } from "./limiter.js";
 import { toTokenRate, type RateBounds } from "./limits.js";
 import { TokenPool, type TokenGrant } from "./pool.js";
+import { TokenRequestRound } from "./request-round.js";
 import { countIssuers } from "./shares.js";
 
+/** The proxies that issue a team's tokens, without this one. */
+export interface TokenIssuers {
+  readonly responsive: readonly string[];
+  /** Those that have not answered lately; they are asked last. */
+  readonly silent: readonly string[];
+}
+
 /** The environment of a `TokenRateLimiter`. */
 export interface RateLimiterPorts {
-  readonly clock: Pick<Clock, "now">;
+  readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
   readonly bounds: RateBounds;
@@ -22,7 +31,7 @@
   /** This process's share of a team's rate, from 0 to 1, when `issuers` proxies issue its tokens. */
   readonly findShare: (team: string, issuers: number) => number;
   /** Other proxies that issue a team's tokens. */
-  readonly listIssuers: (team: string, issuers: number) => readonly string[];
+  readonly listIssuers: (team: string, issuers: number) => TokenIssuers;
   /** Requests tokens of a team from another proxy; undefined when it does not answer. */
   readonly requestTokens: (
     peer: string,
@@ -35,14 +44,24 @@
 
 /** Peers that are asked in parallel in each round; after the last round the team counts as out of tokens. */
 const peersPerRound: readonly number[] = [2, 4];
+/** The next round starts after this time even if peers have not answered yet, in milliseconds. */
+const roundMs = 50;
+/**
+ * How long operations wait for peers that have not answered, in milliseconds. A peer whose processor is busy
+ * answers late. If its answer were not awaited, teams within their rate would be refused whenever the
+ * processors are busy; callers of unreachable peers wait for no longer than this.
+ */
+const maxTokenWaitMs = 300;
 /** A team without tokens anywhere is asked for again after this time, which doubles with each failure. */
 const initialBackoffMs = 50;
-const maxBackoffMs = 400;
+const maxBackoffMs = 1600;
 /**
  * Limits the requests of this process. When many teams run out at once, as after a loss of power, all
  * proxies would otherwise spend their time on asking each other for tokens that nobody has.
  */
 const maxRequestsPerSecond = 120;
+/** Sums of fractions of tokens fall short of whole ones by less than this. */
+const roundingError = 1e-6;
 /** Tokens for the expected demand of this time ahead are not given to other proxies, in milliseconds. */
 const retainHorizonMs = 500;
 /**
@@ -55,6 +74,20 @@
 /** Refused callers are told to retry one token interval after another, but no later than this. */
 const maxRetryAfterMs = 5000;
 
+/** What the last request of a team's tokens from other proxies came to. */
+interface RequestOutcome {
+  /** Issuers that could be asked, and those of them that had not answered lately. */
+  readonly issuers: number;
+  readonly silentIssuers: number;
+  asked: number;
+  answered: number;
+  /** Proxies that had no token to spare. */
+  empty: number;
+}
+
+/** Why no token was at hand when an operation was refused. */
+type RefusalCause = "peersHadNone" | "backoff" | "requestLimit";
+
 interface TeamState {
   readonly pool: TokenPool;
   /** The rate and the share at which tokens are issued now. */
@@ -69,6 +102,7 @@
   /** Operations that were refused since the last one that was granted. */
   refusedCount: number;
   pendingRequest: Promise<void> | undefined;
+  lastRequest: RequestOutcome | undefined;
 }
 
 /**
@@ -92,10 +126,10 @@
     if (team?.rate === undefined) return unlimitedReservation;
     const now = this.ports.clock.now();
     const state = this.ensureState(team, now);
-    recordDemand(state, now);
     const granted = this.tryReserve(team, state, now);
     if (granted !== undefined) return granted;
-    if (now < state.backoffUntil || !this.canRequest(now)) return this.refuse(team, state, now);
+    if (now < state.backoffUntil) return this.refuse(team, state, now, "backoff");
+    if (!this.canRequest(now)) return this.refuse(team, state, now, "requestLimit");
     return this.reserveFromPeers(team, state, deadlineAt, signal);
   }
 
@@ -107,8 +141,9 @@
     const now = clock.now();
     const state = this.ensureState(team, now);
     const retained = estimateDemand(state, now, retainHorizonMs);
-    const spare = Math.max(0, state.pool.count(now) - retained);
-    return state.pool.withdraw(Math.min(wanted, spare), now);
+    // A fraction of a token lets nothing run where it goes, and would be missing here for a whole one.
+    const spare = Math.floor(Math.max(0, state.pool.count(now) - retained) + roundingError);
+    return state.pool.withdraw(Math.min(Math.floor(wanted), spare), now);
   }
 
   /**
@@ -170,6 +205,9 @@
     const expiresAt = state.pool.take(now);
     if (expiresAt === undefined) return undefined;
     state.refusedCount = 0;
+    // Refused operations come again as retries. If they counted, each process would ask for and keep many more
+    // tokens than it can use, which expire there while other processes refuse the same team.
+    recordDemand(state, now);
     return { type: "granted", claim: this.createClaim(state, expiresAt, now) };
   }
 
@@ -196,39 +234,63 @@
     const now = clock.now();
     const isLate = now >= deadlineAt || signal.aborted;
     const granted = isLate ? undefined : this.tryReserve(team, this.ensureState(team, now), now);
-    return granted ?? this.refuse(team, state, now);
+    return granted ?? this.refuse(team, state, now, "peersHadNone");
   }
 
   /** Asks randomly chosen issuers, round after round, until there is a token; then backs off. */
   private async requestFromPeers(team: Team, state: TeamState): Promise<void> {
     const { clock, random, listIssuers } = this.ports;
-    const peers = [...listIssuers(team.name, this.countIssuers(team.rate))];
+    const startedAt = clock.now();
+    const { responsive, silent } = listIssuers(team.name, this.countIssuers(team.rate));
+    const peers = [...shuffle(responsive, random), ...shuffle(silent, random)];
+    const outcome = {
+      issuers: peers.length,
+      silentIssuers: silent.length,
+      asked: 0,
+      answered: 0,
+      empty: 0,
+    };
+    state.lastRequest = outcome;
+    const round = new TokenRequestRound(() => state.pool.count(clock.now()) >= 1);
     for (const count of peersPerRound) {
-      const chosen: string[] = [];
-      while (chosen.length < count && peers.length > 0) {
-        chosen.push(...peers.splice(Math.floor(random.draw() * peers.length), 1));
-      }
-      await Promise.all(chosen.map((peer) => this.requestFromPeer(peer, team, state)));
-      if (state.pool.count(clock.now()) >= 1) {
-        state.backoffMs = initialBackoffMs;
-        return;
+      for (const peer of peers.splice(0, count)) {
+        round.add(this.requestFromPeer(peer, team, state, outcome));
       }
+      await round.wait(clock.sleep(roundMs));
+      if (round.hasToken()) break;
+    }
+    if (!round.hasToken()) {
+      await round.wait(clock.sleep(Math.max(0, startedAt + maxTokenWaitMs - clock.now())));
+    }
+    if (round.hasToken()) {
+      state.backoffMs = initialBackoffMs;
+      return;
     }
     state.backoffUntil = clock.now() + state.backoffMs;
     state.backoffMs = Math.min(maxBackoffMs, state.backoffMs * 2);
   }
 
-  private async requestFromPeer(peer: string, team: Team, state: TeamState): Promise<void> {
-    const { clock, requestTokens, bounds } = this.ports;
+  private async requestFromPeer(
+    peer: string,
+    team: Team,
+    state: TeamState,
+    outcome: RequestOutcome,
+  ): Promise<void> {
+    const { clock, requestTokens, bounds, hasStalledSince } = this.ports;
     const requestedAt = clock.now();
     this.requestCount += 1;
+    outcome.asked += 1;
     const grant = await requestTokens(
       peer,
       team.name,
       1 + estimateDemand(state, requestedAt, findRequestHorizonMs(team, bounds)),
     );
-    // The life is counted from the request, since the time that the answer took is not known.
-    if (grant !== undefined && grant.tokens > 0) {
+    if (grant === undefined) return;
+    outcome.answered += 1;
+    if (grant.tokens <= 0) outcome.empty += 1;
+    // The life is counted from the request, since the time that the answer took is not known. After a
+    // suspension, which the clock may not show, the tokens may have expired.
+    else if (!hasStalledSince(requestedAt)) {
       state.pool.add(grant.tokens, requestedAt + grant.lifeMs);
     }
   }
@@ -263,7 +325,7 @@
     };
   }
 
-  private refuse(team: Team, state: TeamState, now: number): RateReservation {
+  private refuse(team: Team, state: TeamState, now: number, cause: RefusalCause): RateReservation {
     const perSecond = team.rate?.perSecond ?? 0;
     const tokenIntervalMs = perSecond > 0 ? 1000 / perSecond : maxRetryAfterMs;
     const missing = Math.max(0, 1 - state.pool.count(now));
@@ -272,7 +334,14 @@
       (missing + state.refusedCount) * tokenIntervalMs,
     );
     state.refusedCount += 1;
-    this.ports.logger.write(rateEvents.overRate, { team: team.name, retryAfterMs });
+    const { share, lastRequest: request = null } = state;
+    this.ports.logger.write(rateEvents.overRate, {
+      team: team.name,
+      retryAfterMs,
+      cause,
+      share,
+      request: request === null ? null : { ...request },
+    });
     return { type: "refused", reason: "the team is over its rate", retryAfterMs };
   }
 }
@@ -288,6 +357,7 @@
     backoffMs: initialBackoffMs,
     refusedCount: 0,
     pendingRequest: undefined,
+    lastRequest: undefined,
   };
 }
 
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -115,6 +115,7 @@
       groups: stage.groups,
       findRefusal: () => gateway.refusal,
       nextId: () => `h${nextCall++}`,
+      grantTokens: () => ({ tokens: 2, lifeMs: 1000 }),
     });
     const gateway: HopGateway = { vm, stage, link, address, server, refusal: undefined };
     await server.listen();
--- a/test/node/rates.test.ts
+++ b/test/node/rates.test.ts
@@ -87,3 +87,27 @@
     await new Promise((resolve) => setTimeout(resolve, 120));
   }
 }, 60_000);
+
+// Token requests that outlast a busy processor must not end in refusals while peers hold tokens.
+test("a team within its rate is served while a busy processor delays every answer of a peer", async () => {
+  await start(4);
+  const client = await cluster.open("own", 0, "key-c");
+  const endBusyTurns = keepProcessorBusy(70, 20);
+  try {
+    for (let i = 0; i < 45; i += 1) {
+      expect(await client.query("READ cello")).toContain("COMPLETE");
+      await new Promise((resolve) => setTimeout(resolve, 120));
+    }
+  } finally {
+    endBusyTurns();
+  }
+}, 60_000);
+
+/** Blocks this process, in which all nodes run, by turns; returns a function that ends that. */
+function keepProcessorBusy(busyMs: number, idleMs: number): () => void {
+  const timer = setInterval(() => {
+    const until = performance.now() + busyMs;
+    while (performance.now() < until);
+  }, busyMs + idleMs);
+  return () => clearInterval(timer);
+}
--- a/test/rates/token-limiter.test.ts
+++ b/test/rates/token-limiter.test.ts
@@ -22,13 +22,13 @@
 
   constructor({ share = 1, peers = [], ask }: FixtureOptions = {}) {
     this.limiter = new TokenRateLimiter({
-      clock: { now: () => this.now },
+      clock: { now: () => this.now, sleep: () => new Promise(() => undefined) },
       random: makeRandom(1),
       logger: silentLogger,
       bounds: { windowMs: 1000, overage: 0, slack: 0 },
       findTeam: () => team,
       findShare: () => share,
-      listIssuers: () => peers,
+      listIssuers: () => ({ responsive: peers, silent: [] }),
       requestTokens: (peer) => {
         this.asked.push(peer);
         return ask?.(peer) ?? Promise.resolve(undefined);
