Test the rig, the response times, confirmations, slow primaries and late greetings

Its bounds are those of the users' rules (a quarter served once processes are back, at most 60 % unserved), not measured figures.

--- a/standin/direct/group.ts
+++ b/standin/direct/group.ts
@@ -82,6 +82,13 @@
     }
   }
 
+  /** The log of the primary, or the longest of the newest term while no member is primary. */
+  findNewest(): StandinMember["log"] {
+    const members = [...this.members.values()];
+    const [newest] = members.sort((a, b) => b.term - a.term || b.log.length - a.log.length);
+    return (this.findPrimary() ?? newest)?.log ?? [];
+  }
+
   /** Makes a member the primary of a new term, with the log that it has. False when it does not exist. */
   promote(id: string): boolean {
     const member = this.members.get(id);
--- a/standin/link.ts
+++ b/standin/link.ts
@@ -19,6 +19,8 @@
   private forwardFlow: Flow = "pass";
   private returnFlow: Flow = "pass";
   private isRefusing = false;
+  /** The number of connections accepted so far. */
+  acceptedCount = 0;
 
   constructor(private readonly getDestination: () => Address) {
     this.server = createServer((near) => {
@@ -87,6 +89,7 @@
       near.destroy();
       return;
     }
+    this.acceptedCount += 1;
     const far = connect({ ...this.getDestination(), noDelay: true });
     near.setNoDelay(true);
     const pair: Pair = { near, far, isStalled: false };
--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -100,7 +100,7 @@
     const logs = this.groups.map(({ log }) => log);
     return {
       kept: logs.flatMap((log) =>
-        (log.findPrimary()?.log ?? []).flatMap(({ writes }) => writes.map(({ id }) => id)),
+        log.findNewest().flatMap(({ writes }) => writes.map(({ id }) => id)),
       ),
       rolledBack: logs.flatMap((log) => [...log.rolledBack]),
     };
--- a/test/gateway/hop.test.ts
+++ b/test/gateway/hop.test.ts
@@ -318,3 +318,24 @@
   gateway.stage.list("p", "work")[0]?.answer();
   expect(findEnd(await reply)).toBe("complete");
 });
+
+test("a gateway answers a request for tokens, and a silent one is given up in time", async () => {
+  const gateway = await startOne();
+  const granted = { type: "granted", grant: { tokens: 2, lifeMs: 1000 } };
+  expect(await hop.requestTokens(gateway, 5000)).toMatchObject(granted);
+  gateway.link.setFlow("hold", "hold");
+  expect(await hop.requestTokens(gateway, 100)).toEqual({ type: "silent" });
+});
+
+// Opening a connection anew for each statement keeps a busy gateway from ever greeting one in time.
+test("a connection whose greeting comes late serves the statements that follow", async () => {
+  const gateway = await startOne();
+  gateway.link.setFlow("pass", "hold");
+  expect(findEnd(await hop.open("primary").run(makeRead("1")))).toBe("busy");
+  gateway.link.setFlow("pass", "pass");
+  const reply = hop.open("primary").run(makeRead("2"));
+  await waitForSent(gateway, "work");
+  expect(gateway.link.acceptedCount).toBe(1);
+  gateway.stage.list("p", "work")[0]?.answer();
+  expect(findEnd(await reply)).toBe("complete");
+});
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -5,6 +5,7 @@
   GatewayRouter,
   GatewayServer,
   RoutedRunner,
+  type TokenResult,
 } from "../../src/gateway/index.js";
 import type { Proxy } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
@@ -63,6 +64,14 @@
     return this.owned.dispose();
   }
 
+  /** Asks a gateway for tokens. */
+  requestTokens(gateway: HopGateway, timeoutMs: number): Promise<TokenResult> {
+    const proxy = this.proxies.find(({ vm }) => vm === gateway.vm);
+    const connection = proxy === undefined ? undefined : this.connections.open(proxy);
+    if (connection === undefined) throw new Error("the gateway is unknown");
+    return connection.requestTokens("cello", 2, timeoutMs);
+  }
+
   /** Finds the preferred gateway for statements that need the primary, by sending one. */
   async findFirst(): Promise<{ readonly first: HopGateway; readonly second: HopGateway }> {
     const probe = this.open("primary");
--- a/test/leadership/changer.test.ts
+++ b/test/leadership/changer.test.ts
@@ -41,3 +41,37 @@
   expect(events).toContain("primaryChangeBegun");
   expect(fixture.stored?.document.groups.ledger?.type).toBe("changing");
 });
+
+// While processors are busy all targets answer late; replacing every primary then stops all writes for seconds.
+test("a primary that answers no request is kept while no other target answers either", async () => {
+  const fixture = new LeadershipFixture();
+  fixture.replicaAnswer = { type: "silent" };
+  const events = await suspect(fixture);
+  expect(events).toContain("primaryKept");
+  expect(fixture.stored).toBeUndefined();
+});
+
+test("a primary that answers no request is replaced when a replica answers", async () => {
+  const fixture = new LeadershipFixture();
+  fixture.replicaAnswer = { type: "alive" };
+  const events = await suspect(fixture);
+  expect(events).toContain("primaryChangeBegun");
+});
+
+// A primary that is kept again and again must not be asked for by every proxy each 0.4 s.
+test("the pause before a kept primary is checked again grows", async () => {
+  const fixture = new LeadershipFixture();
+  fixture.replicaAnswer = { type: "silent" };
+  const { changer, tracker } = fixture.makeProxy("a");
+  tracker.noteProbeResult("ledger", "i-0", 0, false);
+  const suspectedAt: number[] = [];
+  for (let now = 400; now < 8000; now += 100) {
+    fixture.clock.time = now;
+    const before = fixture.logLines.length;
+    changer.checkGroups();
+    await fixture.clock.advance(100);
+    if (fixture.logLines.length > before) suspectedAt.push(now);
+  }
+  expect(suspectedAt.length).toBeLessThanOrEqual(7);
+  expect(suspectedAt.length).toBeGreaterThanOrEqual(4);
+});
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -16,8 +16,10 @@
   readonly clock = new FakeClock();
   stored: VersionedLeadership | undefined;
   readonly logLines: { readonly event: LogEvent; readonly fields: LogFields }[] = [];
-  /** The target's answer to every status request. */
+  /** The primary's answer to every status request. */
   targetAnswer: TargetAnswer = { type: "silent" };
+  /** A replica's answer to every status request; undefined if the group has no replica. */
+  replicaAnswer: TargetAnswer | undefined;
   promotionCount = 0;
   private version = 10;
 
@@ -30,7 +32,7 @@
       clock,
       logger,
       stallDetector: new StallDetector({ monotonic: () => clock.now(), wall }),
-      listTargets,
+      listTargets: () => this.listTargets(),
       onStall: () => undefined,
       onContactFailure: () => undefined,
       onSuperseded: () => undefined,
@@ -51,7 +53,8 @@
         share: () => Promise.resolve(undefined),
         askTarget: () => Promise.resolve(undefined),
       },
-      askTarget: () => Promise.resolve(this.targetAnswer),
+      askTarget: ({ target }) =>
+        Promise.resolve(target === "i-1" ? this.getReplicaAnswer() : this.targetAnswer),
       promote: () => {
         this.promotionCount += 1;
         return Promise.resolve({ type: "accepted" });
@@ -63,7 +66,7 @@
       listGroupProxies: () => [],
       refreshProxies: () => Promise.resolve(true),
       markMissed: () => Promise.resolve(),
-      listTargets,
+      listTargets: () => this.listTargets(),
       listGroups: () => ["ledger"],
     };
     return {
@@ -73,6 +76,14 @@
     };
   }
 
+  private getReplicaAnswer(): TargetAnswer {
+    return this.replicaAnswer ?? { type: "silent" };
+  }
+
+  private listTargets() {
+    return this.replicaAnswer === undefined ? [primary] : [primary, replica];
+  }
+
   private writeDocument(document: LeadershipDocument) {
     this.version += 1;
     this.stored = { version: this.version, document };
@@ -81,13 +92,12 @@
   }
 }
 
-const listTargets = () => [
-  {
-    name: "i-0",
-    address: { host: "10.0.0.1", port: 5000 },
-    dataCentre: "a",
-    slots: 2,
-    connections: 16,
-    announcedRole: "primary" as const,
-  },
-];
+const primary = {
+  name: "i-0",
+  address: { host: "10.0.0.1", port: 5000 },
+  dataCentre: "a",
+  slots: 2,
+  connections: 16,
+  announcedRole: "primary" as const,
+};
+const replica = { ...primary, name: "i-1", announcedRole: "replica" as const };
--- /dev/null
+++ b/test/node/confirmer.test.ts
@@ -0,0 +1,72 @@
+import { expect, test } from "@jest/globals";
+import type { LeadershipAnswer, LeadershipTracker, Proxy } from "../../src/leadership/index.js";
+import { PeerConfirmer } from "../../src/node/confirmer.js";
+import { makeRandom } from "../fleet/fakes.js";
+
+const names = Array.from({ length: 28 }, (_, i) => `vm-${i}`);
+const proxies: readonly Proxy[] = names.map((vm) => ({
+  vm,
+  address: { host: "127.0.0.1", port: 1 },
+  dataCentre: "a",
+}));
+
+/** Peers of which those in `reaching` were confirmed by the store just now, and the proxy that asks them. */
+function createConfirmer(reaching: (vm: string) => boolean) {
+  const asked: string[] = [];
+  let confirmedAt: number | undefined;
+  const leadership = { version: 7, document: { holder: undefined, groups: {} } };
+  const tracker = {
+    get confirmedAt() {
+      return confirmedAt;
+    },
+    leadership,
+    latestUpdate: { leadership, promoted: [] },
+    lastAnsweredStoreQueryAt: 900,
+    adopt: () => undefined,
+    noteStoreAnswer: () => undefined,
+    confirm: (at: number) => (confirmedAt = Math.max(confirmedAt ?? at, at)),
+  };
+  const answer = (vm: string): LeadershipAnswer => ({
+    ...tracker.latestUpdate,
+    vm,
+    listsAsker: true,
+    confirmedAgoMs: reaching(vm) ? 0 : undefined,
+    storeAgoMs: undefined,
+    storeRevision: undefined,
+    lookedAgoMs: undefined,
+  });
+  const confirmer = new PeerConfirmer({
+    vm: "vm-0",
+    peers: {
+      share: ({ vm }) => {
+        asked.push(vm);
+        return Promise.resolve(answer(vm));
+      },
+    },
+    tracker: tracker as unknown as LeadershipTracker,
+    registry: {
+      list: () => proxies,
+      wasRegisteredBefore: () => true,
+      isListingComplete: true,
+    } as never,
+    clock: { now: () => 1000 },
+    random: makeRandom(1),
+  });
+  return { confirmer, asked, getConfirmedAt: () => confirmedAt };
+}
+
+// When the store is slow for all, 28 proxies that ask all others at once keep every processor busy.
+test("a few peers are asked first, and one that reaches the store confirms", async () => {
+  const { confirmer, asked, getConfirmedAt } = createConfirmer(() => true);
+  await confirmer.askPeers();
+  expect(asked).toHaveLength(3);
+  expect(getConfirmedAt()).toBe(1000);
+});
+
+test("all others are asked when none of the first confirms, and a majority does", async () => {
+  const { confirmer, asked, getConfirmedAt } = createConfirmer(() => false);
+  await confirmer.askPeers();
+  expect(new Set(asked).size).toBe(27);
+  expect(asked).toHaveLength(27);
+  expect(getConfirmedAt()).toBe(1000);
+});
--- /dev/null
+++ b/test/soak/nodes.test.ts
@@ -0,0 +1,87 @@
+import { spawnSync } from "node:child_process";
+import { beforeAll, expect, test } from "@jest/globals";
+import {
+  computeAnsweredShare,
+  defaultSite,
+  listBreaches,
+  planFaults,
+  runNodeSoak,
+  summariseServed,
+} from "../../standin/soak/nodes/index.js";
+
+/** The users' rules: a quarter is served again once processes are back, and 60 % unserved fails a day. */
+const minRecoveredShare = 0.25;
+const maxUnservedShare = 0.6;
+const durationMs = 25_000;
+const lastSeconds = 5;
+const runTimeoutMs = 180_000;
+
+beforeAll(() => {
+  const bundling = spawnSync(process.execPath, ["scripts/bundle.mjs"], { encoding: "utf8" });
+  expect(bundling.stderr).toBe("");
+});
+
+// Processes are killed and restarted while others keep the processor busy: callers must not stay refused.
+test.each([{ seed: 3 }, { seed: 8 }])(
+  "real nodes serve through kills, restarts and a busy processor: seed $seed",
+  async ({ seed }) => {
+    const teams = ["cello", "viola"].map((name) => ({
+      name,
+      weight: 1,
+      ratePerSecond: 240,
+      burst: 120,
+    }));
+    const site = { ...defaultSite, teams };
+    const names = ["kill", "killAll", "restart", "busy", "storeBusy"] as const;
+    const report = await runNodeSoak({
+      site,
+      seed,
+      durationMs,
+      faults: planFaults(seed, site, durationMs, names, 3),
+      scale: 0.5,
+      leadMs: 12_000,
+      repository: process.cwd(),
+      onEvent: () => undefined,
+    });
+    const { total, seconds } = report.served;
+    expect(report).toMatchObject({ breaches: [], unexpectedEnds: 0 });
+    expect(1 - computeAnsweredShare(total)).toBeLessThanOrEqual(maxUnservedShare);
+    for (const second of seconds.slice(-lastSeconds)) {
+      expect(computeAnsweredShare(second)).toBeGreaterThanOrEqual(minRecoveredShare);
+    }
+  },
+  runTimeoutMs,
+);
+
+test("equal seeds plan equal faults", () => {
+  const plan = () => planFaults(4, defaultSite, 60_000, ["kill", "crash", "storeCut"], 6);
+  expect(plan()).toEqual(plan());
+});
+
+// The checker itself: each line is a promise of the pages that a run would have broken.
+test("writes that were lost, kept after a refusal or kept twice are reported", () => {
+  const told = [
+    { id: "1", told: "kept" },
+    { id: "2", told: "kept" },
+    { id: "3", told: "notKept" },
+    { id: "4", told: "unknown" },
+    { id: "5", told: "kept" },
+    { id: "6", told: "kept" },
+  ] as const;
+  const kept = ["1", "3", "4", "5", "5"];
+  expect(listBreaches(told, { kept, rolledBack: ["6"] })).toEqual([
+    "write 2 was acknowledged and is lost",
+    "write 3 was refused and took effect",
+    "write 5 took effect 2 times",
+  ]);
+});
+
+test("operations beyond a team's rate are not owed, and refused ones within it are counted", () => {
+  const common = { kind: "reserve", zone: "a", team: "cello", atMs: 10, reason: "" };
+  const { total } = summariseServed([
+    { ...common, isOwed: true, outcome: "served" },
+    { ...common, isOwed: true, outcome: "refused" },
+    { ...common, isOwed: false, outcome: "refused" },
+  ]);
+  expect(total).toMatchObject({ asked: 2, answered: 1, inTime: 1 });
+});
