--- a/scripts/safeguards.mjs
+++ b/scripts/safeguards.mjs
@@ -6,6 +6,54 @@
 import { join, resolve } from "node:path";
 
 const safeguards = [
+  {
+    invariant: "A slow fleet recovers",
+    safeguard: "a primary is kept while no other target answers either",
+    file: "src/leadership/changer.ts",
+    find: 'if (type !== "unreachable") return Promise.resolve(true);',
+    put: "return Promise.resolve(true);",
+    tests: "test/leadership/changer",
+  },
+  {
+    invariant: "A slow fleet recovers",
+    safeguard: "a few peers are asked for a confirmation before all",
+    file: "src/node/confirmer.ts",
+    find: "const firstPeers = 3;",
+    put: "const firstPeers = 300;",
+    tests: "test/node/confirmer",
+  },
+  {
+    invariant: "A slow fleet recovers",
+    safeguard: "late answers lengthen timeouts",
+    file: "src/system/response-times.ts",
+    find: "      this.record(this.now() - startedAt);",
+    put: "      if (!isLate) this.record(this.now() - startedAt);",
+    tests: "test/system/response-times",
+  },
+  {
+    invariant: "A slow fleet recovers",
+    safeguard: "a connection whose greeting is late is kept",
+    file: "src/gateway/connection.ts",
+    find: "      this.handlers.onSlow(reason);",
+    put: "      this.channel.close(reason);",
+    tests: "test/gateway/hop",
+  },
+  {
+    invariant: "A team is served within its rate",
+    safeguard: "late answers bring tokens",
+    file: "src/node/rates.ts",
+    find: "const tokenRequestTimeoutMs = 1000;",
+    put: "const tokenRequestTimeoutMs = 50;",
+    tests: "test/node/token-requests",
+  },
+  {
+    invariant: "A team is served within its rate",
+    safeguard: "silent issuers are asked last, not never",
+    file: "src/node/rates.ts",
+    find: "      silent: names.filter(isSilent),",
+    put: "      silent: [],",
+    tests: "test/node/token-requests",
+  },
   {
     invariant: "No write is acknowledged by a superseded primary",
     safeguard: "a write's outcome is held until a majority confirms it",
--- a/test/node/token-requests.test.ts
+++ b/test/node/token-requests.test.ts
@@ -25,8 +25,9 @@
     },
     peers: {
       takeTokens: async (_proxy, _request, timeoutMs) => {
-        await sleep(Math.min(timeoutMs, answerMs()));
-        return timeoutMs < answerMs() ? undefined : grant;
+        const ms = answerMs();
+        await sleep(Math.min(timeoutMs, ms));
+        return timeoutMs < ms ? undefined : grant;
       },
     },
     gateways: { requestTokens: () => Promise.resolve({ type: "unsupported" }) },
