--- a/standin/soak/nodes/faults.ts
+++ b/standin/soak/nodes/faults.ts
@@ -13,6 +13,13 @@
     }
   | { readonly type: "freezeNodes"; readonly nodes: readonly number[]; readonly forMs: number }
   | { readonly type: "reloadNodes" }
+  /** Nodes are killed, and a primary crashes a moment later. */
+  | {
+      readonly type: "killNodesAndPrimary";
+      readonly nodes: readonly number[];
+      readonly group: number;
+      readonly forMs: number;
+    }
   /** Other processes compete for the processor. */
   | { readonly type: "busyProcessor"; readonly processes: number; readonly forMs: number }
   /** A fault of the store or the targets; `thenMs` later `end` ends it. */
@@ -35,6 +42,7 @@
   "kill",
   "killMany",
   "killAll",
+  "killMostAndPrimary",
   "restart",
   "freeze",
   "reload",
@@ -60,6 +68,7 @@
 const oneNode = 1;
 const thirdOfNodes = 1 / 3;
 const mostNodes = 0.55;
+const longLossMs = 15_000;
 
 /** Plans the faults of a run: equal arguments give equal plans. They may overlap. */
 export function planFaults(
@@ -94,6 +103,8 @@
       return { type: "killNodes", nodes: pick(mostNodes), downMs: random.nextInteger(300, 2000) };
     case "killAll":
       return { type: "killNodes", nodes: listNodes(site), downMs: random.nextInteger(300, 2000) };
+    case "killMostAndPrimary":
+      return { type: "killNodesAndPrimary", nodes: pick(mostNodes), group, forMs: longLossMs };
     case "restart":
       return {
         type: "restartNodes",
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -46,6 +46,8 @@
 const graceMs = 6000;
 const longestStartMs = 60_000;
 const pollMs = 50;
+/** How long after nodes were killed the primary crashes, in milliseconds. */
+const primaryDelayMs = 300;
 /** Replication and lost answers have settled after this long, in milliseconds. */
 const settleMs = 1500;
 
@@ -173,6 +175,14 @@
       case "killNodes":
         await Promise.all(this.pick(fault.nodes).map((node) => node.kill(fault.downMs)));
         return;
+      case "killNodesAndPrimary": {
+        const { nodes, group, forMs } = fault;
+        const killed = this.pick(nodes).map((node) => node.kill(forMs));
+        await sleep(primaryDelayMs);
+        this.apply({ type: "crashPrimary", group, forMs });
+        await Promise.all(killed);
+        return;
+      }
       case "restartNodes":
         await this.restartInTurn(this.pick(fault.nodes), fault.gapMs, fault.downMs);
         return;
