--- a/scripts/safeguards.mjs
+++ b/scripts/safeguards.mjs
@@ -292,6 +292,7 @@
     timeout: 120_000,
   });
   rmSync(copy, { recursive: true });
+  if (run.error?.code === "ETIMEDOUT") return "timeout";
   return run.status === 0 ? "GREEN" : "red";
 }
 
