--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -16,5 +16,6 @@
   type AnnouncedTarget,
   type Database,
   emptyServingConfig,
+  hasLevels,
   type ServingConfig,
 } from "./serving-config.js";
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -5,6 +5,7 @@
 import type { ShareRule } from "./share.js";
 import type { RateLimiter } from "../rates/index.js";
 import type { ServingConfig } from "./serving-config.js";
+import type { Topology } from "../topology/index.js";
 
 /**
  * Opens connections to targets. `team` is announced to the target, and the connection serves only that
@@ -36,6 +37,12 @@
   readonly dialer: TargetDialer;
   /** The data centre that this proxy runs in. */
   readonly dataCentre: string;
+  readonly topology: Topology;
+  /**
+   * Whether one gateway plans the slots of a target for the whole fleet: where statements are forwarded, and
+   * the deployment has several regions or the configuration orders statements by level.
+   */
+  readonly isSlotPlanned: () => boolean;
   readonly primaries: PrimarySource;
   readonly clock: Clock;
   readonly random: Random;
--- a/src/direct/serving-config.ts
+++ b/src/direct/serving-config.ts
@@ -39,6 +39,12 @@
   readonly lineTimeoutMs: number;
 }
 
+/** Whether the configuration orders statements by the operator's levels. */
+export function hasLevels({ databases }: Pick<ServingConfig, "databases">): boolean {
+  for (const { action } of databases.values()) if (action.level !== undefined) return true;
+  return false;
+}
+
 /** The configuration before the first one arrives, with default time limits. */
 export const emptyServingConfig: ServingConfig = {
   revision: 0,
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -217,6 +217,9 @@
       case "turnedAway":
         this.calls.get(call)?.settle({ type: "turnedAway", reason: outcome.value });
         return;
+      case "redirect":
+        this.calls.get(call)?.settle({ type: "turnedAway", reason: outcome.value.reason });
+        return;
       case "ping":
         this.send({ case: "pong", value: true });
         return;
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -2,6 +2,7 @@
 import type { Proxy } from "../leadership/index.js";
 import { chooseGateways, isGateway, listGateways, type GatewayPlan } from "./choose.js";
 import { orderGateways } from "./route.js";
+import type { Topology } from "../topology/index.js";
 
 /** Where a statement may run: over this process's own connections, or at a gateway. */
 export type Destination =
@@ -18,6 +19,7 @@
 export interface RouterPorts {
   readonly vm: string;
   readonly dataCentre: string;
+  readonly topology: Topology;
   /** The listed proxies; a changed list must be a new object. */
   readonly listProxies: () => readonly Proxy[];
   readonly findGroup: (group: string) => AnnouncedGroup | undefined;
--- a/src/model/rule.ts
+++ b/src/model/rule.ts
@@ -53,6 +53,13 @@
       readonly maxQueueMs: number;
       readonly retry: RetryLimit;
       readonly acknowledgement: Acknowledgement;
+      /**
+       * The operator's level of importance, 0 for the most important. Absent where the configuration does not
+       * order statements by level; `priority` decides then.
+       */
+      readonly level?: number;
+      /** The operator's latency objective, from the arrival of the statement. Set together with `level`. */
+      readonly objectiveMs?: number;
     }
   | { readonly type: "refuse"; readonly retryAfterMs: number; readonly reason: string };
 
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -1,11 +1,12 @@
 import type {
   DirectPorts,
   GroupDirectory,
+  ServingConfig,
   ShareRule,
   PrimaryState,
   WorkRunner,
 } from "../direct/index.js";
-import { directRunner, type AnnouncedGroup } from "../direct/index.js";
+import { directRunner, hasLevels, type AnnouncedGroup } from "../direct/index.js";
 import {
   GatewayConnections,
   GatewayRouter,
@@ -22,7 +23,7 @@
 
 /** The dependencies of `Forwarding`. */
 export interface ForwardingPorts {
-  readonly settings: Pick<NodeSettings, "vm" | "dataCentre" | "gateway">;
+  readonly settings: Pick<NodeSettings, "vm" | "dataCentre" | "topology" | "gateway">;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly listProxies: () => readonly Proxy[];
@@ -49,11 +50,12 @@
   constructor(private readonly ports: ForwardingPorts) {
     const { settings, clock, logger, listProxies, findGroup, findLeader, isListed } = ports;
     const { onNoneAccepted } = ports;
-    const { vm, dataCentre } = settings;
+    const { vm, dataCentre, topology } = settings;
     this.connections = this.owned.add(new GatewayConnections({ clock, logger }));
     this.router = new GatewayRouter({
       vm,
       dataCentre,
+      topology,
       listProxies,
       findGroup,
       findLeader,
@@ -69,6 +71,11 @@
     return this.ports.settings.gateway !== undefined;
   }
 
+  /** Whether one gateway plans the slots of a target for the whole fleet. */
+  isSlotPlanned(config: ServingConfig): boolean {
+    return this.isEnabled && (this.ports.settings.topology.hasRegions || hasLevels(config));
+  }
+
   /** Creates the runner of callers' statements: forwarding where that is enabled, direct otherwise. */
   createRunner(): WorkRunner {
     return this.isEnabled ? new RoutedRunner(this.router, this.connections) : directRunner;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -246,6 +246,8 @@
     return {
       dialer: adapter.dialer,
       dataCentre: this.options.settings.dataCentre,
+      topology: this.options.settings.topology,
+      isSlotPlanned: () => this.forwarding.isSlotPlanned(this.follower.servingConfig),
       primaries: this.tracker,
       clock,
       random,
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -1,5 +1,6 @@
 import type { Address } from "../model/index.js";
 import type { RateBounds } from "../rates/index.js";
+import type { Topology } from "../topology/index.js";
 
 /** The settings of one directly serving node. Times are in milliseconds. */
 export interface NodeSettings {
@@ -17,6 +18,8 @@
   readonly power: number;
   /** The number of data centres of the deployment. */
   readonly dataCentres: number;
+  /** The region of each data centre. */
+  readonly topology: Topology;
   /** Peer addresses of some other proxies, for a start while the store is unavailable; may be stale. */
   readonly seeds: readonly Address[];
   readonly store: Address;
--- /dev/null
+++ b/src/topology/index.ts
@@ -0,0 +1,1 @@
+export { compareDistance, singleRegion, Topology, type Distance } from "./topology.js";
--- /dev/null
+++ b/src/topology/topology.ts
@@ -0,0 +1,43 @@
+/** How far apart two data centres are: the same one, in one region, or in different regions. */
+export type Distance = "dataCentre" | "region" | "remote";
+
+const distances: readonly Distance[] = ["dataCentre", "region", "remote"];
+
+/** Orders distances, the shortest first. */
+export function compareDistance(a: Distance, b: Distance): number {
+  return distances.indexOf(a) - distances.indexOf(b);
+}
+
+/**
+ * Which region each data centre is in. A data centre without a known region counts as a region of its own, so
+ * that its traffic is treated as crossing between regions.
+ */
+export class Topology {
+  private readonly regions: ReadonlyMap<string, string>;
+
+  /** `regions` names the region of each data centre. */
+  constructor(regions: ReadonlyMap<string, string>) {
+    this.regions = regions;
+  }
+
+  /** Whether there are at least two regions. Otherwise distances between regions play no part. */
+  get hasRegions(): boolean {
+    return new Set(this.regions.values()).size > 1;
+  }
+
+  /** The region of a data centre; undefined where it is unknown. */
+  findRegion(dataCentre: string): string | undefined {
+    return this.regions.get(dataCentre);
+  }
+
+  /** The distance between two data centres. Nothing is remote where there are fewer than two regions. */
+  measureDistance(from: string, to: string): Distance {
+    if (from === to) return "dataCentre";
+    if (!this.hasRegions) return "region";
+    const region = this.findRegion(from);
+    return region !== undefined && region === this.findRegion(to) ? "region" : "remote";
+  }
+}
+
+/** A deployment in one region, or whose regions are unknown. */
+export const singleRegion = new Topology(new Map());
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -1,3 +1,4 @@
+import { singleRegion } from "../../src/topology/index.js";
 import {
   GroupDirectory,
   type Database,
@@ -74,6 +75,8 @@
         isTooManyConnections: () => false,
       },
       dataCentre: "a",
+      topology: singleRegion,
+      isSlotPlanned: () => false,
       primaries: {
         find: () => this.primary,
         noteContact: () => undefined,
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -1,3 +1,4 @@
+import { singleRegion } from "../../src/topology/index.js";
 import { FaultyLink } from "../../standin/link.js";
 import { DirectSession } from "../../src/direct/session.js";
 import {
@@ -44,6 +45,7 @@
     const router = new GatewayRouter({
       vm: "vm-entry",
       dataCentre: "a",
+      topology: singleRegion,
       listProxies: () => this.proxies,
       findGroup: (name) => this.node.ports.getServingConfig().groups.get(name),
       findLeader: () => ({ type: "serving", target: "p" }),
--- a/test/node/cluster.ts
+++ b/test/node/cluster.ts
@@ -1,3 +1,4 @@
+import { singleRegion } from "../../src/topology/index.js";
 import { connect, type Socket } from "node:net";
 import { createAdapter } from "../../platform/adapter.js";
 import { silentLogger, type LogEvent, type LogFields, type Logger } from "../../src/log/index.js";
@@ -160,6 +161,7 @@
       gateway: this.options.gateways === true ? await findAddress() : undefined,
       power: 1,
       dataCentres: 1,
+      topology: singleRegion,
       seeds: this.settings.flatMap((s) => s.peers ?? []),
       store: this.store.address,
       promotionAddress: this.store.address,
--- a/test/node/follower.test.ts
+++ b/test/node/follower.test.ts
@@ -1,3 +1,4 @@
+import { singleRegion } from "../../src/topology/index.js";
 import { expect, test } from "@jest/globals";
 import type { AnnouncedTarget } from "../../src/direct/index.js";
 import { DirectPeerClient } from "../../src/directpeer/index.js";
@@ -20,6 +21,7 @@
   gateway: undefined,
   power: 1,
   dataCentres: 1,
+  topology: singleRegion,
   seeds: [],
   store: address,
   promotionAddress: address,
