Wait for a lagging replica between attempts at a read

Callers saw reads refused after 64 attempts in 17 to 149 ms, although their route allowed 1.2 s. Cause: while the primary can't be used, a read falls back to any replica, also to one that has just answered that it lacks the read's mark, and an answer of that kind is not followed by a pause. Change: the fallback leaves out replicas that are known to lag; while all of them do, the read waits until the first may have caught up, within its deadline.

--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -39,6 +39,8 @@
 /** The load of opening a connection, in running statements. */
 const connectionOpeningLoad = 0.5;
 /** Why a statement waits, or is refused after waiting. */
+const replicasLagReason =
+  "the replicas lack the required position, and the primary is not available";
 const primaryFailingReason = "the primary has not answered recent statements";
 
 /** The targets that may take a statement, or why there is none. */
@@ -83,7 +85,25 @@
     (v) => v.name !== primaryName && !v.isLeaving && v.slots > 0,
   );
   if (fallbackReplicas.length === 0) return onPrimary;
-  return { type: "targets", role: "replica", names: pickLeastLoaded(fallbackReplicas, random) };
+  return chooseFallbackReplica(fallbackReplicas, constraints, now, random);
+}
+
+/**
+ * Chooses a replica for a read that has no eligible target and can't use the primary. While all replicas
+ * lack the required mark the read waits: asked again at once they would answer the same, and the read would
+ * use up its attempts, and the targets' time, within milliseconds.
+ */
+function chooseFallbackReplica(
+  replicas: readonly CandidateTarget[],
+  { hasRequiredMark }: PlacementConstraints,
+  now: number,
+  random: () => number,
+): CandidateChoice {
+  const usable = replicas.filter((v) => !hasRequiredMark || now >= v.health.laggingUntil);
+  if (usable.length > 0)
+    return { type: "targets", role: "replica", names: pickLeastLoaded(usable, random) };
+  const readyInMs = Math.min(...replicas.map((v) => v.health.laggingUntil)) - now;
+  return { type: "wait", readyInMs, reason: replicasLagReason };
 }
 
 /**
--- a/test/direct/decisions.test.ts
+++ b/test/direct/decisions.test.ts
@@ -99,6 +99,23 @@
   expect(choose([silent], write)).toMatchObject({ type: "wait", readyInMs: 40 });
 });
 
+// Replicas that lack a read's mark were asked again without a pause while the primary could not be used.
+test("a read without a primary waits while all replicas lack its mark", () => {
+  const changing = { type: "changing", readyInMs: 300, reason: "made anew" } as const;
+  const lagging = (name: string, since: number) =>
+    view(name, { health: noteLagging(healthyTarget, since) });
+  const decide = (views: readonly CandidateTarget[], demand = read) =>
+    chooseCandidates(demand, changing, views, 100, () => 0.5);
+  expect(decide([lagging("a", 90), lagging("b", 60)])).toMatchObject({
+    type: "wait",
+    readyInMs: 40,
+  });
+  expect(decide([lagging("a", 90), lagging("b", 10)])).toMatchObject({ names: ["b"] });
+  expect(decide([lagging("a", 90)], { ...read, hasRequiredMark: false })).toMatchObject({
+    names: ["a"],
+  });
+});
+
 // An unreachable target stays listed for seconds, and statements sent to it wait in vain for a connection.
 // Only one statement at a time may probe it. Others go elsewhere, or wait if there is no other target.
 test("a failing target is probed by one statement at a time", () => {
