Let transferred tokens keep their own time of expiry

Callers of a team within its rate were refused now and then when they all used one node (test/node/rates, beside load: "the team is over its rate; try again in 33 ms"). Cause: a grant takes tokens of several batches and all expired with the first of them, so that most of a grant expired unused; the next requests found the other nodes without a whole token. Ruled out: the back-off (the refusal was the first one) and the limit of requests. Change: a grant lists its batches with their own lives. Messages gain a field; older builds use the sum as before. No token lives longer than before, so that the bound holds as before.

--- a/src/directpeer/server.ts
+++ b/src/directpeer/server.ts
@@ -67,6 +67,9 @@
       return encodeTargetAnswer(await handlers.askTarget({ group, target, demoteRound }));
     },
     fetchScene: () => ({ snapshot: handlers.encodeScene() }),
-    takeTokens: ({ team, wanted }: TakeTokensRequest) => handlers.grantTokens(team, wanted),
+    takeTokens: ({ team, wanted }: TakeTokensRequest) => {
+      const { tokens, lifeMs, batches = [] } = handlers.grantTokens(team, wanted);
+      return { tokens, lifeMs, batches: [...batches] };
+    },
   };
 }
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -122,7 +122,8 @@
         return;
       case "tokens": {
         const { team, wanted } = step.value;
-        this.send(call, { case: "tokens", value: this.ports.grantTokens(team, wanted) });
+        const { tokens, lifeMs, batches = [] } = this.ports.grantTokens(team, wanted);
+        this.send(call, { case: "tokens", value: { tokens, lifeMs, batches: [...batches] } });
         return;
       }
       case "pong":
--- a/src/rates/pool.ts
+++ b/src/rates/pool.ts
@@ -14,11 +14,29 @@
   readonly expiresAt: number;
 }
 
+/** Tokens of a grant that expire together. */
+export interface GrantedBatch {
+  readonly tokens: number;
+  /** How long they stay valid from now on, in milliseconds. */
+  readonly lifeMs: number;
+}
+
 /** Tokens that one process transfers to another. */
 export interface TokenGrant {
   readonly tokens: number;
-  /** How long they stay valid from now on, in milliseconds. */
+  /** How long all of them stay valid from now on, in milliseconds. */
   readonly lifeMs: number;
+  /** The same tokens by the time that they stay valid; absent or empty in grants of older builds. */
+  readonly batches?: readonly GrantedBatch[];
+}
+
+/** The batches of a grant. */
+export function listGrantedBatches({
+  tokens,
+  lifeMs,
+  batches = [],
+}: TokenGrant): readonly GrantedBatch[] {
+  return batches.length > 0 ? batches : [{ tokens, lifeMs }];
 }
 
 /**
@@ -82,20 +100,23 @@
     this.batches.sort((a, b) => a.expiresAt - b.expiresAt);
   }
 
-  /** Removes up to `max` tokens, those that expire last, for another process. */
+  /**
+   * Removes up to `max` tokens, those that expire last, for another process. Each batch keeps its own expiry:
+   * if all expired with the first, most of a grant would expire unused while its team is refused.
+   */
   withdraw(max: number, now: number): TokenGrant {
     let missing = Math.min(max, this.count(now));
     let tokens = 0;
-    let expiresAt = Infinity;
+    const batches: GrantedBatch[] = [];
     for (const batch of this.batches.toReversed()) {
       if (missing <= 0) break;
       const part = Math.min(missing, batch.tokens);
       batch.tokens -= part;
       missing -= part;
       tokens += part;
-      expiresAt = Math.min(expiresAt, batch.expiresAt);
+      batches.push({ tokens: part, lifeMs: batch.expiresAt - now });
     }
-    return { tokens, lifeMs: tokens > 0 ? expiresAt - now : 0 };
+    return { tokens, lifeMs: batches.at(-1)?.lifeMs ?? 0, batches };
   }
 
   /** Drops all tokens, for when the process was suspended for a time that its clock does not show. */
--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -9,7 +9,7 @@
   type RateReservation,
 } from "./limiter.js";
 import { toTokenRate, type RateBounds } from "./limits.js";
-import { TokenPool, type TokenGrant } from "./pool.js";
+import { listGrantedBatches, TokenPool, type TokenGrant } from "./pool.js";
 import { TokenRequestRound } from "./request-round.js";
 import { countIssuers } from "./shares.js";
 
@@ -291,7 +291,9 @@
     // The life is counted from the request, since the time that the answer took is not known. After a
     // suspension, which the clock may not show, the tokens may have expired.
     else if (!hasStalledSince(requestedAt)) {
-      state.pool.add(grant.tokens, requestedAt + grant.lifeMs);
+      for (const { tokens, lifeMs } of listGrantedBatches(grant)) {
+        state.pool.add(tokens, requestedAt + lifeMs);
+      }
     }
   }
 
