Remove the abort listener of a fake clock's sleeper when it wakes

Cause of the warnings of 11 abort listeners while the tests run: the fake clock of the tests kept one listener for each sleep that had ended.

--- a/test/fleet/fakes.ts
+++ b/test/fleet/fakes.ts
@@ -31,13 +31,18 @@
   }
 
   sleep(ms: number, signal?: AbortSignal) {
-    return new Promise<void>((wake, reject) => {
+    return new Promise<void>((resolve, reject) => {
+      const onAbort = () => {
+        this.sleepers = this.sleepers.filter((s) => s !== sleeper);
+        reject(signal?.reason as Error);
+      };
+      const wake = () => {
+        signal?.removeEventListener("abort", onAbort);
+        resolve();
+      };
       const sleeper = { at: this.time + ms, wake };
       this.sleepers.push(sleeper);
-      signal?.addEventListener("abort", () => {
-        this.sleepers = this.sleepers.filter((s) => s !== sleeper);
-        reject(signal.reason as Error);
-      });
+      signal?.addEventListener("abort", onAbort);
     });
   }
 
