Limit how many token requests of a process one team may use

Cause: the limit of 120 requests a second holds for all teams of a process together, and a team that asks for more than its rate uses it up. Change: one team uses at most 40 of them. Result: test/rates/transfers, 21 of 30 operations of a team within its rate refused before, none now.

--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -60,6 +60,11 @@
  * proxies would otherwise spend their time on asking each other for tokens that nobody has.
  */
 const maxRequestsPerSecond = 120;
+/**
+ * The most of these for one team. A team that asks for more than its rate would otherwise use up all requests of
+ * the process, and teams within their rates would be refused.
+ */
+const maxTeamRequestsPerSecond = 40;
 /** Sums of fractions of tokens fall short of whole ones by less than this. */
 const roundingError = 1e-6;
 /** Tokens for the expected demand of this time ahead are not given to other proxies, in milliseconds. */
@@ -103,6 +108,9 @@
   refusedCount: number;
   pendingRequest: Promise<void> | undefined;
   lastRequest: RequestOutcome | undefined;
+  /** Requests sent in the second that began at `requestWindowStart`. */
+  requestCount: number;
+  requestWindowStart: number;
 }
 
 /**
@@ -129,7 +137,7 @@
     const granted = this.tryReserve(team, state, now);
     if (granted !== undefined) return granted;
     if (now < state.backoffUntil) return this.refuse(team, state, now, "backoff");
-    if (!this.canRequest(now)) return this.refuse(team, state, now, "requestLimit");
+    if (!this.canRequest(state, now)) return this.refuse(team, state, now, "requestLimit");
     return this.reserveFromPeers(team, state, deadlineAt, signal);
   }
 
@@ -211,12 +219,18 @@
     return { type: "granted", claim: this.createClaim(state, expiresAt, now) };
   }
 
-  private canRequest(now: number): boolean {
+  private canRequest(state: TeamState, now: number): boolean {
     if (now - this.requestWindowStart >= 1000) {
       this.requestWindowStart = now;
       this.requestCount = 0;
     }
-    return this.requestCount < maxRequestsPerSecond;
+    if (state.requestWindowStart !== this.requestWindowStart) {
+      state.requestWindowStart = this.requestWindowStart;
+      state.requestCount = 0;
+    }
+    return (
+      this.requestCount < maxRequestsPerSecond && state.requestCount < maxTeamRequestsPerSecond
+    );
   }
 
   /** Waits for a request to other proxies, which all waiting operations of the team share. */
@@ -279,6 +293,7 @@
     const { clock, requestTokens, bounds, hasStalledSince } = this.ports;
     const requestedAt = clock.now();
     this.requestCount += 1;
+    state.requestCount += 1;
     outcome.asked += 1;
     const grant = await requestTokens(
       peer,
@@ -360,6 +375,8 @@
     refusedCount: 0,
     pendingRequest: undefined,
     lastRequest: undefined,
+    requestCount: 0,
+    requestWindowStart: now,
   };
 }
 
--- a/test/rates/transfers.test.ts
+++ b/test/rates/transfers.test.ts
@@ -9,27 +9,37 @@
 const signal = new AbortController().signal;
 
 interface PlayOptions {
-  readonly proxies: number;
-  /** The time between two operations, all at the first proxy. */
+  readonly team?: Team;
+  readonly bounds?: RateBounds;
+  /** Each proxy's share of the rate. */
+  readonly shares: readonly number[];
+  /** The time between two operations. */
   readonly intervalMs: number;
+  readonly operations?: number;
+  /** The first so many proxies get the operations by turns; the others get none. */
+  readonly busyProxies?: number;
   /** The time that the answer to a request for tokens takes. */
   readonly answerMs: number;
   readonly seed: number;
 }
 
-/** Plays one team whose callers all use one of several proxies; returns when it was served and when refused. */
-async function play({ proxies, intervalMs, answerMs, seed }: PlayOptions) {
+const quarters = [0.25, 0.25, 0.25, 0.25];
+
+/** Plays one team whose callers use some of several proxies; returns when it was served and when refused. */
+async function play(options: PlayOptions) {
+  const { team: limited = team, bounds: tolerance = bounds, shares, answerMs, seed } = options;
+  const { intervalMs, operations = 300, busyProxies = 1 } = options;
   const clock = new FakeClock();
-  const names = Array.from({ length: proxies }, (_, i) => String(i));
+  const names = shares.map((_, i) => String(i));
   const limiters = names.map(
     (own): TokenRateLimiter =>
       new TokenRateLimiter({
         clock,
         random: makeRandom(seed),
         logger: silentLogger,
-        bounds,
-        findTeam: () => team,
-        findShare: () => 1 / proxies,
+        bounds: tolerance,
+        findTeam: () => limited,
+        findShare: () => shares[Number(own)] ?? 0,
         listIssuers: () => ({ responsive: names.filter((name) => name !== own), silent: [] }),
         requestTokens: async (peer, name, wanted) => {
           const grant = limiters[Number(peer)]?.grantTokens(name, wanted);
@@ -39,13 +49,14 @@
         hasStalledSince: () => false,
       }),
   );
-  for (const limiter of limiters) limiter.update([team]);
+  for (const limiter of limiters) limiter.update([limited]);
   await clock.advance(11_000);
   const served: number[] = [];
   const refused: number[] = [];
   const pending: Promise<void>[] = [];
-  for (let i = 0; i < 300; i += 1) {
-    const reserved = Promise.resolve(limiters[0]?.reserve(team, clock.now() + 1000, signal));
+  for (let i = 0; i < operations; i += 1) {
+    const limiter = limiters[i % busyProxies];
+    const reserved = Promise.resolve(limiter?.reserve(limited, clock.now() + 1000, signal));
     pending.push(
       reserved.then((reservation) => {
         const isServed = reservation?.type === "granted" && reservation.claim.consume();
@@ -62,7 +73,7 @@
 test.each([1, 2, 3, 4, 5])(
   "a team within its rate whose callers all use one proxy is never refused, seed %i",
   async (seed) => {
-    const { refused } = await play({ proxies: 4, intervalMs: 120, answerMs: 3, seed });
+    const { refused } = await play({ shares: quarters, intervalMs: 120, answerMs: 3, seed });
     expect(refused).toEqual([]);
   },
 );
@@ -71,14 +82,68 @@
 test.each([1, 2, 3])(
   "a team within its rate is never refused while answers take 120 ms, seed %i",
   async (seed) => {
-    const { refused } = await play({ proxies: 4, intervalMs: 120, answerMs: 120, seed });
+    const { refused } = await play({ shares: quarters, intervalMs: 120, answerMs: 120, seed });
     expect(refused).toEqual([]);
   },
 );
 
 test("a team over its rate gets no more than its bound in any window", async () => {
-  const { served } = await play({ proxies: 4, intervalMs: 20, answerMs: 3, seed: 1 });
+  const { served } = await play({ shares: quarters, intervalMs: 20, answerMs: 3, seed: 1 });
   const counts = served.map((from) => served.filter((at) => at >= from && at < from + 2000).length);
   expect(Math.max(...counts)).toBeLessThanOrEqual((10 * 2 + 10) * 1.1 + 10);
   expect(served.length).toBeGreaterThan(40);
 });
+
+// Tokens of the issuers without callers expired there while the team was refused at the others.
+test.each([1, 2, 3])(
+  "a team that asks for more than its rate gets 0.97 of it although weak issuers have no callers, seed %i",
+  async (seed) => {
+    const strong = Array.from({ length: 6 }, () => 0.138);
+    const weak = Array.from({ length: 21 }, () => (1 - 6 * 0.138) / 21);
+    const { served } = await play({
+      team: { name: "cello", plan: "paying", rate: { perSecond: 200, burst: 200 } },
+      bounds: { windowMs: 5000, overage: 0.1, slack: 20 },
+      shares: [...strong, ...weak],
+      intervalMs: 3,
+      operations: 4000,
+      busyProxies: 6,
+      answerMs: 3,
+      seed,
+    });
+    const steady = served.filter((at) => at >= 15_000 && at < 23_000).length;
+    expect(steady / 8).toBeGreaterThanOrEqual(0.97 * 200);
+    const counts = served.map(
+      (from) => served.filter((at) => at >= from && at < from + 5000).length,
+    );
+    expect(Math.max(...counts)).toBeLessThanOrEqual((200 * 5 + 200) * 1.1 + 20);
+  },
+);
+
+// A team that asked for more than its rate used up the requests of its process, and other teams were refused.
+test("a team over its rate leaves requests for tokens to the other teams", async () => {
+  const clock = new FakeClock();
+  const rate = { perSecond: 200, burst: 200 };
+  const hot: Team = { name: "hot", plan: "paying", rate };
+  const calm: Team = { name: "calm", plan: "paying", rate: { perSecond: 10, burst: 10 } };
+  const limiter = new TokenRateLimiter({
+    clock,
+    random: makeRandom(1),
+    logger: silentLogger,
+    bounds,
+    findTeam: (name) => (name === "hot" ? hot : calm),
+    findShare: () => 0,
+    listIssuers: () => ({ responsive: ["a", "b", "c"], silent: [] }),
+    // A peer always has one token to spare, so that each operation needs a request.
+    requestTokens: () => Promise.resolve({ tokens: 1, lifeMs: 1 }),
+    hasStalledSince: () => false,
+  });
+  let refused = 0;
+  for (let i = 0; i < 600; i += 1) {
+    await clock.advance(5);
+    await limiter.reserve(hot, clock.now() + 1000, signal);
+    if (i % 20 !== 0) continue;
+    const reserved = await limiter.reserve(calm, clock.now() + 1000, signal);
+    if (reserved.type === "refused") refused += 1;
+  }
+  expect(refused).toBe(0);
+});
