Ask peers that have no tokens again within 0.4 s

Cause: since the pause between rounds of requests grew to 1.6 s to spare busy processors, peers that answer at once that they have no tokens are also left alone for so long, while they issue new ones and the team is refused. Change: the long pause is for peers that don't answer; where all answered it is 0.4 s, as before.

--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -54,7 +54,10 @@
 const maxTokenWaitMs = 300;
 /** A team without tokens anywhere is asked for again after this time, which doubles with each failure. */
 const initialBackoffMs = 50;
-const maxBackoffMs = 1600;
+/** The longest such time while all peers answer: they issue new tokens all the time. */
+const maxBackoffMs = 400;
+/** The longest such time while peers do not answer, as their processors may be busy with just such requests. */
+const maxSilentBackoffMs = 1600;
 /**
  * Limits the requests of this process. When many teams run out at once, as after a loss of power, all
  * proxies would otherwise spend their time on asking each other for tokens that nobody has.
@@ -280,8 +283,9 @@
       state.backoffMs = initialBackoffMs;
       return;
     }
-    state.backoffUntil = clock.now() + state.backoffMs;
-    state.backoffMs = Math.min(maxBackoffMs, state.backoffMs * 2);
+    const longestMs = outcome.answered === outcome.asked ? maxBackoffMs : maxSilentBackoffMs;
+    state.backoffUntil = clock.now() + Math.min(state.backoffMs, longestMs);
+    state.backoffMs = Math.min(longestMs, state.backoffMs * 2);
   }
 
   private async requestFromPeer(
--- a/test/rates/transfers.test.ts
+++ b/test/rates/transfers.test.ts
@@ -147,3 +147,36 @@
   }
   expect(refused).toBe(0);
 });
+
+/** Counts the requests of one empty team in ten seconds in which its peers answer that they have no tokens, or don't. */
+async function countRequests(areAnswering: boolean): Promise<number> {
+  const clock = new FakeClock();
+  let requests = 0;
+  const limiter = new TokenRateLimiter({
+    clock,
+    random: makeRandom(1),
+    logger: silentLogger,
+    bounds,
+    findTeam: () => team,
+    findShare: () => 0,
+    listIssuers: () => ({ responsive: ["a", "b"], silent: [] }),
+    requestTokens: () => {
+      requests += 1;
+      return Promise.resolve(areAnswering ? { tokens: 0, lifeMs: 0 } : undefined);
+    },
+    hasStalledSince: () => false,
+  });
+  for (let i = 0; i < 1000; i += 1) {
+    void limiter.reserve(team, clock.now() + 1000, signal);
+    await clock.advance(10);
+  }
+  return requests;
+}
+
+// Peers that answered "none" were not asked again for 1.6 s, although they had issued tokens meanwhile.
+test("peers that have no tokens are asked again sooner than peers that don't answer", async () => {
+  const answered = await countRequests(true);
+  const unanswered = await countRequests(false);
+  expect(answered).toBeGreaterThanOrEqual((2 * 10_000) / 400);
+  expect(unanswered).toBeLessThan(answered / 2);
+});
