--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -51,12 +51,12 @@
 
   /** A statement's destinations, the preferred one first; empty when no proxy is listed. */
   listDestinations(group: string, needsPrimary: boolean): readonly Destination[] {
-    const { vm, dataCentre, isAvoided } = this.ports;
+    const { vm, dataCentre, topology, isAvoided } = this.ports;
     const plan = this.findPlan(group);
     const canServe = this.ports.isListed() && !isAvoided(vm);
     if (plan.isEveryProxyGateway && canServe) return [localDestination];
     const primaryDataCentre = this.findPrimaryDataCentre(group);
-    const query = { group, needsPrimary, primaryDataCentre, vm, dataCentre };
+    const query = { group, needsPrimary, primaryDataCentre, vm, dataCentre, topology };
     const ordered = orderGateways(plan, query);
     const preferred = ordered.filter((proxy) => !isAvoided(proxy.vm));
     const avoided = ordered.filter((proxy) => isAvoided(proxy.vm));
--- a/src/topology/topology.ts
+++ b/src/topology/topology.ts
@@ -13,16 +13,12 @@
  * that its traffic is treated as crossing between regions.
  */
 export class Topology {
-  private readonly regions: ReadonlyMap<string, string>;
+  /** Whether there are at least two regions. Otherwise distances between regions play no part. */
+  readonly hasRegions: boolean;
 
   /** `regions` names the region of each data centre. */
-  constructor(regions: ReadonlyMap<string, string>) {
-    this.regions = regions;
-  }
-
-  /** Whether there are at least two regions. Otherwise distances between regions play no part. */
-  get hasRegions(): boolean {
-    return new Set(this.regions.values()).size > 1;
+  constructor(private readonly regions: ReadonlyMap<string, string>) {
+    this.hasRegions = new Set(regions.values()).size > 1;
   }
 
   /** The region of a data centre; undefined where it is unknown. */
--- a/test/gateway/choose.test.ts
+++ b/test/gateway/choose.test.ts
@@ -9,6 +9,7 @@
 import { orderGateways } from "../../src/gateway/route.js";
 import { countListedProxyQuota } from "../../src/gateway/quota.js";
 import type { Proxy } from "../../src/leadership/index.js";
+import { singleRegion } from "../../src/topology/index.js";
 import { makeGroup, makeProxy } from "./builders.js";
 
 const seed = 71;
@@ -126,6 +127,7 @@
     primaryDataCentre: "b",
     vm: "vm-x",
     dataCentre: "c",
+    topology: singleRegion,
   };
   const order = (needsPrimary: boolean, dataCentre = "c") =>
     orderGateways(plan, { ...query, needsPrimary, dataCentre }).map((p) => p.dataCentre);
