Keep reads in their region while waiting there costs less than crossing

Cause: a read takes the least loaded replica wherever it is, so that a quarter of the reads at replicas crossed to another region although each region has a target of each group. Change: targets have a distance. Where a group has targets in another region, a read takes the least loaded target of its region that has a free slot, then waits there while the estimated wait is no longer than crossing (the shortest recent response time of the other region's targets, 60 ms where none is known) and the wait there. Without an eligible replica the region's primary is used if it has a free slot. A read that has waited for as long as crossing takes may use the replicas of all regions. Without targets in another region nothing changes.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -79,6 +79,7 @@
     return result;
   }
   placement.noteProgress();
+  placement.group.noteResponseTime(placement.target, clock.now() - askedAt);
   placement.group.noteAnswer(placement.target);
   if (hasReportedBusy(result)) placement.group.noteSaturated(placement.target);
   notePosition(context, placement, result.reply.mark, askedAt);
--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -1,3 +1,4 @@
+import { assumedCrossingMs, type Distance } from "../topology/index.js";
 import type { TargetHealth } from "./health.js";
 import type { PrimaryState } from "./primary.js";
 
@@ -7,6 +8,8 @@
   readonly isLeaving: boolean;
   /** Whether it is in this proxy's data centre. */
   readonly isLocal: boolean;
+  /** How far it is from this proxy; absent counts as within the region. */
+  readonly distance?: Distance;
   readonly health: TargetHealth;
   /** Statements and transactions of this proxy that hold a connection to it. */
   readonly running: number;
@@ -41,12 +44,22 @@
 /** Why a statement waits, or is refused after waiting. */
 const primaryFailingReason = "the primary has not answered recent statements";
 
+/** What leaving the region is weighed by. Times are in milliseconds. */
+export interface CrossingCost {
+  /** Estimates the wait of the statement for a slot at some targets. */
+  readonly estimateWaitMs: (names: readonly string[]) => number;
+  /** Estimates what a round trip to the nearest of some targets in other regions takes. */
+  readonly estimateCrossingMs: (names: readonly string[]) => number;
+}
+
 /** The targets that may take a statement, or why there is none. */
 export type CandidateChoice =
   | {
       readonly type: "targets";
       readonly role: "primary" | "replica";
       readonly names: readonly string[];
+      /** Set where the statement waits in its region: it may leave it after this time. */
+      readonly leavesRegionAfterMs?: number;
     }
   | { readonly type: "wait"; readonly readyInMs: number; readonly reason: string }
   | { readonly type: "nowhere"; readonly reason: string };
@@ -62,9 +75,16 @@
   candidates: readonly CandidateTarget[],
   now: number,
   random: () => number,
+  crossing: CrossingCost = unknownCrossingCost,
 ): CandidateChoice {
   if (constraints.needsPrimary) return choosePrimary(primary, candidates, now);
   const primaryName = primary.type === "serving" ? primary.target : undefined;
+  if (candidates.some(isRemote)) {
+    const context = { constraints, primaryName, candidates, now, random, crossing };
+    const chosen = chooseByRegion(context);
+    if (chosen !== undefined) return chosen;
+    return choosePrimaryOrAnyReplica(primary, candidates, now, random);
+  }
   const replicas = candidates.filter(
     (v) => v.name !== primaryName && isEligible(v, constraints, now),
   );
@@ -77,15 +97,128 @@
   }
   if (replicas.length > 0)
     return { type: "targets", role: "replica", names: pickLeastLoaded(replicas, random) };
+  return choosePrimaryOrAnyReplica(primary, candidates, now, random);
+}
+
+/** Without a usable primary even a replica that is lagging or failing is better than a refusal. */
+function choosePrimaryOrAnyReplica(
+  primary: PrimaryState,
+  candidates: readonly CandidateTarget[],
+  now: number,
+  random: () => number,
+): CandidateChoice {
   const onPrimary = choosePrimary(primary, candidates, now);
   if (onPrimary.type === "targets") return onPrimary;
-  const fallbackReplicas = candidates.filter(
-    (v) => v.name !== primaryName && !v.isLeaving && v.slots > 0,
+  const primaryName = primary.type === "serving" ? primary.target : undefined;
+  const replicas = candidates.filter((v) => v.name !== primaryName && !v.isLeaving && v.slots > 0);
+  if (replicas.length === 0) return onPrimary;
+  const near = replicas.filter((v) => !isRemote(v) && now >= v.health.avoidUntil);
+  const names = pickLeastLoaded(
+    near.length > 0 && replicas.some(isRemote) ? near : replicas,
+    random,
+  );
+  return { type: "targets", role: "replica", names };
+}
+
+/** What the choice of a read's target among several regions depends on. */
+interface RegionalChoice {
+  readonly constraints: PlacementConstraints;
+  readonly primaryName: string | undefined;
+  readonly candidates: readonly CandidateTarget[];
+  readonly now: number;
+  readonly random: () => number;
+  readonly crossing: CrossingCost;
+}
+
+/**
+ * Chooses a read's target where the group has targets in several regions, whose link is narrow. The read stays in
+ * this region unless the wait for a slot here exceeds the wait elsewhere by more than the way there and back.
+ * Undefined when no replica is eligible.
+ */
+function chooseByRegion(context: RegionalChoice): CandidateChoice | undefined {
+  const { constraints, primaryName, candidates, now, random, crossing } = context;
+  const replicas = candidates.filter(
+    (v) => v.name !== primaryName && isEligible(v, constraints, now),
+  );
+  const near = replicas.filter((v) => !isRemote(v));
+  const remote = replicas.filter(isRemote);
+  const primary = candidates.find((v) => v.name === primaryName && !isRemote(v));
+  if (primary !== undefined && isPreferredPrimary(primary, near, context)) {
+    return { type: "targets", role: "primary", names: [primary.name] };
+  }
+  if (near.length === 0) {
+    if (remote.length === 0) return undefined;
+    return {
+      type: "targets",
+      role: "replica",
+      names: pickLeastLoaded(remote, random, hasFreeSlot),
+    };
+  }
+  const names = pickLeastLoaded(near, random, hasFreeSlot);
+  if (remote.length === 0 || near.some(hasFreeSlot))
+    return { type: "targets", role: "replica", names };
+  const remoteNames = remote.map((v) => v.name);
+  const crossingMs = crossing.estimateCrossingMs(remoteNames);
+  const waitMs = crossing.estimateWaitMs(names);
+  if (waitMs <= crossingMs + crossing.estimateWaitMs(remoteNames)) {
+    return { type: "targets", role: "replica", names, leavesRegionAfterMs: crossingMs };
+  }
+  const leaving = remote.some(hasFreeSlot) ? remote : replicas;
+  return { type: "targets", role: "replica", names: pickLeastLoaded(leaving, random, hasFreeSlot) };
+}
+
+/**
+ * The replicas that a read which has waited in its region for a slot may use in any region; empty when it can only
+ * go on waiting.
+ */
+export function listReplicasOfAllRegions(
+  constraints: PlacementConstraints,
+  primary: PrimaryState,
+  candidates: readonly CandidateTarget[],
+  now: number,
+): readonly string[] {
+  const primaryName = primary.type === "serving" ? primary.target : undefined;
+  return candidates
+    .filter((v) => v.name !== primaryName && isEligible(v, constraints, now))
+    .map((v) => v.name);
+}
+
+/**
+ * Whether a read uses the primary of this region: it is idle and in this data centre while no replica of the
+ * region is idle, or no replica of the region is eligible and it has a free slot.
+ */
+function isPreferredPrimary(
+  primary: CandidateTarget,
+  near: readonly CandidateTarget[],
+  { constraints, now }: RegionalChoice,
+): boolean {
+  if (near.length > 0) {
+    const hasIdleReplica = near.some((v) => v.running === 0);
+    return !hasIdleReplica && canReadFromLocalPrimary(primary, constraints, now);
+  }
+  // Background statements leave one of several slots of a primary free.
+  const reserved = constraints.isBackground && primary.slots >= 2 ? 1 : 0;
+  return (
+    isEligible(primary, { ...constraints, hasRequiredMark: false }, now) &&
+    now >= primary.health.saturatedUntil &&
+    primary.occupiedSlots < primary.slots - reserved
   );
-  if (fallbackReplicas.length === 0) return onPrimary;
-  return { type: "targets", role: "replica", names: pickLeastLoaded(fallbackReplicas, random) };
 }
 
+function isRemote({ distance }: CandidateTarget): boolean {
+  return distance === "remote";
+}
+
+function hasFreeSlot({ occupiedSlots, slots }: CandidateTarget): boolean {
+  return occupiedSlots < slots;
+}
+
+/** Without an estimate a read stays in its region. */
+const unknownCrossingCost: CrossingCost = {
+  estimateWaitMs: () => 0,
+  estimateCrossingMs: () => assumedCrossingMs,
+};
+
 /**
  * Chooses the primary unless it has just failed to answer. Statements sent to it then would wait in vain for
  * a connection and be refused only at their deadline.
@@ -166,8 +299,9 @@
 function pickLeastLoaded(
   candidates: readonly CandidateTarget[],
   random: () => number,
+  isFree: (candidate: CandidateTarget) => boolean = (v) => v.running < v.slots,
 ): readonly string[] {
-  const free = candidates.filter((v) => v.running < v.slots);
+  const free = candidates.filter(isFree);
   if (free.length === 0) return candidates.map((v) => v.name);
   const minLoad = Math.min(...free.map(measureLoad));
   const leastLoaded = free.filter((v) => measureLoad(v) === minLoad);
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -17,6 +17,7 @@
   type PositionHistory,
 } from "../policy/index.js";
 import type { CandidateTarget } from "./candidates.js";
+import { CrossingTimes } from "./crossing.js";
 import {
   noteAnswer,
   noteLagging,
@@ -28,6 +29,7 @@
 import type { DirectPorts } from "./ports.js";
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
+import type { Distance } from "../topology/index.js";
 import type { AnnouncedGroup, AnnouncedTarget } from "./serving-config.js";
 import { computeShare, minShare, type ConnectionShare } from "./share.js";
 
@@ -76,12 +78,14 @@
   /** The newest end of its log that the current primary has reported. */
   private reportedEnd: ReportedEnd | undefined;
   private readonly shares = new Map<string, ConnectionShare>();
+  private readonly crossingTimes: CrossingTimes;
 
   constructor(
     private group: AnnouncedGroup,
     private readonly ports: DirectPorts,
   ) {
     this.slots = this.disposables.add(new SlotQueue(ports.clock));
+    this.crossingTimes = new CrossingTimes(() => ports.clock.now());
     this.update(group);
   }
 
@@ -107,6 +111,7 @@
       name: target.name,
       isLeaving: target.isLeaving === true,
       isLocal: target.dataCentre === this.ports.dataCentre,
+      distance: this.measureDistance(target),
       health: this.findHealth(target.name),
       running: this.runningCounts.get(target.name) ?? 0,
       hasIdle: this.pools.get(target.name)?.hasIdle(team) === true,
@@ -115,6 +120,22 @@
     }));
   }
 
+  /** Whether a target is in another region than this proxy. */
+  isRemote(target: string): boolean {
+    const listed = this.targets.get(target);
+    return listed !== undefined && this.measureDistance(listed) === "remote";
+  }
+
+  /** Estimates the round trip to the nearest of some targets in other regions, in milliseconds. */
+  estimateCrossingMs(targets: readonly string[]): number {
+    return this.crossingTimes.estimateMs(targets);
+  }
+
+  /** Records how long a target took to answer a statement. */
+  noteResponseTime(target: string, ms: number): void {
+    if (this.isRemote(target)) this.crossingTimes.record(target, ms);
+  }
+
   /** Waits for a slot. The holder counts what it runs with `noteStart` and `noteEnd`. */
   acquire(request: AdmissionRequest, signal: AbortSignal): Promise<SlotResult> {
     return this.slots.acquire(request, signal);
@@ -203,6 +224,10 @@
     return this.disposables.dispose();
   }
 
+  private measureDistance({ dataCentre }: AnnouncedTarget): Distance {
+    return this.ports.topology.measureDistance(this.ports.dataCentre, dataCentre);
+  }
+
   private findHealth(target: string): TargetHealth {
     return this.health.get(target) ?? healthyTarget;
   }
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -1,6 +1,12 @@
 import { type AdmissionRequest } from "../controller/admission/index.js";
-import type { HeldConnection, Slot } from "../capacity/index.js";
-import { chooseCandidates, type PlacementConstraints } from "./candidates.js";
+import type { HeldConnection, Slot, SlotResult } from "../capacity/index.js";
+import {
+  chooseCandidates,
+  listReplicasOfAllRegions,
+  type CandidateChoice,
+  type CrossingCost,
+  type PlacementConstraints,
+} from "./candidates.js";
 import type { DirectGroup } from "./group.js";
 import type { DirectPorts } from "./ports.js";
 import type { TrackedLink } from "./tracked-link.js";
@@ -60,7 +66,7 @@
 ): Promise<PlacementResult> {
   const choice = await waitForCandidates(ports, group, request);
   if (choice.type === "refused") return choice;
-  const admitted = await group.acquire(makeAdmissionRequest(request, choice.names), request.signal);
+  const admitted = await acquireSlot(ports, group, request, choice);
   if (admitted.type === "refused") {
     const { reason } = admitted;
     // The primary that it waited for was replaced; the next attempt finds the new one.
@@ -81,13 +87,37 @@
   };
 }
 
-type CandidateResult =
-  | {
-      readonly type: "chosen";
-      readonly role: "primary" | "replica";
-      readonly names: readonly string[];
-    }
-  | RefusedPlacement;
+type ChosenTargets = Extract<CandidateChoice, { type: "targets" }>;
+type CandidateResult = ChosenTargets | RefusedPlacement;
+
+/**
+ * Waits for a slot. A read that waits in its region may use the replicas of all regions once it has waited for as
+ * long as crossing takes: the estimate of its wait was too short, or the target here has stopped answering.
+ */
+async function acquireSlot(
+  ports: DirectPorts,
+  group: DirectGroup,
+  request: PlacementRequest,
+  { names, leavesRegionAfterMs }: ChosenTargets,
+): Promise<SlotResult> {
+  const admitted = group.acquire(makeAdmissionRequest(request, names), request.signal);
+  if (leavesRegionAfterMs === undefined) return admitted;
+  const ended = new AbortController();
+  const leave = async () => {
+    await ports.clock.sleep(leavesRegionAfterMs, ended.signal);
+    const primary = ports.primaries.find(group.name);
+    const candidates = group.listCandidates(request.team);
+    const wider = listReplicasOfAllRegions(request, primary, candidates, ports.clock.now());
+    if (wider.length > 0) group.slots.retarget(request.id, wider);
+  };
+  // The sleep rejects when the wait has ended before.
+  leave().catch(() => undefined);
+  try {
+    return await admitted;
+  } finally {
+    ended.abort();
+  }
+}
 
 /**
  * Chooses candidates, and waits for a usable primary while one is expected before the deadline and within
@@ -100,14 +130,17 @@
 ): Promise<CandidateResult> {
   const { clock, primaries, random } = ports;
   const startedAt = clock.now();
+  const crossing: CrossingCost = {
+    estimateWaitMs: (names) => group.slots.estimateWaitMs(makeAdmissionRequest(request, names)),
+    estimateCrossingMs: (names) => group.estimateCrossingMs(names),
+  };
   for (;;) {
     const now = clock.now();
     const primary = primaries.find(group.name);
-    const choice = chooseCandidates(request, primary, group.listCandidates(request.team), now, () =>
-      random.draw(),
-    );
-    if (choice.type === "targets")
-      return { type: "chosen", role: choice.role, names: choice.names };
+    const candidates = group.listCandidates(request.team);
+    const draw = () => random.draw();
+    const choice = chooseCandidates(request, primary, candidates, now, draw, crossing);
+    if (choice.type === "targets") return choice;
     if (choice.type === "nowhere") {
       const { reason } = choice;
       return { type: "refused", reason, retryAfterMs: unknownPrimaryRetryMs, waitedFor: [] };
--- a/src/topology/index.ts
+++ b/src/topology/index.ts
@@ -1,1 +1,7 @@
-export { compareDistance, singleRegion, Topology, type Distance } from "./topology.js";
+export {
+  assumedCrossingMs,
+  compareDistance,
+  singleRegion,
+  Topology,
+  type Distance,
+} from "./topology.js";
--- a/src/topology/topology.ts
+++ b/src/topology/topology.ts
@@ -3,6 +3,12 @@
 
 const distances: readonly Distance[] = ["dataCentre", "region", "remote"];
 
+/**
+ * What a round trip between regions is assumed to take while none has been measured, in milliseconds: the light of
+ * a fibre covers about 6,000 km and back in this time.
+ */
+export const assumedCrossingMs = 60;
+
 /** Orders distances, the shortest first. */
 export function compareDistance(a: Distance, b: Distance): number {
   return distances.indexOf(a) - distances.indexOf(b);
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -1,4 +1,4 @@
-import { singleRegion } from "../../src/topology/index.js";
+import { singleRegion, type Topology } from "../../src/topology/index.js";
 import {
   GroupDirectory,
   type Database,
@@ -36,6 +36,9 @@
   readonly connections?: number;
   readonly slots?: number;
   readonly roster?: TeamRoster;
+  /** The data centres of the targets, "a" where none is given; the proxy is in "a". */
+  readonly dataCentres?: readonly string[];
+  readonly topology?: Topology;
 }
 
 export const group = "ledger";
@@ -75,7 +78,7 @@
         isTooManyConnections: () => false,
       },
       dataCentre: "a",
-      topology: singleRegion,
+      topology: options.topology ?? singleRegion,
       isSlotPlanned: () => false,
       primaries: {
         find: () => this.primary,
@@ -187,7 +190,7 @@
   const targets = names.map((name, i) => ({
     name,
     address: { host: "10.0.0.1", port: 5000 + i },
-    dataCentre: "a",
+    dataCentre: options.dataCentres?.[i] ?? "a",
     slots: options.slots ?? 2,
     connections: options.connections ?? 16,
     announcedRole: i === 0 ? ("primary" as const) : ("replica" as const),
