Count requests between regions by kind

Cause: nothing shows how much traffic uses the narrow link between regions, and for what. Change: radishwalk_region_crossings_total{kind} counts each statement that a node sends to a gateway or target of another region (read, write, transaction) and each call and request for tokens to a proxy there (control), once each at the sender. Keepalives, cancellations and calls to the store are not counted. Nothing is counted where the settings name fewer than two regions.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -1,5 +1,11 @@
 import type { Mark } from "../model/index.js";
-import type { CommandResult, ErrorCode, TargetCommand } from "../statement/index.js";
+import {
+  findEffect,
+  type CommandResult,
+  type ErrorCode,
+  type TargetCommand,
+} from "../statement/index.js";
+import type { CrossingKind } from "../topology/index.js";
 import type { ReadRequirement, SessionContext } from "./context.js";
 import {
   placeStatement,
@@ -59,9 +65,11 @@
   placement: PlacedConnection,
   command: TargetCommand,
   timeoutMs: number,
+  kind: CrossingKind = findCrossingKind(command),
 ): Promise<CommandResult> {
-  const { clock, primaries } = context.ports;
+  const { clock, primaries, onCrossing } = context.ports;
   const askedAt = clock.now();
+  if (placement.group.isRemote(placement.target)) onCrossing(kind);
   const stopTimer = startSilenceTimer(context, placement);
   const result = await placement.link.link.run(command, timeoutMs);
   stopTimer();
@@ -86,6 +94,24 @@
   return result;
 }
 
+/** The kind of a command that crosses between regions; the caller knows of work inside a transaction. */
+function findCrossingKind(command: TargetCommand): CrossingKind {
+  switch (command.type) {
+    case "work":
+      return findEffect(command.work);
+    case "begin":
+    case "commit":
+    case "rollback":
+      return "transaction";
+    case "reset":
+    case "set":
+    case "prepare":
+    case "status":
+    case "demote":
+      return "control";
+  }
+}
+
 /** Whether the target rejected a write as read-only: it is no longer the primary. */
 function hasRefusedWrites(result: CommandResult): boolean {
   return hasFailedWith(result, "readOnly");
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -5,7 +5,7 @@
 import type { ShareRule } from "./share.js";
 import type { RateLimiter } from "../rates/index.js";
 import type { ServingConfig } from "./serving-config.js";
-import type { Topology } from "../topology/index.js";
+import type { CrossingKind, Topology } from "../topology/index.js";
 
 /**
  * Opens connections to targets. `team` is announced to the target, and the connection serves only that
@@ -53,5 +53,7 @@
   readonly findShareRule: (group: string, dataCentre: string) => ShareRule;
   /** Enforces the teams' rate limits. */
   readonly rates: RateLimiter;
+  /** Called for each statement that is sent to another region, by a node to a gateway or to a target. */
+  readonly onCrossing: (kind: CrossingKind) => void;
   readonly onStatement: (sample: StatementSample) => void;
 }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -268,7 +268,8 @@
     work: Work,
     leftMs: number,
   ): Promise<CommandResult> {
-    return sendCommand(context, placement, { type: "work", work }, Math.max(1, leftMs));
+    const command = { type: "work", work } as const;
+    return sendCommand(context, placement, command, Math.max(1, leftMs), "transaction");
   }
 
   /** Fails the whole transaction after a statement's error and rolls it back immediately. */
--- a/src/directpeer/client.ts
+++ b/src/directpeer/client.ts
@@ -23,6 +23,14 @@
   readonly wanted: number;
 }
 
+/** How calls to proxies in another region differ. */
+export interface RemotePeers {
+  readonly isRemote: (proxy: Proxy) => boolean;
+  readonly onRemoteCall: () => void;
+}
+
+const noRemotePeers: RemotePeers = { isRemote: () => false, onRemoteCall: () => undefined };
+
 /** Calls to peers. Each ends within its timeout, with `undefined` when it was not answered. */
 export class DirectPeerClient implements LeadershipPeers {
   private readonly clients = new Map<string, Client<typeof DirectPeer>>();
@@ -33,6 +41,7 @@
     private readonly vm: string,
     private readonly logger: Logger,
     clock: Pick<Clock, "now">,
+    private readonly remote: RemotePeers = noRemotePeers,
   ) {
     this.responseTimes = new ResponseTimes(() => clock.now());
   }
@@ -43,7 +52,7 @@
     timeoutMs: number,
   ): Promise<LeadershipAnswer | undefined> {
     const request = { vm: this.vm, ...encodeLeadershipUpdate(word) };
-    const answer = await this.callPeer("share", proxy.vm, timeoutMs, (options) =>
+    const answer = await this.callProxy("share", proxy, timeoutMs, (options) =>
       this.getClient(proxy.address).share(request, options),
     );
     return answer === undefined ? undefined : decodeLeadershipAnswer(answer);
@@ -55,7 +64,7 @@
     timeoutMs: number,
   ): Promise<TargetAnswer | undefined> {
     const request = { group, target, ...(demoteRound === undefined ? {} : { demoteRound }) };
-    const answer = await this.callPeer("askTarget", proxy.vm, timeoutMs, (options) =>
+    const answer = await this.callProxy("askTarget", proxy, timeoutMs, (options) =>
       this.getClient(proxy.address).askTarget(request, options),
     );
     return answer === undefined ? undefined : decodeTargetAnswer(answer);
@@ -67,7 +76,7 @@
     request: TokenRequest,
     timeoutMs: number,
   ): Promise<TokenGrant | undefined> {
-    return this.callPeer("takeTokens", proxy.vm, timeoutMs, (options) =>
+    return this.callProxy("takeTokens", proxy, timeoutMs, (options) =>
       this.getClient(proxy.address).takeTokens(request, options),
     );
   }
@@ -83,6 +92,17 @@
     return answer?.snapshot;
   }
 
+  private callProxy<T>(
+    method: string,
+    proxy: Proxy,
+    usualTimeoutMs: number,
+    call: (options: CallOptions) => Promise<T>,
+  ): Promise<T | undefined> {
+    const { isRemote, onRemoteCall } = this.remote;
+    if (isRemote(proxy)) onRemoteCall();
+    return this.callPeer(method, proxy.vm, usualTimeoutMs, call);
+  }
+
   private async callPeer<T>(
     method: string,
     peer: string,
--- a/src/directpeer/index.ts
+++ b/src/directpeer/index.ts
@@ -1,2 +1,2 @@
-export { DirectPeerClient, type TokenRequest } from "./client.js";
+export { DirectPeerClient, type RemotePeers, type TokenRequest } from "./client.js";
 export { type DirectPeerHandlers, DirectPeerServer } from "./server.js";
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -17,6 +17,8 @@
   private readonly connections = new Map<string, GatewayConnection>();
   private readonly responseTimes: ResponseTimes;
   private readonly health = new Map<string, GatewayHealth>();
+  /** By the name of a gateway. */
+  private readonly dataCentres = new Map<string, string>();
 
   constructor(private readonly ports: GatewayConnectionsPorts) {
     this.responseTimes = new ResponseTimes(() => ports.clock.now());
@@ -26,8 +28,9 @@
    * Returns the connection to a gateway, which is opened at its first use; undefined when the proxy takes no
    * statements of others.
    */
-  open({ vm, gateway }: Proxy): GatewayConnection | undefined {
+  open({ vm, gateway, dataCentre }: Proxy): GatewayConnection | undefined {
     if (gateway === undefined) return undefined;
+    if (dataCentre !== undefined) this.dataCentres.set(vm, dataCentre);
     const key = `${vm} ${gateway.host}:${gateway.port}`;
     const known = this.connections.get(key);
     if (known?.isOpen === true) return known;
@@ -42,6 +45,11 @@
     return connection;
   }
 
+  /** The data centre of a gateway that has been used; undefined when its entry names none. */
+  findDataCentre(vm: string): string | undefined {
+    return this.dataCentres.get(vm);
+  }
+
   /** Records that a gateway failed or refused a statement; others are preferred for a while. */
   recordFailure(vm: string, reason: string): void {
     this.ports.logger.write(gatewayEvents.avoided, { gateway: vm, reason });
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,4 +1,5 @@
 import type { SessionContext } from "../direct/index.js";
+import type { CrossingKind } from "../topology/index.js";
 import type { GatewayAnswer, RequestStep } from "./codec.js";
 import type { GatewayConnection, ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
@@ -36,7 +37,9 @@
   context: SessionContext,
   step: RequestStep,
   leftMs: number,
+  kind: CrossingKind,
 ): Promise<ForwardResult> {
+  noteCrossing(context, connections.findDataCentre(vm), kind);
   const result = await connection.call(step, leftMs + answerMarginMs, context.disconnectSignal);
   switch (result.type) {
     case "answered":
@@ -57,6 +60,16 @@
   return result;
 }
 
+/** Counts a step that is sent to a gateway of another region. */
+function noteCrossing(
+  { ports: { topology, dataCentre, onCrossing } }: SessionContext,
+  gatewayDataCentre: string | undefined,
+  kind: CrossingKind,
+): void {
+  const distance = topology.measureDistance(dataCentre, gatewayDataCentre ?? "");
+  if (distance === "remote") onCrossing(kind);
+}
+
 function toHop(gateway: string, { target, role, tries }: GatewayAnswer) {
   return { gateway, target, role, tries };
 }
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -62,6 +62,7 @@
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
     const step = encodeRun(context, work, leftMs, noTransaction);
+    const effect = findEffect(work);
     const result = await forwardStep(
       this.connections,
       connection,
@@ -69,8 +70,9 @@
       context,
       step,
       leftMs,
+      effect,
     );
-    return interpretResult(result, findEffect(work));
+    return interpretResult(result, effect);
   }
 }
 
--- a/src/gateway/transaction.ts
+++ b/src/gateway/transaction.ts
@@ -189,7 +189,7 @@
         const { vm, connection, id: transaction } = location;
         const leftMs = Math.max(1, countRemainingMs(context, deadlineAt));
         const step = build(leftMs, { transaction, opens: false, isReadOnly });
-        return forwardStep(this.connections, connection, vm, context, step, leftMs);
+        return this.forward(connection, vm, context, step, leftMs);
       }
       case "over":
         return undefined;
@@ -235,12 +235,23 @@
     const { vm } = gateway;
     this.location = { type: "gateway", vm, connection, id: transaction };
     const step = build(leftMs, { transaction, opens: true, isReadOnly: this.isReadOnly });
-    const result = await forwardStep(this.connections, connection, vm, context, step, leftMs);
+    const result = await this.forward(connection, vm, context, step, leftMs);
     if (result.type === "answered" || result.type === "tooLarge") return result;
     connection.send({ case: "rollback", value: transaction });
     return undefined;
   }
 
+  private forward(
+    connection: GatewayConnection,
+    vm: string,
+    context: SessionContext,
+    step: RequestStep,
+    leftMs: number,
+  ): Promise<ForwardResult> {
+    const kind = "transaction";
+    return forwardStep(this.connections, connection, vm, context, step, leftMs, kind);
+  }
+
   private abort(context: SessionContext, id: string, reason: string): Reply {
     const { logger } = context.ports;
     logger.write(directEvents.transactionLost, { id, session: context.session, reason });
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -8,6 +8,7 @@
   type Priority,
   type Verdict,
 } from "../model/index.js";
+import type { CrossingKind } from "../topology/index.js";
 import { LabelLimiter } from "./label-limiter.js";
 
 const maxGroupLabels = 200;
@@ -41,6 +42,8 @@
   /** Records a caller's statement with the time from its arrival to its final answer. */
   recordStatement(outcome: string, seconds: number): void;
   recordStoreCall(operation: string, outcome: string): void;
+  /** Counts a statement or message that this process sends to another region. */
+  recordCrossing(kind: CrossingKind): void;
   recordViolation(invariant: Invariant): void;
   setConnections(group: string, state: ConnectionState, count: number): void;
   setRevision(revision: number): void;
@@ -83,6 +86,7 @@
   private readonly queueWaits: Histogram<"class">;
   private readonly statements: Histogram<"outcome">;
   private readonly storeCalls: Counter<"operation" | "outcome">;
+  private readonly crossings: Counter<"kind">;
   private readonly violations: Counter<"invariant">;
   private readonly connections: Gauge<"group" | "state">;
   private readonly revision: Gauge;
@@ -139,6 +143,9 @@
     this.storeCalls = new Counter(
       define("store_calls_total", "Calls to the platform's store.", ["operation", "outcome"]),
     );
+    this.crossings = new Counter(
+      define("region_crossings_total", "Requests sent to another region, by kind.", ["kind"]),
+    );
     this.violations = new Counter(
       define("invariant_violations_total", "Violations of invariants.", ["invariant"]),
     );
@@ -181,6 +188,10 @@
     this.storeCalls.inc({ operation, outcome });
   }
 
+  recordCrossing(kind: CrossingKind): void {
+    this.crossings.inc({ kind });
+  }
+
   recordViolation(invariant: Invariant): void {
     this.violations.inc({ invariant });
   }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -26,6 +26,7 @@
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
 import { planDrain, type DrainPlan } from "./drain.js";
+import { countTokenRequests, createRemotePeers } from "./remote-peers.js";
 import { NodeRates } from "./rates.js";
 import type { NodeSettings } from "./settings.js";
 
@@ -102,7 +103,8 @@
       listTargets: (group) => this.listTargets(group),
       hasReached: (group, target, since) => this.tracker.hasReached(group, target, since),
     });
-    const peers = new DirectPeerClient(settings.vm, logger, clock);
+    const remote = createRemotePeers(settings, this.metrics);
+    const peers = new DirectPeerClient(settings.vm, logger, clock, remote);
     this.follower = new StoreFollower({
       settings,
       store: this.owned.add(adapter.store),
@@ -143,7 +145,7 @@
       new NodeRates({
         settings,
         peers,
-        gateways: this.forwarding,
+        gateways: countTokenRequests(this.forwarding, remote),
         tracker: this.tracker,
         getRegistry: () => this.follower.registry,
         findPolledAt: () => this.follower.lastPoll?.requestedAt,
@@ -255,6 +257,7 @@
       getServingConfig: () => this.follower.servingConfig,
       findShareRule: (group, dataCentre) => this.forwarding.findShareRule(group, dataCentre),
       rates: this.rates.limiter,
+      onCrossing: (kind) => this.metrics.recordCrossing(kind),
       onStatement: (sample) => this.recordStatement(sample),
     };
   }
--- a/src/topology/index.ts
+++ b/src/topology/index.ts
@@ -3,5 +3,6 @@
   compareDistance,
   singleRegion,
   Topology,
+  type CrossingKind,
   type Distance,
 } from "./topology.js";
--- a/src/topology/topology.ts
+++ b/src/topology/topology.ts
@@ -9,6 +9,9 @@
  */
 export const assumedCrossingMs = 60;
 
+/** What crosses between regions: a caller's statement, or a message between proxies. */
+export type CrossingKind = "read" | "write" | "transaction" | "control";
+
 /** Orders distances, the shortest first. */
 export function compareDistance(a: Distance, b: Distance): number {
   return distances.indexOf(a) - distances.indexOf(b);
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -1,4 +1,4 @@
-import { singleRegion, type Topology } from "../../src/topology/index.js";
+import { singleRegion, type CrossingKind, type Topology } from "../../src/topology/index.js";
 import {
   GroupDirectory,
   type Database,
@@ -61,6 +61,8 @@
   readonly closedConnections: string[] = [];
   /** Primaries that were reported to have lost their log. */
   readonly lostLogPrimaries: string[] = [];
+  /** The kinds of the statements that were sent to another region. */
+  readonly crossings: CrossingKind[] = [];
   /** The rule for the proxy's share of the targets' connections. */
   shareRule: ShareRule;
   primary: PrimaryState = { type: "serving", target: "p" };
@@ -95,6 +97,7 @@
       getServingConfig: () => config,
       findShareRule: () => this.shareRule,
       rates: unlimitedRateLimiter,
+      onCrossing: (kind) => this.crossings.push(kind),
       onStatement: () => undefined,
     };
     this.groups = new GroupDirectory(this.ports);
--- a/test/direct/regions.test.ts
+++ b/test/direct/regions.test.ts
@@ -8,7 +8,7 @@
 import { CrossingTimes } from "../../src/direct/crossing.js";
 import { healthyTarget, noteFailure, noteLagging, noteSaturated } from "../../src/direct/health.js";
 import { Topology, type Distance } from "../../src/topology/index.js";
-import { ProxyFixture, read as makeRead } from "./fixture.js";
+import { ProxyFixture, read as makeRead, write as makeWrite } from "./fixture.js";
 
 const seed = 89;
 const now = 100;
@@ -236,16 +236,21 @@
 let fixture: ProxyFixture | undefined;
 afterEach(() => fixture?.dispose());
 
-/** A proxy with one replica in its region and the primary and a replica in the other; a mark is known. */
-function startRegions(): ProxyFixture {
-  const started = new ProxyFixture({
+/** A proxy with one replica in its region, and the primary and a replica in the other. */
+function createRegions(): ProxyFixture {
+  fixture = new ProxyFixture({
     targets: ["p", "near", "remote"],
     dataCentres: ["c", "b", "c"],
     connections: 5,
     proxies: 4,
     topology,
   });
-  fixture = started;
+  return fixture;
+}
+
+/** The same proxy, which knows a mark that its reads require. */
+function startRegions(): ProxyFixture {
+  const started = createRegions();
   const mark = { term: { round: 1, vm: "" }, offset: 4 };
   started.clock.jumpAhead(1000);
   started.groups.find("ledger")?.notePrimaryMark("p", mark, started.clock.now());
@@ -278,6 +283,28 @@
   expect(started.list("remote", "work")).toHaveLength(0);
 });
 
+test("a read that leaves its region is counted as crossing", async () => {
+  const started = startRegions();
+  await fillRegion(started);
+  expect(started.crossings).toEqual([]);
+  await started.advance(70);
+  expect(started.crossings).toEqual(["read"]);
+});
+
+test("writes and transactions at a primary of another region are counted as crossing", async () => {
+  const started = createRegions();
+  const session = started.open("primary");
+  const written = session.run(makeWrite("w"));
+  await started.advance(1);
+  expect(started.crossings).toEqual(["write"]);
+  started.list("p", "work")[0]?.answer();
+  await written;
+  await session.run({ type: "begin", id: "b", isReadOnly: false });
+  void session.run(makeWrite("t"));
+  await started.advance(1);
+  expect(started.crossings.slice(1)).toEqual(["transaction", "transaction"]);
+});
+
 // The region's replica stops answering while a read waits for one of its slots.
 test("a read that has waited in its region for as long as crossing takes leaves it", async () => {
   const started = startRegions();
--- a/test/metric/metric.test.ts
+++ b/test/metric/metric.test.ts
@@ -19,6 +19,18 @@
   expect(page).toContain('radishwalk_reads_total{group="other",role="replica"} 75');
 });
 
+test("requests to another region are counted by kind", async () => {
+  const metrics = createMetrics();
+  for (const kind of ["read", "read", "write", "transaction", "control"] as const) {
+    metrics.recordCrossing(kind);
+  }
+  const page = await metrics.render();
+  expect(page).toContain('radishwalk_region_crossings_total{kind="read"} 2');
+  expect(page).toContain('radishwalk_region_crossings_total{kind="write"} 1');
+  expect(page).toContain('radishwalk_region_crossings_total{kind="transaction"} 1');
+  expect(page).toContain('radishwalk_region_crossings_total{kind="control"} 1');
+});
+
 test("a violated invariant is counted and reported until the previous handler is restored", async () => {
   const metrics = createMetrics();
   const reported: string[] = [];
