Ask near peers first for tokens, confirmations and polls

Cause: peers are asked in random order, so that with two regions half of this traffic uses the link between them. The reader of a data centre is chosen as before. Without regions the order and the random draws are as before.

--- a/src/node/confirmer.ts
+++ b/src/node/confirmer.ts
@@ -7,6 +7,7 @@
 } from "../leadership/index.js";
 import type { Clock, Random } from "../model/index.js";
 import { shuffle } from "../system/index.js";
+import { compareDistance, type Topology } from "../topology/index.js";
 import type { ProxyRegistry } from "./proxy-registry.js";
 
 /** Peers are asked once the last confirmation is older than this, in milliseconds: one poll has failed. */
@@ -28,6 +29,8 @@
 /** The dependencies of `PeerConfirmer`. */
 export interface PeerConfirmerPorts {
   readonly vm: string;
+  readonly dataCentre: string;
+  readonly topology: Topology;
   readonly peers: Pick<DirectPeerClient, "share">;
   readonly tracker: LeadershipTracker;
   readonly registry: ProxyRegistry;
@@ -47,15 +50,25 @@
     const { vm, clock, registry, random } = this.ports;
     const startedAt = clock.now();
     if (this.isConfirmedSince(startedAt - askPeersAfterMs)) return [];
-    const others = shuffle(
-      registry.list().filter((proxy) => proxy.vm !== vm),
-      random,
+    const others = this.orderByDistance(
+      shuffle(
+        registry.list().filter((proxy) => proxy.vm !== vm),
+        random,
+      ),
     );
     const first = await this.askAll(others.slice(0, firstPeers), []);
     if (this.isConfirmedSince(startedAt - askPeersAfterMs)) return first;
     return this.askAll(others.slice(firstPeers), first);
   }
 
+  /** Where there are regions, the nearest come first; otherwise the order is kept. */
+  private orderByDistance(proxies: readonly Proxy[]): readonly Proxy[] {
+    const { topology, dataCentre } = this.ports;
+    if (!topology.hasRegions) return proxies;
+    const measure = (proxy: Proxy) => topology.measureDistance(dataCentre, proxy.dataCentre ?? "");
+    return [...proxies].sort((a, b) => compareDistance(measure(a), measure(b)));
+  }
+
   /** Asks peers in parallel, and applies their answers together with earlier ones. */
   private async askAll(
     proxies: readonly Proxy[],
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -70,11 +70,13 @@
   constructor(private readonly ports: StoreFollowerPorts) {
     this.registry = new ProxyRegistry(ports);
     this.configTracker = new ServingConfigTracker(ports);
-    const { vm, dataCentre } = ports.settings;
+    const { vm, dataCentre, topology } = ports.settings;
     const { peers, clock, tracker, random } = ports;
-    this.reader = new ReaderClient({ vm, dataCentre, peers, clock });
+    this.reader = new ReaderClient({ vm, dataCentre, topology, peers, clock });
     this.confirmer = new PeerConfirmer({
       vm,
+      dataCentre,
+      topology,
       peers,
       tracker,
       registry: this.registry,
--- a/src/node/rates.ts
+++ b/src/node/rates.ts
@@ -12,6 +12,7 @@
   type TokenIssuers,
   type WeightedProxy,
 } from "../rates/index.js";
+import { assumedCrossingMs } from "../topology/index.js";
 import type { Forwarding } from "./forwarding.js";
 import type { ProxyRegistry } from "./proxy-registry.js";
 import type { NodeSettings } from "./settings.js";
@@ -30,7 +31,7 @@
 
 /** The dependencies of `NodeRates`. */
 export interface NodeRatesPorts {
-  readonly settings: Pick<NodeSettings, "vm" | "peers" | "rateBounds">;
+  readonly settings: Pick<NodeSettings, "vm" | "dataCentre" | "topology" | "peers" | "rateBounds">;
   readonly peers: Pick<DirectPeerClient, "takeTokens">;
   readonly gateways: Pick<Forwarding, "requestTokens">;
   readonly tracker: Pick<LeadershipTracker, "confirmedAt" | "hasStalledSince">;
@@ -147,12 +148,21 @@
     const { vm: own } = this.ports.settings;
     const names = this.shares.listIssuers(team, issuers).filter((vm) => vm !== own);
     const isSilent = (vm: string) => now < (this.silentUntil.get(vm) ?? 0);
+    const responsive = names.filter((vm) => !isSilent(vm));
     return {
-      responsive: names.filter((vm) => !isSilent(vm)),
+      responsive: responsive.filter((vm) => !this.isRemote(vm)),
+      remote: responsive.filter((vm) => this.isRemote(vm)),
       silent: names.filter(isSilent),
     };
   }
 
+  private isRemote(vm: string): boolean {
+    const { topology, dataCentre } = this.ports.settings;
+    if (!topology.hasRegions) return false;
+    const proxy = this.listedProxies.find((listed) => listed.vm === vm);
+    return topology.measureDistance(dataCentre, proxy?.dataCentre ?? "") === "remote";
+  }
+
   private async requestTokens(
     vm: string,
     team: string,
@@ -160,7 +170,8 @@
   ): Promise<TokenGrant | undefined> {
     const proxy = this.listedProxies.find((listed) => listed.vm === vm);
     if (proxy === undefined) return undefined;
-    const timer = setTimeout(() => this.noteSilence(vm), silentAfterMs);
+    const answerMs = silentAfterMs + (this.isRemote(vm) ? assumedCrossingMs : 0);
+    const timer = setTimeout(() => this.noteSilence(vm), answerMs);
     const grant = await this.takeTokens(proxy, { team, wanted });
     clearTimeout(timer);
     if (grant === undefined) this.noteSilence(vm);
--- a/src/node/reader.ts
+++ b/src/node/reader.ts
@@ -2,6 +2,7 @@
 import type { LeadershipAnswer, LeadershipUpdate, Proxy } from "../leadership/index.js";
 import type { Clock } from "../model/index.js";
 import { hashPair } from "../policy/index.js";
+import { distances, singleRegion, type Topology } from "../topology/index.js";
 
 /** In milliseconds: an answer within the data centre takes 1 ms, on a busy proxy some tens more. */
 const readerTimeoutMs = 150;
@@ -45,18 +46,20 @@
 }
 
 /**
- * Chooses the listed proxy that an unlisted one polls, preferably in the same data centre. A hash of both
- * names distributes the load over the listed proxies.
+ * Chooses the listed proxy that an unlisted one polls, preferably in the same data centre, then in the same
+ * region. A hash of both names distributes the load over the listed proxies.
  */
 export function chooseUpstream(
   vm: string,
   dataCentre: string,
   proxies: readonly Proxy[],
   isAvoided: (vm: string) => boolean,
+  topology: Topology = singleRegion,
 ): Proxy | undefined {
   const eligible = proxies.filter((p) => p.vm !== vm && p.isMissed !== true && !isAvoided(p.vm));
-  const near = eligible.filter((proxy) => proxy.dataCentre === dataCentre);
-  const pool = near.length > 0 ? near : eligible;
+  const measure = (proxy: Proxy) => topology.measureDistance(dataCentre, proxy.dataCentre ?? "");
+  const pools = distances.map((distance) => eligible.filter((p) => measure(p) === distance));
+  const pool = pools.find((found) => found.length > 0) ?? [];
   const scored = pool.map((proxy) => ({ proxy, score: hashPair(vm, proxy.vm) }));
   return scored.sort((a, b) => b.score - a.score)[0]?.proxy;
 }
@@ -72,6 +75,7 @@
 export interface ReaderClientPorts {
   readonly vm: string;
   readonly dataCentre: string;
+  readonly topology: Topology;
   readonly peers: Pick<DirectPeerClient, "share">;
   readonly clock: Clock;
 }
@@ -105,10 +109,10 @@
 
   /** Polls through a listed proxy, on behalf of this one, which is not listed. */
   async askUpstream(proxies: readonly Proxy[], update: LeadershipUpdate): Promise<UpstreamAnswer> {
-    const { vm, dataCentre, peers, clock } = this.ports;
+    const { vm, dataCentre, topology, peers, clock } = this.ports;
     const askedAt = clock.now();
     const isAvoided = (name: string) => (this.avoidedUntil.get(name) ?? 0) > askedAt;
-    const upstream = chooseUpstream(vm, dataCentre, proxies, isAvoided);
+    const upstream = chooseUpstream(vm, dataCentre, proxies, isAvoided, topology);
     if (upstream === undefined) return { type: "silent" };
     const answer = await peers.share(upstream, update, upstreamTimeoutMs);
     const poll = answer === undefined ? undefined : toPollResult(upstream, answer, askedAt);
--- a/src/rates/index.ts
+++ b/src/rates/index.ts
@@ -4,7 +4,8 @@
   type RateLimiter,
   type RateReservation,
 } from "./limiter.js";
-export { TokenRateLimiter, type RateLimiterPorts, type TokenIssuers } from "./token-limiter.js";
+export type { TokenIssuers } from "./issuers.js";
+export { TokenRateLimiter, type RateLimiterPorts } from "./token-limiter.js";
 export { type RateBounds, strictBounds, type TokenRate, toTokenRate } from "./limits.js";
 export { type TokenGrant, TokenPool } from "./pool.js";
 export { chooseIssuers, maxListingAgeMs, RateShares, type WeightedProxy } from "./shares.js";
--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -1,7 +1,8 @@
 import { rateEvents } from "../log/events/rates.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Disposable, Random, Team, TeamRate } from "../model/index.js";
-import { shuffle } from "../system/index.js";
+import { assumedCrossingMs } from "../topology/index.js";
+import { orderIssuers, type TokenIssuers } from "./issuers.js";
 import {
   unlimitedReservation,
   type RateClaim,
@@ -13,13 +14,6 @@
 import { TokenRequestRound } from "./request-round.js";
 import { countIssuers } from "./shares.js";
 
-/** The proxies that issue a team's tokens, without this one. */
-export interface TokenIssuers {
-  readonly responsive: readonly string[];
-  /** Those that have not answered lately; they are asked last. */
-  readonly silent: readonly string[];
-}
-
 /** The environment of a `TokenRateLimiter`. */
 export interface RateLimiterPorts {
   readonly clock: Clock;
@@ -241,8 +235,10 @@
   private async requestFromPeers(team: Team, state: TeamState): Promise<void> {
     const { clock, random, listIssuers } = this.ports;
     const startedAt = clock.now();
-    const { responsive, silent } = listIssuers(team.name, this.countIssuers(team.rate));
-    const peers = [...shuffle(responsive, random), ...shuffle(silent, random)];
+    const issuers = listIssuers(team.name, this.countIssuers(team.rate));
+    const { silent } = issuers;
+    const peers = orderIssuers(issuers, random);
+    const remote = new Set(issuers.remote);
     const outcome = {
       issuers: peers.length,
       silentIssuers: silent.length,
@@ -253,10 +249,10 @@
     state.lastRequest = outcome;
     const round = new TokenRequestRound(() => state.pool.count(clock.now()) >= 1);
     for (const count of peersPerRound) {
-      for (const peer of peers.splice(0, count)) {
-        round.add(this.requestFromPeer(peer, team, state, outcome));
-      }
-      await round.wait(clock.sleep(roundMs));
+      const asked = peers.splice(0, count);
+      for (const peer of asked) round.add(this.requestFromPeer(peer, team, state, outcome));
+      const crossesRegions = asked.some((peer) => remote.has(peer));
+      await round.wait(clock.sleep(crossesRegions ? roundMs + assumedCrossingMs : roundMs));
       if (round.hasToken()) break;
     }
     if (!round.hasToken()) {
--- a/src/topology/index.ts
+++ b/src/topology/index.ts
@@ -1,6 +1,7 @@
 export {
   assumedCrossingMs,
   compareDistance,
+  distances,
   singleRegion,
   Topology,
   type CrossingKind,
--- a/src/topology/topology.ts
+++ b/src/topology/topology.ts
@@ -1,7 +1,8 @@
 /** How far apart two data centres are: the same one, in one region, or in different regions. */
 export type Distance = "dataCentre" | "region" | "remote";
 
-const distances: readonly Distance[] = ["dataCentre", "region", "remote"];
+/** All distances, the shortest first. */
+export const distances: readonly Distance[] = ["dataCentre", "region", "remote"];
 
 /**
  * What a round trip between regions is assumed to take while none has been measured, in milliseconds: the light of
--- a/test/node/reader.test.ts
+++ b/test/node/reader.test.ts
@@ -2,8 +2,10 @@
 import type { LeadershipAnswer, Proxy } from "../../src/leadership/index.js";
 import { DirectPeerClient } from "../../src/directpeer/index.js";
 import { silentLogger } from "../../src/log/index.js";
+import { hashPair } from "../../src/policy/index.js";
+import { singleRegion, Topology } from "../../src/topology/index.js";
 import { createSystemClock } from "../../src/system/index.js";
-import { chooseReader, ReaderClient } from "../../src/node/reader.js";
+import { chooseReader, chooseUpstream, ReaderClient } from "../../src/node/reader.js";
 import { FakeClock } from "../fleet/fakes.js";
 import { Cluster, findAddress, waitUntil } from "./cluster.js";
 
@@ -33,6 +35,30 @@
   expect(chooseReader("x", proxies, isNoneAvoided)).toBeUndefined();
 });
 
+test("an unlisted proxy polls a listed one of its data centre, then of its region", () => {
+  const topology = new Topology(
+    new Map([
+      ["a", "east"],
+      ["b", "east"],
+      ["c", "west"],
+    ]),
+  );
+  const far = Array.from({ length: 12 }, (_, i) => proxy(`far-${i}`, "c"));
+  const listed = [...far, proxy("near", "b"), proxy("own", "a")];
+  const choose = (isAvoided: (vm: string) => boolean, known = topology) =>
+    chooseUpstream("vm-x", "a", listed, isAvoided, known)?.vm;
+  expect(choose(isNoneAvoided)).toBe("own");
+  expect(choose((vm) => vm === "own")).toBe("near");
+  expect(choose((vm) => !vm.startsWith("far"))).toMatch(/^far/);
+  // Without regions the hash alone picks among all other data centres.
+  const isOwn = (vm: string) => vm === "own";
+  expect(choose(isOwn, singleRegion)).toBe(
+    [...listed]
+      .filter(({ vm }) => vm !== "own")
+      .sort((a, b) => hashPair("vm-x", b.vm) - hashPair("vm-x", a.vm))[0]?.vm,
+  );
+});
+
 const update = {
   leadership: { version: 3, document: { holder: undefined, groups: {} } },
   promoted: [],
@@ -51,7 +77,7 @@
 const ask = (vm: string, reply: LeadershipAnswer | undefined, clock = new FakeClock()) => {
   clock.time = 5000;
   const peers = { share: () => Promise.resolve(reply) };
-  const client = new ReaderClient({ vm, dataCentre: "a", peers, clock });
+  const client = new ReaderClient({ vm, dataCentre: "a", topology: singleRegion, peers, clock });
   return client.askReader(proxies, update);
 };
 
--- a/test/node/token-requests.test.ts
+++ b/test/node/token-requests.test.ts
@@ -5,6 +5,7 @@
 import type { Proxy } from "../../src/leadership/index.js";
 import type { Team } from "../../src/model/index.js";
 import { NodeRates } from "../../src/node/rates.js";
+import { singleRegion } from "../../src/topology/index.js";
 import { createSystemClock, createSystemRandom } from "../../src/system/index.js";
 
 const team: Team = { name: "cello", plan: "paying", rate: { perSecond: 50, burst: 50 } };
@@ -20,6 +21,8 @@
   const rates = new NodeRates({
     settings: {
       vm: own.vm,
+      dataCentre: "a",
+      topology: singleRegion,
       peers: own.address,
       rateBounds: { windowMs: 5000, overage: 0.1, slack: 20 },
     },
