Prefer the replaced primary's region among equally complete logs

Cause: among targets with equally long logs the new primary was chosen by lag and name, so that it could move to the other region although its own has a target with the same log. All writes would then cross. Change: a candidate tells whether it is in another region than the replaced primary; the order is log, region, lag, name. The changer remembers the primary's data centre, since the entry of a lost one is often gone. Without regions the choice is as before. Result: test/leadership and test/node/change pass (43 tests).

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -38,6 +38,8 @@
   private readonly lease: ChangeLease;
   private readonly inquirer: TargetInquirer;
   private readonly leaderlessSince = new Map<string, number>();
+  /** By primary: where it was when last listed; the entry of one that is replaced is often gone. */
+  private readonly primaryDataCentres = new Map<string, string>();
   private isStopped = false;
 
   constructor(
@@ -96,6 +98,7 @@
 
   private findSuspicion(group: string, oldTarget: string): Suspicion | undefined {
     const listed = this.ports.listTargets(group).find((t) => t.name === oldTarget);
+    if (listed !== undefined) this.primaryDataCentres.set(oldTarget, listed.dataCentre);
     const observation = {
       target: oldTarget,
       isListed: listed !== undefined,
@@ -272,7 +275,7 @@
     const until = clock.now() + catchUpTimeoutMs;
     for (;;) {
       const silent = oldReport === undefined ? oldTarget : undefined;
-      const candidates = await this.listCandidates(group, silent);
+      const candidates = await this.listCandidates(group, oldTarget, silent);
       const chosen = chooseCandidate(candidates, oldTarget);
       const isWhole =
         oldReport === undefined ||
@@ -291,15 +294,25 @@
   }
 
   /** Asks the targets that may become primary. `silent` is an old primary that no proxy reached; it is skipped. */
-  private async listCandidates(group: string, silent?: string): Promise<readonly Candidate[]> {
+  private async listCandidates(
+    group: string,
+    oldTarget: string,
+    silent?: string,
+  ): Promise<readonly Candidate[]> {
+    const oldDataCentre = this.primaryDataCentres.get(oldTarget);
+    const isRemote = (dataCentre: string) =>
+      oldDataCentre !== undefined &&
+      this.ports.topology.measureDistance(oldDataCentre, dataCentre) === "remote";
     const targets = this.ports.listTargets(group).filter(({ name }) => name !== silent);
-    const asked = targets.map(async ({ name, isLeaving }) => {
+    const asked = targets.map(async ({ name, isLeaving, dataCentre }) => {
       const report = await this.inquirer.askWithFallback({
         group,
         target: name,
         demoteRound: undefined,
       });
-      return report === undefined ? [] : [{ target: name, isLeaving: isLeaving === true, report }];
+      if (report === undefined) return [];
+      const candidate = { target: name, isLeaving: isLeaving === true, report };
+      return [{ ...candidate, isRemote: isRemote(dataCentre) }];
     });
     return (await Promise.all(asked)).flat();
   }
--- a/src/leadership/decide.ts
+++ b/src/leadership/decide.ts
@@ -51,6 +51,8 @@
 export interface Candidate {
   readonly target: string;
   readonly isLeaving: boolean;
+  /** Whether it is in another region than the replaced primary. */
+  readonly isRemote?: boolean;
   readonly report: TargetReport;
 }
 
@@ -58,7 +60,8 @@
  * Chooses the target that becomes primary. A target that is already primary of the newest round comes first, since
  * an earlier change may have been interrupted after its promotion. Otherwise the one with the longest log is
  * chosen, which loses the fewest commits; a target that restarted empty has the shortest log and is chosen
- * only if no other one runs. A target that is leaving is chosen only if there is no other.
+ * only if no other one runs. Among equally long logs the replaced primary's region comes first, since the callers
+ * that write are likely to be near it. A target that is leaving is chosen only if there is no other.
  */
 export function chooseCandidate(
   candidates: readonly Candidate[],
@@ -76,6 +79,8 @@
 function compareCandidates(a: Candidate, b: Candidate): number {
   const byLog = compareMarkOrder(b.report.received, a.report.received);
   if (byLog !== 0) return byLog;
+  const byRegion = Number(a.isRemote === true) - Number(b.isRemote === true);
+  if (byRegion !== 0) return byRegion;
   if (a.report.lagMs !== b.report.lagMs) return a.report.lagMs - b.report.lagMs;
   return a.target < b.target ? -1 : 1;
 }
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -2,6 +2,7 @@
 import type { Address, Clock, Random, StoreRead, StoreWrite } from "../model/index.js";
 import type { TargetReport } from "../statement/index.js";
 import type { AnnouncedTarget } from "../direct/index.js";
+import type { Topology } from "../topology/index.js";
 import type { LeadershipDocument, VersionedLeadership } from "./document.js";
 
 /** A registered proxy, as described by its entry in the store. */
@@ -109,6 +110,7 @@
 /** Dependencies of the leadership code. */
 export interface LeadershipPorts {
   readonly vm: string;
+  readonly topology: Topology;
   readonly incarnation: string;
   readonly store: LeadershipStore;
   readonly peers: LeadershipPeers;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -158,6 +158,7 @@
     this.changer = new PrimaryChanger(
       {
         vm: settings.vm,
+        topology: settings.topology,
         incarnation: options.incarnation,
         store: {
           read: () => adapter.store.readLeadership(),
--- a/test/leadership/changer.test.ts
+++ b/test/leadership/changer.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "@jest/globals";
+import { singleRegion, Topology } from "../../src/topology/index.js";
 import { LeadershipFixture } from "./fixture.js";
 
 /** Makes a proxy suspect the primary after an unanswered statement and a failed probe; returns the logged events. */
@@ -75,3 +76,36 @@
   expect(suspectedAt.length).toBeLessThanOrEqual(7);
   expect(suspectedAt.length).toBeGreaterThanOrEqual(4);
 });
+
+/** Replaces a silent primary in data centre `a` that has two replicas with equal logs; returns the new primary. */
+async function replacePrimary(topology: Topology): Promise<string | undefined> {
+  const fixture = new LeadershipFixture();
+  fixture.topology = topology;
+  fixture.otherTargets = [
+    { name: "i-1", dataCentre: "c" },
+    { name: "i-2", dataCentre: "b" },
+  ];
+  const received = { term: { round: 1, vm: "" }, offset: 4 };
+  fixture.replicaAnswer = {
+    type: "report",
+    report: { role: "replica", received, round: 1, lagMs: 0 },
+  };
+  const { changer, tracker } = fixture.makeProxy("a");
+  tracker.noteProbeResult("ledger", "i-0", 0, false);
+  fixture.clock.time = 400;
+  changer.checkGroups();
+  await fixture.clock.advance(8000);
+  return fixture.promoted[0];
+}
+
+test("the new primary is in the region of the replaced one where logs are equally complete", async () => {
+  const regions = new Topology(
+    new Map([
+      ["a", "east"],
+      ["b", "east"],
+      ["c", "west"],
+    ]),
+  );
+  expect(await replacePrimary(regions)).toBe("i-2");
+  expect(await replacePrimary(singleRegion)).toBe("i-1");
+});
--- a/test/leadership/decisions.test.ts
+++ b/test/leadership/decisions.test.ts
@@ -37,6 +37,20 @@
   expect(chooseCandidate([], "old")).toBeUndefined();
 });
 
+test("among equally long logs the replaced primary's region comes first", () => {
+  const far = { ...createCandidate("a", 5), isRemote: true };
+  const near = createCandidate("b", 5, { lagMs: 40 });
+  expect(chooseCandidate([far, near], "old")?.target).toBe("b");
+  expect(chooseCandidate([far, { ...near, isRemote: false }], "old")?.target).toBe("b");
+  expect(chooseCandidate([far, { ...near, isLeaving: true }], "old")?.target).toBe("a");
+});
+
+// A region must not be preferred to commits that its replica has not received.
+test("a longer log in another region is chosen before the replaced primary's region", () => {
+  const far = { ...createCandidate("a", 6), isRemote: true };
+  expect(chooseCandidate([far, createCandidate("b", 5)], "old")?.target).toBe("a");
+});
+
 // The proxy that carried out an earlier change failed after the promotion. Promoting another target, even one with an
 // equally long log, would discard writes that the new primary has acknowledged since.
 test("a target that is already primary of a newer round is kept", () => {
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -9,6 +9,7 @@
   type VersionedLeadership,
 } from "../../src/leadership/index.js";
 import type { LogEvent, LogFields } from "../../src/log/index.js";
+import { singleRegion } from "../../src/topology/index.js";
 import { FakeClock, makeRandom } from "../fleet/fakes.js";
 
 /** A store with the leadership document, and the parts of proxies that share it. */
@@ -21,6 +22,11 @@
   /** A replica's answer to every status request; undefined if the group has no replica. */
   replicaAnswer: TargetAnswer | undefined;
   promotionCount = 0;
+  /** The promoted targets, in order. */
+  readonly promoted: string[] = [];
+  topology = singleRegion;
+  /** Replaces the group's targets; they answer status requests as `replicaAnswer` says. */
+  otherTargets: readonly { readonly name: string; readonly dataCentre: string }[] = [];
   private version = 10;
 
   makeProxy(vm: string, wall: () => number = () => this.clock.now()) {
@@ -47,6 +53,7 @@
     };
     const ports: LeadershipPorts = {
       vm,
+      topology: this.topology,
       incarnation: `${vm}-1`,
       store,
       peers: {
@@ -54,9 +61,10 @@
         askTarget: () => Promise.resolve(undefined),
       },
       askTarget: ({ target }) =>
-        Promise.resolve(target === "i-1" ? this.getReplicaAnswer() : this.targetAnswer),
-      promote: () => {
+        Promise.resolve(target === "i-0" ? this.targetAnswer : this.getReplicaAnswer()),
+      promote: ({ target }) => {
         this.promotionCount += 1;
+        this.promoted.push(target);
         return Promise.resolve({ type: "accepted" });
       },
       clock,
@@ -81,7 +89,9 @@
   }
 
   private listTargets() {
-    return this.replicaAnswer === undefined ? [primary] : [primary, replica];
+    if (this.replicaAnswer === undefined) return [primary];
+    if (this.otherTargets.length === 0) return [primary, replica];
+    return [primary, ...this.otherTargets.map((change) => ({ ...replica, ...change }))];
   }
 
   private writeDocument(document: LeadershipDocument) {
