Log a data centre without a region once

Cause: a data centre that the settings name no region for counts as a region of its own; nothing said so, and its empty entry was dropped without a trace. Change: in a deployment with regions, event 5220 names each such data centre once: one of the settings, this node's own, or that of a target or of a listed proxy. Empty entries make no region; the rest of the settings stays in effect.

--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -92,6 +92,12 @@
     level: "error",
     text: "The changed settings are invalid; the previous ones stay in force.",
   },
+  dataCentreWithoutRegion: {
+    id: 5220,
+    name: "zoneWithoutRegion",
+    level: "warn",
+    text: "The settings name no region for a data centre, which is treated as a region of its own.",
+  },
   targetUnanswered: {
     id: 5207,
     name: "targetUnanswered",
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -27,6 +27,7 @@
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
 import { planDrain, type DrainPlan } from "./drain.js";
 import { countTokenRequests, createRemotePeers } from "./remote-peers.js";
+import { RegionCheck } from "./region-check.js";
 import { NodeRates } from "./rates.js";
 import type { NodeSettings } from "./settings.js";
 
@@ -73,6 +74,7 @@
   private readonly forwarding: Forwarding;
   private readonly proxyLiveness: ProxyLivenessMonitor;
   private readonly rates: NodeRates;
+  private readonly regionCheck: RegionCheck;
   private readonly server: LineServer;
   private readonly drainer: DrainRunner;
   private readonly drainPlan: DrainPlan;
@@ -86,6 +88,7 @@
     const { settings, adapter, clock, random, logger } = options;
     this.metrics = createMetrics({ process: true });
     this.drainPlan = planDrain(settings.graceMs);
+    this.regionCheck = new RegionCheck(settings.topology, logger);
     this.tracker = new LeadershipTracker({
       clock,
       logger,
@@ -217,6 +220,7 @@
     await this.forwarding.listen(this.directPorts, this.groups);
     await this.server.listen();
     logger.write(processEvents.started, { vm: settings.vm, dataCentre: settings.dataCentre });
+    this.regionCheck.check([settings.dataCentre, ...settings.topology.listWithoutRegion()]);
     void this.follower.run();
   }
 
@@ -266,6 +270,7 @@
   private handlePoll(): void {
     const { registry, isPollingStore } = this.follower;
     this.rates.refresh();
+    this.regionCheck.check(registry.list().map(({ dataCentre }) => dataCentre ?? ""));
     if (!registry.isRegistered()) return;
     this.changer.checkGroups();
     if (this.forwarding.isEnabled) this.proxyLiveness.checkProxies(registry.list(), isPollingStore);
@@ -354,6 +359,8 @@
 
   private applyServingConfig(config: ServingConfig): void {
     this.groups.update(config);
+    const targets = [...config.groups.values()].flatMap((group) => group.targets);
+    this.regionCheck.check(targets.map(({ dataCentre }) => dataCentre));
     this.rates.refresh();
     this.callers.endRevoked();
     this.metrics.setRevision(config.revision);
--- a/src/topology/topology.ts
+++ b/src/topology/topology.ts
@@ -26,9 +26,17 @@
   /** Whether there are at least two regions. Otherwise distances between regions play no part. */
   readonly hasRegions: boolean;
 
-  /** `regions` names the region of each data centre. */
-  constructor(private readonly regions: ReadonlyMap<string, string>) {
-    this.hasRegions = new Set(regions.values()).size > 1;
+  private readonly regions: ReadonlyMap<string, string>;
+
+  /** `regions` names the region of each data centre; an empty name stands for none. */
+  constructor(private readonly entries: ReadonlyMap<string, string>) {
+    this.regions = new Map([...entries].filter(([, region]) => region !== ""));
+    this.hasRegions = new Set(this.regions.values()).size > 1;
+  }
+
+  /** The data centres whose entries name no region. */
+  listWithoutRegion(): readonly string[] {
+    return [...this.entries.keys()].filter((dataCentre) => !this.regions.has(dataCentre));
   }
 
   /** The region of a data centre; undefined where it is unknown. */
--- a/test/platformside/codec.test.ts
+++ b/test/platformside/codec.test.ts
@@ -132,6 +132,19 @@
   });
 });
 
+// One data centre's faulty entry must not end the process or take the others' regions away.
+test("a data centre without a region in the settings leaves the other regions in effect", () => {
+  const zones = ["zones.a=east", "zones.b= ", "zones.c=west"];
+  const read = parseSettings([...settingsText, ...zones].join("\n"));
+  if (read.type !== "read") throw new Error(read.faults.join());
+  const { topology, dataCentres } = read.settings;
+  expect(dataCentres).toBe(3);
+  expect(topology.hasRegions).toBe(true);
+  expect(topology.listWithoutRegion()).toEqual(["b"]);
+  expect(topology.measureDistance("a", "c")).toBe("remote");
+  expect(topology.measureDistance("a", "b")).toBe("remote");
+});
+
 test.each([
   ["no version", { routes: [], services: [] }],
   [
--- a/test/topology/topology.test.ts
+++ b/test/topology/topology.test.ts
@@ -39,3 +39,24 @@
   const distances: Distance[] = ["remote", "dataCentre", "region"];
   expect(distances.sort(compareDistance)).toEqual(["dataCentre", "region", "remote"]);
 });
+
+// An empty region name, shared by two data centres, must not make them near each other.
+test("a data centre whose entry is empty has no region", () => {
+  const regions = new Topology(
+    new Map([
+      ["a", "east"],
+      ["b", "west"],
+      ["c", ""],
+      ["d", ""],
+    ]),
+  );
+  expect(regions.listWithoutRegion()).toEqual(["c", "d"]);
+  expect(regions.measureDistance("c", "d")).toBe("remote");
+  const one = new Topology(
+    new Map([
+      ["a", "east"],
+      ["c", ""],
+    ]),
+  );
+  expect(one.hasRegions).toBe(false);
+});
