--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -26,6 +26,8 @@
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
 import { planDrain, type DrainPlan } from "./drain.js";
+import { countTokenRequests, createRemotePeers } from "./remote-peers.js";
+import { RegionCheck } from "./region-check.js";
 import { NodeRates } from "./rates.js";
 import type { NodeSettings } from "./settings.js";
 
@@ -72,6 +74,7 @@
   private readonly forwarding: Forwarding;
   private readonly proxyLiveness: ProxyLivenessMonitor;
   private readonly rates: NodeRates;
+  private readonly regionCheck: RegionCheck;
   private readonly server: LineServer;
   private readonly drainer: DrainRunner;
   private readonly drainPlan: DrainPlan;
@@ -85,6 +88,7 @@
     const { settings, adapter, clock, random, logger } = options;
     this.metrics = createMetrics({ process: true });
     this.drainPlan = planDrain(settings.graceMs);
+    this.regionCheck = new RegionCheck(settings.topology, logger);
     this.tracker = new LeadershipTracker({
       clock,
       logger,
@@ -102,7 +106,8 @@
       listTargets: (group) => this.listTargets(group),
       hasReached: (group, target, since) => this.tracker.hasReached(group, target, since),
     });
-    const peers = new DirectPeerClient(settings.vm, logger, clock);
+    const remote = createRemotePeers(settings, this.metrics);
+    const peers = new DirectPeerClient(settings.vm, logger, clock, remote);
     this.follower = new StoreFollower({
       settings,
       store: this.owned.add(adapter.store),
@@ -143,7 +148,7 @@
       new NodeRates({
         settings,
         peers,
-        gateways: this.forwarding,
+        gateways: countTokenRequests(this.forwarding, remote),
         tracker: this.tracker,
         getRegistry: () => this.follower.registry,
         findPolledAt: () => this.follower.lastPoll?.requestedAt,
@@ -156,6 +161,7 @@
     this.changer = new PrimaryChanger(
       {
         vm: settings.vm,
+        topology: settings.topology,
         incarnation: options.incarnation,
         store: {
           read: () => adapter.store.readLeadership(),
@@ -214,6 +220,7 @@
     await this.forwarding.listen(this.directPorts, this.groups);
     await this.server.listen();
     logger.write(processEvents.started, { vm: settings.vm, dataCentre: settings.dataCentre });
+    this.regionCheck.check([settings.dataCentre, ...settings.topology.listWithoutRegion()]);
     void this.follower.run();
   }
 
@@ -255,6 +262,7 @@
       getServingConfig: () => this.follower.servingConfig,
       findShareRule: (group, dataCentre) => this.forwarding.findShareRule(group, dataCentre),
       rates: this.rates.limiter,
+      onCrossing: (kind) => this.metrics.recordCrossing(kind),
       onStatement: (sample) => this.recordStatement(sample),
     };
   }
@@ -262,6 +270,7 @@
   private handlePoll(): void {
     const { registry, isPollingStore } = this.follower;
     this.rates.refresh();
+    this.regionCheck.check(registry.list().map(({ dataCentre }) => dataCentre ?? ""));
     if (!registry.isRegistered()) return;
     this.changer.checkGroups();
     if (this.forwarding.isEnabled) this.proxyLiveness.checkProxies(registry.list(), isPollingStore);
@@ -350,6 +359,8 @@
 
   private applyServingConfig(config: ServingConfig): void {
     this.groups.update(config);
+    const targets = [...config.groups.values()].flatMap((group) => group.targets);
+    this.regionCheck.check(targets.map(({ dataCentre }) => dataCentre));
     this.rates.refresh();
     this.callers.endRevoked();
     this.metrics.setRevision(config.revision);
--- a/src/topology/index.ts
+++ b/src/topology/index.ts
@@ -1,1 +1,9 @@
-export { compareDistance, singleRegion, Topology, type Distance } from "./topology.js";
+export {
+  assumedCrossingMs,
+  compareDistance,
+  distances,
+  singleRegion,
+  Topology,
+  type CrossingKind,
+  type Distance,
+} from "./topology.js";
--- a/src/topology/topology.ts
+++ b/src/topology/topology.ts
@@ -1,7 +1,17 @@
 /** How far apart two data centres are: the same one, in one region, or in different regions. */
 export type Distance = "dataCentre" | "region" | "remote";
 
-const distances: readonly Distance[] = ["dataCentre", "region", "remote"];
+/** All distances, the shortest first. */
+export const distances: readonly Distance[] = ["dataCentre", "region", "remote"];
+
+/**
+ * What a round trip between regions is assumed to take while none has been measured, in milliseconds: the light of
+ * a fibre covers about 6,000 km and back in this time.
+ */
+export const assumedCrossingMs = 60;
+
+/** What crosses between regions: a caller's statement, or a message between proxies. */
+export type CrossingKind = "read" | "write" | "transaction" | "control";
 
 /** Orders distances, the shortest first. */
 export function compareDistance(a: Distance, b: Distance): number {
@@ -13,16 +23,20 @@
  * that its traffic is treated as crossing between regions.
  */
 export class Topology {
+  /** Whether there are at least two regions. Otherwise distances between regions play no part. */
+  readonly hasRegions: boolean;
+
   private readonly regions: ReadonlyMap<string, string>;
 
-  /** `regions` names the region of each data centre. */
-  constructor(regions: ReadonlyMap<string, string>) {
-    this.regions = regions;
+  /** `regions` names the region of each data centre; an empty name stands for none. */
+  constructor(private readonly entries: ReadonlyMap<string, string>) {
+    this.regions = new Map([...entries].filter(([, region]) => region !== ""));
+    this.hasRegions = new Set(this.regions.values()).size > 1;
   }
 
-  /** Whether there are at least two regions. Otherwise distances between regions play no part. */
-  get hasRegions(): boolean {
-    return new Set(this.regions.values()).size > 1;
+  /** The data centres whose entries name no region. */
+  listWithoutRegion(): readonly string[] {
+    return [...this.entries.keys()].filter((dataCentre) => !this.regions.has(dataCentre));
   }
 
   /** The region of a data centre; undefined where it is unknown. */
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -1,4 +1,4 @@
-import { singleRegion } from "../../src/topology/index.js";
+import { singleRegion, type CrossingKind, type Topology } from "../../src/topology/index.js";
 import {
   GroupDirectory,
   type Database,
@@ -36,6 +36,9 @@
   readonly connections?: number;
   readonly slots?: number;
   readonly roster?: TeamRoster;
+  /** The data centres of the targets, "a" where none is given; the proxy is in "a". */
+  readonly dataCentres?: readonly string[];
+  readonly topology?: Topology;
 }
 
 export const group = "ledger";
@@ -58,6 +61,8 @@
   readonly closedConnections: string[] = [];
   /** Primaries that were reported to have lost their log. */
   readonly lostLogPrimaries: string[] = [];
+  /** The kinds of the statements that were sent to another region. */
+  readonly crossings: CrossingKind[] = [];
   /** The rule for the proxy's share of the targets' connections. */
   shareRule: ShareRule;
   primary: PrimaryState = { type: "serving", target: "p" };
@@ -75,7 +80,7 @@
         isTooManyConnections: () => false,
       },
       dataCentre: "a",
-      topology: singleRegion,
+      topology: options.topology ?? singleRegion,
       isSlotPlanned: () => false,
       primaries: {
         find: () => this.primary,
@@ -92,6 +97,7 @@
       getServingConfig: () => config,
       findShareRule: () => this.shareRule,
       rates: unlimitedRateLimiter,
+      onCrossing: (kind) => this.crossings.push(kind),
       onStatement: () => undefined,
     };
     this.groups = new GroupDirectory(this.ports);
@@ -187,7 +193,7 @@
   const targets = names.map((name, i) => ({
     name,
     address: { host: "10.0.0.1", port: 5000 + i },
-    dataCentre: "a",
+    dataCentre: options.dataCentres?.[i] ?? "a",
     slots: options.slots ?? 2,
     connections: options.connections ?? 16,
     announcedRole: i === 0 ? ("primary" as const) : ("replica" as const),
