Let a gateway redirect reads that need the primary

Cause: while replicas lag, reads wait for the one or two slots that a gateway of another data centre has at the primary, while the primary's own gateway refuses nothing. Change: before a read is placed, and again after a replica answered that it lags, a gateway that is not the first usable one of the primary's data centre leaves the read to that one, if the node accepts it (accepts_redirect) and isSlotPlanned() holds. No node sets the field yet. Event 2130, metric redirects_total. The result of isSlotPlanned() is kept for each configuration, as it is asked for each read.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -17,7 +17,7 @@
 
 /** Finds a target for one attempt at a statement or transaction, and acquires a connection to it. */
 export function placeAttempt(
-  { ports, group, database, team, nextId, disconnectSignal }: SessionContext,
+  { ports, group, database, team, nextId, disconnectSignal, redirect }: SessionContext,
   requirement: ReadRequirement,
   limits: Pick<PlacementRequest, "excluded" | "deadlineAt">,
 ): Promise<PlacementResult> {
@@ -30,6 +30,7 @@
     hasRequiredMark: requirement.type === "replica",
     isBackground: database.action.priority === "browsing",
     signal: disconnectSignal,
+    redirect,
   });
 }
 
--- a/src/direct/autocommit.ts
+++ b/src/direct/autocommit.ts
@@ -17,6 +17,7 @@
 import { directEvents } from "../log/events/direct.js";
 import type { RateClaim } from "../rates/index.js";
 import type { PlacedConnection, RefusedPlacement } from "./placement.js";
+import { endAsRedirected } from "./redirect.js";
 import { classifyResult } from "./result-class.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
 
@@ -111,6 +112,8 @@
   switch (placed.type) {
     case "refused":
       return refuse(context, work, placed);
+    case "redirected":
+      return { reply: endAsRedirected(context, work.id, placed.reason, "idle") };
     case "unreachable":
       excluded.add(placed.target);
       state.lastReason = placed.reason;
@@ -181,6 +184,7 @@
       return { reply: failLocally("inDoubt", `may have run: ${outcome.reason}`, "idle") };
     case "retry":
       if (outcome.isNotRun) state.claim.noteNotRun();
+      else context.redirect?.withdraw();
       await handleFailedAttempt(context, placement, outcome.reason, state);
       return undefined;
   }
--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -86,6 +86,22 @@
   return { type: "targets", role: "replica", names: pickLeastLoaded(fallbackReplicas, random) };
 }
 
+/**
+ * Whether a read needs the primary: no replica is known to be fresh enough, or none can be read because all
+ * lag or are unreachable. A replica that only had no free slot for this statement does not count as unreadable.
+ */
+export function needsPrimarySlot(
+  constraints: PlacementConstraints,
+  primary: PrimaryState,
+  candidates: readonly CandidateTarget[],
+  now: number,
+): boolean {
+  if (constraints.needsPrimary) return true;
+  const primaryName = primary.type === "serving" ? primary.target : undefined;
+  const unrefused = { ...constraints, excluded: new Set<string>() };
+  return !candidates.some((v) => v.name !== primaryName && isEligible(v, unrefused, now));
+}
+
 /**
  * Chooses the primary unless it has just failed to answer. Statements sent to it then would wait in vain for
  * a connection and be refused only at their deadline.
--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -1,6 +1,7 @@
 import { pickLaterMark, type Mark, type Team } from "../model/index.js";
 import type { DirectGroup } from "./group.js";
 import type { DirectPorts } from "./ports.js";
+import type { RedirectOffer } from "./redirect.js";
 import type { Database } from "./serving-config.js";
 import type { StatementTrace } from "./trace.js";
 
@@ -21,6 +22,8 @@
   readonly trace: StatementTrace;
   /** Generates an id for an attempt that is unique within this process. */
   readonly nextId: () => string;
+  /** Lets this process leave the statement to the primary's gateway; absent where it must run here. */
+  readonly redirect?: RedirectOffer;
 }
 
 /** Tightens the staleness limit to allow for the time that the answer takes to reach the caller. */
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -26,6 +26,7 @@
   type TargetHealth,
 } from "./health.js";
 import type { DirectPorts } from "./ports.js";
+import { positionReadIntervalMs } from "./redirect.js";
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
 import type { AnnouncedGroup, AnnouncedTarget } from "./serving-config.js";
@@ -75,6 +76,7 @@
   private history: PositionHistory = emptyHistory;
   /** The newest end of its log that the current primary has reported. */
   private reportedEnd: ReportedEnd | undefined;
+  private positionReadAt = -Infinity;
   private readonly shares = new Map<string, ConnectionShare>();
 
   constructor(
@@ -193,6 +195,14 @@
     return findMarkSince(this.history, time);
   }
 
+  /** Whether a read may go to the primary to learn the end of its log; false while another one does so. */
+  beginPositionRead(): boolean {
+    const now = this.ports.clock.now();
+    if (now - this.positionReadAt < positionReadIntervalMs) return false;
+    this.positionReadAt = now;
+    return true;
+  }
+
   /** Discards the known log positions. Called when the process was suspended for an unknown time. */
   forgetMarks(): void {
     this.history = emptyHistory;
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -6,6 +6,7 @@
 export { describeRefusal } from "./pause.js";
 export { type PrimarySource, type PrimaryState } from "./primary.js";
 export { watchTransactionIdle } from "./idle.js";
+export { minRedirectMs, RedirectOffer } from "./redirect.js";
 export { type ShareRule } from "./share.js";
 export { directRunner } from "./direct.js";
 export { type OpenTransaction, type WorkRunner } from "./runner.js";
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -1,8 +1,15 @@
 import { type AdmissionRequest } from "../controller/admission/index.js";
 import type { HeldConnection, Slot } from "../capacity/index.js";
-import { chooseCandidates, type PlacementConstraints } from "./candidates.js";
+import {
+  chooseCandidates,
+  needsPrimarySlot,
+  type CandidateTarget,
+  type PlacementConstraints,
+} from "./candidates.js";
 import type { DirectGroup } from "./group.js";
 import type { DirectPorts } from "./ports.js";
+import type { PrimaryState } from "./primary.js";
+import { minRedirectMs, type RedirectOffer } from "./redirect.js";
 import type { TrackedLink } from "./tracked-link.js";
 import type { Database } from "./serving-config.js";
 
@@ -14,6 +21,8 @@
   readonly team: string;
   readonly deadlineAt: number;
   readonly signal: AbortSignal;
+  /** For a read that may be left to the primary's gateway. */
+  readonly redirect?: RedirectOffer | undefined;
 }
 
 /** A connection and a slot at a target, held until `release` or `drop`. */
@@ -41,7 +50,9 @@
       readonly waitedFor: readonly string[];
     }
   /** No connection to the target could be acquired; another target may be reachable. */
-  | { readonly type: "unreachable"; readonly target: string; readonly reason: string };
+  | { readonly type: "unreachable"; readonly target: string; readonly reason: string }
+  /** The request's redirect was accepted; nothing has been acquired. */
+  | { readonly type: "redirected"; readonly reason: string };
 
 /** A placement request that was refused. */
 export type RefusedPlacement = Extract<PlacementResult, { type: "refused" }>;
@@ -59,7 +70,7 @@
   request: PlacementRequest,
 ): Promise<PlacementResult> {
   const choice = await waitForCandidates(ports, group, request);
-  if (choice.type === "refused") return choice;
+  if (choice.type !== "chosen") return choice;
   const admitted = await group.acquire(makeAdmissionRequest(request, choice.names), request.signal);
   if (admitted.type === "refused") {
     const { reason } = admitted;
@@ -87,7 +98,8 @@
       readonly role: "primary" | "replica";
       readonly names: readonly string[];
     }
-  | RefusedPlacement;
+  | RefusedPlacement
+  | Extract<PlacementResult, { type: "redirected" }>;
 
 /**
  * Chooses candidates, and waits for a usable primary while one is expected before the deadline and within
@@ -103,9 +115,13 @@
   for (;;) {
     const now = clock.now();
     const primary = primaries.find(group.name);
-    const choice = chooseCandidates(request, primary, group.listCandidates(request.team), now, () =>
-      random.draw(),
-    );
+    const candidates = group.listCandidates(request.team);
+    const redirectReason = findRedirectReason(group, request, primary, candidates, now);
+    if (redirectReason !== undefined) {
+      request.redirect?.accept(redirectReason);
+      return { type: "redirected", reason: redirectReason };
+    }
+    const choice = chooseCandidates(request, primary, candidates, now, () => random.draw());
     if (choice.type === "targets")
       return { type: "chosen", role: choice.role, names: choice.names };
     if (choice.type === "nowhere") {
@@ -125,6 +141,34 @@
   }
 }
 
+/**
+ * Why a read is left to the primary's gateway; undefined when it is placed here. Of the reads for which no log
+ * position is known, one at a time goes to the primary from here if it has a free slot: its answer tells the
+ * position by which replicas are read again. Otherwise a gateway that redirects would never learn it.
+ */
+function findRedirectReason(
+  group: DirectGroup,
+  request: PlacementRequest,
+  primary: PrimaryState,
+  candidates: readonly CandidateTarget[],
+  now: number,
+): string | undefined {
+  if (request.redirect?.isOpen !== true || request.deadlineAt - now < minRedirectMs)
+    return undefined;
+  if (!needsPrimarySlot(request, primary, candidates, now)) return undefined;
+  if (!request.needsPrimary) return "no replica can be read, as they lag or are unreachable";
+  const target = primary.type === "serving" ? primary.target : undefined;
+  // Background work leaves one of several slots free.
+  const reserved = request.isBackground ? 1 : 0;
+  const hasFreeSlot = candidates.some(
+    (v) => v.name === target && v.occupiedSlots < Math.max(1, v.slots - reserved),
+  );
+  const { route } = request.database.action;
+  const wantsPosition = route.type !== "primary" && route.maxAgeMs !== undefined;
+  if (wantsPosition && hasFreeSlot && group.beginPositionRead()) return undefined;
+  return "no replica is known to be fresh enough";
+}
+
 function makeAdmissionRequest(
   request: PlacementRequest,
   candidates: readonly string[],
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -54,4 +54,6 @@
   /** Enforces the teams' rate limits. */
   readonly rates: RateLimiter;
   readonly onStatement: (sample: StatementSample) => void;
+  /** Called when this process leaves a statement of a group to the primary's gateway. */
+  readonly onRedirect: (group: string) => void;
 }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -14,6 +14,7 @@
 import { findReadRequirement, type SessionContext } from "./context.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
 import type { PlacedConnection, RefusedPlacement } from "./placement.js";
+import { endAsRedirected } from "./redirect.js";
 import type { OpenTransaction } from "./runner.js";
 import { rateClaimLapsedReason, prepareLink, type StatementResult } from "./autocommit.js";
 import type { RateClaim } from "../rates/index.js";
@@ -173,6 +174,10 @@
       if (placed.type === "refused") {
         return this.refuse(context, placed);
       }
+      if (placed.type === "redirected") {
+        this.phase = { type: "failed", reason: placed.reason };
+        return endAsRedirected(context, work?.id ?? "", placed.reason, "failed");
+      }
       if (placed.type === "unreachable") {
         excluded.add(placed.target);
         reason = placed.reason;
@@ -220,13 +225,17 @@
     const command = { type: "begin", isReadOnly: this.isReadOnly, ...mark } as const;
     const leftMs = deadlineAt - context.ports.clock.now();
     const result = await sendCommand(context, placement, command, leftMs);
-    if (result.type === "broken") return result.reason;
+    if (result.type === "broken") {
+      if (result.sent) context.redirect?.withdraw();
+      return result.reason;
+    }
     const { end } = result.reply;
     if (end.type === "complete") {
       this.phase = { type: "open", placement };
       return undefined;
     }
     if (isNotRun(end.code)) claim.noteNotRun();
+    else context.redirect?.withdraw();
     if (end.code === "lagging") placement.group.noteLagging(placement.target);
     await this.rollbackAndRelease(context, placement);
     return end.code;
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -76,6 +76,19 @@
     };
   }
 
+  /**
+   * Whether a read that needs the primary is better run by another process: the first usable gateway of the
+   * primary's data centre. False where the primary's data centre is unknown or has no usable gateway.
+   */
+  canRedirect(group: string): boolean {
+    const plan = this.findPlan(group);
+    const centre = this.findPrimaryDataCentre(group);
+    if (plan.isEveryProxyGateway || centre === undefined) return false;
+    const gateways = plan.byDataCentre.get(centre) ?? [];
+    const first = gateways.find(({ vm }) => !this.ports.isAvoided(vm));
+    return first !== undefined && first.vm !== this.ports.vm;
+  }
+
   /** The proxies that hold connections to a group's targets. */
   listGroupGateways(group: string): readonly Proxy[] {
     const plan = this.findPlan(group);
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -3,6 +3,7 @@
 import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
 import {
   directRunner,
+  RedirectOffer,
   StatementTrace,
   watchTransactionIdle,
   type DirectPorts,
@@ -23,7 +24,7 @@
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
 import type { Team } from "../model/index.js";
 import type { TokenGrant } from "../rates/index.js";
-import { failLocally, type Reply } from "../statement/index.js";
+import { failLocally, findEffect, type Reply, type Work } from "../statement/index.js";
 import { decodeSession, decodeWork, encodeAnswer, type TransactionPart } from "./codec.js";
 import { FrameChannel } from "./channel.js";
 import { LivenessMonitor } from "./liveness.js";
@@ -37,6 +38,8 @@
   readonly nextId: () => string;
   /** Transfers tokens of a team to the node that asks. */
   readonly grantTokens: (team: string, wanted: number) => TokenGrant;
+  /** Whether a read of this group that needs the primary is better run by another process. */
+  readonly canRedirect: (group: string) => boolean;
 }
 
 type ResponseOutcome = NonNullable<MessageInitShape<typeof GatewayResponseSchema>["outcome"]>;
@@ -148,8 +151,10 @@
       this.refuse(call, "the message contains no statement");
       return;
     }
-    const context = this.admit(call, step.session, step.transaction !== 0 && !step.opens);
-    if (context === undefined) return;
+    const admitted = this.admit(call, step.session, step.transaction !== 0 && !step.opens);
+    if (admitted === undefined) return;
+    const redirect = this.createRedirectOffer(step, work);
+    const context = redirect === undefined ? admitted : { ...admitted, redirect };
     if (step.transaction === 0) {
       await this.answer(call, context, () =>
         directRunner.runAutocommit(context, work, context.ports.clock.now()),
@@ -240,14 +245,31 @@
     return held;
   }
 
+  /**
+   * The offer to leave a read to the primary's gateway; undefined unless its node accepts that, and the read is by
+   * itself or the first of a read-only transaction.
+   */
+  private createRedirectOffer(step: RunStep, work: Work): RedirectOffer | undefined {
+    const { session, transaction, opens, isReadOnly } = step;
+    const isFirst = transaction === 0 || (opens && isReadOnly);
+    if (session?.acceptsRedirect !== true || !isFirst || findEffect(work) === "write")
+      return undefined;
+    const { direct, canRedirect } = this.ports;
+    return direct.isSlotPlanned() ? new RedirectOffer(() => canRedirect(session.group)) : undefined;
+  }
+
   /** Runs a step and sends its answer, which the node ignores if it has cancelled the call. */
   private async answer(
     call: number,
-    { trace }: SessionContext,
+    { trace, redirect }: SessionContext,
     run: () => Promise<StatementResult>,
   ): Promise<void> {
     try {
       const { reply, commitMark: written } = await run();
+      if (redirect?.reason !== undefined) {
+        this.send(call, { case: "redirect", value: { reason: redirect.reason } });
+        return;
+      }
       const { target, role, attemptCount: tries } = trace;
       const answer = { reply, isWritten: written !== undefined, target, role, tries };
       this.send(call, { case: "reply", value: encodeAnswer(answer) });
--- a/src/log/events/gateway.ts
+++ b/src/log/events/gateway.ts
@@ -32,4 +32,10 @@
     level: "info",
     text: "A statement was refused because no gateway of its group accepted it; it did not run.",
   },
+  redirected: {
+    id: 2130,
+    name: "statementRedirected",
+    level: "info",
+    text: "This node left a read that needs the primary to the primary's gateway; nothing of it ran here.",
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -40,6 +40,8 @@
   recordQueueWait(priority: Priority, seconds: number): void;
   /** Records a caller's statement with the time from its arrival to its final answer. */
   recordStatement(outcome: string, seconds: number): void;
+  /** Counts a read that this process left to the primary's gateway. */
+  recordRedirect(group: string): void;
   recordStoreCall(operation: string, outcome: string): void;
   recordViolation(invariant: Invariant): void;
   setConnections(group: string, state: ConnectionState, count: number): void;
@@ -82,6 +84,7 @@
   private readonly failoverPhases: Histogram<"phase">;
   private readonly queueWaits: Histogram<"class">;
   private readonly statements: Histogram<"outcome">;
+  private readonly redirects: Counter<"group">;
   private readonly storeCalls: Counter<"operation" | "outcome">;
   private readonly violations: Counter<"invariant">;
   private readonly connections: Gauge<"group" | "state">;
@@ -136,6 +139,9 @@
       ]),
       buckets: waitBucketsSeconds,
     });
+    this.redirects = new Counter(
+      define("redirects_total", "Reads that were left to the gateway of their primary.", ["group"]),
+    );
     this.storeCalls = new Counter(
       define("store_calls_total", "Calls to the platform's store.", ["operation", "outcome"]),
     );
@@ -177,6 +183,10 @@
     this.statements.observe({ outcome }, seconds);
   }
 
+  recordRedirect(group: string): void {
+    this.redirects.inc({ group: this.groupLabels.toLabelValue(group) });
+  }
+
   recordStoreCall(operation: string, outcome: string): void {
     this.storeCalls.inc({ operation, outcome });
   }
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -46,6 +46,7 @@
   private readonly connections: GatewayConnections;
   private readonly router: GatewayRouter;
   private server: GatewayServer | undefined;
+  private planned: { readonly config: ServingConfig; readonly isPlanned: boolean } | undefined;
 
   constructor(private readonly ports: ForwardingPorts) {
     const { settings, clock, logger, listProxies, findGroup, findLeader, isListed } = ports;
@@ -73,7 +74,12 @@
 
   /** Whether one gateway plans the slots of a target for the whole fleet. */
   isSlotPlanned(config: ServingConfig): boolean {
-    return this.isEnabled && (this.ports.settings.topology.hasRegions || hasLevels(config));
+    // Asked for each read, while the configuration seldom changes.
+    if (this.planned?.config !== config) {
+      const isPlanned = this.ports.settings.topology.hasRegions || hasLevels(config);
+      this.planned = { config, isPlanned };
+    }
+    return this.isEnabled && this.planned.isPlanned;
   }
 
   /** Creates the runner of callers' statements: forwarding where that is enabled, direct otherwise. */
@@ -92,6 +98,7 @@
       findRefusal: () => this.findRefusal(),
       nextId: () => `h${nextCall++}`,
       grantTokens: this.ports.grantTokens,
+      canRedirect: (group) => this.router.canRedirect(group),
     });
     this.server = this.owned.add(server);
     await server.listen();
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -256,6 +256,7 @@
       findShareRule: (group, dataCentre) => this.forwarding.findShareRule(group, dataCentre),
       rates: this.rates.limiter,
       onStatement: (sample) => this.recordStatement(sample),
+      onRedirect: (group) => this.metrics.recordRedirect(group),
     };
   }
 
--- a/test/direct/decisions.test.ts
+++ b/test/direct/decisions.test.ts
@@ -1,5 +1,9 @@
 import { expect, test } from "@jest/globals";
-import { chooseCandidates, type CandidateTarget } from "../../src/direct/candidates.js";
+import {
+  chooseCandidates,
+  needsPrimarySlot,
+  type CandidateTarget,
+} from "../../src/direct/candidates.js";
 import { isIdleLimitReached } from "../../src/direct/idle.js";
 import { computeShare, type ShareRule } from "../../src/direct/share.js";
 import {
@@ -219,3 +223,17 @@
   // A shorter configured limit takes precedence.
   expect(isIdleLimitReached(100, 100, false)).toBe(true);
 });
+
+test("a read needs the primary when its replicas lag or fail, but not when they only had no slot", () => {
+  const needs = (views: readonly CandidateTarget[], demand = read) =>
+    needsPrimarySlot(demand, serving, views, 100);
+  const lagging = view("a", { health: noteLagging(healthyTarget, 100) });
+  const failing = view("b", { health: noteFailure(healthyTarget, 100) });
+  expect(needs([view("p"), view("a")])).toBe(false);
+  expect(needs([view("p"), lagging, failing])).toBe(true);
+  expect(needs([view("p"), lagging, view("b")])).toBe(false);
+  expect(needs([view("p"), view("a", { running: 2, occupiedSlots: 2 })])).toBe(false);
+  expect(needs([view("p"), view("a")], { ...read, excluded: new Set(["a"]) })).toBe(false);
+  expect(needs([view("p"), view("a")], { ...read, needsPrimary: true })).toBe(true);
+  expect(needs([view("p")])).toBe(true);
+});
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -12,7 +12,7 @@
 import { DirectSession } from "../../src/direct/session.js";
 import { silentLogger } from "../../src/log/index.js";
 import type { Mark, Route } from "../../src/model/index.js";
-import { unlimitedRateLimiter } from "../../src/rates/index.js";
+import { unlimitedRateLimiter, type RateLimiter } from "../../src/rates/index.js";
 import {
   completeLocally,
   type CommandResult,
@@ -36,6 +36,10 @@
   readonly connections?: number;
   readonly slots?: number;
   readonly roster?: TeamRoster;
+  readonly rates?: RateLimiter;
+  /** The proxy's data centre; that of all targets unless `targetDataCentres` names others. */
+  readonly dataCentre?: string;
+  readonly targetDataCentres?: readonly string[];
 }
 
 export const group = "ledger";
@@ -63,6 +67,12 @@
   primary: PrimaryState = { type: "serving", target: "p" };
   readonly groups: GroupDirectory;
   readonly ports: DirectPorts;
+  /** Whether the fixture's deployment plans the slots of targets for the whole fleet. */
+  isSlotPlanned = false;
+  /** The end of the log that targets report on new connections. */
+  openedAt: Mark | undefined;
+  /** How many statements this proxy left to the primary's gateway. */
+  redirectCount = 0;
   private next = 1;
   private readonly config: ServingConfig;
 
@@ -74,9 +84,9 @@
         open: (_group, target) => Promise.resolve(this.makeLink(target.name)),
         isTooManyConnections: () => false,
       },
-      dataCentre: "a",
+      dataCentre: options.dataCentre ?? "a",
       topology: singleRegion,
-      isSlotPlanned: () => false,
+      isSlotPlanned: () => this.isSlotPlanned,
       primaries: {
         find: () => this.primary,
         noteContact: () => undefined,
@@ -91,8 +101,9 @@
       logger: silentLogger,
       getServingConfig: () => config,
       findShareRule: () => this.shareRule,
-      rates: unlimitedRateLimiter,
+      rates: options.rates ?? unlimitedRateLimiter,
       onStatement: () => undefined,
+      onRedirect: () => (this.redirectCount += 1),
     };
     this.groups = new GroupDirectory(this.ports);
     this.config = config;
@@ -141,7 +152,7 @@
       get isUsable() {
         return isUsable && !isInUse;
       },
-      openedAt: undefined,
+      openedAt: this.openedAt,
       run: (command) => {
         if (!isUsable || isInUse) {
           return Promise.resolve({ type: "broken", sent: false, reason: "closed or in use" });
@@ -187,7 +198,7 @@
   const targets = names.map((name, i) => ({
     name,
     address: { host: "10.0.0.1", port: 5000 + i },
-    dataCentre: "a",
+    dataCentre: options.targetDataCentres?.[i] ?? "a",
     slots: options.slots ?? 2,
     connections: options.connections ?? 16,
     announcedRole: i === 0 ? ("primary" as const) : ("replica" as const),
@@ -195,6 +206,7 @@
   const databases = [
     makeDatabase("primary", { type: "primary" }),
     makeDatabase("own", { type: "replica", maxAgeMs: 2500 }),
+    makeDatabase("session", { type: "replica" }),
   ];
   return {
     revision: 1,
--- a/test/metric/metric.test.ts
+++ b/test/metric/metric.test.ts
@@ -58,3 +58,10 @@
   expect(drains).toBe(1);
   await server.dispose();
 });
+
+test("redirects are counted by group", async () => {
+  const metrics = createMetrics();
+  metrics.recordRedirect("ledger");
+  metrics.recordRedirect("ledger");
+  expect(await metrics.render()).toContain('radishwalk_redirects_total{group="ledger"} 2');
+});
