Follow redirects at the entry node

Cause: a gateway may leave reads that need the primary to the primary's gateway, and no node asks for it.

--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -1,4 +1,5 @@
 import { describeRefusal, type SessionContext, type StatementResult } from "../direct/index.js";
+import { directEvents } from "../log/events/direct.js";
 import { gatewayEvents } from "../log/events/gateway.js";
 import { failLocally, type Reply } from "../statement/index.js";
 import type { GatewayAnswer } from "./codec.js";
@@ -9,6 +10,9 @@
  */
 const noGatewayRetryMs = 500;
 
+/** The retry delay after a redirect without time to follow it: the gateways of the primary serve. In milliseconds. */
+const outOfTimeRetryMs = 50;
+
 /** Converts a gateway's answer to the end of a statement; only the mark of a commit of this session is kept. */
 export function toStatementEnd({ reply, isWritten }: GatewayAnswer): StatementResult {
   return isWritten && reply.mark !== undefined ? { reply, commitMark: reply.mark } : { reply };
@@ -25,3 +29,16 @@
   ports.logger.write(gatewayEvents.noGateway, { id, session });
   return failLocally("busy", describeRefusal(reason, noGatewayRetryMs), state);
 }
+
+/** Logs and builds the refusal of a read that was redirected too late to be sent again. Nothing has run. */
+export function refuseOutOfTime(
+  { session, ports, trace }: SessionContext,
+  id: string,
+  state: Reply["state"],
+): Reply {
+  const reason = "the read needs the primary, and too little time is left to send it there";
+  trace.noteReason(reason);
+  const fields = { id, session, reason, retryAfterMs: outOfTimeRetryMs, waitedFor: [] };
+  ports.logger.write(directEvents.refused, fields);
+  return failLocally("busy", describeRefusal(reason, outOfTimeRetryMs), state);
+}
--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -76,14 +76,18 @@
 /** For a statement outside a transaction. */
 export const noTransaction: TransactionPart = { transaction: 0, opens: false, isReadOnly: false };
 
-/** Encodes the step that runs a statement; `leftMs` is the time left for its answer. */
+/**
+ * Encodes the step that runs a statement; `leftMs` is the time left for its answer. `acceptsRedirect` tells the
+ * gateway that it may leave the statement to the primary's gateway.
+ */
 export function encodeRun(
   context: SessionContext,
   work: Work,
   leftMs: number,
   part: TransactionPart,
+  acceptsRedirect = false,
 ): RequestStep {
-  const session = encodeSession(context, leftMs);
+  const session = encodeSession(context, leftMs, acceptsRedirect);
   return { case: "run", value: { session, ...part, work: encodeWork(work) } };
 }
 
@@ -165,7 +169,11 @@
   return { reply, isWritten, target, role: decodeRole(message.role), tries };
 }
 
-function encodeSession(context: SessionContext, leftMs: number): SessionPart {
+function encodeSession(
+  context: SessionContext,
+  leftMs: number,
+  acceptsRedirect = false,
+): SessionPart {
   const { session, database, values, lastCommit: written, team } = context;
   const { route, priority, maxQueueMs } = database.action;
   const maxAgeMs = route.type === "primary" ? undefined : route.maxAgeMs;
@@ -181,6 +189,7 @@
     values: Object.fromEntries(values),
     ...(written === undefined ? {} : { written: encodeMark(written) }),
     ...(team === undefined ? {} : { team: team.name }),
+    acceptsRedirect,
   });
 }
 
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -19,6 +19,8 @@
   | { readonly type: "answered"; readonly answer: GatewayAnswer }
   /** Nothing has run: the gateway does not serve the group now. */
   | { readonly type: "turnedAway"; readonly reason: string }
+  /** Nothing has run: the statement needs the primary, whose gateway is another process. */
+  | { readonly type: "redirected"; readonly reason: string }
   /** Nothing has run, and no gateway would accept it: the statement and the session's values are too long. */
   | { readonly type: "tooLarge" }
   /** When `isSent`, the call may have reached the gateway and run. */
@@ -218,7 +220,7 @@
         this.calls.get(call)?.settle({ type: "turnedAway", reason: outcome.value });
         return;
       case "redirect":
-        this.calls.get(call)?.settle({ type: "turnedAway", reason: outcome.value.reason });
+        this.calls.get(call)?.settle({ type: "redirected", reason: outcome.value.reason });
         return;
       case "ping":
         this.send({ case: "pong", value: true });
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -47,6 +47,10 @@
       connections.recordFailure(vm, result.reason);
       context.trace.noteReason(`${vm}: ${result.reason}`);
       break;
+    case "redirected":
+      connections.recordAnswer(vm);
+      context.trace.noteReason(`${vm}: redirected: ${result.reason}`);
+      break;
     case "tooLarge":
       context.trace.noteReason(tooLargeReason);
       break;
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -7,10 +7,11 @@
 } from "../direct/index.js";
 import type { Effect } from "../model/index.js";
 import { failLocally, findEffect, type Work } from "../statement/index.js";
-import { refuseWithoutGateway, toStatementEnd } from "./answers.js";
+import { refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
 import { encodeRun, noTransaction } from "./codec.js";
 import type { ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
+import { RedirectingSender, type ReadEnd } from "./redirect.js";
 import type { GatewayRouter, Destination } from "./router.js";
 import { RoutedTransaction } from "./transaction.js";
 import {
@@ -23,10 +24,14 @@
 
 /** Runs statements locally when this process holds the group's connections, else at a gateway. */
 export class RoutedRunner implements WorkRunner {
+  private readonly sender: RedirectingSender;
+
   constructor(
     private readonly router: GatewayRouter,
     private readonly connections: GatewayConnections,
-  ) {}
+  ) {
+    this.sender = new RedirectingSender(router);
+  }
 
   async runAutocommit(
     context: SessionContext,
@@ -34,46 +39,79 @@
     arrivedAt: number,
   ): Promise<StatementResult> {
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
+    if (this.sender.isRedirectable(context, work))
+      return this.runRedirectable(context, work, arrivedAt);
     const source = this.router.createDestinationSource(
       context.group.name,
       needsPrimary(context, work),
     );
-    const end = await tryDestinations(context, source, deadlineAt, async (destination) =>
-      destination.type === "local"
-        ? directRunner.runAutocommit(context, work, arrivedAt)
-        : this.tryGateway(destination, context, work, deadlineAt),
-    );
+    const end = await tryDestinations(context, source, deadlineAt, async (destination) => {
+      if (destination.type === "local") return directRunner.runAutocommit(context, work, arrivedAt);
+      const result = await this.tryGateway(destination, context, work, deadlineAt, false);
+      return result === undefined ? undefined : interpretResult(result, findEffect(work));
+    });
     return end ?? { reply: refuseWithoutGateway(context, work.id, "idle") };
   }
 
   openTransaction(isReadOnly: boolean): OpenTransaction {
-    return new RoutedTransaction(isReadOnly, this.router, this.connections);
+    return new RoutedTransaction(isReadOnly, this.router, this.connections, this.sender);
   }
 
-  /** Forwards the statement to one gateway. Undefined means that another gateway may be tried. */
+  private async runRedirectable(
+    context: SessionContext,
+    work: Work,
+    arrivedAt: number,
+  ): Promise<StatementResult> {
+    const deadlineAt = arrivedAt + context.database.action.deadlineMs;
+    const sent = await this.sender.send(context, deadlineAt, async (destination, accepts) => {
+      if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
+      const result = await this.tryGateway(destination, context, work, deadlineAt, accepts);
+      if (accepts && result?.type === "redirected") return { type: "redirected" };
+      const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
+      return end === undefined ? undefined : toReadEnd(end);
+    });
+    switch (sent.type) {
+      case "ended":
+        return sent.value;
+      case "notAccepted":
+        return { reply: refuseWithoutGateway(context, work.id, "idle") };
+      case "outOfTime":
+        return { reply: refuseOutOfTime(context, work.id, "idle") };
+    }
+  }
+
+  private async runLocally(
+    context: SessionContext,
+    work: Work,
+    arrivedAt: number,
+    acceptsRedirect: boolean,
+  ): Promise<ReadEnd<StatementResult>> {
+    const offered = acceptsRedirect ? this.sender.offerRedirect(context) : context;
+    const end = await directRunner.runAutocommit(offered, work, arrivedAt);
+    return offered.redirect?.reason === undefined ? toReadEnd(end) : { type: "redirected" };
+  }
+
+  /** Forwards the statement to one gateway; undefined when it was not sent. */
   private async tryGateway(
     { gateway }: Extract<Destination, { type: "gateway" }>,
     context: SessionContext,
     work: Work,
     deadlineAt: number,
-  ): Promise<StatementResult | undefined> {
+    acceptsRedirect: boolean,
+  ): Promise<ForwardResult | undefined> {
     const leftMs = countRemainingMs(context, deadlineAt);
     const connection = this.connections.open(gateway);
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
-    const step = encodeRun(context, work, leftMs, noTransaction);
-    const result = await forwardStep(
-      this.connections,
-      connection,
-      gateway.vm,
-      context,
-      step,
-      leftMs,
-    );
-    return interpretResult(result, findEffect(work));
+    const step = encodeRun(context, work, leftMs, noTransaction, acceptsRedirect);
+    return forwardStep(this.connections, connection, gateway.vm, context, step, leftMs);
   }
 }
 
+function toReadEnd(value: StatementResult): ReadEnd<StatementResult> {
+  return { type: "ended", value, isComplete: value.reply.end.type === "complete" };
+}
+
 /** Whether the statement certainly needs the primary. The gateway may find that others need it as well. */
 function needsPrimary({ database }: SessionContext, work: Work): boolean {
   return findEffect(work) === "write" || database.action.route.type === "primary";
@@ -92,6 +130,7 @@
     case "answered":
       return toStatementEnd(result.answer);
     case "turnedAway":
+    case "redirected":
       return undefined;
     case "tooLarge":
       return { reply: failLocally("tooLarge", tooLargeReason, "idle") };
--- a/src/gateway/transaction.ts
+++ b/src/gateway/transaction.ts
@@ -12,10 +12,11 @@
   type SessionState,
   type Work,
 } from "../statement/index.js";
-import { refuseWithoutGateway, toStatementEnd } from "./answers.js";
+import { refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
 import { encodeCommit, encodeRun, type RequestStep, type TransactionPart } from "./codec.js";
 import type { GatewayConnection, ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
+import type { ReadEnd, RedirectingSender } from "./redirect.js";
 import type { GatewayRouter, Destination } from "./router.js";
 import {
   countRemainingMs,
@@ -55,6 +56,7 @@
     private readonly isReadOnly: boolean,
     private readonly router: GatewayRouter,
     private readonly connections: GatewayConnections,
+    private readonly sender: RedirectingSender,
   ) {}
 
   get state(): SessionState {
@@ -108,6 +110,9 @@
     if (this.location.type === "over") {
       return failLocally("malformed", "the transaction has failed; roll it back", "failed");
     }
+    const isFirst = this.location.type === "none" && this.isReadOnly;
+    if (isFirst && this.sender.isRedirectable(context, work))
+      return this.runFirstRead(context, work, arrivedAt);
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
     const build: BuildStep = (leftMs, part) => encodeRun(context, work, leftMs, part);
     const result = await this.send(context, build, deadlineAt);
@@ -119,6 +124,41 @@
     return this.handleResult(context, work, result);
   }
 
+  /** Runs the first statement of a read-only transaction, which may be redirected. */
+  private async runFirstRead(
+    context: SessionContext,
+    work: Work,
+    arrivedAt: number,
+  ): Promise<Reply> {
+    const deadlineAt = arrivedAt + context.database.action.deadlineMs;
+    const sent = await this.sender.send(context, deadlineAt, async (destination, accepts) => {
+      if (destination.type === "local") return this.openLocally(context, work, arrivedAt, accepts);
+      const build: BuildStep = (leftMs, part) => encodeRun(context, work, leftMs, part, accepts);
+      const result = await this.openAtGateway(destination, context, build, deadlineAt);
+      if (result === undefined) return undefined;
+      if (result.type === "redirected") return accepts ? { type: "redirected" } : undefined;
+      return toReadEnd(this.handleResult(context, work, result));
+    });
+    if (sent.type === "ended") return sent.value;
+    this.location = { type: "over" };
+    return sent.type === "outOfTime"
+      ? refuseOutOfTime(context, work.id, "failed")
+      : refuseWithoutGateway(context, work.id, "failed");
+  }
+
+  private async openLocally(
+    context: SessionContext,
+    work: Work,
+    arrivedAt: number,
+    acceptsRedirect: boolean,
+  ): Promise<ReadEnd<Reply>> {
+    const offered = acceptsRedirect ? this.sender.offerRedirect(context) : context;
+    const body = directRunner.openTransaction(this.isReadOnly);
+    this.location = { type: "local", body };
+    const reply = await body.run(offered, work, arrivedAt);
+    return offered.redirect?.reason === undefined ? toReadEnd(reply) : { type: "redirected" };
+  }
+
   private async runLocally(context: SessionContext, work: Work, arrivedAt: number): Promise<Reply> {
     if (this.location.type !== "local") throw new Error("a local transaction has no body");
     return this.location.body.run(context, work, arrivedAt);
@@ -209,8 +249,10 @@
       source,
       deadlineAt,
       async (destination) => {
-        if (destination.type === "gateway")
-          return this.openAtGateway(destination, context, build, deadlineAt);
+        if (destination.type === "gateway") {
+          const result = await this.openAtGateway(destination, context, build, deadlineAt);
+          return result?.type === "redirected" ? undefined : result;
+        }
         this.location = { type: "local", body: directRunner.openTransaction(this.isReadOnly) };
         return "local";
       },
@@ -236,7 +278,8 @@
     this.location = { type: "gateway", vm, connection, id: transaction };
     const step = build(leftMs, { transaction, opens: true, isReadOnly: this.isReadOnly });
     const result = await forwardStep(this.connections, connection, vm, context, step, leftMs);
-    if (result.type === "answered" || result.type === "tooLarge") return result;
+    if (result.type === "answered" || result.type === "tooLarge" || result.type === "redirected")
+      return result;
     connection.send({ case: "rollback", value: transaction });
     return undefined;
   }
@@ -252,6 +295,10 @@
   }
 }
 
+function toReadEnd(value: Reply): ReadEnd<Reply> {
+  return { type: "ended", value, isComplete: value.end.type === "complete" };
+}
+
 function describeFailure(result: Exclude<ForwardResult, { type: "answered" }>): string {
   return result.type === "tooLarge" ? tooLargeReason : result.reason;
 }
--- /dev/null
+++ b/test/gateway/redirect-fleet.ts
@@ -0,0 +1,227 @@
+import { FaultyLink } from "../../standin/link.js";
+import type { PrimaryState } from "../../src/direct/index.js";
+import { DirectSession } from "../../src/direct/session.js";
+import { chooseGateways } from "../../src/gateway/choose.js";
+import {
+  GatewayConnections,
+  GatewayRouter,
+  GatewayServer,
+  RoutedRunner,
+} from "../../src/gateway/index.js";
+import type { Proxy } from "../../src/leadership/index.js";
+import { silentLogger } from "../../src/log/index.js";
+import { DisposableStore, type Mark } from "../../src/model/index.js";
+import { failLocally, type CommandResult } from "../../src/statement/index.js";
+import { singleRegion } from "../../src/topology/index.js";
+import { answered, group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
+import { findAddress } from "../node/cluster.js";
+import { makeProxy } from "./builders.js";
+
+/** The data centres of the primary `p` and the replica `q`. */
+export const homeCentre = "b";
+export const nearCentre = "a";
+
+export const mark: Mark = { term: { round: 1, vm: "" }, offset: 7 };
+export const lagging: CommandResult = {
+  type: "answered",
+  reply: failLocally("lagging", "the log lacks the mark", "idle"),
+};
+
+/** What one process of the fleet believes. */
+interface Beliefs {
+  proxies: readonly Proxy[];
+  leader: PrimaryState;
+  readonly avoided: Set<string>;
+}
+
+/** A gateway with fake targets. */
+export interface FleetGateway extends Beliefs {
+  readonly vm: string;
+  readonly stage: ProxyFixture;
+  readonly link: FaultyLink;
+  readonly server: GatewayServer;
+}
+
+export interface FleetOptions {
+  /** Whether the entry node is itself the near gateway. */
+  readonly isEntryNear?: boolean;
+  readonly stage?: FixtureOptions;
+}
+
+const entryVm = "vm-entry";
+/** More than a small fleet has, in a data centre without targets: they are never gateways. */
+const bystanders = Array.from({ length: 13 }, (_, i) => makeProxy(100 + i, "c"));
+
+/**
+ * An entry node in the data centre of the replica, with one gateway there (`near`) and two in the data centre of
+ * the primary: its first one (`home`) and the one that takes over (`spare`). Messages between them pass over
+ * sockets; all clocks stand still unless a test advances them.
+ */
+export class RedirectFleet implements Beliefs {
+  readonly entry = createStage(nearCentre, {});
+  readonly gateways: FleetGateway[] = [];
+  proxies: readonly Proxy[] = [];
+  leader: PrimaryState = { type: "serving", target: "p" };
+  readonly avoided = new Set<string>();
+  private readonly owned = new DisposableStore();
+  private readonly connections: GatewayConnections;
+  private readonly runner: RoutedRunner;
+  private nextId = 1;
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  private constructor(private readonly options: FleetOptions) {
+    const { clock } = this.entry;
+    this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
+    const isListed = options.isEntryNear === true;
+    const isAvoided = (vm: string) => this.connections.isAvoided(vm);
+    const router = this.createRouter(
+      { vm: entryVm, dataCentre: nearCentre, isListed, isAvoided },
+      this,
+    );
+    this.runner = new RoutedRunner(router, this.connections);
+  }
+
+  static async start(options: FleetOptions = {}): Promise<RedirectFleet> {
+    const fleet = new RedirectFleet(options);
+    if (options.isEntryNear !== true) await fleet.addGateway("vm-near", nearCentre);
+    await fleet.addGateway("vm-1", homeCentre);
+    await fleet.addGateway("vm-2", homeCentre);
+    const nearEntry = { ...makeProxy(99, nearCentre), vm: entryVm };
+    fleet.proxies = [...fleet.proxies, ...bystanders, ...(options.isEntryNear ? [nearEntry] : [])];
+    for (const gateway of fleet.gateways) gateway.proxies = fleet.proxies;
+    return fleet;
+  }
+
+  get near(): FleetGateway {
+    return this.find("vm-near");
+  }
+
+  /** The first gateway of the primary's data centre. */
+  get home(): FleetGateway {
+    return this.find(this.listHomeGateways()[0]?.vm ?? "");
+  }
+
+  /** The gateway that takes over when `home` is lost. */
+  get spare(): FleetGateway {
+    return this.find(this.listHomeGateways()[1]?.vm ?? "");
+  }
+
+  open(database: string): DirectSession {
+    const { ports, groups } = this.entry;
+    return new DirectSession({
+      id: "s",
+      database,
+      key: "",
+      ports,
+      groups,
+      runner: this.runner,
+      nextId: () => `e${this.nextId++}`,
+    });
+  }
+
+  /** Sets whether the parts for uneven load are on, in the given processes or in all. */
+  setPlanned(
+    isPlanned: boolean,
+    stages = [this.entry, ...this.gateways.map((g) => g.stage)],
+  ): void {
+    for (const stage of stages) stage.isSlotPlanned = isPlanned;
+  }
+
+  /** Answers all commands to a stage's replica and primary from now on. */
+  answerAll(stage: ProxyFixture, replica: CommandResult, primary = answered()): void {
+    let count = 0;
+    const answerNew = () => {
+      for (const { target, answer } of stage.sent.slice(count)) {
+        count += 1;
+        answer(target === "q" ? replica : primary);
+      }
+    };
+    this.timers.push(setInterval(answerNew, 1));
+  }
+
+  isAvoided({ vm }: FleetGateway): boolean {
+    return this.connections.isAvoided(vm);
+  }
+
+  dispose(): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer);
+    this.owned.add(this.entry);
+    return this.owned.dispose();
+  }
+
+  private find(vm: string): FleetGateway {
+    const gateway = this.gateways.find((candidate) => candidate.vm === vm);
+    if (gateway === undefined) throw new Error(`no gateway ${vm}`);
+    return gateway;
+  }
+
+  private listHomeGateways(): readonly Proxy[] {
+    const announced = this.entry.ports.getServingConfig().groups.get(group);
+    if (announced === undefined) throw new Error("no group");
+    const { proxies } = this.gateways[0] ?? this;
+    return chooseGateways(announced, proxies).byDataCentre.get(homeCentre) ?? [];
+  }
+
+  private async addGateway(vm: string, dataCentre: string): Promise<void> {
+    const stage = createStage(dataCentre, this.options.stage ?? {});
+    const address = await findAddress();
+    const link = new FaultyLink(() => address);
+    const advertised = await link.start();
+    const beliefs: Beliefs = { proxies: [], leader: this.leader, avoided: new Set() };
+    const isAvoided = (name: string) => beliefs.avoided.has(name);
+    const router = this.createRouter({ vm, dataCentre, isListed: true, isAvoided }, beliefs);
+    let nextCall = 1;
+    const server = new GatewayServer(address, {
+      direct: stage.ports,
+      groups: stage.groups,
+      findRefusal: () => undefined,
+      nextId: () => `h${nextCall++}`,
+      grantTokens: () => ({ tokens: 0, lifeMs: 0 }),
+      canRedirect: (name) => router.canRedirect(name),
+    });
+    await server.listen();
+    for (const item of [server, link, stage]) this.owned.add(item);
+    this.gateways.push(Object.assign(beliefs, { vm, stage, link, server }));
+    const proxy = { vm, address, dataCentre, gateway: advertised };
+    this.proxies = [...this.proxies, proxy];
+  }
+
+  private createRouter(self: RouterSelf, beliefs: Beliefs): GatewayRouter {
+    const { vm, dataCentre, isListed, isAvoided } = self;
+    const { groups } = this.entry.ports.getServingConfig();
+    return new GatewayRouter({
+      vm,
+      dataCentre,
+      topology: singleRegion,
+      listProxies: () => beliefs.proxies,
+      findGroup: (name) => groups.get(name),
+      findLeader: () => beliefs.leader,
+      isListed: () => isListed,
+      isAvoided: (name) => name !== vm && isAvoided(name),
+      onNoneAccepted: () => undefined,
+    });
+  }
+}
+
+/** A process as its router sees it. */
+interface RouterSelf {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly isListed: boolean;
+  readonly isAvoided: (vm: string) => boolean;
+}
+
+/** The fake targets of one process, which has one place at each unless it is in the primary's data centre. */
+function createStage(dataCentre: string, options: FixtureOptions): ProxyFixture {
+  const targetDataCentres = [homeCentre, nearCentre];
+  const stage = new ProxyFixture({ ...options, dataCentre, targetDataCentres });
+  stage.isSlotPlanned = true;
+  if (dataCentre === nearCentre) stage.setShareRule({ type: "equal", proxies: 16 });
+  return stage;
+}
+
+/** Makes a stage know the end of the primary's log, so that reads may go to its replica. */
+export function learnMark(stage: ProxyFixture): void {
+  stage.openedAt = mark;
+  stage.groups.find(group)?.notePrimaryMark("p", mark, stage.clock.now());
+}
