--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -139,6 +139,22 @@
   return { type: "targets", role: "replica", names: pickLeastLoaded(preferred, random) };
 }
 
+/**
+ * Whether a read needs the primary: no replica is known to be fresh enough, or none can be read because all
+ * lag or are unreachable. A replica that only had no free slot for this statement does not count as unreadable.
+ */
+export function needsPrimarySlot(
+  constraints: PlacementConstraints,
+  primary: PrimaryState,
+  candidates: readonly CandidateTarget[],
+  now: number,
+): boolean {
+  if (constraints.needsPrimary) return true;
+  const primaryName = primary.type === "serving" ? primary.target : undefined;
+  const unrefused = { ...constraints, excluded: new Set<string>() };
+  return !candidates.some((v) => v.name !== primaryName && isEligible(v, unrefused, now));
+}
+
 /** What the choice of a read's target among several regions depends on. */
 interface RegionalChoice {
   readonly constraints: PlacementConstraints;
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -27,6 +27,7 @@
   type TargetHealth,
 } from "./health.js";
 import type { DirectPorts } from "./ports.js";
+import { positionReadIntervalMs } from "./redirect.js";
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
 import type { Distance } from "../topology/index.js";
@@ -77,6 +78,7 @@
   private history: PositionHistory = emptyHistory;
   /** The newest end of its log that the current primary has reported. */
   private reportedEnd: ReportedEnd | undefined;
+  private positionReadAt = -Infinity;
   private readonly shares = new Map<string, ConnectionShare>();
   private readonly crossingTimes: CrossingTimes;
 
@@ -214,6 +216,14 @@
     return findMarkSince(this.history, time);
   }
 
+  /** Whether a read may go to the primary to learn the end of its log; false while another one does so. */
+  beginPositionRead(): boolean {
+    const now = this.ports.clock.now();
+    if (now - this.positionReadAt < positionReadIntervalMs) return false;
+    this.positionReadAt = now;
+    return true;
+  }
+
   /** Discards the known log positions. Called when the process was suspended for an unknown time. */
   forgetMarks(): void {
     this.history = emptyHistory;
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -3,12 +3,16 @@
 import {
   chooseCandidates,
   listReplicasOfAllRegions,
+  needsPrimarySlot,
   type CandidateChoice,
+  type CandidateTarget,
   type CrossingCost,
   type PlacementConstraints,
 } from "./candidates.js";
 import type { DirectGroup } from "./group.js";
 import type { DirectPorts } from "./ports.js";
+import type { PrimaryState } from "./primary.js";
+import { minRedirectMs, type RedirectOffer } from "./redirect.js";
 import type { TrackedLink } from "./tracked-link.js";
 import type { Database } from "./serving-config.js";
 
@@ -20,6 +24,8 @@
   readonly team: string;
   readonly deadlineAt: number;
   readonly signal: AbortSignal;
+  /** For a read that may be left to the primary's gateway. */
+  readonly redirect?: RedirectOffer | undefined;
 }
 
 /** A connection and a slot at a target, held until `release` or `drop`. */
@@ -47,7 +53,9 @@
       readonly waitedFor: readonly string[];
     }
   /** No connection to the target could be acquired; another target may be reachable. */
-  | { readonly type: "unreachable"; readonly target: string; readonly reason: string };
+  | { readonly type: "unreachable"; readonly target: string; readonly reason: string }
+  /** The request's redirect was accepted; nothing has been acquired. */
+  | { readonly type: "redirected"; readonly reason: string };
 
 /** A placement request that was refused. */
 export type RefusedPlacement = Extract<PlacementResult, { type: "refused" }>;
@@ -65,7 +73,7 @@
   request: PlacementRequest,
 ): Promise<PlacementResult> {
   const choice = await waitForCandidates(ports, group, request);
-  if (choice.type === "refused") return choice;
+  if (choice.type !== "targets") return choice;
   const admitted = await acquireSlot(ports, group, request, choice);
   if (admitted.type === "refused") {
     const { reason } = admitted;
@@ -88,7 +96,8 @@
 }
 
 type ChosenTargets = Extract<CandidateChoice, { type: "targets" }>;
-type CandidateResult = ChosenTargets | RefusedPlacement;
+type CandidateResult =
+  ChosenTargets | RefusedPlacement | Extract<PlacementResult, { type: "redirected" }>;
 
 /**
  * Waits for a slot. A read that waits in its region may use the replicas of all regions once it has waited for as
@@ -138,6 +147,11 @@
     const now = clock.now();
     const primary = primaries.find(group.name);
     const candidates = group.listCandidates(request.team);
+    const redirectReason = findRedirectReason(group, request, primary, candidates, now);
+    if (redirectReason !== undefined) {
+      request.redirect?.accept(redirectReason);
+      return { type: "redirected", reason: redirectReason };
+    }
     const draw = () => random.draw();
     const choice = chooseCandidates(request, primary, candidates, now, draw, crossing);
     if (choice.type === "targets") return choice;
@@ -158,6 +172,34 @@
   }
 }
 
+/**
+ * Why a read is left to the primary's gateway; undefined when it is placed here. Of the reads for which no log
+ * position is known, one at a time goes to the primary from here if it has a free slot: its answer tells the
+ * position by which replicas are read again. Otherwise a gateway that redirects would never learn it.
+ */
+function findRedirectReason(
+  group: DirectGroup,
+  request: PlacementRequest,
+  primary: PrimaryState,
+  candidates: readonly CandidateTarget[],
+  now: number,
+): string | undefined {
+  if (request.redirect?.isOpen !== true || request.deadlineAt - now < minRedirectMs)
+    return undefined;
+  if (!needsPrimarySlot(request, primary, candidates, now)) return undefined;
+  if (!request.needsPrimary) return "no replica can be read, as they lag or are unreachable";
+  const target = primary.type === "serving" ? primary.target : undefined;
+  // Background work leaves one of several slots free.
+  const reserved = request.isBackground ? 1 : 0;
+  const hasFreeSlot = candidates.some(
+    (v) => v.name === target && v.occupiedSlots < Math.max(1, v.slots - reserved),
+  );
+  const { route } = request.database.action;
+  const wantsPosition = route.type !== "primary" && route.maxAgeMs !== undefined;
+  if (wantsPosition && hasFreeSlot && group.beginPositionRead()) return undefined;
+  return "no replica is known to be fresh enough";
+}
+
 function makeAdmissionRequest(
   request: PlacementRequest,
   candidates: readonly string[],
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -56,4 +56,6 @@
   /** Called for each statement that is sent to another region, by a node to a gateway or to a target. */
   readonly onCrossing: (kind: CrossingKind) => void;
   readonly onStatement: (sample: StatementSample) => void;
+  /** Called when this process leaves a statement of a group to the primary's gateway. */
+  readonly onRedirect: (group: string) => void;
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -264,6 +264,7 @@
       rates: this.rates.limiter,
       onCrossing: (kind) => this.metrics.recordCrossing(kind),
       onStatement: (sample) => this.recordStatement(sample),
+      onRedirect: (group) => this.metrics.recordRedirect(group),
     };
   }
 
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -12,7 +12,7 @@
 import { DirectSession } from "../../src/direct/session.js";
 import { silentLogger } from "../../src/log/index.js";
 import type { Mark, Route } from "../../src/model/index.js";
-import { unlimitedRateLimiter } from "../../src/rates/index.js";
+import { unlimitedRateLimiter, type RateLimiter } from "../../src/rates/index.js";
 import {
   completeLocally,
   type CommandResult,
@@ -36,9 +36,12 @@
   readonly connections?: number;
   readonly slots?: number;
   readonly roster?: TeamRoster;
-  /** The data centres of the targets, "a" where none is given; the proxy is in "a". */
+  /** The data centres of the targets, "a" where none is given. */
   readonly dataCentres?: readonly string[];
   readonly topology?: Topology;
+  readonly rates?: RateLimiter;
+  /** The proxy's data centre; "a" unless given. */
+  readonly dataCentre?: string;
 }
 
 export const group = "ledger";
@@ -68,6 +71,12 @@
   primary: PrimaryState = { type: "serving", target: "p" };
   readonly groups: GroupDirectory;
   readonly ports: DirectPorts;
+  /** Whether the fixture's deployment plans the slots of targets for the whole fleet. */
+  isSlotPlanned = false;
+  /** The end of the log that targets report on new connections. */
+  openedAt: Mark | undefined;
+  /** How many statements this proxy left to the primary's gateway. */
+  redirectCount = 0;
   private next = 1;
   private readonly config: ServingConfig;
 
@@ -79,9 +88,9 @@
         open: (_group, target) => Promise.resolve(this.makeLink(target.name)),
         isTooManyConnections: () => false,
       },
-      dataCentre: "a",
+      dataCentre: options.dataCentre ?? "a",
       topology: options.topology ?? singleRegion,
-      isSlotPlanned: () => false,
+      isSlotPlanned: () => this.isSlotPlanned,
       primaries: {
         find: () => this.primary,
         noteContact: () => undefined,
@@ -96,9 +105,10 @@
       logger: silentLogger,
       getServingConfig: () => config,
       findShareRule: () => this.shareRule,
-      rates: unlimitedRateLimiter,
+      rates: options.rates ?? unlimitedRateLimiter,
       onCrossing: (kind) => this.crossings.push(kind),
       onStatement: () => undefined,
+      onRedirect: () => (this.redirectCount += 1),
     };
     this.groups = new GroupDirectory(this.ports);
     this.config = config;
@@ -147,7 +157,7 @@
       get isUsable() {
         return isUsable && !isInUse;
       },
-      openedAt: undefined,
+      openedAt: this.openedAt,
       run: (command) => {
         if (!isUsable || isInUse) {
           return Promise.resolve({ type: "broken", sent: false, reason: "closed or in use" });
@@ -201,6 +211,7 @@
   const databases = [
     makeDatabase("primary", { type: "primary" }),
     makeDatabase("own", { type: "replica", maxAgeMs: 2500 }),
+    makeDatabase("session", { type: "replica" }),
   ];
   return {
     revision: 1,
