Wait for a lagging replica rather than ask one that does not answer

Cause: with the pause for lagging replicas, a read without a primary was sent to a replica of the other region that had just failed to answer. Change: the fallback prefers replicas that answer; if those lag, the read waits for the first of them.

--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -119,9 +119,9 @@
 }
 
 /**
- * Chooses a replica for a read that has no eligible target and can't use the primary, within the region where
- * one answers there. While all replicas lack the required mark the read waits: asked again at once they would
- * answer the same, and the read would use up its attempts, and the targets' time, within milliseconds.
+ * Chooses a replica for a read that has no eligible target and can't use the primary. If a replica answers but
+ * lacks the required mark, the read waits for it: asked again at once it would answer the same, and the read
+ * would use up its attempts, and the target's time, within milliseconds.
  */
 function chooseFallbackReplica(
   replicas: readonly CandidateTarget[],
@@ -129,13 +129,15 @@
   now: number,
   random: () => number,
 ): CandidateChoice {
-  const usable = replicas.filter((v) => !hasRequiredMark || now >= v.health.laggingUntil);
-  if (usable.length === 0) {
-    const readyInMs = Math.min(...replicas.map((v) => v.health.laggingUntil)) - now;
+  const lagging = replicas.filter((v) => hasRequiredMark && now < v.health.laggingUntil);
+  const others = replicas.filter((v) => !lagging.includes(v));
+  const answering = others.filter((v) => now >= v.health.avoidUntil);
+  if (answering.length === 0 && lagging.length > 0) {
+    const readyInMs = Math.min(...lagging.map((v) => v.health.laggingUntil)) - now;
     return { type: "wait", readyInMs, reason: replicasLagReason };
   }
-  const near = usable.filter((v) => !isRemote(v) && now >= v.health.avoidUntil);
-  const preferred = near.length > 0 && usable.some(isRemote) ? near : usable;
+  const near = answering.filter((v) => !isRemote(v));
+  const preferred = near.length > 0 && others.some(isRemote) ? near : others;
   return { type: "targets", role: "replica", names: pickLeastLoaded(preferred, random) };
 }
 
