Test what a gateway must not redirect, and the end of a probe

Cause: four faults put into the code on trial were not found by the tests: several position reads at once, a second redirect between two gateways, a redirected write, and a probe whose answer ends nothing. Change: the tests cover these; a raw call to a gateway asks for a redirect of writes and transactions.

--- a/test/gateway/codec.test.ts
+++ b/test/gateway/codec.test.ts
@@ -1,30 +1,15 @@
 import { expect, test } from "@jest/globals";
 import { toBinary } from "@bufbuild/protobuf";
-import { StatementTrace, type SessionContext } from "../../src/direct/index.js";
 import { encodeRun, noTransaction } from "../../src/gateway/codec.js";
 import {
   SessionPartSchema,
   type SessionPart,
 } from "../../src/peer/gen/radishwalk/direct/v1/gateway_pb.js";
-import { group, ProxyFixture } from "../direct/fixture.js";
+import { ProxyFixture } from "../direct/fixture.js";
+import { createContext } from "./redirect-fleet.js";
 
 function encodeSessionPart(acceptsRedirect?: boolean): Uint8Array {
-  const { ports, groups } = new ProxyFixture();
-  const database = ports.getServingConfig().databases.get("own");
-  const directGroup = groups.find(group);
-  if (database === undefined || directGroup === undefined) throw new Error("unknown database");
-  const context: SessionContext = {
-    ports,
-    session: "s",
-    database,
-    team: undefined,
-    group: directGroup,
-    values: new Map(),
-    lastCommit: undefined,
-    disconnectSignal: new AbortController().signal,
-    trace: new StatementTrace(),
-    nextId: () => "1",
-  };
+  const context = createContext(new ProxyFixture());
   const work = { type: "access", id: "1", effect: "read", text: "READ cello" } as const;
   const step = encodeRun(context, work, 100, noTransaction, acceptsRedirect);
   if (step.case !== "run") throw new Error("not a run step");
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -1,7 +1,9 @@
 import { FaultyLink } from "../../standin/link.js";
-import type { PrimaryState } from "../../src/direct/index.js";
+import { StatementTrace, type PrimaryState, type SessionContext } from "../../src/direct/index.js";
 import { DirectSession } from "../../src/direct/session.js";
 import { chooseGateways } from "../../src/gateway/choose.js";
+import { encodeRun, type TransactionPart } from "../../src/gateway/codec.js";
+import type { ForwardResult } from "../../src/gateway/connection.js";
 import {
   GatewayConnections,
   GatewayRouter,
@@ -11,7 +13,7 @@
 import type { Proxy } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
 import { DisposableStore, type Mark } from "../../src/model/index.js";
-import { failLocally, type CommandResult } from "../../src/statement/index.js";
+import { failLocally, type CommandResult, type Work } from "../../src/statement/index.js";
 import { singleRegion } from "../../src/topology/index.js";
 import { answered, group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { findAddress } from "../node/cluster.js";
@@ -119,6 +121,19 @@
     });
   }
 
+  /** Sends work to the near gateway with the consent to a redirect, whatever the work is. */
+  callNear(work: Work, part: TransactionPart): Promise<ForwardResult> {
+    const proxy = this.proxies.find(({ vm }) => vm === this.near.vm);
+    const connection = proxy === undefined ? undefined : this.connections.open(proxy);
+    if (connection === undefined) throw new Error("the near gateway takes no statements");
+    const context = createContext(this.entry);
+    return connection.call(
+      encodeRun(context, work, 500, part, true),
+      2000,
+      context.disconnectSignal,
+    );
+  }
+
   /** Sets whether the parts for uneven load are on, in the given processes or in all. */
   setPlanned(
     isPlanned: boolean,
@@ -220,6 +235,30 @@
   return stage;
 }
 
+/** The context of a read with a staleness bound, of a session that has not committed. */
+export function createContext({ ports, groups }: ProxyFixture): SessionContext {
+  const database = ports.getServingConfig().databases.get("own");
+  const directGroup = groups.find(group);
+  if (database === undefined || directGroup === undefined) throw new Error("unknown database");
+  return {
+    ports,
+    session: "s",
+    database,
+    team: undefined,
+    group: directGroup,
+    values: new Map(),
+    lastCommit: undefined,
+    disconnectSignal: new AbortController().signal,
+    trace: new StatementTrace(),
+    nextId: () => "c1",
+  };
+}
+
+/** Makes a stage believe that a read is already on its way to learn the end of the primary's log. */
+export function beginPositionRead(stage: ProxyFixture): void {
+  stage.groups.find(group)?.beginPositionRead();
+}
+
 /** Makes a stage know the end of the primary's log, so that reads may go to its replica. */
 export function learnMark(stage: ProxyFixture): void {
   stage.openedAt = mark;
--- a/test/gateway/redirect.test.ts
+++ b/test/gateway/redirect.test.ts
@@ -2,10 +2,12 @@
 import type { RateClaim, RateLimiter, RateReservation } from "../../src/rates/index.js";
 import type { Reply, Statement } from "../../src/statement/index.js";
 import { answered, type ProxyFixture } from "../direct/fixture.js";
+import { noTransaction } from "../../src/gateway/codec.js";
 import { waitUntil } from "../node/cluster.js";
 import { commit, findEnd, makeRead, makeWrite } from "./hop.js";
 import {
   lagging,
+  beginPositionRead,
   learnMark,
   mark,
   RedirectFleet,
@@ -25,7 +27,7 @@
 /** Starts a fleet whose near gateway finds its replica behind, and whose gateways at home answer. */
 async function startLagging(options: FleetOptions = {}): Promise<RedirectFleet> {
   await start(options);
-  for (const { stage } of [fleet.home, fleet.spare]) fleet.answerAll(stage, answered());
+  for (const { stage } of [fleet.home, fleet.spare]) fleet.answerAll(stage, lagging);
   const stage = options.isEntryNear === true ? fleet.entry : fleet.near.stage;
   learnMark(stage);
   fleet.answerAll(stage, lagging);
@@ -107,10 +109,10 @@
   expect(countWork(fleet.near, "q")).toBe(2);
   fleet.near.stage.list("q", "work")[1]?.answer();
   expect(findEnd(await probe)).toBe("complete");
-  const later = fleet.open("own").run(makeRead("3"));
-  await waitUntil(() => countWork(fleet.near, "q") === 3);
-  fleet.near.stage.list("q", "work")[2]?.answer();
-  expect(findEnd(await later)).toBe("complete");
+  // Several at a time, and none to the primary's gateway.
+  fleet.answerAll(fleet.near.stage, answered());
+  expect((await runReads(5)).map(findEnd)).toEqual(Array<string>(5).fill("complete"));
+  expect(countWork(fleet.near, "q")).toBe(7);
   expect(countWork(fleet.home, "p")).toBe(4);
 });
 
@@ -118,6 +120,7 @@
 // would not be read again.
 test("without a known log position one read at a time goes to the primary from the near gateway", async () => {
   await start();
+  fleet.near.stage.setShareRule({ type: "equal", proxies: 1 });
   fleet.answerAll(fleet.home.stage, answered());
   const learning = fleet.open("own").run(makeRead("1"));
   await waitUntil(hasWork(fleet.near, "p"));
@@ -183,11 +186,40 @@
   expect(fleet.near.stage.redirectCount).toBe(0);
 });
 
+// A node asks for a redirect of work that must not be redirected.
+test("a gateway redirects neither writes nor statements of transactions that may write", async () => {
+  await startLagging();
+  beginPositionRead(fleet.near.stage);
+  const inTransaction = { transaction: 1, opens: true, isReadOnly: false };
+  const [read, write] = (["read", "write"] as const).map(
+    (effect) => ({ type: "access", id: "1", effect, text: "cello" }) as const,
+  );
+  if (read === undefined || write === undefined) throw new Error("no work");
+  expect(await fleet.callNear(write, noTransaction)).toMatchObject({ type: "answered" });
+  expect(await fleet.callNear(read, inTransaction)).toMatchObject({ type: "answered" });
+  expect(await fleet.callNear(read, noTransaction)).toMatchObject({ type: "redirected" });
+});
+
+// A read-only transaction runs at the near gateway's replica, which falls behind or is lost between two statements.
+test("a later statement of a read-only transaction is not redirected", async () => {
+  await start();
+  learnMark(fleet.near.stage);
+  fleet.answerAll(fleet.near.stage, answered("transaction"));
+  const session = fleet.open("own");
+  await session.run(beginReading);
+  expect(findEnd(await session.run(makeRead("1")))).toBe("complete");
+  fleet.near.stage.groups.find("ledger")?.forgetMarks();
+  expect(findEnd(await session.run(makeRead("2")))).toBe("complete");
+  expect(countWork(fleet.near, "q")).toBe(2);
+  expect(fleet.near.stage.redirectCount).toBe(0);
+});
+
 // The home gateway believes that the primary is in the near data centre. A read that was redirected twice could
 // travel between the two until its deadline.
 test("two gateways that take each other for the primary's redirect a read once", async () => {
   await startLagging();
   fleet.home.leader = { type: "serving", target: "q" };
+  beginPositionRead(fleet.home.stage);
   expect((await runReads(1)).map(findEnd)).toEqual(["complete"]);
   expect(countWork(fleet.home, "p")).toBe(1);
   expect(fleet.home.stage.redirectCount).toBe(0);
