Allow 60 ms for a round trip to another region in timeouts

Cause: at a round trip of 60 ms a status request through a peer took longer than its 350 ms, a reader's poll was taken for too old at 0.9 s (each time one more poll of the store), a node could report for moments that it is not ready, and a primary in another region was reported silent. Change: calls to peers in another region get 120 ms more, and the silence of a primary there 60 ms. Where there are regions, a reader's poll may be 120 ms older, and so may a confirmation before a node reports that it is not ready. Permits, greeting, liveness and target probes hold as they are. Without regions all limits are as before.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -5,7 +5,7 @@
   type ErrorCode,
   type TargetCommand,
 } from "../statement/index.js";
-import type { CrossingKind } from "../topology/index.js";
+import { assumedCrossingMs, type CrossingKind } from "../topology/index.js";
 import type { ReadRequirement, SessionContext } from "./context.js";
 import {
   placeStatement,
@@ -50,9 +50,10 @@
   if (placement.role !== "primary") return () => undefined;
   const { clock, primaries } = context.ports;
   const sentAt = clock.now();
+  const crossingMs = placement.group.isRemote(placement.target) ? assumedCrossingMs : 0;
   const timer = setTimeout(() => {
     primaries.noteSilence(placement.group.name, placement.target, sentAt);
-  }, silenceThresholdMs);
+  }, silenceThresholdMs + crossingMs);
   return () => clearTimeout(timer);
 }
 
--- a/src/directpeer/client.ts
+++ b/src/directpeer/client.ts
@@ -12,6 +12,7 @@
 } from "../leadership/index.js";
 import type { Address, Clock } from "../model/index.js";
 import { DirectPeer } from "../peer/gen/radishwalk/direct/v1/direct_pb.js";
+import { assumedCrossingMs } from "../topology/index.js";
 import { ResponseTimes, startStallTolerantTimer } from "../system/index.js";
 import type { TokenGrant } from "../rates/index.js";
 import { decodeLeadershipAnswer, decodeTargetAnswer, encodeLeadershipUpdate } from "./codec.js";
@@ -31,6 +32,12 @@
 
 const noRemotePeers: RemotePeers = { isRemote: () => false, onRemoteCall: () => undefined };
 
+/**
+ * Added to the timeout of a call to another region, in milliseconds: one round trip to open a connection and one
+ * for the call. The timeouts of the callers allow for the few milliseconds within a region.
+ */
+const remoteExtraMs = 2 * assumedCrossingMs;
+
 /** Calls to peers. Each ends within its timeout, with `undefined` when it was not answered. */
 export class DirectPeerClient implements LeadershipPeers {
   private readonly clients = new Map<string, Client<typeof DirectPeer>>();
@@ -99,8 +106,9 @@
     call: (options: CallOptions) => Promise<T>,
   ): Promise<T | undefined> {
     const { isRemote, onRemoteCall } = this.remote;
-    if (isRemote(proxy)) onRemoteCall();
-    return this.callPeer(method, proxy.vm, usualTimeoutMs, call);
+    if (!isRemote(proxy)) return this.callPeer(method, proxy.vm, usualTimeoutMs, call);
+    onRemoteCall();
+    return this.callPeer(method, proxy.vm, usualTimeoutMs + remoteExtraMs, call);
   }
 
   private async callPeer<T>(
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -26,6 +26,7 @@
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
 import { planDrain, type DrainPlan } from "./drain.js";
+import { findMaxUnconfirmedMs } from "./confirmation-age.js";
 import { countTokenRequests, createRemotePeers } from "./remote-peers.js";
 import { RegionCheck } from "./region-check.js";
 import { NodeRates } from "./rates.js";
@@ -46,12 +47,6 @@
   readonly metrics?: Address;
 }
 
-/**
- * A node that has not been confirmed for this long reports that it is not ready, in milliseconds. Two polls
- * and the requests to peers have failed by then. The balancer stops sending callers only after two more answers,
- * and callers are refused in the meantime, so the node doesn't wait until its permit expires.
- */
-const maxUnconfirmedMs = 1300;
 /**
  * An unlisted node that has had no answer for this long reports that it is not ready, in milliseconds. Two
  * requests to other proxies and one poll of the store have failed by then.
@@ -330,9 +325,10 @@
    * confirmed recently; an unlisted one must know the configuration and a gateway, and have had an answer.
    */
   private isReady(): boolean {
-    const { clock, logger } = this.options;
+    const { clock, logger, settings } = this.options;
     const now = clock.now();
     const { confirmedAt } = this.tracker;
+    const maxUnconfirmedMs = findMaxUnconfirmedMs(settings.topology);
     const { heardAt, registry, isUnlisted } = this.follower;
     const isPermitted = confirmedAt !== undefined && now - confirmedAt < maxUnconfirmedMs;
     // Without another listed proxy, no gateway could run a statement and all callers would be refused.
--- a/src/node/reader.ts
+++ b/src/node/reader.ts
@@ -3,16 +3,12 @@
 import type { Clock } from "../model/index.js";
 import { hashPair } from "../policy/index.js";
 import { distances, singleRegion, type Topology } from "../topology/index.js";
+import { findMaxPollAgeMs } from "./confirmation-age.js";
 
 /** In milliseconds: an answer within the data centre takes 1 ms, on a busy proxy some tens more. */
 const readerTimeoutMs = 150;
 /** In milliseconds; longer, since an upstream may be in another data centre and busy with many requests. */
 const upstreamTimeoutMs = 400;
-/**
- * A reader's poll older than this, in milliseconds, is not used. The reader polls every 0.7 s with a tenth
- * of jitter, so an older one means that a poll of its own has failed or hangs.
- */
-const maxPollAgeMs = 900;
 /** A reader that gave no usable answer is avoided for this long, in milliseconds: several restarts. */
 const avoidMs = 3000;
 
@@ -95,14 +91,15 @@
     proxies: readonly Proxy[],
     update: LeadershipUpdate,
   ): Promise<PollResult | undefined> {
-    const { vm, dataCentre, peers, clock } = this.ports;
+    const { vm, dataCentre, topology, peers, clock } = this.ports;
     const askedAt = clock.now();
     const isAvoided = (name: string) => (this.avoidedUntil.get(name) ?? 0) > askedAt;
     const reader = chooseReader(dataCentre, proxies, isAvoided);
     if (reader === undefined || reader.vm === vm) return undefined;
     const answer = await peers.share(reader, update, readerTimeoutMs);
     const isUsable = answer?.listsAsker === true;
-    const poll = isUsable ? toPollResult(reader, answer, askedAt) : undefined;
+    const maxAgeMs = findMaxPollAgeMs(topology);
+    const poll = isUsable ? toPollResult(reader, answer, askedAt, maxAgeMs) : undefined;
     if (poll === undefined) this.avoidedUntil.set(reader.vm, askedAt + avoidMs);
     return poll;
   }
@@ -115,7 +112,9 @@
     const upstream = chooseUpstream(vm, dataCentre, proxies, isAvoided, topology);
     if (upstream === undefined) return { type: "silent" };
     const answer = await peers.share(upstream, update, upstreamTimeoutMs);
-    const poll = answer === undefined ? undefined : toPollResult(upstream, answer, askedAt);
+    const maxAgeMs = findMaxPollAgeMs(topology);
+    const poll =
+      answer === undefined ? undefined : toPollResult(upstream, answer, askedAt, maxAgeMs);
     if (poll !== undefined) return { type: "poll", poll };
     if (answer !== undefined) return { type: "stale", answer };
     this.avoidedUntil.set(upstream.vm, askedAt + avoidMs);
@@ -127,10 +126,11 @@
   reader: Proxy,
   answer: LeadershipAnswer,
   askedAt: number,
+  maxAgeMs: number,
 ): PollResult | undefined {
   const { lookedAgoMs, storeRevision: revision, confirmedAgoMs } = answer;
   if (lookedAgoMs === undefined || revision === undefined) return undefined;
-  if (lookedAgoMs > maxPollAgeMs) return undefined;
+  if (lookedAgoMs > maxAgeMs) return undefined;
   const confirmedAt = confirmedAgoMs === undefined ? undefined : askedAt - confirmedAgoMs;
   return { reader, answer, polledAt: askedAt - lookedAgoMs, confirmedAt, revision };
 }
--- a/test/direct/regions.test.ts
+++ b/test/direct/regions.test.ts
@@ -315,3 +315,23 @@
   expect(started.list("near", "work")).toHaveLength(slots);
   expect(started.list("remote", "work")).toHaveLength(1);
 });
+
+/** Sends a read to the primary that is answered after a time; returns the primaries that were reported silent. */
+async function answerAfter(started: ProxyFixture, ms: number): Promise<readonly string[]> {
+  const reply = started.open("primary").run(makeRead("r"));
+  await started.advance(1);
+  await new Promise((resolve) => setTimeout(resolve, ms));
+  started.list("p", "work")[0]?.answer();
+  await reply;
+  return started.silentPrimaries;
+}
+
+// Each report of silence opens another connection to the primary, which takes one of its slots.
+test("a primary of another region is not silent when it answers a round trip of 60 ms later", async () => {
+  expect(await answerAfter(createRegions(), 175)).toEqual([]);
+});
+
+test("without regions a primary is silent after the usual time", async () => {
+  fixture = new ProxyFixture({ dataCentres: ["c", "b"] });
+  expect(await answerAfter(fixture, 175)).toEqual(["p"]);
+});
