Give a gateway of another region the time that the way leaves

Cause: a gateway counts the time left from the arrival of a statement, so that at a round trip of 60 ms its refusal at the deadline would come to the caller up to 55 ms after the deadline (computed, not measured). Change: the time left for a gateway of another region is 60 ms shorter; a statement with less time is not sent there. Without regions it is as before.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -1,5 +1,5 @@
 import type { SessionContext } from "../direct/index.js";
-import type { CrossingKind } from "../topology/index.js";
+import { assumedCrossingMs, type CrossingKind } from "../topology/index.js";
 import type { GatewayAnswer, RequestStep } from "./codec.js";
 import type { GatewayConnection, ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
@@ -24,9 +24,17 @@
 /** Time kept for returning the answer: a later one reaches a caller that has already given up. */
 const returnMarginMs = 5;
 
-/** The milliseconds that a gateway is given for a statement that must be answered by `deadlineAt`. */
-export function countRemainingMs({ ports }: SessionContext, deadlineAt: number): number {
-  return deadlineAt - ports.clock.now() - returnMarginMs;
+/**
+ * The milliseconds that a gateway is given for a statement that must be answered by `deadlineAt`. One in another
+ * region counts them from the arrival of the statement, and its answer takes the way back.
+ */
+export function countRemainingMs(
+  { ports }: SessionContext,
+  deadlineAt: number,
+  gatewayDataCentre: string | undefined,
+): number {
+  const crossingMs = isRemote(ports, gatewayDataCentre) ? assumedCrossingMs : 0;
+  return deadlineAt - ports.clock.now() - returnMarginMs - crossingMs;
 }
 
 /** Sends one step to a gateway, and records the result for the gateway's health and for the trace. */
@@ -62,12 +70,18 @@
 
 /** Counts a step that is sent to a gateway of another region. */
 function noteCrossing(
-  { ports: { topology, dataCentre, onCrossing } }: SessionContext,
+  { ports }: SessionContext,
   gatewayDataCentre: string | undefined,
   kind: CrossingKind,
 ): void {
-  const distance = topology.measureDistance(dataCentre, gatewayDataCentre ?? "");
-  if (distance === "remote") onCrossing(kind);
+  if (isRemote(ports, gatewayDataCentre)) ports.onCrossing(kind);
+}
+
+function isRemote(
+  { topology, dataCentre }: SessionContext["ports"],
+  gatewayDataCentre: string | undefined,
+): boolean {
+  return topology.measureDistance(dataCentre, gatewayDataCentre ?? "") === "remote";
 }
 
 function toHop(gateway: string, { target, role, tries }: GatewayAnswer) {
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -57,7 +57,7 @@
     work: Work,
     deadlineAt: number,
   ): Promise<StatementResult | undefined> {
-    const leftMs = countRemainingMs(context, deadlineAt);
+    const leftMs = countRemainingMs(context, deadlineAt, gateway.dataCentre);
     const connection = this.connections.open(gateway);
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
--- a/src/gateway/transaction.ts
+++ b/src/gateway/transaction.ts
@@ -187,7 +187,8 @@
         return "local";
       case "gateway": {
         const { vm, connection, id: transaction } = location;
-        const leftMs = Math.max(1, countRemainingMs(context, deadlineAt));
+        const gatewayDataCentre = this.connections.findDataCentre(vm);
+        const leftMs = Math.max(1, countRemainingMs(context, deadlineAt, gatewayDataCentre));
         const step = build(leftMs, { transaction, opens: false, isReadOnly });
         return this.forward(connection, vm, context, step, leftMs);
       }
@@ -227,7 +228,7 @@
     build: BuildStep,
     deadlineAt: number,
   ): Promise<ForwardResult | undefined> {
-    const leftMs = countRemainingMs(context, deadlineAt);
+    const leftMs = countRemainingMs(context, deadlineAt, gateway.dataCentre);
     const connection = this.connections.open(gateway);
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
--- a/test/gateway/crossings.test.ts
+++ b/test/gateway/crossings.test.ts
@@ -2,7 +2,7 @@
 import type { SessionContext } from "../../src/direct/index.js";
 import type { GatewayConnection } from "../../src/gateway/connection.js";
 import { GatewayConnections } from "../../src/gateway/connections.js";
-import { forwardStep } from "../../src/gateway/forward.js";
+import { countRemainingMs, forwardStep } from "../../src/gateway/forward.js";
 import { silentLogger } from "../../src/log/index.js";
 import { singleRegion, Topology, type CrossingKind } from "../../src/topology/index.js";
 import { FakeClock } from "../fleet/fakes.js";
@@ -47,6 +47,17 @@
   expect(await forward("b", "write")).toEqual([]);
 });
 
+// A gateway that refuses at its deadline is answered for when the caller has already given up.
+test("a gateway of another region is given the time that the way leaves", () => {
+  const clock = new FakeClock();
+  const makeContext = (known: Topology) =>
+    ({ ports: { topology: known, dataCentre: "a", clock } }) as unknown as SessionContext;
+  const count = (dataCentre: string, known = topology) =>
+    countRemainingMs(makeContext(known), 800, dataCentre);
+  expect([count("a"), count("b"), count("c")]).toEqual([795, 795, 735]);
+  expect(count("c", singleRegion)).toBe(795);
+});
+
 test("without regions no forwarded statement counts as crossing", async () => {
   expect(await forward("c", "write", singleRegion)).toEqual([]);
 });
