--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -99,7 +99,7 @@
     deadlineAt: number,
     acceptsRedirect: boolean,
   ): Promise<ForwardResult | undefined> {
-    const leftMs = countRemainingMs(context, deadlineAt);
+    const leftMs = countRemainingMs(context, deadlineAt, gateway.dataCentre);
     const connection = this.connections.open(gateway);
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
