Order admission by the operator's levels and objectives

Cause: admission has four fixed classes. Statements with an objective of 150 ms wait behind those of 1 s in the same class, and a statement that has missed its objective takes a slot before one that can still meet it. Change: a request may have a level and the end of an objective. Each level is a class of its own, made when it is used and dropped when idle. Teams take turns within a level; within a team the earliest objective that can still be met goes first. Waits are estimated from that order, and a tick checks every waiting request of a level. Nothing sends levels yet.

--- a/src/controller/admission/capacity.ts
+++ b/src/controller/admission/capacity.ts
@@ -1,3 +1,4 @@
+import { findClassName, findGuaranteedShare } from "./classes.js";
 import { isBackgroundWork } from "./queue.js";
 import { countUsableSlots, computeHigherClassShare } from "./slots.js";
 import { listValues } from "./tree.js";
@@ -35,10 +36,11 @@
 /** Estimates the capacity that a request's candidate targets have for its priority class. */
 export function estimateCapacity(
   admission: Admission,
-  request: Pick<AdmissionRequest, "plan" | "priority" | "candidates">,
+  request: Pick<AdmissionRequest, "plan" | "priority" | "level" | "candidates">,
   at: number,
 ): Capacity {
-  const { priority, candidates } = request;
+  const { candidates } = request;
+  const name = findClassName(request);
   const stalled = countStalled(admission, at);
   let totalRate = 0;
   let residualRate = 0;
@@ -54,9 +56,9 @@
     if (rate === 0 && stalledHere !== undefined)
       slotsExpectedAt = Math.min(slotsExpectedAt, at + stalledHere.shortestMs);
     totalRate += rate;
-    residualRate += rate * (1 - computeHigherClassShare(target, priority, at));
+    residualRate += rate * (1 - computeHigherClassShare(target, name, at));
   }
-  const guaranteedShare = admission.settings.guaranteedShare[priority];
+  const guaranteedShare = findGuaranteedShare(admission, name);
   return {
     residualIntervalMs: 1 / residualRate,
     residualShare: Math.max(minResidualShare, residualRate / totalRate || 0),
--- a/src/controller/admission/displace.ts
+++ b/src/controller/admission/displace.ts
@@ -1,4 +1,5 @@
-import { priorities, succeed, type StepResult } from "../../model/index.js";
+import { succeed, type StepResult } from "../../model/index.js";
+import { compareClasses, findClassName, getClass } from "./classes.js";
 import { refuse } from "./refusal.js";
 import { removeWaiting, putWaiting, withClass } from "./state.js";
 import { findLastEntry, getEntry, listValues } from "./tree.js";
@@ -22,21 +23,22 @@
   const victim = findVictim(admission, arrival);
   const without = victim === arrival ? admission : removeWaiting(admission, victim);
   const estimate = estimateWait(without, victim, at);
-  const queue = without.classes[victim.priority];
-  const refused = refuse(queue, victim, "queueFull", estimate, at);
-  const next = withClass(without, victim.priority, refused.queue);
+  const name = findClassName(victim);
+  const refused = refuse(getClass(without, name), victim, "queueFull", estimate, at);
+  const next = withClass(without, name, refused.queue);
   return succeed(victim === arrival ? next : putWaiting(next, arrival), [refused.effect]);
 }
 
 function findVictim(admission: Admission, arrival: WaitingRequest): WaitingRequest {
-  const leastPriority = [...priorities].reverse().find((p) => admission.classes[p].size > 0);
-  const arrivalRank = priorities.indexOf(arrival.priority);
-  if (leastPriority === undefined || priorities.indexOf(leastPriority) < arrivalRank)
-    return arrival;
-  const queue = admission.classes[leastPriority];
+  const arrivalClass = findClassName(arrival);
+  const leastClass = [...admission.order]
+    .reverse()
+    .find((name) => getClass(admission, name).size > 0);
+  if (leastClass === undefined || compareClasses(leastClass, arrivalClass) < 0) return arrival;
+  const queue = getClass(admission, leastClass);
   const longest = findLongestTeam(queue);
   if (longest === undefined) return arrival;
-  const isOwnClass = leastPriority === arrival.priority;
+  const isOwnClass = leastClass === arrivalClass;
   const ownSize = getEntry(queue.teams, arrival.team)?.size ?? 0;
   if (isOwnClass && longest.size <= ownSize + 1) return arrival;
   return findNewestRequest(longest) ?? arrival;
--- a/src/controller/admission/index.ts
+++ b/src/controller/admission/index.ts
@@ -11,7 +11,9 @@
   type AdmissionFailure,
   type AdmissionRequest,
   type AdmissionSettings,
+  type ClassName,
 } from "./types.js";
+export { findClassName, maxLevel } from "./classes.js";
 export {
   type AdmissionSummary,
   countFreeSlots,
--- a/src/controller/admission/overdue.ts
+++ b/src/controller/admission/overdue.ts
@@ -1,9 +1,19 @@
-import { priorities, succeed, type Priority } from "../../model/index.js";
+import { succeed } from "../../model/index.js";
+import { dropIdleLevels, getClass, isLevelClass } from "./classes.js";
+import { listInServiceOrder } from "./objective.js";
+import { computeOverlap } from "./order.js";
 import { dropIdleTeams } from "./queue.js";
 import { findRefusalReason, refuse } from "./refusal.js";
 import { removeWaiting, withClass } from "./state.js";
 import { findFirstEntry, findLastEntry, listValues, removeEntry } from "./tree.js";
-import type { Admission, AdmissionEffect, Lane, WaitingRequest } from "./types.js";
+import type {
+  Admission,
+  AdmissionEffect,
+  ClassName,
+  Lane,
+  TeamQueue,
+  WaitingRequest,
+} from "./types.js";
 import { createWaitEstimator, type WaitEstimator, type WaitEstimate } from "./wait.js";
 
 /**
@@ -23,40 +33,80 @@
 /**
  * Refuses waiting requests whose estimated wait has become too long since they arrived, because
  * more important requests came or a target slowed down or left. A request that is refused now can
- * be retried elsewhere; otherwise its caller would learn of it only at the deadline. Checks both
- * ends of each lane, starting with the least important class.
+ * be retried elsewhere; otherwise its caller would learn of it only at the deadline. Starts with the
+ * least important class. Checks both ends of each lane, and every request of a level.
  */
 export function refuseOverdueRequests(admission: Admission, at: number) {
   let state = admission;
   const effects: AdmissionEffect[] = [];
-  for (const priority of [...priorities].reverse()) {
-    const overdue = collectOverdue(state, priority, at);
+  for (const name of [...admission.order].reverse()) {
+    const overdue = collectOverdue(state, name, at);
     for (const { waiting, reason, estimate } of overdue) {
       const without = removeWaiting(state, waiting);
-      const refused = refuse(without.classes[priority], waiting, reason, estimate, at);
-      state = withClass(without, priority, refused.queue);
+      const refused = refuse(getClass(without, name), waiting, reason, estimate, at);
+      state = withClass(without, name, refused.queue);
       effects.push(refused.effect);
     }
-    state = withClass(state, priority, dropIdleTeams(state.classes[priority]));
+    state = withClass(state, name, dropIdleTeams(getClass(state, name)));
   }
-  return succeed(state, effects);
+  return succeed(dropIdleLevels(state, at), effects);
 }
 
 function collectOverdue(
   admission: Admission,
-  priority: Priority,
+  name: ClassName,
   at: number,
 ): readonly OverdueRequest[] {
   const overdue: OverdueRequest[] = [];
   const estimators = new Map<string, WaitEstimator>();
-  for (const team of listValues(admission.classes[priority].teams)) {
+  const findEstimator = (lane: Lane, first: WaitingRequest) => {
+    const estimator = estimators.get(lane.key) ?? createWaitEstimator(admission, first, at);
+    estimators.set(lane.key, estimator);
+    return estimator;
+  };
+  for (const team of listValues(getClass(admission, name).teams)) {
+    if (isLevelClass(name)) {
+      overdue.push(...collectOverdueInTeam(admission, team, findEstimator, at));
+      continue;
+    }
     for (const lane of listValues(team.lanes)) {
       const first = findFirstEntry(lane.queue)?.value;
       if (first === undefined) continue;
-      const estimator = estimators.get(lane.key) ?? createWaitEstimator(admission, first, at);
-      estimators.set(lane.key, estimator);
-      overdue.push(...collectOverdueInLane(admission, lane, estimator, at));
+      overdue.push(...collectOverdueInLane(admission, lane, findEstimator(lane, first), at));
+    }
+  }
+  return overdue;
+}
+
+/**
+ * Checks each waiting request of a team in a level, in the order in which they are served. Limits and order
+ * of arrival don't agree there, so that the ends of a lane say nothing of the requests between them. A
+ * refused request frees its place for those behind it.
+ */
+function collectOverdueInTeam(
+  admission: Admission,
+  team: TeamQueue,
+  findEstimator: (lane: Lane, first: WaitingRequest) => WaitEstimator,
+  at: number,
+): readonly OverdueRequest[] {
+  const overdue: OverdueRequest[] = [];
+  const kept = new Map<string, { readonly lane: Lane; count: number }>();
+  const findInTimeFrom = (lane: Lane) => {
+    const first = findFirstEntry(lane.queue)?.value;
+    return first === undefined ? "" : findEstimator(lane, first).inTimeFrom;
+  };
+  for (const { lane, waiting } of listInServiceOrder(team, findInTimeFrom)) {
+    let position = 1;
+    for (const ahead of kept.values()) {
+      position += ahead.count * computeOverlap(ahead.lane.candidates, lane.candidates);
     }
+    const estimate = findEstimator(lane, waiting).estimate(team.team, position);
+    const found = checkOverdue(admission, waiting, estimate, at);
+    if (found === undefined) {
+      const own = kept.get(lane.key) ?? { lane, count: 0 };
+      own.count += 1;
+      kept.set(lane.key, own);
+    } else overdue.push(found);
   }
   return overdue;
 }
--- a/src/controller/admission/queue.ts
+++ b/src/controller/admission/queue.ts
@@ -1,6 +1,7 @@
 import type { Plan, Priority } from "../../model/index.js";
-import { findFirstEntry, getEntry, listValues, putEntry, removeEntry } from "./tree.js";
-import type { ClassQueue, Lane, TeamQueue, WaitingRequest } from "./types.js";
+import { findNextInLane, isInTime, isServedBefore } from "./objective.js";
+import { getEntry, listValues, putEntry, removeEntry } from "./tree.js";
+import type { AdmissionSettings, ClassQueue, Lane, TeamQueue, WaitingRequest } from "./types.js";
 
 /** A priority class without waiting requests. */
 export const emptyClass: ClassQueue = {
@@ -33,8 +34,9 @@
     candidates,
     isBackground: isBackgroundWork(waiting),
     queue: undefined,
+    byObjective: undefined,
   };
-  const grownLane = { ...lane, queue: putEntry(lane.queue, waiting.seq, waiting) };
+  const grownLane = addToLane(lane, waiting);
   const count = 1 + (getEntry(queue.candidateSets, key)?.count ?? 0);
   const grownTeam: TeamQueue = {
     ...team,
@@ -59,11 +61,11 @@
   const lane = team === undefined ? undefined : getEntry(team.lanes, key);
   if (team === undefined || lane === undefined) return queue;
   if (queue.size === 1) return { ...queue, ...emptyClass, lastRetryAt: queue.lastRetryAt };
-  const remaining = removeEntry(lane.queue, waiting.seq);
+  const remaining = removeFromLane(lane, waiting);
   const lanes =
-    remaining === undefined
+    remaining.queue === undefined
       ? removeEntry(team.lanes, key)
-      : putEntry(team.lanes, key, { ...lane, queue: remaining });
+      : putEntry(team.lanes, key, remaining);
   const shrunkTeam = { ...team, size: team.size - 1, lanes };
   return {
     ...queue,
@@ -103,28 +105,48 @@
   return teams === queue.teams ? queue : { ...queue, teams };
 }
 
+/** What determines the next request of a class for a target. */
+export interface PickRules {
+  readonly target: string;
+  readonly isBackgroundAllowed: boolean;
+  /** The key of the time at which a statement that starts now is expected to end. */
+  readonly inTimeFrom: string;
+  readonly levelOrder: AdmissionSettings["levelOrder"];
+}
+
+/** A team's next request, with what decides between teams. */
+interface TeamHead {
+  readonly startTag: number;
+  readonly waiting: WaitingRequest;
+  /** Whether it follows the requests of all teams that are not deferred. */
+  readonly isDeferred: boolean;
+}
+
 /**
- * The next request of a class for a target: the oldest suitable one of the team with the lowest
- * start tag.
+ * The next request of a class for a target: the next suitable one of the team with the lowest start tag.
+ * Within a team requests are served in order of arrival, those of levels by their objectives.
  */
-export function findNextRequest(
-  queue: ClassQueue,
-  target: string,
-  isBackgroundAllowed: boolean,
-): WaitingRequest | undefined {
-  if (!hasWorkFor(queue, target)) return undefined;
-  let best: { readonly startTag: number; readonly waiting: WaitingRequest } | undefined;
+export function findNextRequest(queue: ClassQueue, rules: PickRules): WaitingRequest | undefined {
+  if (!hasWorkFor(queue, rules.target)) return undefined;
+  let best: TeamHead | undefined;
   for (const team of listValues(queue.teams)) {
-    if (best !== undefined && team.startTag > best.startTag) continue;
-    const waiting = findOldestRequest(team, target, isBackgroundAllowed);
+    if (best?.isDeferred === false && team.startTag > best.startTag) continue;
+    const waiting = findNextOfTeam(team, rules);
     if (waiting === undefined) continue;
-    const isSooner =
-      best === undefined || team.startTag < best.startTag || waiting.seq < best.waiting.seq;
-    if (isSooner) best = { startTag: team.startTag, waiting };
+    const isDeferred =
+      rules.levelOrder === "objectiveFirst" && !isInTime(waiting, rules.inTimeFrom);
+    const head = { startTag: team.startTag, waiting, isDeferred };
+    if (best === undefined || isHeadBefore(head, best, rules)) best = head;
   }
   return best?.waiting;
 }
 
+function isHeadBefore(a: TeamHead, b: TeamHead, { inTimeFrom }: PickRules): boolean {
+  if (a.isDeferred !== b.isDeferred) return b.isDeferred;
+  if (a.startTag !== b.startTag) return a.startTag < b.startTag;
+  return isServedBefore(a.waiting, b.waiting, inTimeFrom);
+}
+
 /** Whether any waiting request of a class has a target among its candidates. */
 export function hasWorkFor(queue: ClassQueue, target: string): boolean {
   for (const set of listValues(queue.candidateSets)) {
@@ -140,21 +162,37 @@
   return `${isBackgroundWork(waiting) ? "background" : "other"} ${waiting.candidates.join(" ")}`;
 }
 
-function findOldestRequest(
-  team: TeamQueue,
-  target: string,
-  isBackgroundAllowed: boolean,
-): WaitingRequest | undefined {
+function findNextOfTeam(team: TeamQueue, rules: PickRules): WaitingRequest | undefined {
+  const { inTimeFrom } = rules;
   let head: WaitingRequest | undefined;
   for (const lane of listValues(team.lanes)) {
-    if (!canServeLane(lane, target, isBackgroundAllowed)) continue;
-    const first = findFirstEntry(lane.queue)?.value;
-    if (first !== undefined && (head === undefined || first.seq < head.seq)) head = first;
+    if (!canServeLane(lane, rules)) continue;
+    const first = findNextInLane(lane, inTimeFrom);
+    if (first === undefined) continue;
+    if (head === undefined || isServedBefore(first, head, inTimeFrom)) head = first;
   }
   return head;
 }
 
-function canServeLane(lane: Lane, target: string, isBackgroundAllowed: boolean): boolean {
+function addToLane(lane: Lane, waiting: WaitingRequest): Lane {
+  const { objectiveKey: key } = waiting;
+  return {
+    ...lane,
+    queue: putEntry(lane.queue, waiting.seq, waiting),
+    byObjective: key === undefined ? undefined : putEntry(lane.byObjective, key, waiting),
+  };
+}
+
+function removeFromLane(lane: Lane, waiting: WaitingRequest): Lane {
+  const { objectiveKey: key } = waiting;
+  return {
+    ...lane,
+    queue: removeEntry(lane.queue, waiting.seq),
+    byObjective: key === undefined ? undefined : removeEntry(lane.byObjective, key),
+  };
+}
+
+function canServeLane(lane: Lane, { target, isBackgroundAllowed }: PickRules): boolean {
   return (isBackgroundAllowed || !lane.isBackground) && lane.candidates.includes(target);
 }
 
--- a/src/controller/admission/slots.ts
+++ b/src/controller/admission/slots.ts
@@ -1,12 +1,15 @@
-import { priorities, type Priority } from "../../model/index.js";
-import type { RunningRequest, TargetSlots } from "./types.js";
+import { compareClasses, isLevelClass } from "./classes.js";
+import type { ByClass, ClassName, RunningRequest, TargetSlots } from "./types.js";
 
 /** The weight of the newest sample in the moving average of service times. */
 const serviceTimeWeight = 0.05;
 /** The time constant of the exponential decay of the slot time used by each class. */
 const usageTimeConstantMs = 1000;
 
-const noUsage: Readonly<Record<Priority, number>> = {
+/** A level's decayed slot time counts as 0 below this, so that levels no longer in use take no memory. */
+const negligibleUsageMs = 0.01;
+
+const noUsage: ByClass<number> = {
   critical: 0,
   normal: 0,
   browsing: 0,
@@ -70,35 +73,37 @@
     running: target.running - 1,
     runningBackground: target.runningBackground - (running.isBackground ? 1 : 0),
     serviceMs: target.serviceMs + serviceTimeWeight * (heldMs - target.serviceMs),
-    usageMs: { ...usageMs, [running.priority]: usageMs[running.priority] + heldMs },
+    usageMs: { ...usageMs, [running.className]: (usageMs[running.className] ?? 0) + heldMs },
     usageAt: at,
   };
 }
 
-/**
- * The share of a target's slot time used by classes that are more important than `priority`, 0 to
- * 1.
- */
-export function computeHigherClassShare(
-  target: TargetSlots,
-  priority: Priority,
-  at: number,
-): number {
-  const above = priorities.slice(0, priorities.indexOf(priority));
-  const usedMs =
-    above.reduce((sum, p) => sum + target.usageMs[p], 0) * computeDecayFactor(target, at);
+/** The share of a target's slot time used by classes that are more important than the given one, 0 to 1. */
+export function computeHigherClassShare(target: TargetSlots, name: ClassName, at: number): number {
+  let sum = 0;
+  for (const [other, ms] of listUsage(target)) if (compareClasses(other, name) < 0) sum += ms;
+  const usedMs = sum * computeDecayFactor(target, at);
   return Math.min(1, usedMs / (usageTimeConstantMs * Math.max(1, target.slots)));
 }
 
-function decayUsage(target: TargetSlots, at: number): Readonly<Record<Priority, number>> {
+function decayUsage(target: TargetSlots, at: number): ByClass<number> {
   const factor = computeDecayFactor(target, at);
   const { critical, normal, browsing, trial } = target.usageMs;
-  return {
+  const fixed = {
     critical: critical * factor,
     normal: normal * factor,
     browsing: browsing * factor,
     trial: trial * factor,
   };
+  const levels = listUsage(target)
+    .map(([name, ms]) => [name, ms * factor] as const)
+    .filter(([name, ms]) => isLevelClass(name) && ms >= negligibleUsageMs);
+  return levels.length === 0 ? fixed : { ...fixed, ...Object.fromEntries(levels) };
+}
+
+/** The slot time used by each class; the fixed classes come first. */
+function listUsage(target: TargetSlots): readonly (readonly [ClassName, number])[] {
+  return Object.entries(target.usageMs) as [ClassName, number][];
 }
 
 function computeDecayFactor(target: TargetSlots, at: number): number {
--- a/src/controller/admission/start.ts
+++ b/src/controller/admission/start.ts
@@ -1,4 +1,6 @@
-import { assertInvariant, priorities, succeed, type StepResult } from "../../model/index.js";
+import { assertInvariant, succeed, type StepResult } from "../../model/index.js";
+import { findClassName, findGuaranteedShare, getClass, listClassesBelow } from "./classes.js";
+import { makeTimeKey } from "./objective.js";
 import { chargeTeam, findNextRequest, hasWorkFor, isBackgroundWork } from "./queue.js";
 import { checkWait, refuse } from "./refusal.js";
 import { canRunBackground, hasFreeSlot, takeSlot } from "./slots.js";
@@ -16,7 +18,7 @@
   let state = admission;
   const effects: AdmissionEffect[] = [];
   for (;;) {
-    const waiting = pickNextRequest(state, target);
+    const waiting = pickNextRequest(state, target, at);
     if (waiting === undefined) return succeed(state, effects);
     const result =
       waiting.deadlineAt <= at
@@ -47,7 +49,7 @@
     id: waiting.id,
     target: name,
     team: waiting.team,
-    priority: waiting.priority,
+    className: findClassName(waiting),
     isBackground,
     startedAt: at,
     chargedMs: isQueued ? target.serviceMs : 0,
@@ -68,13 +70,22 @@
  * Picks the next request for a target: from a class with a full credit of its guaranteed share if
  * there is one, else from the most important class.
  */
-function pickNextRequest(admission: Admission, name: string): WaitingRequest | undefined {
+function pickNextRequest(
+  admission: Admission,
+  name: string,
+  at: number,
+): WaitingRequest | undefined {
   const target = admission.targets[name];
   if (target === undefined || !hasFreeSlot(target)) return undefined;
-  const isBackgroundAllowed = canRunBackground(target);
-  const withCredit = priorities.filter((p) => admission.classes[p].credit >= 1);
-  for (const priority of [...withCredit, ...priorities]) {
-    const waiting = findNextRequest(admission.classes[priority], name, isBackgroundAllowed);
+  const rules = {
+    target: name,
+    isBackgroundAllowed: canRunBackground(target),
+    inTimeFrom: makeTimeKey(at + target.serviceMs),
+    levelOrder: admission.settings.levelOrder,
+  };
+  const withCredit = admission.order.filter((c) => getClass(admission, c).credit >= 1);
+  for (const className of [...withCredit, ...admission.order]) {
+    const waiting = findNextRequest(getClass(admission, className), rules);
     if (waiting !== undefined) return waiting;
   }
   return undefined;
@@ -90,24 +101,24 @@
   target: string,
   serviceMs: number,
 ): Admission {
-  const charged = chargeTeam(admission.classes[waiting.priority], waiting.team, serviceMs, true);
-  let state = removeWaiting(withClass(admission, waiting.priority, charged), waiting);
-  const below = priorities.slice(priorities.indexOf(waiting.priority) + 1);
-  for (const priority of below) {
-    const queue = state.classes[priority];
+  const name = findClassName(waiting);
+  const charged = chargeTeam(getClass(admission, name), waiting.team, serviceMs, true);
+  let state = removeWaiting(withClass(admission, name, charged), waiting);
+  for (const lower of listClassesBelow(state, name)) {
+    const queue = getClass(state, lower);
     if (queue.size === 0 || !hasWorkFor(queue, target)) continue;
-    const credit = queue.credit + state.settings.guaranteedShare[priority];
-    state = withClass(state, priority, { ...queue, credit: Math.min(1, credit) });
+    const credit = queue.credit + findGuaranteedShare(state, lower);
+    state = withClass(state, lower, { ...queue, credit: Math.min(1, credit) });
   }
-  const served = state.classes[waiting.priority];
+  const served = getClass(state, name);
   const credit = Math.max(0, served.credit - 1);
-  return withClass(state, waiting.priority, { ...served, credit });
+  return withClass(state, name, { ...served, credit });
 }
 
 function refuseExpired(admission: Admission, waiting: WaitingRequest, at: number): StartResult {
   const without = removeWaiting(admission, waiting);
   const { estimate } = checkWait(without, waiting, at);
-  const queue = without.classes[waiting.priority];
-  const refused = refuse(queue, waiting, "deadline", estimate, at);
-  return succeed(withClass(without, waiting.priority, refused.queue), [refused.effect]);
+  const name = findClassName(waiting);
+  const refused = refuse(getClass(without, name), waiting, "deadline", estimate, at);
+  return succeed(withClass(without, name, refused.queue), [refused.effect]);
 }
--- a/src/controller/admission/state.ts
+++ b/src/controller/admission/state.ts
@@ -1,25 +1,26 @@
-import type { Priority } from "../../model/index.js";
+import { findClassName, getClass, insertClass } from "./classes.js";
 import { addToClass, chargeTeam, removeFromClass } from "./queue.js";
 import { putEntry, removeEntry } from "./tree.js";
-import type { Admission, ClassQueue, RunningRequest, WaitingRequest } from "./types.js";
+import type { Admission, ClassName, ClassQueue, RunningRequest, WaitingRequest } from "./types.js";
 
-/** Replaces the queue of one priority class. */
-export function withClass(admission: Admission, priority: Priority, queue: ClassQueue): Admission {
-  if (admission.classes[priority] === queue) return admission;
-  return { ...admission, classes: { ...admission.classes, [priority]: queue } };
+/** Replaces the queue of one class. */
+export function withClass(admission: Admission, name: ClassName, queue: ClassQueue): Admission {
+  if (admission.classes[name] === queue) return admission;
+  const order = insertClass(admission.order, name);
+  return { ...admission, order, classes: { ...admission.classes, [name]: queue } };
 }
 
 /** Adds a request to the waiting ones. */
 export function putWaiting(admission: Admission, waiting: WaitingRequest): Admission {
-  const queue = addToClass(admission.classes[waiting.priority], waiting);
-  const next = withClass(admission, waiting.priority, queue);
+  const name = findClassName(waiting);
+  const next = withClass(admission, name, addToClass(getClass(admission, name), waiting));
   return { ...next, waiting: putEntry(admission.waiting, waiting.id, waiting) };
 }
 
 /** Removes a request from the waiting ones. */
 export function removeWaiting(admission: Admission, waiting: WaitingRequest): Admission {
-  const queue = removeFromClass(admission.classes[waiting.priority], waiting);
-  const next = withClass(admission, waiting.priority, queue);
+  const name = findClassName(waiting);
+  const next = withClass(admission, name, removeFromClass(getClass(admission, name), waiting));
   return { ...next, waiting: removeEntry(admission.waiting, waiting.id) };
 }
 
@@ -32,7 +33,7 @@
   running: RunningRequest,
   at: number,
 ): ClassQueue {
-  const queue = admission.classes[running.priority];
+  const queue = getClass(admission, running.className);
   if (running.chargedMs === 0) return queue;
   return chargeTeam(queue, running.team, at - running.startedAt - running.chargedMs, false);
 }
--- a/src/controller/admission/step.ts
+++ b/src/controller/admission/step.ts
@@ -1,6 +1,8 @@
 import { assertInvariant, fail, succeed, type StepResult } from "../../model/index.js";
 import { listTargets } from "./capacity.js";
+import { findClassName, fixedClasses, getClass } from "./classes.js";
 import { refuseLeastImportant } from "./displace.js";
+import { makeObjectiveKey } from "./objective.js";
 import { emptyClass, makeLaneKey } from "./queue.js";
 import { checkWait, refuse } from "./refusal.js";
 import { createTargetSlots, releaseSlot } from "./slots.js";
@@ -25,6 +27,7 @@
 /** The defaults of the admission settings. */
 export const defaultAdmissionSettings: AdmissionSettings = {
   guaranteedShare: { critical: 1, normal: 0.1, browsing: 0.05, trial: 0.05 },
+  levelOrder: "teamFirst",
   maxWaiting: 4096,
   initialServiceMs: 5,
 };
@@ -34,6 +37,7 @@
   return {
     settings: { ...defaultAdmissionSettings, ...settings },
     classes: { critical: emptyClass, normal: emptyClass, browsing: emptyClass, trial: emptyClass },
+    order: fixedClasses,
     targets: {},
     waiting: undefined,
     running: undefined,
@@ -87,12 +91,13 @@
     getEntry(admission.waiting, request.id) !== undefined ||
     getEntry(admission.running, request.id) !== undefined;
   if (isKnown) return fail("duplicateRequest");
-  const waiting: WaitingRequest = { ...request, seq: admission.nextSeq, arrivedAt: at };
+  const waiting = makeWaiting(request, admission.nextSeq, at);
   const next = { ...admission, nextSeq: admission.nextSeq + 1 };
   const { estimate, reason } = checkWait(next, waiting, at);
   if (reason !== undefined) {
-    const refused = refuse(next.classes[request.priority], waiting, reason, estimate, at);
-    return succeed(withClass(next, request.priority, refused.queue), [refused.effect]);
+    const name = findClassName(request);
+    const refused = refuse(getClass(next, name), waiting, reason, estimate, at);
+    return succeed(withClass(next, name, refused.queue), [refused.effect]);
   }
   const target = pickFreeTarget(next, waiting);
   if (target !== undefined) return startWaiting(next, waiting, target, at);
@@ -102,6 +107,13 @@
   return succeed(putWaiting(next, waiting));
 }
 
+function makeWaiting(request: AdmissionRequest, seq: number, arrivedAt: number): WaitingRequest {
+  const waiting = { ...request, seq, arrivedAt };
+  if (request.level === undefined) return waiting;
+  const objectiveKey = makeObjectiveKey(request.objectiveAt ?? request.deadlineAt, seq);
+  return { ...waiting, objectiveKey };
+}
+
 /**
  * Picks the candidate with the most free slots. No waiting request may use a slot that is free, so
  * an arrival takes one at once.
@@ -120,7 +132,7 @@
   const released = releaseSlot(target, running, at);
   const queue = correctCharge(admission, running, at);
   const next = {
-    ...withClass(admission, running.priority, queue),
+    ...withClass(admission, running.className, queue),
     running: removeEntry(admission.running, id),
     targets: { ...admission.targets, [target.target]: released },
   };
--- a/src/controller/admission/tree.ts
+++ b/src/controller/admission/tree.ts
@@ -56,6 +56,37 @@
   return tree === undefined ? undefined : findExtreme(tree, "right");
 }
 
+/** The entry with the lowest key that is not below the given one. O(log n). */
+export function findFirstFrom<K extends Key, V>(
+  tree: Tree<K, V>,
+  key: K,
+): TreeNode<K, V> | undefined {
+  let found: TreeNode<K, V> | undefined;
+  for (let node = tree; node !== undefined;) {
+    if (node.key < key) {
+      node = node.right;
+    } else {
+      found = node;
+      node = node.left;
+    }
+  }
+  return found;
+}
+
+/** The number of entries with keys below the given one. O(log n). */
+export function countBefore<K extends Key, V>(tree: Tree<K, V>, key: K): number {
+  let count = 0;
+  for (let node = tree; node !== undefined;) {
+    if (node.key < key) {
+      count += 1 + (node.left?.size ?? 0);
+      node = node.right;
+    } else {
+      node = node.left;
+    }
+  }
+  return count;
+}
+
 /** The values in ascending order of their keys. */
 export function* listValues<K, V>(tree: Tree<K, V>): Generator<V> {
   const stack: TreeNode<K, V>[] = [];
--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -1,6 +1,15 @@
 import type { NotRunReason, Plan, Priority } from "../../model/index.js";
 import type { Tree } from "./tree.js";
 
+/** The class of the requests of one of the operator's levels. */
+export type LevelClass = `level ${number}`;
+
+/** A class of requests: one of the fixed ones, or that of a level. */
+export type ClassName = Priority | LevelClass;
+
+/** A value for each of the fixed classes, and for the classes of the levels that are in use. */
+export type ByClass<T> = Readonly<Record<Priority, T>> & Readonly<Record<LevelClass, T>>;
+
 /**
  * A request for a slot on one of its candidate targets. Times are on the owner's clock, in
  * milliseconds.
@@ -10,6 +19,10 @@
   readonly team: string;
   readonly plan: Plan;
   readonly priority: Priority;
+  /** The operator's level, 0 for the most important; where it is absent, `priority` is the class. */
+  readonly level?: number;
+  /** When the latency objective ends. Used only together with `level`; the deadline if it is absent. */
+  readonly objectiveAt?: number;
   /** The names of the targets that may serve the request. At least one. */
   readonly candidates: readonly string[];
   readonly deadlineAt: number;
@@ -73,6 +86,12 @@
    * requests.
    */
   readonly guaranteedShare: Readonly<Record<Priority, number>>;
+  /**
+   * How the requests of a level are ordered. With `teamFirst` the team that has used the least slot time goes
+   * first, and objectives order its own requests. With `objectiveFirst` teams whose next request can only be
+   * late follow all others.
+   */
+  readonly levelOrder: "teamFirst" | "objectiveFirst";
   /**
    * The most requests that may wait, over all classes. Bounds the memory however short the waits
    * are.
@@ -87,6 +106,8 @@
   /** The sequence number of its arrival. */
   readonly seq: number;
   readonly arrivedAt: number;
+  /** Its key in the order of the ends of objectives; absent without a level. */
+  readonly objectiveKey?: string;
 }
 
 /**
@@ -98,6 +119,8 @@
   readonly candidates: readonly string[];
   readonly isBackground: boolean;
   readonly queue: Tree<number, WaitingRequest>;
+  /** The same requests by their `objectiveKey`, without those that have none. */
+  readonly byObjective: Tree<string, WaitingRequest>;
 }
 
 /**
@@ -141,7 +164,7 @@
   readonly id: string;
   readonly target: string;
   readonly team: string;
-  readonly priority: Priority;
+  readonly className: ClassName;
   readonly isBackground: boolean;
   readonly startedAt: number;
   /** Slot time that was charged to its team in advance; 0 if it started without waiting. */
@@ -162,14 +185,16 @@
   /** Moving average of the time that a statement holds its slot. */
   readonly serviceMs: number;
   /** Exponentially decayed slot time used by each class, as of `usageAt`. */
-  readonly usageMs: Readonly<Record<Priority, number>>;
+  readonly usageMs: ByClass<number>;
   readonly usageAt: number;
 }
 
 /** The admission queue of one group. */
 export interface Admission {
   readonly settings: AdmissionSettings;
-  readonly classes: Readonly<Record<Priority, ClassQueue>>;
+  readonly classes: ByClass<ClassQueue>;
+  /** The known classes, the most important first. */
+  readonly order: readonly ClassName[];
   readonly targets: Readonly<Record<string, TargetSlots | undefined>>;
   readonly waiting: Tree<string, WaitingRequest>;
   readonly running: Tree<string, RunningRequest>;
--- a/src/controller/admission/view.ts
+++ b/src/controller/admission/view.ts
@@ -1,10 +1,10 @@
-import { priorities, type Priority } from "../../model/index.js";
+import { getClass } from "./classes.js";
 import { countEntries, listValues } from "./tree.js";
-import type { Admission } from "./types.js";
+import type { Admission, ByClass } from "./types.js";
 
 /** The number of waiting and running requests of a group, for metrics and the router. */
 export interface AdmissionSummary {
-  readonly waiting: Readonly<Record<Priority, number>>;
+  readonly waiting: ByClass<number>;
   readonly running: number;
   /** Running requests whose callers gave up. */
   readonly abandoned: number;
@@ -12,11 +12,11 @@
 
 /** Counts the waiting and running requests. */
 export function summariseAdmission(admission: Admission): AdmissionSummary {
-  const sizes = priorities.map((p) => [p, admission.classes[p].size] as const);
+  const sizes = admission.order.map((name) => [name, getClass(admission, name).size] as const);
   let abandoned = 0;
   for (const running of listValues(admission.running)) if (running.isAbandoned) abandoned += 1;
   return {
-    waiting: Object.fromEntries(sizes) as Record<Priority, number>,
+    waiting: Object.fromEntries(sizes) as unknown as ByClass<number>,
     running: countEntries(admission.running),
     abandoned,
   };
--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -1,8 +1,10 @@
-import { priorities, type Plan, type Priority } from "../../model/index.js";
+import type { Plan, Priority } from "../../model/index.js";
 import { estimateCapacity, type Capacity } from "./capacity.js";
+import { findClassName, getClass, listClassesAbove } from "./classes.js";
+import { countAheadInTeam, makeTimeKey } from "./objective.js";
 import { isBackgroundWork } from "./queue.js";
 import { canRunBackground, hasFreeSlot } from "./slots.js";
-import { listValues } from "./tree.js";
+import { getEntry, listValues } from "./tree.js";
 import { computeOverlap, predictServiceOrder } from "./order.js";
 import type { Admission } from "./types.js";
 
@@ -11,6 +13,9 @@
   readonly team: string;
   readonly plan: Plan;
   readonly priority: Priority;
+  readonly level?: number;
+  readonly objectiveAt?: number;
+  readonly deadlineAt?: number;
   readonly candidates: readonly string[];
 }
 
@@ -40,16 +45,18 @@
     return { waitMs: 0, deviationMs: 0, startIntervalMs: residualIntervalMs, serviceMs };
   }
   const estimator = createWaitEstimator(admission, request, at);
-  return estimator.estimate(request.team, estimator.countWaiting(request.team) + 1);
+  return estimator.estimate(request.team, estimator.countAhead(request) + 1);
 }
 
 /** Estimates waits in one priority class for one set of candidates. */
 export interface WaitEstimator {
   /**
-   * The number of a team's waiting requests, each weighted by the share of its candidates in the
-   * set.
+   * The number of waiting requests of its team that are served before a request that arrives now, each
+   * weighted by the share of its candidates in the set.
    */
-  readonly countWaiting: (team: string) => number;
+  readonly countAhead: (request: RequestProfile) => number;
+  /** The key of the time at which a statement that starts now is expected to end. */
+  readonly inTimeFrom: string;
   /** Estimates the wait of the `position`-th request of a team. */
   readonly estimate: (team: string, position: number) => WaitEstimate;
 }
@@ -64,11 +71,17 @@
   at: number,
 ): WaitEstimator {
   const capacity = estimateCapacity(admission, request, at);
-  const queue = admission.classes[request.priority];
+  const queue = getClass(admission, findClassName(request));
+  const inTimeFrom = makeTimeKey(at + capacity.serviceMs);
   const order = predictServiceOrder(queue, request.candidates, capacity.serviceMs);
   const higherClassCount = countHigherClassRequests(admission, request);
   return {
-    countWaiting: order.countWaiting,
+    inTimeFrom,
+    countAhead: ({ team, level, objectiveAt, deadlineAt, candidates }) => {
+      if (level === undefined) return order.countWaiting(team);
+      const endAt = objectiveAt ?? deadlineAt ?? Infinity;
+      return countAheadInTeam(getEntry(queue.teams, team), endAt, inTimeFrom, candidates);
+    },
     estimate: (team, position) => {
       const { slotsExpectedInMs, serviceMs } = capacity;
       if (slotsExpectedInMs !== undefined) {
@@ -150,10 +163,9 @@
  * candidates that the request has too.
  */
 function countHigherClassRequests(admission: Admission, request: RequestProfile): number {
-  const higherClasses = priorities.slice(0, priorities.indexOf(request.priority));
   let count = 0;
-  for (const priority of higherClasses) {
-    for (const set of listValues(admission.classes[priority].candidateSets)) {
+  for (const name of listClassesAbove(admission, findClassName(request))) {
+    for (const set of listValues(getClass(admission, name).candidateSets)) {
       count += set.count * computeOverlap(set.candidates, request.candidates);
     }
   }
