Carry a statement's level and objective to its gateway's queue

Cause: the level and the objective of a route end at the entry node, so that no queue can order by them. Change: a forwarded statement carries its level and the time left of its objective since its arrival; the gateway's admission request has both. The priority stays filled for nodes of the earlier build. Refusal events name the level.

--- a/src/capacity/slots.ts
+++ b/src/capacity/slots.ts
@@ -41,6 +41,14 @@
   abandon(): void;
 }
 
+/** The end of the wait of a request with a level, for metrics. */
+export interface SlotWait {
+  readonly level: number;
+  readonly waitMs: number;
+  /** Why it was refused; absent if it got a slot. */
+  readonly refusedFor?: NotRunReason;
+}
+
 /** The admission queue of one group. Binds the pure controller to a timer and to the waiting requests. */
 export class SlotQueue implements Disposable {
   private admission: Admission = createAdmission();
@@ -49,7 +57,10 @@
     this.apply({ type: "tick", at: this.clock.now() });
   });
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly onWaitEnd: (wait: SlotWait) => void = () => undefined,
+  ) {}
 
   /** Waits for a slot. Aborting the signal removes the request from the queue. */
   acquire(request: AdmissionRequest, signal: AbortSignal): Promise<SlotResult> {
@@ -59,7 +70,9 @@
     const giveUp = () => {
       this.giveUp(request.id);
     };
-    return this.waiters.wait(request.id, signal, submit, giveUp);
+    const result = this.waiters.wait(request.id, signal, submit, giveUp);
+    if (request.level !== undefined) void this.observe(request.level, result);
+    return result;
   }
 
   /**
@@ -108,6 +121,13 @@
     for (const id of this.waiters.listIds()) this.refuse(id, "draining", refusedRetryMs);
   }
 
+  private async observe(level: number, result: Promise<SlotResult>): Promise<void> {
+    const askedAt = this.clock.now();
+    const end = await result;
+    const refused = end.type === "refused" ? { refusedFor: end.reason } : {};
+    this.onWaitEnd({ level, waitMs: this.clock.now() - askedAt, ...refused });
+  }
+
   private apply(event: AdmissionEvent): void {
     const applied = applyAdmission(this.admission, event);
     if (applied.type === "failed") {
--- a/src/direct/autocommit.ts
+++ b/src/direct/autocommit.ts
@@ -18,6 +18,7 @@
 import type { RateClaim } from "../rates/index.js";
 import type { PlacedConnection, RefusedPlacement } from "./placement.js";
 import { classifyResult } from "./result-class.js";
+import { describeLevel } from "./levels.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
 
 /** The answer to a statement, and the mark of its commit if it committed a write. */
@@ -135,7 +136,8 @@
 ): StatementResult {
   const { session, trace, ports } = context;
   trace.noteReason(reason);
-  const fields = { id: work.id, session, reason, retryAfterMs, waitedFor };
+  const level = describeLevel(context.database.action);
+  const fields = { id: work.id, session, reason, retryAfterMs, waitedFor, ...level };
   ports.logger.write(directEvents.refused, fields);
   return { reply: failLocally("busy", describeRefusal(reason, retryAfterMs), "idle") };
 }
@@ -246,7 +248,9 @@
 function giveUp(context: SessionContext, work: Work, state: AttemptState): StatementResult {
   const { logger } = context.ports;
   const { attempts: tries, lastReason } = state;
-  logger.write(directEvents.timedOut, { id: work.id, session: context.session, tries, lastReason });
+  const { session, database } = context;
+  const level = describeLevel(database.action);
+  logger.write(directEvents.timedOut, { id: work.id, session, tries, lastReason, ...level });
   const reason = `no result after ${tries} attempts; last failure: ${lastReason}`;
   return { reply: failLocally("busy", describeRefusal(reason, outOfTimeRetryMs), "idle") };
 }
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -81,7 +81,9 @@
     private group: AnnouncedGroup,
     private readonly ports: DirectPorts,
   ) {
-    this.slots = this.disposables.add(new SlotQueue(ports.clock));
+    this.slots = this.disposables.add(
+      new SlotQueue(ports.clock, (wait) => ports.onSlotWait?.(this.name, wait)),
+    );
     this.update(group);
   }
 
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -5,6 +5,7 @@
 export { identifyCaller, TeamRoster } from "./roster.js";
 export { describeRefusal } from "./pause.js";
 export { type PrimarySource, type PrimaryState } from "./primary.js";
+export { describeLevel } from "./levels.js";
 export { watchTransactionIdle } from "./idle.js";
 export { type ShareRule } from "./share.js";
 export { directRunner } from "./direct.js";
@@ -17,5 +18,6 @@
   type Database,
   emptyServingConfig,
   hasLevels,
+  listLevels,
   type ServingConfig,
 } from "./serving-config.js";
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -2,6 +2,7 @@
 import type { HeldConnection, Slot } from "../capacity/index.js";
 import { chooseCandidates, type PlacementConstraints } from "./candidates.js";
 import type { DirectGroup } from "./group.js";
+import { makeAdmissionLevel } from "./levels.js";
 import type { DirectPorts } from "./ports.js";
 import type { TrackedLink } from "./tracked-link.js";
 import type { Database } from "./serving-config.js";
@@ -131,9 +132,10 @@
 ): AdmissionRequest {
   const { id, database, deadlineAt } = request;
   const { priority, maxQueueMs } = database.action;
+  const level = makeAdmissionLevel(database.action, deadlineAt);
   // Admission takes turns by team, so that a team with a burst of statements delays only itself.
   const team = request.team || database.name;
-  return { id, team, plan: "paying", priority, candidates, deadlineAt, maxQueueMs };
+  return { id, team, plan: "paying", priority, ...level, candidates, deadlineAt, maxQueueMs };
 }
 
 function makePlacedConnection(
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -1,3 +1,4 @@
+import type { SlotWait } from "../capacity/index.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Random, Target } from "../model/index.js";
 import type { TargetLink } from "../statement/index.js";
@@ -30,6 +31,10 @@
   readonly role: "primary" | "replica" | "none";
   readonly group: string;
   readonly ms: number;
+  /** The statement's level; absent where the configuration has no levels. */
+  readonly level?: number;
+  /** Whether it was answered after the end of its objective. */
+  readonly isObjectiveMissed?: boolean;
 }
 
 /** The external dependencies of direct serving. */
@@ -54,4 +59,6 @@
   /** Enforces the teams' rate limits. */
   readonly rates: RateLimiter;
   readonly onStatement: (sample: StatementSample) => void;
+  /** Called at the end of the wait for a slot of each statement with a level. */
+  readonly onSlotWait?: (group: string, wait: SlotWait) => void;
 }
--- a/src/direct/serving-config.ts
+++ b/src/direct/serving-config.ts
@@ -40,9 +40,14 @@
 }
 
 /** Whether the configuration orders statements by the operator's levels. */
-export function hasLevels({ databases }: Pick<ServingConfig, "databases">): boolean {
-  for (const { action } of databases.values()) if (action.level !== undefined) return true;
-  return false;
+export function hasLevels(config: Pick<ServingConfig, "databases">): boolean {
+  return listLevels(config).length > 0;
+}
+
+/** The levels of the configuration's databases, the most important first. */
+export function listLevels({ databases }: Pick<ServingConfig, "databases">): readonly number[] {
+  const levels = [...databases.values()].flatMap(({ action }) => action.level ?? []);
+  return [...new Set(levels)].sort((a, b) => a - b);
 }
 
 /** The configuration before the first one arrives, with default time limits. */
--- a/src/direct/session.ts
+++ b/src/direct/session.ts
@@ -14,6 +14,7 @@
 import type { GroupDirectory } from "./directory.js";
 import type { DirectPorts, StatementSample } from "./ports.js";
 import { watchTransactionIdle } from "./idle.js";
+import { observeObjective } from "./levels.js";
 import { identifyCaller, type CallerIdentity } from "./roster.js";
 import type { OpenTransaction, WorkRunner } from "./runner.js";
 import type { StatementResult } from "./autocommit.js";
@@ -264,6 +265,7 @@
       role: trace.role,
       group: context.group.name,
       ms,
+      ...observeObjective(context.database.action, reply, ms),
     });
     return end;
   }
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -12,6 +12,7 @@
 import { directEvents } from "../log/events/direct.js";
 import { isStillPrimary, placeAttempt, sendCommand, supersededReason } from "./attempt.js";
 import { findReadRequirement, type SessionContext } from "./context.js";
+import { describeLevel } from "./levels.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
 import type { PlacedConnection, RefusedPlacement } from "./placement.js";
 import type { OpenTransaction } from "./runner.js";
@@ -307,7 +308,8 @@
   private refuse(context: SessionContext, refused: Omit<RefusedPlacement, "type">): Reply {
     const { logger } = context.ports;
     const { reason, retryAfterMs, waitedFor } = refused;
-    const fields = { session: context.session, reason, retryAfterMs, waitedFor };
+    const level = describeLevel(context.database.action);
+    const fields = { session: context.session, reason, retryAfterMs, waitedFor, ...level };
     logger.write(directEvents.refused, fields);
     this.phase = { type: "failed", reason };
     context.trace.noteReason(reason);
--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -1,4 +1,9 @@
-import { describeRefusal, type SessionContext, type StatementResult } from "../direct/index.js";
+import {
+  describeLevel,
+  describeRefusal,
+  type SessionContext,
+  type StatementResult,
+} from "../direct/index.js";
 import { gatewayEvents } from "../log/events/gateway.js";
 import { failLocally, type Reply } from "../statement/index.js";
 import type { GatewayAnswer } from "./codec.js";
@@ -16,12 +21,12 @@
 
 /** Logs and builds the refusal for when no gateway accepted a statement. Nothing has run. */
 export function refuseWithoutGateway(
-  { session, ports, trace }: SessionContext,
+  { session, database, ports, trace }: SessionContext,
   id: string,
   state: Reply["state"],
 ): Reply {
   const reason = "no gateway of the group accepted the statement";
   trace.noteReason(reason);
-  ports.logger.write(gatewayEvents.noGateway, { id, session });
+  ports.logger.write(gatewayEvents.noGateway, { id, session, ...describeLevel(database.action) });
   return failLocally("busy", describeRefusal(reason, noGatewayRetryMs), state);
 }
--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -1,6 +1,6 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import type { Database, SessionContext } from "../direct/index.js";
-import type { Mark, Priority, Route } from "../model/index.js";
+import type { Mark, Priority, Route, ServeAction } from "../model/index.js";
 import {
   GatewayPriority,
   GatewayRole,
@@ -103,6 +103,7 @@
   const route = part === undefined ? undefined : decodeRoute(part);
   if (part === undefined || route === undefined) return undefined;
   const { session, database: name, group, leftMs, maxQueueMs, values, written, team } = part;
+  const { level, objectiveMs = leftMs } = part;
   const action = {
     type: "serve",
     route,
@@ -111,6 +112,7 @@
     maxQueueMs: Math.min(maxQueueMs, leftMs),
     retry: { attempts: 0 },
     acknowledgement: "witnessed",
+    ...(level === undefined ? {} : { level, objectiveMs }),
   } as const;
   return {
     session,
@@ -167,7 +169,7 @@
 
 function encodeSession(context: SessionContext, leftMs: number): SessionPart {
   const { session, database, values, lastCommit: written, team } = context;
-  const { route, priority, maxQueueMs } = database.action;
+  const { route, priority, maxQueueMs, level } = database.action;
   const maxAgeMs = route.type === "primary" ? undefined : route.maxAgeMs;
   return create(SessionPartSchema, {
     session,
@@ -181,9 +183,18 @@
     values: Object.fromEntries(values),
     ...(written === undefined ? {} : { written: encodeMark(written) }),
     ...(team === undefined ? {} : { team: team.name }),
+    ...(level === undefined
+      ? {}
+      : { level, objectiveMs: computeObjectiveLeft(database.action, leftMs) }),
   });
 }
 
+/** The time left of the objective, which counts from the statement's arrival; 0 once it has been missed. */
+function computeObjectiveLeft(action: ServeAction, leftMs: number): number {
+  const { deadlineMs, objectiveMs = deadlineMs } = action;
+  return Math.max(0, Math.floor(objectiveMs - (deadlineMs - leftMs)));
+}
+
 function encodeRoute({ type }: Route): GatewayRoute {
   switch (type) {
     case "primary":
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -199,16 +199,16 @@
     const group = this.ports.groups.find(name);
     const refusal = isHeld ? undefined : this.ports.findRefusal(name);
     if (group === undefined || refusal !== undefined) {
-      this.refuse(call, refusal ?? `the group ${name} is unknown to this gateway`);
+      this.refuse(call, refusal ?? `the group ${name} is unknown to this gateway`, part);
       return undefined;
     }
     const team = this.findTeam(session.teamName);
     if (team === "unknown") {
-      this.refuse(call, `the team ${session.teamName ?? ""} is unknown to this gateway`);
+      this.refuse(call, `the team ${session.teamName ?? ""} is unknown to this gateway`, part);
       return undefined;
     }
     if (this.calls.size >= maxConcurrentCalls || this.transactions.size >= maxTransactions) {
-      this.refuse(call, "too many calls or transactions of this node are pending");
+      this.refuse(call, "too many calls or transactions of this node are pending", part);
       return undefined;
     }
     const abort = new AbortController();
@@ -299,8 +299,9 @@
     this.liveness.setAwaiting(this.channel.isOpen && this.transactions.size > 0);
   }
 
-  private refuse(call: number, reason: string): void {
-    this.ports.direct.logger.write(gatewayEvents.statementRefused, { reason });
+  private refuse(call: number, reason: string, part?: SessionPart): void {
+    const level = part?.level === undefined ? {} : { level: part.level };
+    this.ports.direct.logger.write(gatewayEvents.statementRefused, { reason, ...level });
     this.send(call, { case: "turnedAway", value: reason });
   }
 
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -9,6 +9,7 @@
   type Verdict,
 } from "../model/index.js";
 import { LabelLimiter } from "./label-limiter.js";
+import { LevelMetrics } from "./level-metrics.js";
 
 const maxGroupLabels = 200;
 const waitBucketsSeconds = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10];
@@ -53,6 +54,8 @@
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string>;
   readonly contentType: string;
+  /** The metrics of statements with a level. */
+  readonly levels: LevelMetrics;
 }
 
 /**
@@ -73,6 +76,7 @@
 
 class RegistryMetrics implements Metrics {
   readonly contentType: string;
+  readonly levels: LevelMetrics;
   private readonly groupLabels = new LabelLimiter(maxGroupLabels);
   private readonly readCounts = { primary: 0, replica: 0 };
 
@@ -90,6 +94,7 @@
 
   constructor(private readonly registry: Registry) {
     this.contentType = registry.contentType;
+    this.levels = new LevelMetrics(registry);
     const define = <L extends string>(name: string, help: string, labelNames: readonly L[]) => ({
       name: `radishwalk_${name}`,
       help,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -256,6 +256,7 @@
       findShareRule: (group, dataCentre) => this.forwarding.findShareRule(group, dataCentre),
       rates: this.rates.limiter,
       onStatement: (sample) => this.recordStatement(sample),
+      onSlotWait: (group, wait) => this.metrics.levels.recordAdmission({ group, ...wait }),
     };
   }
 
@@ -267,8 +268,11 @@
     if (this.forwarding.isEnabled) this.proxyLiveness.checkProxies(registry.list(), isPollingStore);
   }
 
-  private recordStatement({ outcome, effect, role, group, ms }: StatementSample): void {
+  private recordStatement(sample: StatementSample): void {
+    const { outcome, effect, role, group, ms, level, isObjectiveMissed } = sample;
     this.metrics.recordStatement(outcome, ms / 1000);
+    if (level !== undefined && isObjectiveMissed === true)
+      this.metrics.levels.recordObjectiveMissed(group, level);
     if (outcome === "answered" && effect === "read" && role !== "none") {
       this.metrics.recordRead(group, role);
     }
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -36,6 +36,8 @@
   readonly connections?: number;
   readonly slots?: number;
   readonly roster?: TeamRoster;
+  /** Databases of the configuration in addition to the usual ones. */
+  readonly databases?: readonly Database[];
 }
 
 export const group = "ledger";
@@ -195,6 +197,7 @@
   const databases = [
     makeDatabase("primary", { type: "primary" }),
     makeDatabase("own", { type: "replica", maxAgeMs: 2500 }),
+    ...(options.databases ?? []),
   ];
   return {
     revision: 1,
@@ -207,7 +210,8 @@
   };
 }
 
-function makeDatabase(name: string, route: Route): Database {
+/** Creates a database of the fixture's group. */
+export function makeDatabase(name: string, route: Route): Database {
   return {
     name,
     group,
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -13,7 +13,7 @@
 import { DisposableStore, type Address } from "../../src/model/index.js";
 import type { Reply, Statement } from "../../src/statement/index.js";
 import { createSystemClock } from "../../src/system/index.js";
-import { group, ProxyFixture } from "../direct/fixture.js";
+import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { findAddress, waitUntil } from "../node/cluster.js";
 
 /** A gateway with a fake of its targets, which records what is sent to them, and a network link to it. */
@@ -30,7 +30,7 @@
 /** A node without connections to targets, and gateways that have some, with links in between that can fail. */
 export class Hop {
   readonly gateways: HopGateway[] = [];
-  readonly node = new ProxyFixture();
+  readonly node: ProxyFixture;
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
   private readonly runner: RoutedRunner;
@@ -39,7 +39,8 @@
   /** How often none of the gateways that the node knows accepted a statement. */
   notAcceptedCount = 0;
 
-  private constructor() {
+  private constructor(options: FixtureOptions) {
+    this.node = new ProxyFixture(options);
     const clock = createSystemClock();
     this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
     const router = new GatewayRouter({
@@ -56,8 +57,8 @@
     this.runner = new RoutedRunner(router, this.connections);
   }
 
-  static async start(count = 1): Promise<Hop> {
-    const hop = new Hop();
+  static async start(count = 1, options: FixtureOptions = {}): Promise<Hop> {
+    const hop = new Hop(options);
     for (let i = 0; i < count; i += 1) await hop.addGateway(`vm-${i}`);
     return hop;
   }
