Read levels and objectives from the routes of the configuration

Cause: the fields priority and target-latency-ms of a route are reduced to two classes. Invalid values are logged once for each configuration. The log says when levels come into force or cease. Of one revision, a configuration with levels replaces one without that came from a peer of an earlier build.

--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -14,6 +14,17 @@
   readonly roster?: TeamRoster;
   /** Teams and routes that were left out, entirely or in part, with the faulty field; for the log. */
   readonly invalidEntries?: readonly InvalidEntry[];
+  /** Routes whose level or objective is invalid, and which keep their class; for the log. */
+  readonly levelFaults?: readonly LevelFault[];
+}
+
+/** An invalid level or objective of a route. */
+export interface LevelFault {
+  readonly name: string;
+  /** The field, under its name in the platform's format. */
+  readonly field: string;
+  /** The invalid value as JSON, possibly cut off. */
+  readonly value: string;
 }
 
 /** A target that registered itself in the store, with its group. */
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -3,6 +3,7 @@
   type ListedTarget,
   type PlatformFeed,
   type InvalidEntry,
+  type LevelFault,
   type RouteTable,
   type TargetListing,
 } from "./feed.js";
--- a/src/feed/state.ts
+++ b/src/feed/state.ts
@@ -1,5 +1,5 @@
 import type { AnnouncedTarget, ServingConfig } from "../direct/index.js";
-import { emptyServingConfig } from "../direct/index.js";
+import { emptyServingConfig, hasLevels } from "../direct/index.js";
 import type { ListedTarget, InvalidEntry, RouteTable, TargetListing } from "./feed.js";
 
 /** The configuration and targets that a proxy knows. Times are on its own clock, in milliseconds. */
@@ -40,10 +40,16 @@
   };
 }
 
-/** Adopts a configuration unless a newer one is known, so that a stale answer never reverts it. */
+/**
+ * Adopts a configuration unless a newer one is known, so that a stale answer never reverts it. Of the same
+ * revision it adopts one with levels if the known one has none: that one came from a peer of a build that
+ * does not know levels.
+ */
 export function applyRoutes(state: FeedState, routes: RouteTable): FeedState {
-  const known = state.routes?.revision ?? 0;
-  return routes.revision <= known ? state : { ...state, routes };
+  const known = state.routes;
+  const isNewer = routes.revision > (known?.revision ?? 0);
+  const addsLevels = routes.revision === known?.revision && hasLevels(routes) && !hasLevels(known);
+  return isNewer || addsLevels ? { ...state, routes } : state;
 }
 
 /**
--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -14,6 +14,24 @@
     level: "warn",
     text: "Teams of a configuration were ignored, or keys that two teams share; the fields are given.",
   },
+  levelsInForce: {
+    id: 5220,
+    name: "levelsInForce",
+    level: "info",
+    text: "Statements are ordered by the levels of a newer configuration; the levels are given.",
+  },
+  levelsCeased: {
+    id: 5221,
+    name: "levelsCeased",
+    level: "info",
+    text: "A newer configuration has no levels; statements are ordered by the fixed classes.",
+  },
+  levelsInvalid: {
+    id: 5222,
+    name: "levelsInvalid",
+    level: "warn",
+    text: "Routes of a configuration have an invalid level or objective and keep their class; the values are given.",
+  },
   configurationUnreadable: {
     id: 5208,
     name: "configurationUnread",
--- a/src/node/serving-config-tracker.ts
+++ b/src/node/serving-config-tracker.ts
@@ -1,4 +1,4 @@
-import { emptyServingConfig, type ServingConfig } from "../direct/index.js";
+import { emptyServingConfig, listLevels, type ServingConfig } from "../direct/index.js";
 import {
   applyRoutes,
   applyTargets,
@@ -13,6 +13,7 @@
   type FeedState,
   type PlatformFeed,
   type InvalidEntry,
+  type LevelFault,
   type RouteTable,
   type TargetListing,
 } from "../feed/index.js";
@@ -31,7 +32,7 @@
 }
 
 /** How many of the faulty entries a log line names. */
-const maxLoggedTeams = 8;
+const maxLoggedEntries = 8;
 
 /**
  * The configuration and the targets that a node knows, read from the store or received from a peer, and
@@ -83,7 +84,9 @@
   updateRoutes(routes: RouteTable): void {
     const before = this.feed;
     this.feed = applyRoutes(this.feed, routes);
-    if (this.feed !== before) this.logInvalidTeams(routes.invalidEntries ?? []);
+    if (this.feed === before) return;
+    this.logInvalidTeams(routes.invalidEntries ?? []);
+    this.logInvalidLevels(routes.levelFaults ?? []);
   }
 
   /** Adopts the store's listing of the targets and logs its invalid entries. */
@@ -114,6 +117,7 @@
       const fields = { revision, databases: databases.size };
       this.ports.logger.write(nodeEvents.configurationInForce, fields);
     }
+    this.logLevels(before);
     this.ports.onServingConfig(this.current);
   }
 
@@ -138,10 +142,29 @@
     if (targets > 0) this.ports.logger.write(nodeEvents.recordedTargetsUsed, { targets });
   }
 
+  /** Logs a change of the levels that statements are ordered by. */
+  private logLevels(before: ServingConfig): void {
+    const levels = listLevels(this.current);
+    const former = listLevels(before);
+    if (levels.join() === former.join()) return;
+    const { revision } = this.current;
+    const event = levels.length === 0 ? nodeEvents.levelsCeased : nodeEvents.levelsInForce;
+    this.ports.logger.write(event, { revision, levels: levels.length === 0 ? former : levels });
+  }
+
+  /** Writes one line for each configuration, however many of its levels and objectives are invalid. */
+  private logInvalidLevels(faults: readonly LevelFault[]): void {
+    if (faults.length === 0) return;
+    const first = faults
+      .slice(0, maxLoggedEntries)
+      .map(({ name, field, value }) => `${name}: ${field} ${value}`);
+    this.ports.logger.write(nodeEvents.levelsInvalid, { count: faults.length, first });
+  }
+
   /** Writes one line for each configuration, however many of its entries are faulty. */
   private logInvalidTeams(entries: readonly InvalidEntry[]): void {
     if (entries.length === 0) return;
-    const first = entries.slice(0, maxLoggedTeams).map(({ name, field }) => `${name}: ${field}`);
+    const first = entries.slice(0, maxLoggedEntries).map(({ name, field }) => `${name}: ${field}`);
     this.ports.logger.write(nodeEvents.teamsRefused, { count: entries.length, first });
   }
 
