Count late statements as overtaken when their wait is estimated

Cause: in an overload of a team, new statements that can still meet their objective overtake those that are late. Change: the wait of a statement that is expected to be late is stretched by the share of the starts that late statements of its team got recently; the retry time is when a new statement would be served in time.

--- a/src/controller/admission/objective.ts
+++ b/src/controller/admission/objective.ts
@@ -44,34 +44,49 @@
   return (inTime ?? findFirstEntry(lane.queue))?.value;
 }
 
+/** The waiting requests of a team that are served before another of its requests. */
+export interface CountAhead {
+  readonly inTime: number;
+  readonly late: number;
+}
+
 /**
- * Counts the waiting requests of a team that are served before one that arrives now, each weighted by the
- * share of its candidates that are among the given ones.
+ * Counts the waiting requests of a team that are served before one that arrives now: those in time whose
+ * objectives end no later, or all if it can only be late, and all late ones. Each is weighted by the share of
+ * its candidates that are among the given ones.
  */
 export function countAheadInTeam(
   team: TeamQueue | undefined,
   objectiveAt: number,
   inTimeFrom: string,
   candidates: readonly string[],
-): number {
-  if (team === undefined) return 0;
+): CountAhead {
   const key = makeObjectiveKey(objectiveAt, Number.MAX_SAFE_INTEGER);
-  let count = 0;
-  for (const lane of listValues(team.lanes)) {
-    const ahead =
-      key < inTimeFrom
-        ? (lane.queue?.size ?? 0)
-        : countBefore(lane.byObjective, key) - countBefore(lane.byObjective, inTimeFrom);
-    count += ahead * computeOverlap(lane.candidates, candidates);
+  let inTime = 0;
+  let late = 0;
+  for (const lane of listValues(team?.lanes)) {
+    const overlap = computeOverlap(lane.candidates, candidates);
+    const lateHere = countBefore(lane.byObjective, inTimeFrom);
+    const size = lane.byObjective?.size ?? 0;
+    const upTo = key < inTimeFrom ? size : countBefore(lane.byObjective, key);
+    late += lateHere * overlap;
+    inTime += (upTo - lateHere) * overlap;
   }
-  return count;
+  return { inTime, late };
+}
+
+/** A waiting request of a team, with its lane and whether it can still meet its objective. */
+export interface ServiceEntry {
+  readonly lane: Lane;
+  readonly waiting: WaitingRequest;
+  readonly inTime: boolean;
 }
 
 /** The waiting requests of a team in the order in which they are served, with the lane of each. */
 export function listInServiceOrder(
   team: TeamQueue,
   findInTimeFrom: (lane: Lane) => string,
-): readonly { readonly lane: Lane; readonly waiting: WaitingRequest }[] {
+): readonly ServiceEntry[] {
   const entries = [...listValues(team.lanes)].flatMap((lane) => {
     const inTimeFrom = findInTimeFrom(lane);
     return [...listValues(lane.queue)].map((waiting) => ({
--- a/src/controller/admission/overdue.ts
+++ b/src/controller/admission/overdue.ts
@@ -90,27 +90,49 @@
   at: number,
 ): readonly OverdueRequest[] {
   const overdue: OverdueRequest[] = [];
-  const kept = new Map<string, { readonly lane: Lane; count: number }>();
   const findInTimeFrom = (lane: Lane) => {
     const first = findFirstEntry(lane.queue)?.value;
     return first === undefined ? "" : findEstimator(lane, first).inTimeFrom;
   };
-  for (const { lane, waiting } of listInServiceOrder(team, findInTimeFrom)) {
-    let position = 1;
-    for (const ahead of kept.values()) {
-      position += ahead.count * computeOverlap(ahead.lane.candidates, lane.candidates);
-    }
-    const estimate = findEstimator(lane, waiting).estimate(team.team, position);
+  const kept = new LaneCounts();
+  const lateWaiting = new LaneCounts();
+  const entries = listInServiceOrder(team, findInTimeFrom);
+  for (const { lane, inTime } of entries) if (!inTime) lateWaiting.add(lane);
+  const keptLate = new LaneCounts();
+  for (const { lane, waiting, inTime } of entries) {
+    const ahead = {
+      inTime: kept.countFor(lane),
+      late: (inTime ? lateWaiting : keptLate).countFor(lane),
+    };
+    const endAt = waiting.objectiveAt ?? waiting.deadlineAt;
+    const estimate = findEstimator(lane, waiting).estimateLevel(team.team, ahead, endAt);
     const found = checkOverdue(admission, waiting, estimate, at);
-    if (found === undefined) {
-      const own = kept.get(lane.key) ?? { lane, count: 0 };
-      own.count += 1;
-      kept.set(lane.key, own);
-    } else overdue.push(found);
+    if (found === undefined) (inTime ? kept : keptLate).add(lane);
+    else overdue.push(found);
   }
   return overdue;
 }
 
+/** Counts requests by lane. */
+class LaneCounts {
+  private readonly counts = new Map<string, { readonly lane: Lane; count: number }>();
+
+  add(lane: Lane): void {
+    const known = this.counts.get(lane.key) ?? { lane, count: 0 };
+    known.count += 1;
+    this.counts.set(lane.key, known);
+  }
+
+  /** The number of requests, each weighted by the share of its candidates that the lane has too. */
+  countFor({ candidates }: Lane): number {
+    let count = 0;
+    for (const { lane, count: own } of this.counts.values()) {
+      count += own * computeOverlap(lane.candidates, candidates);
+    }
+    return count;
+  }
+}
+
 function collectOverdueInLane(
   admission: Admission,
   lane: Lane,
--- a/src/controller/admission/queue.ts
+++ b/src/controller/admission/queue.ts
@@ -1,8 +1,17 @@
 import type { Plan, Priority } from "../../model/index.js";
-import { findNextInLane, isInTime, isServedBefore } from "./objective.js";
-import { getEntry, listValues, putEntry, removeEntry } from "./tree.js";
+import { findNextInLane, isInTime, isServedBefore, makeTimeKey } from "./objective.js";
+import { findFirstEntry, getEntry, listValues, putEntry, removeEntry } from "./tree.js";
 import type { AdmissionSettings, ClassQueue, Lane, TeamQueue, WaitingRequest } from "./types.js";
 
+/** The weight of the newest start in a team's share of late starts. */
+const turnWeight = 0.1;
+/**
+ * A request that starts with at least this part of its objective left shows that the overload is over. In an
+ * overload, requests start when little is left. That no late request waits shows nothing: all of them may have
+ * been refused a moment before.
+ */
+const amplePart = 0.5;
+
 /** A priority class without waiting requests. */
 export const emptyClass: ClassQueue = {
   size: 0,
@@ -95,6 +104,38 @@
   return { ...queue, virtualTime, teams };
 }
 
+/**
+ * Updates the share of its starts that a team's late requests get, before one of its requests starts. It falls
+ * when that request overtakes a late one. It rises when a late one starts, or one that is in ample time.
+ */
+export function recordTurn(
+  queue: ClassQueue,
+  waiting: WaitingRequest,
+  expectedEndAt: number,
+): ClassQueue {
+  const team = getEntry(queue.teams, waiting.team);
+  if (team === undefined || waiting.objectiveKey === undefined) return queue;
+  const inTimeFrom = makeTimeKey(expectedEndAt);
+  const isLate = !isInTime(waiting, inTimeFrom);
+  const isOvertaking = !isLate && hasLateRequest(team, inTimeFrom);
+  if (!isOvertaking && !isLate && !isInAmpleTime(waiting, expectedEndAt)) return queue;
+  const lateShare = team.lateShare + turnWeight * ((isOvertaking ? 0 : 1) - team.lateShare);
+  return { ...queue, teams: putEntry(queue.teams, team.team, { ...team, lateShare }) };
+}
+
+function isInAmpleTime(waiting: WaitingRequest, expectedEndAt: number): boolean {
+  const objectiveAt = waiting.objectiveAt ?? waiting.deadlineAt;
+  return objectiveAt - expectedEndAt >= amplePart * (objectiveAt - waiting.arrivedAt);
+}
+
+function hasLateRequest(team: TeamQueue, inTimeFrom: string): boolean {
+  for (const lane of listValues(team.lanes)) {
+    const first = findFirstEntry(lane.byObjective)?.value;
+    if (first !== undefined && !isInTime(first, inTimeFrom)) return true;
+  }
+  return false;
+}
+
 /** Removes teams without waiting requests whose start tag the virtual time has reached. */
 export function dropIdleTeams(queue: ClassQueue): ClassQueue {
   let teams = queue.teams;
@@ -218,5 +259,5 @@
 }
 
 function createTeamQueue(team: string): TeamQueue {
-  return { team, startTag: 0, size: 0, lanes: undefined };
+  return { team, startTag: 0, size: 0, lateShare: 1, lanes: undefined };
 }
--- a/src/controller/admission/refusal.ts
+++ b/src/controller/admission/refusal.ts
@@ -74,6 +74,7 @@
 
 function computeExcessMs(waiting: WaitingRequest, estimate: WaitEstimate, at: number): number {
   if (!Number.isFinite(estimate.waitMs)) return unknownOutageRetryMs;
+  if (estimate.inTimeAfterMs !== undefined) return Math.max(0, estimate.inTimeAfterMs);
   const maxWaitMs = Math.max(0, computeMaxWaitMs(waiting, estimate.serviceMs, at));
   return Math.max(0, computePessimisticWaitMs(estimate) - maxWaitMs);
 }
--- a/src/controller/admission/start.ts
+++ b/src/controller/admission/start.ts
@@ -1,12 +1,18 @@
 import { assertInvariant, succeed, type StepResult } from "../../model/index.js";
 import { findClassName, findGuaranteedShare, getClass, listClassesBelow } from "./classes.js";
 import { makeTimeKey } from "./objective.js";
-import { chargeTeam, findNextRequest, hasWorkFor, isBackgroundWork } from "./queue.js";
+import { chargeTeam, findNextRequest, hasWorkFor, isBackgroundWork, recordTurn } from "./queue.js";
 import { checkWait, refuse } from "./refusal.js";
 import { canRunBackground, hasFreeSlot, takeSlot } from "./slots.js";
 import { removeWaiting, withClass } from "./state.js";
 import { getEntry, putEntry } from "./tree.js";
-import type { Admission, AdmissionEffect, RunningRequest, WaitingRequest } from "./types.js";
+import type {
+  Admission,
+  AdmissionEffect,
+  RunningRequest,
+  TargetSlots,
+  WaitingRequest,
+} from "./types.js";
 
 type StartResult = Extract<StepResult<Admission, AdmissionEffect, never>, { type: "applied" }>;
 
@@ -55,9 +61,7 @@
     chargedMs: isQueued ? target.serviceMs : 0,
     isAbandoned: false,
   };
-  const dequeued = isQueued
-    ? dequeueAndCharge(admission, waiting, name, target.serviceMs)
-    : admission;
+  const dequeued = isQueued ? dequeueAndCharge(admission, waiting, target, at) : admission;
   const next = {
     ...dequeued,
     running: putEntry(dequeued.running, running.id, running),
@@ -98,11 +102,12 @@
 function dequeueAndCharge(
   admission: Admission,
   waiting: WaitingRequest,
-  target: string,
-  serviceMs: number,
+  { target, serviceMs }: TargetSlots,
+  at: number,
 ): Admission {
   const name = findClassName(waiting);
-  const charged = chargeTeam(getClass(admission, name), waiting.team, serviceMs, true);
+  const recorded = recordTurn(getClass(admission, name), waiting, at + serviceMs);
+  const charged = chargeTeam(recorded, waiting.team, serviceMs, true);
   let state = removeWaiting(withClass(admission, name, charged), waiting);
   for (const lower of listClassesBelow(state, name)) {
     const queue = getClass(state, lower);
--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -131,6 +131,11 @@
   readonly team: string;
   readonly startTag: number;
   readonly size: number;
+  /**
+   * Of its recent starts beside waiting requests that could only be late, the share that these got, 0 to 1.
+   * Only meaningful in the class of a level.
+   */
+  readonly lateShare: number;
   readonly lanes: Tree<string, Lane>;
 }
 
--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -1,7 +1,7 @@
 import type { Plan, Priority } from "../../model/index.js";
 import { estimateCapacity, type Capacity } from "./capacity.js";
 import { findClassName, getClass, listClassesAbove } from "./classes.js";
-import { countAheadInTeam, makeTimeKey } from "./objective.js";
+import { countAheadInTeam, makeTimeKey, type CountAhead } from "./objective.js";
 import { isBackgroundWork } from "./queue.js";
 import { canRunBackground, hasFreeSlot } from "./slots.js";
 import { getEntry, listValues } from "./tree.js";
@@ -28,6 +28,11 @@
   /** Mean time between two starts of its class on the candidates. */
   readonly startIntervalMs: number;
   readonly serviceMs: number;
+  /**
+   * After this time a new statement like it would be served within its objective; the time to return for a
+   * refused statement. Set only for a statement of a level that is expected to be late.
+   */
+  readonly inTimeAfterMs?: number;
 }
 
 /** Standard deviations that a pessimistic wait adds to the mean. */
@@ -45,20 +50,26 @@
     return { waitMs: 0, deviationMs: 0, startIntervalMs: residualIntervalMs, serviceMs };
   }
   const estimator = createWaitEstimator(admission, request, at);
-  return estimator.estimate(request.team, estimator.countAhead(request) + 1);
+  const { team, level, deadlineAt = Infinity, objectiveAt = deadlineAt } = request;
+  if (level === undefined) return estimator.estimate(team, estimator.countWaiting(team) + 1);
+  const queued = getEntry(getClass(admission, findClassName(request)).teams, team);
+  const ahead = countAheadInTeam(queued, objectiveAt, estimator.inTimeFrom, request.candidates);
+  return estimator.estimateLevel(team, ahead, objectiveAt);
 }
 
 /** Estimates waits in one priority class for one set of candidates. */
 export interface WaitEstimator {
   /**
-   * The number of waiting requests of its team that are served before a request that arrives now, each
-   * weighted by the share of its candidates in the set.
+   * The number of a team's waiting requests, each weighted by the share of its candidates in the
+   * set.
    */
-  readonly countAhead: (request: RequestProfile) => number;
+  readonly countWaiting: (team: string) => number;
   /** The key of the time at which a statement that starts now is expected to end. */
   readonly inTimeFrom: string;
   /** Estimates the wait of the `position`-th request of a team. */
   readonly estimate: (team: string, position: number) => WaitEstimate;
+  /** Estimates the wait of a team's request with an objective, by the requests that are served before it. */
+  readonly estimateLevel: (team: string, ahead: CountAhead, objectiveAt: number) => WaitEstimate;
 }
 
 /**
@@ -75,32 +86,68 @@
   const inTimeFrom = makeTimeKey(at + capacity.serviceMs);
   const order = predictServiceOrder(queue, request.candidates, capacity.serviceMs);
   const higherClassCount = countHigherClassRequests(admission, request);
+  const estimate = (team: string, position: number): WaitEstimate => {
+    const { slotsExpectedInMs, serviceMs } = capacity;
+    if (slotsExpectedInMs !== undefined) {
+      return {
+        waitMs: slotsExpectedInMs,
+        deviationMs: 0,
+        startIntervalMs: capacity.residualIntervalMs,
+        serviceMs,
+      };
+    }
+    const ownClassCount = order.countServedUntil(team, position);
+    return pickShorterWait(
+      estimateResidualWait(capacity, higherClassCount + ownClassCount),
+      estimateGuaranteedWait(capacity, ownClassCount),
+    );
+  };
   return {
+    countWaiting: order.countWaiting,
     inTimeFrom,
-    countAhead: ({ team, level, objectiveAt, deadlineAt, candidates }) => {
-      if (level === undefined) return order.countWaiting(team);
-      const endAt = objectiveAt ?? deadlineAt ?? Infinity;
-      return countAheadInTeam(getEntry(queue.teams, team), endAt, inTimeFrom, candidates);
-    },
-    estimate: (team, position) => {
-      const { slotsExpectedInMs, serviceMs } = capacity;
-      if (slotsExpectedInMs !== undefined) {
-        return {
-          waitMs: slotsExpectedInMs,
-          deviationMs: 0,
-          startIntervalMs: capacity.residualIntervalMs,
-          serviceMs,
-        };
-      }
-      const ownClassCount = order.countServedUntil(team, position);
-      return pickShorterWait(
-        estimateResidualWait(capacity, higherClassCount + ownClassCount),
-        estimateGuaranteedWait(capacity, ownClassCount),
+    estimate,
+    estimateLevel: (team, ahead, objectiveAt) => {
+      const latestStartMs = objectiveAt - capacity.serviceMs - at;
+      const lateShare = getEntry(queue.teams, team)?.lateShare ?? 1;
+      return estimateLevelWait(
+        (position) => estimate(team, position),
+        ahead,
+        latestStartMs,
+        lateShare,
       );
     },
   };
 }
 
+/** The least assumed share, so that a wait stays finite. */
+const minLateShare = 0.001;
+
+/**
+ * The wait of a request with an objective. While it is served in time only the requests before it count.
+ * Once it is late, requests that arrive later overtake it as well, so that the queue alone says too little:
+ * its part of the wait is stretched by the share of the starts that late requests get. Without this, an
+ * overload would hold late requests until their deadlines and refuse them only then.
+ */
+function estimateLevelWait(
+  estimate: (position: number) => WaitEstimate,
+  { inTime, late }: CountAhead,
+  latestStartMs: number,
+  lateShare: number,
+): WaitEstimate {
+  const ifInTime = estimate(inTime + 1);
+  const inTimeMs = computePessimisticWaitMs(ifInTime);
+  if (inTimeMs <= latestStartMs) return ifInTime;
+  const ifLate = estimate(inTime + late + 1);
+  if (!Number.isFinite(ifLate.waitMs)) return ifLate;
+  const lateMs = estimate(inTime + late + 2).waitMs - ifInTime.waitMs;
+  const stretchedMs = lateMs * (1 / Math.max(minLateShare, lateShare) - 1);
+  return {
+    ...ifLate,
+    waitMs: ifLate.waitMs + stretchedMs,
+    inTimeAfterMs: inTimeMs - Math.max(0, latestStartMs),
+  };
+}
+
 /**
  * The wait for capacity that more important classes leave unused. It varies the more, the more they
  * use, because their requests come in bursts.
