--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -1,8 +1,10 @@
-import { priorities, type Plan, type Priority } from "../../model/index.js";
+import type { Plan, Priority } from "../../model/index.js";
 import { estimateCapacity, type Capacity } from "./capacity.js";
+import { findClassName, getClass, listClassesAbove } from "./classes.js";
+import { countAheadInTeam, makeTimeKey, type CountAhead } from "./objective.js";
 import { isBackgroundWork } from "./queue.js";
 import { canRunBackground, hasFreeSlot } from "./slots.js";
-import { listValues } from "./tree.js";
+import { getEntry, listValues } from "./tree.js";
 import { computeOverlap, predictServiceOrder } from "./order.js";
 import type { Admission } from "./types.js";
 
@@ -11,6 +13,9 @@
   readonly team: string;
   readonly plan: Plan;
   readonly priority: Priority;
+  readonly level?: number;
+  readonly objectiveAt?: number;
+  readonly deadlineAt?: number;
   readonly candidates: readonly string[];
 }
 
@@ -23,6 +28,11 @@
   /** Mean time between two starts of its class on the candidates. */
   readonly startIntervalMs: number;
   readonly serviceMs: number;
+  /**
+   * After this time a new statement like it would be served within its objective; the time to return for a
+   * refused statement. Set only for a statement of a level that is expected to be late.
+   */
+  readonly inTimeAfterMs?: number;
 }
 
 /** Standard deviations that a pessimistic wait adds to the mean. */
@@ -40,7 +50,11 @@
     return { waitMs: 0, deviationMs: 0, startIntervalMs: residualIntervalMs, serviceMs };
   }
   const estimator = createWaitEstimator(admission, request, at);
-  return estimator.estimate(request.team, estimator.countWaiting(request.team) + 1);
+  const { team, level, deadlineAt = Infinity, objectiveAt = deadlineAt } = request;
+  if (level === undefined) return estimator.estimate(team, estimator.countWaiting(team) + 1);
+  const queued = getEntry(getClass(admission, findClassName(request)).teams, team);
+  const ahead = countAheadInTeam(queued, objectiveAt, estimator.inTimeFrom, request.candidates);
+  return estimator.estimateLevel(team, ahead, objectiveAt);
 }
 
 /** Estimates waits in one priority class for one set of candidates. */
@@ -50,8 +64,12 @@
    * set.
    */
   readonly countWaiting: (team: string) => number;
+  /** The key of the time at which a statement that starts now is expected to end. */
+  readonly inTimeFrom: string;
   /** Estimates the wait of the `position`-th request of a team. */
   readonly estimate: (team: string, position: number) => WaitEstimate;
+  /** Estimates the wait of a team's request with an objective, by the requests that are served before it. */
+  readonly estimateLevel: (team: string, ahead: CountAhead, objectiveAt: number) => WaitEstimate;
 }
 
 /**
@@ -64,30 +82,72 @@
   at: number,
 ): WaitEstimator {
   const capacity = estimateCapacity(admission, request, at);
-  const queue = admission.classes[request.priority];
+  const queue = getClass(admission, findClassName(request));
+  const inTimeFrom = makeTimeKey(at + capacity.serviceMs);
   const order = predictServiceOrder(queue, request.candidates, capacity.serviceMs);
   const higherClassCount = countHigherClassRequests(admission, request);
+  const estimate = (team: string, position: number): WaitEstimate => {
+    const { slotsExpectedInMs, serviceMs } = capacity;
+    if (slotsExpectedInMs !== undefined) {
+      return {
+        waitMs: slotsExpectedInMs,
+        deviationMs: 0,
+        startIntervalMs: capacity.residualIntervalMs,
+        serviceMs,
+      };
+    }
+    const ownClassCount = order.countServedUntil(team, position);
+    return pickShorterWait(
+      estimateResidualWait(capacity, higherClassCount + ownClassCount),
+      estimateGuaranteedWait(capacity, ownClassCount),
+    );
+  };
   return {
     countWaiting: order.countWaiting,
-    estimate: (team, position) => {
-      const { slotsExpectedInMs, serviceMs } = capacity;
-      if (slotsExpectedInMs !== undefined) {
-        return {
-          waitMs: slotsExpectedInMs,
-          deviationMs: 0,
-          startIntervalMs: capacity.residualIntervalMs,
-          serviceMs,
-        };
-      }
-      const ownClassCount = order.countServedUntil(team, position);
-      return pickShorterWait(
-        estimateResidualWait(capacity, higherClassCount + ownClassCount),
-        estimateGuaranteedWait(capacity, ownClassCount),
+    inTimeFrom,
+    estimate,
+    estimateLevel: (team, ahead, objectiveAt) => {
+      const latestStartMs = objectiveAt - capacity.serviceMs - at;
+      const lateShare = getEntry(queue.teams, team)?.lateShare ?? 1;
+      return estimateLevelWait(
+        (position) => estimate(team, position),
+        ahead,
+        latestStartMs,
+        lateShare,
       );
     },
   };
 }
 
+/** The least assumed share, so that a wait stays finite. */
+const minLateShare = 0.001;
+
+/**
+ * The wait of a request with an objective. While it is served in time only the requests before it count.
+ * Once it is late, requests that arrive later overtake it as well, so that the queue alone says too little:
+ * its part of the wait is stretched by the share of the starts that late requests get. Without this, an
+ * overload would hold late requests until their deadlines and refuse them only then.
+ */
+function estimateLevelWait(
+  estimate: (position: number) => WaitEstimate,
+  { inTime, late }: CountAhead,
+  latestStartMs: number,
+  lateShare: number,
+): WaitEstimate {
+  const ifInTime = estimate(inTime + 1);
+  const inTimeMs = computePessimisticWaitMs(ifInTime);
+  if (inTimeMs <= latestStartMs) return ifInTime;
+  const ifLate = estimate(inTime + late + 1);
+  if (!Number.isFinite(ifLate.waitMs)) return ifLate;
+  const lateMs = estimate(inTime + late + 2).waitMs - ifInTime.waitMs;
+  const stretchedMs = lateMs * (1 / Math.max(minLateShare, lateShare) - 1);
+  return {
+    ...ifLate,
+    waitMs: ifLate.waitMs + stretchedMs,
+    inTimeAfterMs: inTimeMs - Math.max(0, latestStartMs),
+  };
+}
+
 /**
  * The wait for capacity that more important classes leave unused. It varies the more, the more they
  * use, because their requests come in bursts.
@@ -150,10 +210,9 @@
  * candidates that the request has too.
  */
 function countHigherClassRequests(admission: Admission, request: RequestProfile): number {
-  const higherClasses = priorities.slice(0, priorities.indexOf(request.priority));
   let count = 0;
-  for (const priority of higherClasses) {
-    for (const set of listValues(admission.classes[priority].candidateSets)) {
+  for (const name of listClassesAbove(admission, findClassName(request))) {
+    for (const set of listValues(getClass(admission, name).candidateSets)) {
       count += set.count * computeOverlap(set.candidates, request.candidates);
     }
   }
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -86,7 +86,9 @@
     private group: AnnouncedGroup,
     private readonly ports: DirectPorts,
   ) {
-    this.slots = this.disposables.add(new SlotQueue(ports.clock));
+    this.slots = this.disposables.add(
+      new SlotQueue(ports.clock, (wait) => ports.onSlotWait?.(this.name, wait)),
+    );
     this.crossingTimes = new CrossingTimes(() => ports.clock.now());
     this.update(group);
   }
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -10,6 +10,7 @@
   type PlacementConstraints,
 } from "./candidates.js";
 import type { DirectGroup } from "./group.js";
+import { makeAdmissionLevel } from "./levels.js";
 import type { DirectPorts } from "./ports.js";
 import type { PrimaryState } from "./primary.js";
 import { minRedirectMs, type RedirectOffer } from "./redirect.js";
@@ -206,9 +207,10 @@
 ): AdmissionRequest {
   const { id, database, deadlineAt } = request;
   const { priority, maxQueueMs } = database.action;
+  const level = makeAdmissionLevel(database.action, deadlineAt);
   // Admission takes turns by team, so that a team with a burst of statements delays only itself.
   const team = request.team || database.name;
-  return { id, team, plan: "paying", priority, candidates, deadlineAt, maxQueueMs };
+  return { id, team, plan: "paying", priority, ...level, candidates, deadlineAt, maxQueueMs };
 }
 
 function makePlacedConnection(
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -1,3 +1,4 @@
+import type { SlotWait } from "../capacity/index.js";
 import type { Logger } from "../log/index.js";
 import type { Clock, Random, Target } from "../model/index.js";
 import type { TargetLink } from "../statement/index.js";
@@ -30,6 +31,10 @@
   readonly role: "primary" | "replica" | "none";
   readonly group: string;
   readonly ms: number;
+  /** The statement's level; absent where the configuration has no levels. */
+  readonly level?: number;
+  /** Whether it was answered after the end of its objective. */
+  readonly isObjectiveMissed?: boolean;
 }
 
 /** The external dependencies of direct serving. */
@@ -58,4 +63,6 @@
   readonly onStatement: (sample: StatementSample) => void;
   /** Called when this process leaves a statement of a group to the primary's gateway. */
   readonly onRedirect: (group: string) => void;
+  /** Called at the end of the wait for a slot of each statement with a level. */
+  readonly onSlotWait?: (group: string, wait: SlotWait) => void;
 }
--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -68,7 +68,8 @@
     } finally {
       if (way === "probe") this.needs.endProbe(key, isFresh);
     }
-    if (countRemainingMs(context, deadlineAt, undefined) < minRedirectMs) return { type: "outOfTime" };
+    if (countRemainingMs(context, deadlineAt, undefined) < minRedirectMs)
+      return { type: "outOfTime" };
     return this.sendOnce(context, true, deadlineAt, tryRead);
   }
 
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -42,6 +42,8 @@
   readonly rates?: RateLimiter;
   /** The proxy's data centre; "a" unless given. */
   readonly dataCentre?: string;
+  /** Databases of the configuration in addition to the usual ones. */
+  readonly databases?: readonly Database[];
 }
 
 export const group = "ledger";
@@ -212,6 +214,7 @@
     makeDatabase("primary", { type: "primary" }),
     makeDatabase("own", { type: "replica", maxAgeMs: 2500 }),
     makeDatabase("session", { type: "replica" }),
+    ...(options.databases ?? []),
   ];
   return {
     revision: 1,
@@ -224,7 +227,8 @@
   };
 }
 
-function makeDatabase(name: string, route: Route): Database {
+/** Creates a database of the fixture's group. */
+export function makeDatabase(name: string, route: Route): Database {
   return {
     name,
     group,
--- a/test/gateway/distance.test.ts
+++ b/test/gateway/distance.test.ts
@@ -8,7 +8,7 @@
 afterEach(() => hop.dispose());
 
 async function startFar() {
-  hop = await Hop.start(1, true);
+  hop = await Hop.start(1, {}, true);
   const [gateway] = hop.gateways;
   if (gateway === undefined) throw new Error("no gateway");
   return gateway;
--- a/test/node/region-check.test.ts
+++ b/test/node/region-check.test.ts
@@ -22,9 +22,9 @@
   check.check(["b", "c", "d"]);
   check.check(["d", ""]);
   expect(lines).toEqual([
-    ["zoneWithoutRegion", { dataCentre: "c" }],
-    ["zoneWithoutRegion", { dataCentre: "d" }],
-    ["zoneWithoutRegion", { dataCentre: "" }],
+    ["dataCentreWithoutRegion", { dataCentre: "c" }],
+    ["dataCentreWithoutRegion", { dataCentre: "d" }],
+    ["dataCentreWithoutRegion", { dataCentre: "" }],
   ]);
 });
 
