Use one ranking of gateways with and without regions

Cause: the ranking by region gives the previous order where nothing is remote, so that two of them are one too many.

--- a/src/gateway/route.ts
+++ b/src/gateway/route.ts
@@ -20,13 +20,12 @@
  * centre: through a gateway elsewhere it would cross between data centres twice, and wait in a queue that does
  * not know of the other queues for the same slots. A read goes to this data centre or, when that has no
  * target, to one with a replica; the hash of this process's name picks which, to distribute the load. Where
- * there are regions, see `rankByRegion`.
+ * there are regions, both stay within one as far as they can.
  */
 export function orderGateways({ byDataCentre }: GatewayPlan, query: RouteQuery): readonly Proxy[] {
-  const rank = query.topology.hasRegions ? rankByRegion : rankDataCentre;
   const dataCentres = [...byDataCentre.keys()];
   const ranked = dataCentres
-    .map((centre) => ({ centre, rank: rank(centre, query) }))
+    .map((centre) => ({ centre, rank: rankDataCentre(centre, query) }))
     .sort(
       (a, b) =>
         a.rank - b.rank || hashDataCentre(a.centre, query) - hashDataCentre(b.centre, query),
@@ -34,20 +33,11 @@
   return ranked.flatMap(({ centre }) => byDataCentre.get(centre) ?? []);
 }
 
-function rankDataCentre(
-  centre: string,
-  { needsPrimary, primaryDataCentre, dataCentre }: RouteQuery,
-): number {
-  if (needsPrimary && centre === primaryDataCentre) return 0;
-  if (centre === dataCentre) return 1;
-  return centre === primaryDataCentre ? 3 : 2;
-}
-
 /**
  * Ranks a data centre so that a statement crosses between regions at most once: a read stays in this region
  * while that has a gateway, and a statement that needs the primary goes to the primary's region.
  */
-function rankByRegion(centre: string, query: RouteQuery): number {
+function rankDataCentre(centre: string, query: RouteQuery): number {
   const { needsPrimary, primaryDataCentre, dataCentre, topology } = query;
   const fromHere = topology.measureDistance(dataCentre, centre);
   if (!needsPrimary || primaryDataCentre === undefined) {
