Keep the response times of other regions apart

Cause: timeouts of calls to peers are stretched to twice the longest recent answer of any peer, so that the way to another region would stretch those of near peers and a lost one would be noticed later. Change: the peer client has response times of its own for proxies in other regions.

--- a/src/directpeer/client.ts
+++ b/src/directpeer/client.ts
@@ -43,6 +43,8 @@
   private readonly clients = new Map<string, Client<typeof DirectPeer>>();
 
   private readonly responseTimes: ResponseTimes;
+  /** Kept apart, since the way to another region would stretch the timeouts of near peers. */
+  private readonly remoteResponseTimes: ResponseTimes;
 
   constructor(
     private readonly vm: string,
@@ -51,6 +53,7 @@
     private readonly remote: RemotePeers = noRemotePeers,
   ) {
     this.responseTimes = new ResponseTimes(() => clock.now());
+    this.remoteResponseTimes = new ResponseTimes(() => clock.now());
   }
 
   async share(
@@ -108,7 +111,8 @@
     const { isRemote, onRemoteCall } = this.remote;
     if (!isRemote(proxy)) return this.callPeer(method, proxy.vm, usualTimeoutMs, call);
     onRemoteCall();
-    return this.callPeer(method, proxy.vm, usualTimeoutMs + remoteExtraMs, call);
+    const timeoutMs = usualTimeoutMs + remoteExtraMs;
+    return this.callPeer(method, proxy.vm, timeoutMs, call, this.remoteResponseTimes);
   }
 
   private async callPeer<T>(
@@ -116,6 +120,7 @@
     peer: string,
     usualTimeoutMs: number,
     call: (options: CallOptions) => Promise<T>,
+    responseTimes = this.responseTimes,
   ): Promise<T | undefined> {
     const longest = new AbortController();
     const stopTimer = startStallTolerantTimer(
@@ -124,7 +129,7 @@
     );
     const pending = call({ signal: longest.signal }).finally(stopTimer);
     try {
-      const answer = await this.responseTimes.awaitAnswer(pending, usualTimeoutMs);
+      const answer = await responseTimes.awaitAnswer(pending, usualTimeoutMs);
       if (answer !== undefined) return answer;
       this.logFailure(peer, method, "no answer in time");
     } catch (error) {
--- a/test/directpeer/distance.test.ts
+++ b/test/directpeer/distance.test.ts
@@ -32,7 +32,7 @@
 });
 
 /** A peer at a round trip of 60 ms that answers after a time, and a client that knows its distance or not. */
-async function start(answerMs: number, isRemote: boolean) {
+async function start(answerMs: number, isRemote: boolean, vmOfRegion = "") {
   const address = await findAddress();
   const server = owned.add(
     new DirectPeerServer(address, {
@@ -51,7 +51,8 @@
     address: await owned.add(new DelayedLink(() => address)).start(),
   };
   let calls = 0;
-  const remote = { isRemote: () => isRemote, onRemoteCall: () => void (calls += 1) };
+  const isFar = ({ vm }: Proxy) => isRemote && vm !== vmOfRegion;
+  const remote = { isRemote: isFar, onRemoteCall: () => void (calls += 1) };
   const client = new DirectPeerClient("vm-0", silentLogger, createSystemClock(), remote);
   return { client, proxy, countCalls: () => calls };
 }
@@ -71,6 +72,16 @@
   expect(await client.askTarget(proxy, question, relayTimeoutMs)).toEqual({ type: "alive" });
 });
 
+// A near peer that is gone would be waited for as long as the slowest one of the other region takes.
+test("the answers of another region do not stretch the timeouts of near peers", async () => {
+  const question = { group: "ledger", target: "p", demoteRound: undefined };
+  const { client, proxy } = await start(260, true, "near");
+  expect(await client.askTarget(proxy, question, relayTimeoutMs)).toEqual({ type: "alive" });
+  const near = { ...proxy, vm: "near" };
+  expect(await client.askTarget(near, question, shareTimeoutMs)).toBeUndefined();
+  await sleep(300);
+});
+
 // Guards deployments without regions: a peer that is gone must not hold a change of primary up for longer.
 test("a peer that is not in another region has the usual timeout", async () => {
   const question = { group: "ledger", target: "p", demoteRound: undefined };
