Count a lane's own requests without comparing its candidates

Cause: a tick compares the candidates of each waiting request of a level with those of its own lane. Change: equal lanes overlap fully and are not compared.

--- a/src/controller/admission/overdue.ts
+++ b/src/controller/admission/overdue.ts
@@ -124,10 +124,10 @@
   }
 
   /** The number of requests, each weighted by the share of its candidates that the lane has too. */
-  countFor({ candidates }: Lane): number {
+  countFor({ key, candidates }: Lane): number {
     let count = 0;
     for (const { lane, count: own } of this.counts.values()) {
-      count += own * computeOverlap(lane.candidates, candidates);
+      count += lane.key === key ? own : own * computeOverlap(lane.candidates, candidates);
     }
     return count;
   }
