Redirect reads to another region whose own has no usable target

Change: such a gateway redirects with leaves_region (a new field), and the entry node uses gateways of other regions; it remembers that for 80 to 400 ms, and one read at a time tries the near gateway after that.

--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -157,6 +157,24 @@
   return !candidates.some((v) => v.name !== primaryName && isEligible(v, unrefused, now));
 }
 
+/**
+ * Whether a target of this region can serve a read: a replica that is not known to lag, or the primary. One that
+ * only had no free slot for this statement counts as well.
+ */
+export function hasRegionalTarget(
+  constraints: PlacementConstraints,
+  primary: PrimaryState,
+  candidates: readonly CandidateTarget[],
+  now: number,
+): boolean {
+  const primaryName = primary.type === "serving" ? primary.target : undefined;
+  return candidates.some((v) => {
+    const hasRequiredMark = constraints.hasRequiredMark && v.name !== primaryName;
+    const unrefused = { ...constraints, hasRequiredMark, excluded: new Set<string>() };
+    return !isRemote(v) && isEligible(v, unrefused, now);
+  });
+}
+
 /** What the choice of a read's target among several regions depends on. */
 interface RegionalChoice {
   readonly constraints: PlacementConstraints;
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -7,7 +7,12 @@
 export { type PrimarySource, type PrimaryState } from "./primary.js";
 export { describeLevel } from "./levels.js";
 export { watchTransactionIdle } from "./idle.js";
-export { minRedirectMs, RedirectOffer } from "./redirect.js";
+export {
+  minRedirectMs,
+  type RedirectCause,
+  type RedirectDestinations,
+  RedirectOffer,
+} from "./redirect.js";
 export { type ShareRule } from "./share.js";
 export { directRunner } from "./direct.js";
 export { type OpenTransaction, type WorkRunner } from "./runner.js";
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -2,6 +2,7 @@
 import type { HeldConnection, Slot, SlotResult } from "../capacity/index.js";
 import {
   chooseCandidates,
+  hasRegionalTarget,
   listReplicasOfAllRegions,
   needsPrimarySlot,
   type CandidateChoice,
@@ -13,7 +14,7 @@
 import { makeAdmissionLevel } from "./levels.js";
 import type { DirectPorts } from "./ports.js";
 import type { PrimaryState } from "./primary.js";
-import { minRedirectMs, type RedirectOffer } from "./redirect.js";
+import { minRedirectMs, type RedirectCause, type RedirectOffer } from "./redirect.js";
 import type { TrackedLink } from "./tracked-link.js";
 import type { Database } from "./serving-config.js";
 
@@ -61,6 +62,8 @@
 /** A placement request that was refused. */
 export type RefusedPlacement = Extract<PlacementResult, { type: "refused" }>;
 
+const noRegionalTargetReason =
+  "no target of this region can be read, as they lag or are unreachable";
 /** The longest wait for a usable primary, in milliseconds. */
 const maxPrimaryWaitMs = 600;
 const primaryPollMs = 20;
@@ -148,10 +151,10 @@
     const now = clock.now();
     const primary = primaries.find(group.name);
     const candidates = group.listCandidates(request.team);
-    const redirectReason = findRedirectReason(group, request, primary, candidates, now);
-    if (redirectReason !== undefined) {
-      request.redirect?.accept(redirectReason);
-      return { type: "redirected", reason: redirectReason };
+    const cause = findRedirectCause(group, request, primary, candidates, now);
+    if (cause !== undefined) {
+      request.redirect?.accept(cause);
+      return { type: "redirected", reason: cause.reason };
     }
     const draw = () => random.draw();
     const choice = chooseCandidates(request, primary, candidates, now, draw, crossing);
@@ -174,21 +177,29 @@
 }
 
 /**
- * Why a read is left to the primary's gateway; undefined when it is placed here. Of the reads for which no log
+ * Why a read is left to another process; undefined when it is placed here. Of the reads for which no log
  * position is known, one at a time goes to the primary from here if it has a free slot: its answer tells the
  * position by which replicas are read again. Otherwise a gateway that redirects would never learn it.
  */
-function findRedirectReason(
+function findRedirectCause(
   group: DirectGroup,
   request: PlacementRequest,
   primary: PrimaryState,
   candidates: readonly CandidateTarget[],
   now: number,
-): string | undefined {
-  if (request.redirect?.isOpen !== true || request.deadlineAt - now < minRedirectMs)
-    return undefined;
-  if (!needsPrimarySlot(request, primary, candidates, now)) return undefined;
-  if (!request.needsPrimary) return "no replica can be read, as they lag or are unreachable";
+): RedirectCause | undefined {
+  const { redirect } = request;
+  if (redirect === undefined || request.deadlineAt - now < minRedirectMs) return undefined;
+  if (!needsPrimarySlot(request, primary, candidates, now)) {
+    // Gateways of the other region have more slots at its targets, and the statement crosses once either way.
+    const leavesRegion =
+      redirect.canLeaveRegion && !hasRegionalTarget(request, primary, candidates, now);
+    return leavesRegion ? { reason: noRegionalTargetReason, leavesRegion } : undefined;
+  }
+  if (!redirect.isOpen) return undefined;
+  const leavesRegion = false;
+  if (!request.needsPrimary)
+    return { reason: "no replica can be read, as they lag or are unreachable", leavesRegion };
   const target = primary.type === "serving" ? primary.target : undefined;
   // Background work leaves one of several slots free.
   const reserved = request.isBackground ? 1 : 0;
@@ -198,7 +209,7 @@
   const { route } = request.database.action;
   const wantsPosition = route.type !== "primary" && route.maxAgeMs !== undefined;
   if (wantsPosition && hasFreeSlot && group.beginPositionRead()) return undefined;
-  return "no replica is known to be fresh enough";
+  return { reason: "no replica is known to be fresh enough", leavesRegion };
 }
 
 function makeAdmissionRequest(
--- a/src/direct/redirect.ts
+++ b/src/direct/redirect.ts
@@ -13,36 +13,60 @@
 /** The retry hint of a redirected statement that nobody ran. */
 const redirectRetryMs = 50;
 
+/** Why a read is left to another process. */
+export interface RedirectCause {
+  readonly reason: string;
+  /** Whether it goes to a gateway of another region, rather than to the primary's gateway. */
+  readonly leavesRegion: boolean;
+}
+
+/** Whether other processes can be reached that may run a read instead of this one. */
+export interface RedirectDestinations {
+  /** Whether another process is the primary's gateway. */
+  readonly hasPrimaryGateway: () => boolean;
+  /** Whether another region has a gateway of the group. */
+  readonly hasRemoteGateway: () => boolean;
+}
+
 /**
- * Lets a process leave one read to the primary's gateway instead of running it at the primary itself. Whoever
- * offers it sends the read there when `reason` is set; nothing has run then.
+ * Lets a process leave one read to the primary's gateway instead of running it at the primary itself, or to
+ * another region if its own has no target for it. Whoever offers it sends the read there when `cause` is set;
+ * nothing has run then.
  */
 export class RedirectOffer {
-  private acceptedReason: string | undefined;
+  private acceptedCause: RedirectCause | undefined;
   private isWithdrawn = false;
 
-  /** `isPossible` says whether another process is the primary's gateway and can be reached. */
-  constructor(private readonly isPossible: () => boolean) {}
+  constructor(private readonly destinations: RedirectDestinations) {}
 
   /** Why the statement was redirected; undefined while it was not. */
-  get reason(): string | undefined {
-    return this.acceptedReason;
+  get cause(): RedirectCause | undefined {
+    return this.acceptedCause;
   }
 
-  /** Whether the statement may be redirected now. */
+  /** Whether the statement may be redirected to the primary's gateway now. */
   get isOpen(): boolean {
-    return !this.isWithdrawn && this.acceptedReason === undefined && this.isPossible();
+    return this.isAcceptable && this.destinations.hasPrimaryGateway();
+  }
+
+  /** Whether the statement may be redirected to another region now. */
+  get canLeaveRegion(): boolean {
+    return this.isAcceptable && this.destinations.hasRemoteGateway();
   }
 
   /** Accepts the offer: this process does not run the statement. */
-  accept(reason: string): void {
-    this.acceptedReason = reason;
+  accept(cause: RedirectCause): void {
+    this.acceptedCause = cause;
   }
 
   /** Rules out a redirect because an attempt may have run. */
   withdraw(): void {
     this.isWithdrawn = true;
   }
+
+  private get isAcceptable(): boolean {
+    return !this.isWithdrawn && this.acceptedCause === undefined;
+  }
 }
 
 /** Records a redirect. Returns the reply for the case that the statement is not run elsewhere either. */
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -19,8 +19,8 @@
   | { readonly type: "answered"; readonly answer: GatewayAnswer }
   /** Nothing has run: the gateway does not serve the group now. */
   | { readonly type: "turnedAway"; readonly reason: string }
-  /** Nothing has run: the statement needs the primary, whose gateway is another process. */
-  | { readonly type: "redirected"; readonly reason: string }
+  /** Nothing has run: the statement needs the primary's gateway, or one of another region. */
+  | { readonly type: "redirected"; readonly reason: string; readonly leavesRegion: boolean }
   /** Nothing has run, and no gateway would accept it: the statement and the session's values are too long. */
   | { readonly type: "tooLarge" }
   /** When `isSent`, the call may have reached the gateway and run. */
@@ -220,7 +220,11 @@
         this.calls.get(call)?.settle({ type: "turnedAway", reason: outcome.value });
         return;
       case "redirect":
-        this.calls.get(call)?.settle({ type: "redirected", reason: outcome.value.reason });
+        this.calls.get(call)?.settle({
+          type: "redirected",
+          reason: outcome.value.reason,
+          leavesRegion: outcome.value.leavesRegion,
+        });
         return;
       case "ping":
         this.send({ case: "pong", value: true });
--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -8,8 +8,12 @@
 export type ReadEnd<T> =
   /** `isComplete` when a target answered it without an error. */
   | { readonly type: "ended"; readonly value: T; readonly isComplete: boolean }
-  /** Nothing has run: the read needs the primary, whose gateway is another process. */
-  | { readonly type: "redirected" };
+  /** Nothing has run: the read needs the primary's gateway, or one outside the region of `dataCentre`. */
+  | {
+      readonly type: "redirected";
+      readonly leavesRegion: boolean;
+      readonly dataCentre: string | undefined;
+    };
 
 /** The result of sending a read. Except for `ended`, nothing has run. */
 export type SendResult<T> =
@@ -24,12 +28,26 @@
   acceptsRedirect: boolean,
 ) => Promise<ReadEnd<T> | undefined>;
 
+/** The order in which gateways are tried. */
+interface SendOrder {
+  readonly needsPrimary: boolean;
+  /** The data centre whose region the read leaves. */
+  readonly leftDataCentre: string | undefined;
+}
+
+const toNear: SendOrder = { needsPrimary: false, leftDataCentre: undefined };
+const toPrimary: SendOrder = { needsPrimary: true, leftDataCentre: undefined };
+
 /**
- * Sends reads to the near gateway and, when that redirects them, to the primary's gateways. Remembers for a
- * short while which reads need the primary. Each read is redirected at most once.
+ * Sends reads to the near gateway and, when that redirects them, to the primary's gateways or to another region.
+ * Remembers for a short while which reads were redirected. Each read is redirected at most once.
  */
 export class RedirectingSender {
   private readonly needs = new PrimaryNeeds();
+  /** The groups whose reads leave the region; `primary` stands for another region there. */
+  private readonly leftRegions = new PrimaryNeeds();
+  /** By group, the data centre of the gateway that last redirected reads to another region. */
+  private readonly leftDataCentres = new Map<string, string>();
 
   constructor(private readonly router: GatewayRouter) {}
 
@@ -46,14 +64,23 @@
     tryRead: TryRead<T>,
   ): Promise<SendResult<T>> {
     const { group, lastCommit } = context;
-    if (isPrimaryRequired(context)) return this.sendOnce(context, true, deadlineAt, tryRead);
-    if (!this.router.canRedirect(group.name))
-      return this.sendOnce(context, false, deadlineAt, tryRead);
+    if (isPrimaryRequired(context)) return this.sendOnce(context, toPrimary, deadlineAt, tryRead);
+    const { hasPrimaryGateway, hasRemoteGateway } = this.router.findRedirectDestinations(
+      group.name,
+    );
+    const canReachPrimary = hasPrimaryGateway();
+    const canLeaveRegion = hasRemoteGateway();
+    if (!canReachPrimary && !canLeaveRegion)
+      return this.sendOnce(context, toNear, deadlineAt, tryRead);
     const key = findKey(context);
-    const { clock } = context.ports;
-    const way = this.needs.choose(key, lastCommit, clock.now());
-    if (way === "primary") return this.sendOnce(context, true, deadlineAt, tryRead);
-    let isFresh = false;
+    const now = context.ports.clock.now();
+    const way = canReachPrimary ? this.needs.choose(key, lastCommit, now) : "near";
+    if (way === "primary") return this.sendOnce(context, toPrimary, deadlineAt, tryRead);
+    const left = canLeaveRegion ? this.leftRegions.choose(group.name, undefined, now) : "near";
+    if (left === "primary" && way !== "probe")
+      return this.sendOnce(context, this.leaveRegion(group.name), deadlineAt, tryRead);
+    let answeredBy: "replica" | "any" | undefined;
+    let order: SendOrder;
     try {
       const source = this.router.createDestinationSource(group.name, false);
       const end = await tryDestinations(context, source, deadlineAt, (destination) =>
@@ -61,32 +88,54 @@
       );
       if (end === undefined) return { type: "notAccepted" };
       if (end.type === "ended") {
-        isFresh = end.isComplete && context.trace.role === "replica";
+        if (end.isComplete) answeredBy = context.trace.role === "replica" ? "replica" : "any";
         return end;
       }
-      this.needs.recordRedirect(key, lastCommit, clock.now());
+      order = this.recordRedirect(context, key, end);
     } finally {
-      if (way === "probe") this.needs.endProbe(key, isFresh);
+      if (way === "probe") this.needs.endProbe(key, answeredBy === "replica");
+      if (left === "probe") this.leftRegions.endProbe(group.name, answeredBy !== undefined);
     }
     if (countRemainingMs(context, deadlineAt, undefined) < minRedirectMs)
       return { type: "outOfTime" };
-    return this.sendOnce(context, true, deadlineAt, tryRead);
+    return this.sendOnce(context, order, deadlineAt, tryRead);
   }
 
-  /** Offers a read to this process as its near gateway, which may leave it to the primary's gateway. */
+  /** Offers a read to this process as its near gateway, which may leave it to another one. */
   offerRedirect(context: SessionContext): SessionContext & { readonly redirect: RedirectOffer } {
-    const redirect = new RedirectOffer(() => this.router.canRedirect(context.group.name));
-    return { ...context, redirect };
+    const destinations = this.router.findRedirectDestinations(context.group.name);
+    return { ...context, redirect: new RedirectOffer(destinations) };
+  }
+
+  /** Records a redirect, and returns where the read goes. */
+  private recordRedirect(
+    { group, lastCommit, ports }: SessionContext,
+    key: string,
+    { leavesRegion, dataCentre }: Extract<ReadEnd<unknown>, { type: "redirected" }>,
+  ): SendOrder {
+    const now = ports.clock.now();
+    if (!leavesRegion) {
+      this.needs.recordRedirect(key, lastCommit, now);
+      return toPrimary;
+    }
+    this.leftRegions.recordRedirect(group.name, undefined, now);
+    this.leftDataCentres.set(group.name, dataCentre ?? "");
+    return this.leaveRegion(group.name);
+  }
+
+  private leaveRegion(group: string): SendOrder {
+    return { needsPrimary: false, leftDataCentre: this.leftDataCentres.get(group) };
   }
 
   /** Sends a read that no destination may redirect. */
   private async sendOnce<T>(
     context: SessionContext,
-    needsPrimary: boolean,
+    { needsPrimary, leftDataCentre }: SendOrder,
     deadlineAt: number,
     tryRead: TryRead<T>,
   ): Promise<SendResult<T>> {
-    const source = this.router.createDestinationSource(context.group.name, needsPrimary);
+    const { name } = context.group;
+    const source = this.router.createDestinationSource(name, needsPrimary, leftDataCentre);
     const end = await tryDestinations(context, source, deadlineAt, (destination) =>
       tryRead(destination, false),
     );
@@ -106,3 +155,14 @@
   const bound = route.type === "primary" ? undefined : route.maxAgeMs;
   return `${group.name} ${route.type} ${bound ?? ""}`;
 }
+
+/** How this process redirected a read that was offered to it; undefined where it ran the read. */
+export function findLocalRedirect({
+  redirect,
+  ports,
+}: SessionContext): Extract<ReadEnd<never>, { type: "redirected" }> | undefined {
+  const cause = redirect?.cause;
+  if (cause === undefined) return undefined;
+  const { leavesRegion } = cause;
+  return { type: "redirected", leavesRegion, dataCentre: ports.dataCentre };
+}
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -1,4 +1,9 @@
-import type { AnnouncedGroup, ShareRule, PrimaryState } from "../direct/index.js";
+import type {
+  AnnouncedGroup,
+  PrimaryState,
+  RedirectDestinations,
+  ShareRule,
+} from "../direct/index.js";
 import type { Proxy } from "../leadership/index.js";
 import { chooseGateways, isGateway, listGateways, type GatewayPlan } from "./choose.js";
 import { orderGateways } from "./route.js";
@@ -49,15 +54,24 @@
 
   constructor(private readonly ports: RouterPorts) {}
 
-  /** A statement's destinations, the preferred one first; empty when no proxy is listed. */
-  listDestinations(group: string, needsPrimary: boolean): readonly Destination[] {
+  /**
+   * A statement's destinations, the preferred one first; empty when no proxy is listed. With `leftDataCentre`
+   * only those in other regions than that data centre, unless there is none.
+   */
+  listDestinations(
+    group: string,
+    needsPrimary: boolean,
+    leftDataCentre?: string,
+  ): readonly Destination[] {
     const { vm, dataCentre, topology, isAvoided } = this.ports;
     const plan = this.findPlan(group);
     const canServe = this.ports.isListed() && !isAvoided(vm);
     if (plan.isEveryProxyGateway && canServe) return [localDestination];
     const primaryDataCentre = this.findPrimaryDataCentre(group);
     const query = { group, needsPrimary, primaryDataCentre, vm, dataCentre, topology };
-    const ordered = orderGateways(plan, query);
+    const all = orderGateways(plan, query);
+    const remote = all.filter((proxy) => this.isRemote(leftDataCentre, proxy));
+    const ordered = remote.length > 0 ? remote : all;
     const preferred = ordered.filter((proxy) => !isAvoided(proxy.vm));
     const avoided = ordered.filter((proxy) => isAvoided(proxy.vm));
     const destinations = [...preferred, ...avoided]
@@ -68,10 +82,14 @@
   }
 
   /** The destinations of one statement, computed again for each round of attempts. */
-  createDestinationSource(group: string, needsPrimary: boolean): DestinationSource {
+  createDestinationSource(
+    group: string,
+    needsPrimary: boolean,
+    leftDataCentre?: string,
+  ): DestinationSource {
     const { onNoneAccepted } = this.ports;
     return {
-      listDestinations: () => this.listDestinations(group, needsPrimary),
+      listDestinations: () => this.listDestinations(group, needsPrimary, leftDataCentre),
       onNoneAccepted,
     };
   }
@@ -89,6 +107,24 @@
     return first !== undefined && first.vm !== this.ports.vm;
   }
 
+  /** The processes that may run a read of a group instead of this one. */
+  findRedirectDestinations(group: string): RedirectDestinations {
+    return {
+      hasPrimaryGateway: () => this.canRedirect(group),
+      hasRemoteGateway: () => this.hasRemoteGateway(group),
+    };
+  }
+
+  /** Whether a usable gateway of the group is in another region than this process. */
+  hasRemoteGateway(group: string): boolean {
+    const { dataCentre, isAvoided } = this.ports;
+    const plan = this.findPlan(group);
+    if (plan.isEveryProxyGateway) return false;
+    return listGateways(plan).some(
+      (proxy) => this.isRemote(dataCentre, proxy) && !isAvoided(proxy.vm),
+    );
+  }
+
   /** The proxies that hold connections to a group's targets. */
   listGroupGateways(group: string): readonly Proxy[] {
     const plan = this.findPlan(group);
@@ -110,6 +146,11 @@
     return { type: "chosen", proxies, isFirst: first?.vm === this.ports.vm };
   }
 
+  private isRemote(from: string | undefined, { dataCentre }: Proxy): boolean {
+    if (from === undefined) return false;
+    return this.ports.topology.measureDistance(from, dataCentre ?? "") === "remote";
+  }
+
   private toDestination(gateway: Proxy): Destination {
     const isLocal = gateway.vm === this.ports.vm && this.ports.isListed();
     return isLocal ? localDestination : { type: "gateway", gateway };
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -11,7 +11,7 @@
 import { encodeRun, noTransaction } from "./codec.js";
 import type { ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
-import { RedirectingSender, type ReadEnd } from "./redirect.js";
+import { findLocalRedirect, RedirectingSender, type ReadEnd } from "./redirect.js";
 import type { GatewayRouter, Destination } from "./router.js";
 import { RoutedTransaction } from "./transaction.js";
 import {
@@ -66,7 +66,12 @@
     const sent = await this.sender.send(context, deadlineAt, async (destination, accepts) => {
       if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
       const result = await this.tryGateway(destination, context, work, deadlineAt, accepts);
-      if (accepts && result?.type === "redirected") return { type: "redirected" };
+      if (accepts && result?.type === "redirected")
+        return {
+          type: "redirected",
+          leavesRegion: result.leavesRegion,
+          dataCentre: destination.gateway.dataCentre,
+        };
       const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
       return end === undefined ? undefined : toReadEnd(end);
     });
@@ -88,7 +93,7 @@
   ): Promise<ReadEnd<StatementResult>> {
     const offered = acceptsRedirect ? this.sender.offerRedirect(context) : context;
     const end = await directRunner.runAutocommit(offered, work, arrivedAt);
-    return offered.redirect?.reason === undefined ? toReadEnd(end) : { type: "redirected" };
+    return findLocalRedirect(offered) ?? toReadEnd(end);
   }
 
   /** Forwards the statement to one gateway; undefined when it was not sent. */
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -3,6 +3,7 @@
 import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
 import {
   directRunner,
+  type RedirectDestinations,
   RedirectOffer,
   StatementTrace,
   watchTransactionIdle,
@@ -38,8 +39,8 @@
   readonly nextId: () => string;
   /** Transfers tokens of a team to the node that asks. */
   readonly grantTokens: (team: string, wanted: number) => TokenGrant;
-  /** Whether a read of this group that needs the primary is better run by another process. */
-  readonly canRedirect: (group: string) => boolean;
+  /** The processes that may run a read of a group instead of this one. */
+  readonly findRedirectDestinations: (group: string) => RedirectDestinations;
 }
 
 type ResponseOutcome = NonNullable<MessageInitShape<typeof GatewayResponseSchema>["outcome"]>;
@@ -255,8 +256,9 @@
     const isFirst = transaction === 0 || (opens && isReadOnly);
     if (session?.acceptsRedirect !== true || !isFirst || findEffect(work) === "write")
       return undefined;
-    const { direct, canRedirect } = this.ports;
-    return direct.isSlotPlanned() ? new RedirectOffer(() => canRedirect(session.group)) : undefined;
+    const { direct, findRedirectDestinations } = this.ports;
+    if (!direct.isSlotPlanned()) return undefined;
+    return new RedirectOffer(findRedirectDestinations(session.group));
   }
 
   /** Runs a step and sends its answer, which the node ignores if it has cancelled the call. */
@@ -267,8 +269,8 @@
   ): Promise<void> {
     try {
       const { reply, commitMark: written } = await run();
-      if (redirect?.reason !== undefined) {
-        this.send(call, { case: "redirect", value: { reason: redirect.reason } });
+      if (redirect?.cause !== undefined) {
+        this.send(call, { case: "redirect", value: redirect.cause });
         return;
       }
       const { target, role, attemptCount: tries } = trace;
--- a/src/gateway/transaction.ts
+++ b/src/gateway/transaction.ts
@@ -16,7 +16,7 @@
 import { encodeCommit, encodeRun, type RequestStep, type TransactionPart } from "./codec.js";
 import type { GatewayConnection, ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
-import type { ReadEnd, RedirectingSender } from "./redirect.js";
+import { findLocalRedirect, type ReadEnd, type RedirectingSender } from "./redirect.js";
 import type { GatewayRouter, Destination } from "./router.js";
 import {
   countRemainingMs,
@@ -136,7 +136,11 @@
       const build: BuildStep = (leftMs, part) => encodeRun(context, work, leftMs, part, accepts);
       const result = await this.openAtGateway(destination, context, build, deadlineAt);
       if (result === undefined) return undefined;
-      if (result.type === "redirected") return accepts ? { type: "redirected" } : undefined;
+      if (result.type === "redirected") {
+        const { leavesRegion } = result;
+        const { dataCentre } = destination.gateway;
+        return accepts ? { type: "redirected", leavesRegion, dataCentre } : undefined;
+      }
       return toReadEnd(this.handleResult(context, work, result));
     });
     if (sent.type === "ended") return sent.value;
@@ -156,7 +160,7 @@
     const body = directRunner.openTransaction(this.isReadOnly);
     this.location = { type: "local", body };
     const reply = await body.run(offered, work, arrivedAt);
-    return offered.redirect?.reason === undefined ? toReadEnd(reply) : { type: "redirected" };
+    return findLocalRedirect(offered) ?? toReadEnd(reply);
   }
 
   private async runLocally(context: SessionContext, work: Work, arrivedAt: number): Promise<Reply> {
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -98,7 +98,7 @@
       findRefusal: () => this.findRefusal(),
       nextId: () => `h${nextCall++}`,
       grantTokens: this.ports.grantTokens,
-      canRedirect: (group) => this.router.canRedirect(group),
+      findRedirectDestinations: (group) => this.router.findRedirectDestinations(group),
     });
     this.server = this.owned.add(server);
     await server.listen();
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -132,7 +132,10 @@
       findRefusal: () => gateway.refusal,
       nextId: () => `h${nextCall++}`,
       grantTokens: () => ({ tokens: 2, lifeMs: 1000 }),
-      canRedirect: () => false,
+      findRedirectDestinations: () => ({
+        hasPrimaryGateway: () => false,
+        hasRemoteGateway: () => false,
+      }),
     });
     const gateway: HopGateway = { vm, stage, link, address, server, refusal: undefined };
     await server.listen();
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -19,7 +19,7 @@
 import { findAddress } from "../node/cluster.js";
 import { makeProxy } from "./builders.js";
 
-/** The data centres of the primary `p` and the replica `q`. */
+/** The data centres of the primary `p` and the replica `q`. A third target `r` is where the primary is. */
 export const homeCentre = "b";
 export const nearCentre = "a";
 
@@ -60,7 +60,7 @@
  * sockets; all clocks stand still unless a test advances them.
  */
 export class RedirectFleet implements Beliefs {
-  readonly entry = createStage(nearCentre, {});
+  readonly entry: ProxyFixture;
   readonly gateways: FleetGateway[] = [];
   proxies: readonly Proxy[] = [];
   leader: PrimaryState = { type: "serving", target: "p" };
@@ -72,6 +72,7 @@
   private readonly timers: NodeJS.Timeout[] = [];
 
   private constructor(private readonly options: FleetOptions) {
+    this.entry = createStage(nearCentre, options.stage ?? {});
     const { clock } = this.entry;
     this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
     const isListed = options.isEntryNear === true;
@@ -192,7 +193,7 @@
       findRefusal: () => undefined,
       nextId: () => `h${nextCall++}`,
       grantTokens: () => ({ tokens: 0, lifeMs: 0 }),
-      canRedirect: (name) => router.canRedirect(name),
+      findRedirectDestinations: (name) => router.findRedirectDestinations(name),
     });
     await server.listen();
     for (const item of [server, link, stage]) this.owned.add(item);
@@ -207,7 +208,7 @@
     return new GatewayRouter({
       vm,
       dataCentre,
-      topology: singleRegion,
+      topology: this.options.stage?.topology ?? singleRegion,
       listProxies: () => beliefs.proxies,
       findGroup: (name) => groups.get(name),
       findLeader: () => beliefs.leader,
@@ -228,7 +229,7 @@
 
 /** The fake targets of one process, which has one place at each unless it is in the primary's data centre. */
 function createStage(dataCentre: string, options: FixtureOptions): ProxyFixture {
-  const dataCentres = [homeCentre, nearCentre];
+  const dataCentres = [homeCentre, nearCentre, homeCentre];
   const stage = new ProxyFixture({ ...options, dataCentre, dataCentres });
   stage.isSlotPlanned = true;
   if (dataCentre === nearCentre) stage.setShareRule({ type: "equal", proxies: 16 });
