Count connections apart from slots in the admission queue

Cause: a transaction holds a slot of the queue from its first statement to its end, so that transactions which are idle between statements keep others out. Change: events pause and resume; a paused request keeps its connection only, and a resumed one goes before all waiting requests but leaves new work one slot. A limit of connections holds back new work that would find none, so that no slot is held by a request that waits for a connection. Nothing sends these events yet.

--- a/src/controller/admission/index.ts
+++ b/src/controller/admission/index.ts
@@ -15,7 +15,11 @@
 export {
   type AdmissionSummary,
   countFreeSlots,
+  countWaitingForConnection,
+  listSlotUse,
   listWaitingOnlyFor,
+  type SlotUse,
   summariseAdmission,
 } from "./view.js";
+export { listResuming } from "./hold.js";
 export { type WaitEstimate, type RequestProfile, estimateWait } from "./wait.js";
--- a/src/controller/admission/slots.ts
+++ b/src/controller/admission/slots.ts
@@ -22,6 +22,10 @@
     slotsExpectedAt: undefined,
     running: 0,
     runningBackground: 0,
+    runningResumed: 0,
+    isResumedLast: false,
+    held: 0,
+    connections: Infinity,
     serviceMs,
     usageMs: noUsage,
     usageAt: at,
@@ -38,9 +42,14 @@
     : target.slots;
 }
 
-/** Whether a target has a slot that work of any kind may take. */
+/** Whether a target has a slot that new work of any kind may take, and a connection for it. */
 export function hasFreeSlot(target: TargetSlots): boolean {
-  return target.running < target.slots;
+  return target.running < target.slots && hasFreeConnection(target);
+}
+
+/** Whether requests that run or hold a connection leave one for new work. */
+export function hasFreeConnection(target: TargetSlots): boolean {
+  return target.running + target.held < target.connections;
 }
 
 /**
@@ -55,7 +64,7 @@
 /** Counts one more running statement on a target. */
 export function takeSlot(target: TargetSlots, isBackground: boolean): TargetSlots {
   const runningBackground = target.runningBackground + (isBackground ? 1 : 0);
-  return { ...target, running: target.running + 1, runningBackground };
+  return { ...target, running: target.running + 1, runningBackground, isResumedLast: false };
 }
 
 /**
@@ -69,6 +78,7 @@
     ...target,
     running: target.running - 1,
     runningBackground: target.runningBackground - (running.isBackground ? 1 : 0),
+    runningResumed: target.runningResumed - (running.isResumed === true ? 1 : 0),
     serviceMs: target.serviceMs + serviceTimeWeight * (heldMs - target.serviceMs),
     usageMs: { ...usageMs, [running.priority]: usageMs[running.priority] + heldMs },
     usageAt: at,
--- a/src/controller/admission/start.ts
+++ b/src/controller/admission/start.ts
@@ -1,5 +1,6 @@
 import { assertInvariant, priorities, succeed, type StepResult } from "../../model/index.js";
 import { chargeTeam, findNextRequest, hasWorkFor, isBackgroundWork } from "./queue.js";
+import { startNextHeld } from "./hold.js";
 import { checkWait, refuse } from "./refusal.js";
 import { canRunBackground, hasFreeSlot, takeSlot } from "./slots.js";
 import { removeWaiting, withClass } from "./state.js";
@@ -10,13 +11,19 @@
 
 /**
  * Starts waiting requests on a target until it has no free slot or no suitable request is left.
- * Requests past their deadline are refused.
+ * Requests past their deadline are refused. Held requests that need a slot again go first.
  */
 export function fillSlots(admission: Admission, target: string, at: number): StartResult {
   let state = admission;
   const effects: AdmissionEffect[] = [];
   for (;;) {
     const waiting = pickNextRequest(state, target);
+    const resumed = startNextHeld(state, target, waiting !== undefined, at);
+    if (resumed !== undefined) {
+      state = resumed.state;
+      effects.push(...resumed.effects);
+      continue;
+    }
     if (waiting === undefined) return succeed(state, effects);
     const result =
       waiting.deadlineAt <= at
--- a/src/controller/admission/state.ts
+++ b/src/controller/admission/state.ts
@@ -25,7 +25,8 @@
 
 /**
  * Corrects a team's start tag from the slot time that was charged in advance to the measured one.
- * Requests that started without waiting were not charged and are left out.
+ * Requests that started without waiting were not charged and are left out, except for statements of open
+ * transactions.
  */
 export function correctCharge(
   admission: Admission,
@@ -33,6 +34,6 @@
   at: number,
 ): ClassQueue {
   const queue = admission.classes[running.priority];
-  if (running.chargedMs === 0) return queue;
+  if (running.chargedMs === 0 && running.isResumed !== true) return queue;
   return chargeTeam(queue, running.team, at - running.startedAt - running.chargedMs, false);
 }
--- a/src/controller/admission/step.ts
+++ b/src/controller/admission/step.ts
@@ -1,12 +1,20 @@
 import { assertInvariant, fail, succeed, type StepResult } from "../../model/index.js";
 import { listTargets } from "./capacity.js";
 import { refuseLeastImportant } from "./displace.js";
+import {
+  cancelResume,
+  pauseRequest,
+  refuseOverdueHeld,
+  releaseHeld,
+  releaseRunning,
+  resumeRequest,
+} from "./hold.js";
 import { emptyClass, makeLaneKey } from "./queue.js";
 import { checkWait, refuse } from "./refusal.js";
-import { createTargetSlots, releaseSlot } from "./slots.js";
+import { createTargetSlots } from "./slots.js";
 import { fillSlots, startWaiting } from "./start.js";
-import { correctCharge, removeWaiting, putWaiting, withClass } from "./state.js";
-import { countEntries, getEntry, putEntry, removeEntry } from "./tree.js";
+import { removeWaiting, putWaiting, withClass } from "./state.js";
+import { countEntries, getEntry, putEntry } from "./tree.js";
 import { refuseOverdueRequests } from "./overdue.js";
 import type {
   Admission,
@@ -37,6 +45,7 @@
     targets: {},
     waiting: undefined,
     running: undefined,
+    held: undefined,
     nextSeq: 0,
   };
 }
@@ -77,15 +86,29 @@
     case "resize":
       return resize(admission, event);
     case "tick":
-      return refuseOverdueRequests(admission, event.at);
+      return refuseOverdue(admission, event.at);
+    case "pause": {
+      const paused = pauseRequest(admission, event.id, event.at);
+      if (paused === undefined) return fail("unknownRequest");
+      return fillSlots(paused.admission, paused.target, event.at);
+    }
+    case "resume":
+      return resumeRequest(admission, event.id, event.deadlineAt, event.at);
   }
 }
 
+function refuseOverdue(admission: Admission, at: number): AdmissionResult {
+  const held = refuseOverdueHeld(admission, at);
+  const waiting = refuseOverdueRequests(held.state, at);
+  return succeed(waiting.state, [...held.effects, ...waiting.effects]);
+}
+
 function admit(admission: Admission, request: AdmissionRequest, at: number): AdmissionResult {
   if (request.candidates.length === 0) return fail("noCandidates");
   const isKnown =
     getEntry(admission.waiting, request.id) !== undefined ||
-    getEntry(admission.running, request.id) !== undefined;
+    getEntry(admission.running, request.id) !== undefined ||
+    getEntry(admission.held, request.id) !== undefined;
   if (isKnown) return fail("duplicateRequest");
   const waiting: WaitingRequest = { ...request, seq: admission.nextSeq, arrivedAt: at };
   const next = { ...admission, nextSeq: admission.nextSeq + 1 };
@@ -115,21 +138,17 @@
 
 function finish(admission: Admission, id: string, at: number): AdmissionResult {
   const running = getEntry(admission.running, id);
-  const target = running === undefined ? undefined : admission.targets[running.target];
-  if (running === undefined || target === undefined) return fail("unknownRequest");
-  const released = releaseSlot(target, running, at);
-  const queue = correctCharge(admission, running, at);
-  const next = {
-    ...withClass(admission, running.priority, queue),
-    running: removeEntry(admission.running, id),
-    targets: { ...admission.targets, [target.target]: released },
-  };
-  return fillSlots(next, target.target, at);
+  const released =
+    running === undefined ? releaseHeld(admission, id) : releaseRunning(admission, running, at);
+  if (released === undefined) return fail("unknownRequest");
+  return fillSlots(released.admission, released.target, at);
 }
 
 function cancel(admission: Admission, id: string): AdmissionResult {
   const waiting = getEntry(admission.waiting, id);
   if (waiting !== undefined) return succeed(removeWaiting(admission, waiting));
+  const withdrawn = cancelResume(admission, id);
+  if (withdrawn !== undefined) return succeed(withdrawn);
   const running = getEntry(admission.running, id);
   if (running === undefined) return fail("unknownRequest");
   const abandoned = { ...running, isAbandoned: true };
@@ -165,7 +184,8 @@
   const known =
     admission.targets[target] ?? createTargetSlots(target, admission.settings.initialServiceMs, at);
   const slotsExpectedAt = event.readyInMs === undefined ? undefined : at + event.readyInMs;
-  const resized = { ...known, role, slots, slotsExpectedAt };
+  const connections = event.connections ?? Infinity;
+  const resized = { ...known, role, slots, slotsExpectedAt, connections };
   const next = { ...admission, targets: { ...admission.targets, [target]: resized } };
   return fillSlots(next, target, at);
 }
--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -24,6 +24,15 @@
   | { readonly type: "finish"; readonly at: number; readonly id: string }
   /** The caller gave up. A running statement keeps its slot until `finish`. */
   | { readonly type: "cancel"; readonly at: number; readonly id: string }
+  /** Frees the slot of a running request that keeps its connection, and counts as held until `finish`. */
+  | { readonly type: "pause"; readonly at: number; readonly id: string }
+  /** A held request needs a slot again. It goes before all waiting requests; `cancel` withdraws it. */
+  | {
+      readonly type: "resume";
+      readonly at: number;
+      readonly id: string;
+      readonly deadlineAt: number;
+    }
   /** Replaces the candidates of a waiting request. Has no effect on a started one. */
   | {
       readonly type: "retarget";
@@ -46,6 +55,8 @@
        * set.
        */
       readonly readyInMs?: number;
+      /** The most connections to the target; unlimited if absent. */
+      readonly connections?: number;
     }
   | { readonly type: "tick"; readonly at: number };
 
@@ -148,6 +159,19 @@
   readonly chargedMs: number;
   /** Whether its caller gave up. It holds the slot all the same. */
   readonly isAbandoned: boolean;
+  /** Whether it took the slot with a `resume` event. */
+  readonly isResumed?: boolean;
+}
+
+/** A request that holds a connection to its target but no slot. */
+export interface HeldRequest {
+  readonly id: string;
+  readonly target: string;
+  readonly team: string;
+  readonly priority: Priority;
+  readonly isBackground: boolean;
+  /** Its place among those that wait for a slot, in order of `seq`; absent while it needs none. */
+  readonly resume?: { readonly seq: number; readonly deadlineAt: number };
 }
 
 /** The slots of one target and their use. */
@@ -159,6 +183,14 @@
   readonly slotsExpectedAt: number | undefined;
   readonly running: number;
   readonly runningBackground: number;
+  /** Running requests that took their slot with a `resume` event. */
+  readonly runningResumed: number;
+  /** Whether the last request that was started had been held. */
+  readonly isResumedLast: boolean;
+  /** Requests that hold a connection but no slot. */
+  readonly held: number;
+  /** The most connections. A request is started only if one is left for it. */
+  readonly connections: number;
   /** Moving average of the time that a statement holds its slot. */
   readonly serviceMs: number;
   /** Exponentially decayed slot time used by each class, as of `usageAt`. */
@@ -173,5 +205,6 @@
   readonly targets: Readonly<Record<string, TargetSlots | undefined>>;
   readonly waiting: Tree<string, WaitingRequest>;
   readonly running: Tree<string, RunningRequest>;
+  readonly held: Tree<string, HeldRequest>;
   readonly nextSeq: number;
 }
--- a/src/controller/admission/view.ts
+++ b/src/controller/admission/view.ts
@@ -1,4 +1,5 @@
 import { priorities, type Priority } from "../../model/index.js";
+import { hasFreeConnection } from "./slots.js";
 import { countEntries, listValues } from "./tree.js";
 import type { Admission } from "./types.js";
 
@@ -25,7 +26,49 @@
 /** The number of free slots of a target, 0 if it is unknown. */
 export function countFreeSlots(admission: Admission, target: string): number {
   const known = admission.targets[target];
-  return known === undefined ? 0 : Math.max(0, known.slots - known.running);
+  if (known === undefined) return 0;
+  const { slots, connections, running, held } = known;
+  return Math.max(0, Math.min(slots - running, connections - running - held));
+}
+
+/** The use of one target's slots, and its connections that are held without a slot. */
+export interface SlotUse {
+  readonly target: string;
+  readonly running: number;
+  readonly free: number;
+  readonly held: number;
+}
+
+/** The use of the slots of all targets, for metrics. */
+export function listSlotUse(admission: Admission): readonly SlotUse[] {
+  return Object.values(admission.targets).flatMap((known) =>
+    known === undefined
+      ? []
+      : [
+          {
+            target: known.target,
+            running: known.running,
+            free: Math.max(0, known.slots - known.running),
+            held: known.held,
+          },
+        ],
+  );
+}
+
+/**
+ * The number of waiting requests that a free slot of the target could run if held connections were given back;
+ * 0 while a connection is left.
+ */
+export function countWaitingForConnection(admission: Admission, target: string): number {
+  const known = admission.targets[target];
+  if (known === undefined || known.held === 0 || hasFreeConnection(known)) return 0;
+  const free = Math.max(0, known.slots - known.running);
+  let count = 0;
+  if (free === 0) return 0;
+  for (const { candidates } of listValues(admission.waiting)) {
+    if (candidates.includes(target)) count += 1;
+  }
+  return Math.min(free, count);
 }
 
 /** The ids of the waiting requests that have this target as their only candidate. */
--- a/test/admission/builders.ts
+++ b/test/admission/builders.ts
@@ -7,6 +7,7 @@
   type AdmissionRequest,
   type AdmissionSettings,
 } from "../../src/controller/admission/index.js";
+import { getEntry } from "../../src/controller/admission/tree.js";
 import { priorities } from "../../src/model/index.js";
 
 export const strictPriority: Partial<AdmissionSettings> = {
@@ -43,6 +44,14 @@
     return result.effects;
   }
 
+  resize(limits: { readonly slots: number; readonly connections?: number }) {
+    return this.apply({ type: "resize", at: this.at, target: "p", role: "primary", ...limits });
+  }
+
+  isRunning(id: string): boolean {
+    return getEntry(this.admission.running, id) !== undefined;
+  }
+
   arrive(id: string, rest: Partial<AdmissionRequest> = {}) {
     return this.apply({ type: "arrive", at: this.at, request: request(id, rest) });
   }
