Hold slots only while a statement of a transaction runs

Cause: transactions that are idle between statements hold slots of the gateway, and statements outside of transactions wait although the target has free slots. Change: where slots are planned, a transaction gives its slot back after each statement and waits for one before the next and before its commit, ahead of new work; a rollback needs none. The wait ends at the statement's deadline, as the caller disconnects and as the primary is replaced. While all connections to a target are held and requests wait, the transaction that has been idle longest is rolled back, after 100 ms at least. Beginning a transaction moves into a module of its own. Nothing changes where slots are not planned.

--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -6,6 +6,6 @@
   TargetPool,
   type TargetPoolOptions,
 } from "./pool.js";
-export { type Slot, SlotQueue, type SlotResult } from "./slots.js";
+export { type ResumeResult, type Slot, SlotQueue, type SlotResult } from "./slots.js";
 export { Ticker } from "./ticker.js";
 export { Waiters } from "./waiters.js";
--- a/src/capacity/pool.ts
+++ b/src/capacity/pool.ts
@@ -1,7 +1,9 @@
 import {
   applyConnections,
+  countAgainstLimit,
   createPool,
   listConnections,
+  listUnservedWaiters,
   type ConnectionEffect,
   type ConnectionEvent,
   type ConnectionSettings,
@@ -118,6 +120,18 @@
     return listConnections(this.pool, "idle").some((connection) => connection.team === team);
   }
 
+  /**
+   * Counts the requests that have waited for `minWaitMs` and for which no connection is opened, because all
+   * places are taken.
+   */
+  countStarved(minWaitMs: number): number {
+    const { lastFailure, share } = this.pool;
+    if (lastFailure === "failed" || countAgainstLimit(this.pool) < share) return 0;
+    const now = this.clock.now();
+    const unserved = listUnservedWaiters(this.pool, ["opening", "suspect"]);
+    return unserved.filter(({ since }) => now - since >= minWaitMs).length;
+  }
+
   /** Counts the connections by state, for metrics. */
   countByState(): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
--- a/src/capacity/slots.ts
+++ b/src/capacity/slots.ts
@@ -1,7 +1,10 @@
 import {
   applyAdmission,
   countFreeSlots,
+  countWaitingForConnection,
   createAdmission,
+  listResuming,
+  listSlotUse,
   listWaitingOnlyFor,
   estimateWait,
   summariseAdmission,
@@ -11,6 +14,7 @@
   type AdmissionRequest,
   type AdmissionSummary,
   type RequestProfile,
+  type SlotUse,
 } from "../controller/admission/index.js";
 import type { Clock, Disposable, NotRunReason } from "../model/index.js";
 import { Ticker } from "./ticker.js";
@@ -30,10 +34,24 @@
   | { readonly type: "started"; readonly slot: Slot }
   | { readonly type: "refused"; readonly reason: NotRunReason; readonly retryAfterMs: number };
 
+/** The result of waiting for a slot again. */
+export type ResumeResult =
+  | { readonly type: "started"; readonly waitedMs: number }
+  | { readonly type: "refused"; readonly reason: NotRunReason; readonly retryAfterMs: number };
+
 /** A slot of a target, held until the statement has ended there. */
 export interface Slot {
   readonly target: string;
   release(): void;
+  /** Whether the slot was given back by `pause` and not taken again. */
+  readonly isPaused: boolean;
+  /** Gives the slot back for as long as its holder keeps a connection without running a statement. */
+  pause(): void;
+  /**
+   * Waits for a slot of the same target again, before all requests that wait for their first one. When it is
+   * refused, at the deadline or as the signal aborts, the slot stays paused.
+   */
+  resume(deadlineAt: number, signal: AbortSignal): Promise<ResumeResult>;
   /**
    * Releases the slot after a delay, for a caller that gave up while its statement may still run at the
    * target.
@@ -45,6 +63,7 @@
 export class SlotQueue implements Disposable {
   private admission: Admission = createAdmission();
   private readonly waiters = new Waiters<SlotResult>();
+  private readonly resuming = new Waiters<ResumeResult>();
   private readonly ticker = new Ticker(() => {
     this.apply({ type: "tick", at: this.clock.now() });
   });
@@ -64,11 +83,19 @@
 
   /**
    * Sets a target's slots and role. A target that takes no work has 0 slots; `readyInMs` is then the time
-   * until it is expected to have some, and undefined if none are expected.
+   * until it is expected to have some, and undefined if none are expected. With `connections`, a request gets a
+   * slot only if a connection is left for it besides those of paused slots.
    */
-  resize(target: string, role: "primary" | "replica", slots: number, readyInMs?: number): void {
+  resize(
+    target: string,
+    role: "primary" | "replica",
+    slots: number,
+    readyInMs?: number,
+    connections = Infinity,
+  ): void {
     const ready = readyInMs === undefined ? {} : { readyInMs };
-    this.apply({ type: "resize", at: this.clock.now(), target, role, slots, ...ready });
+    const at = this.clock.now();
+    this.apply({ type: "resize", at, target, role, slots, connections, ...ready });
   }
 
   /** Replaces the candidate targets of a request that is still waiting. */
@@ -83,6 +110,22 @@
       this.refuse(id, "noPrimary", 0);
       this.apply({ type: "cancel", at: this.clock.now(), id });
     }
+    for (const id of listResuming(this.admission, target)) this.stopResuming(id, "noPrimary", 0);
+  }
+
+  /** Counts the paused slots of a target whose holders wait for a slot again. */
+  countResuming(target: string): number {
+    return listResuming(this.admission, target).length;
+  }
+
+  /** Counts the requests that only lack a connection which holders of paused slots have. */
+  countWaitingForConnection(target: string): number {
+    return countWaitingForConnection(this.admission, target);
+  }
+
+  /** The use of each target's slots. */
+  listUse(): readonly SlotUse[] {
+    return listSlotUse(this.admission);
   }
 
   /** Counts the requests that wait for this target alone. */
@@ -106,17 +149,19 @@
   dispose(): void {
     this.ticker.dispose();
     for (const id of this.waiters.listIds()) this.refuse(id, "draining", refusedRetryMs);
+    for (const id of this.resuming.listIds()) this.stopResuming(id, "draining", refusedRetryMs);
   }
 
   private apply(event: AdmissionEvent): void {
     const applied = applyAdmission(this.admission, event);
     if (applied.type === "failed") {
       if (event.type === "arrive") this.refuse(event.request.id, "overloaded", refusedRetryMs);
+      if (event.type === "resume") this.refuse(event.id, "overloaded", refusedRetryMs);
       return;
     }
     this.admission = applied.state;
     for (const effect of applied.effects) this.execute(effect);
-    this.ticker.setRunning(this.waiters.size > 0);
+    this.ticker.setRunning(this.waiters.size + this.resuming.size > 0);
   }
 
   private execute(effect: AdmissionEffect): void {
@@ -131,20 +176,39 @@
   }
 
   private start(id: string, target: string): void {
+    if (this.resuming.settle(id, { type: "started", waitedMs: 0 })) return;
     const slot = this.createSlot(id, target);
     if (!this.waiters.settle(id, { type: "started", slot })) slot.release();
   }
 
   private createSlot(id: string, target: string): Slot {
     let isHeld = true;
+    let isPaused = false;
     const endOnce = (end: () => void) => {
       if (isHeld) end();
       isHeld = false;
     };
     return {
       target,
+      get isPaused() {
+        return isPaused;
+      },
+      pause: () => {
+        if (!isHeld || isPaused) return;
+        isPaused = true;
+        this.apply({ type: "pause", at: this.clock.now(), id });
+      },
+      resume: async (deadlineAt, signal) => {
+        if (!isHeld || !isPaused) return { type: "started", waitedMs: 0 };
+        const askedAt = this.clock.now();
+        const result = await this.waitToResume(id, deadlineAt, signal);
+        if (result.type === "refused") return result;
+        isPaused = false;
+        return { type: "started", waitedMs: this.clock.now() - askedAt };
+      },
       release: () => {
         endOnce(() => {
+          this.stopResuming(id, "overloaded", refusedRetryMs);
           this.finish(id);
         });
       },
@@ -159,8 +223,24 @@
     };
   }
 
+  private waitToResume(id: string, deadlineAt: number, signal: AbortSignal): Promise<ResumeResult> {
+    const submit = () => {
+      this.apply({ type: "resume", at: this.clock.now(), id, deadlineAt });
+    };
+    const giveUp = () => {
+      this.stopResuming(id, "deadline", refusedRetryMs);
+    };
+    return this.resuming.wait(id, signal, submit, giveUp);
+  }
+
+  private stopResuming(id: string, reason: NotRunReason, retryAfterMs: number): void {
+    if (!this.resuming.settle(id, { type: "refused", reason, retryAfterMs })) return;
+    this.apply({ type: "cancel", at: this.clock.now(), id });
+  }
+
   private refuse(id: string, reason: NotRunReason, retryAfterMs: number): void {
-    this.waiters.settle(id, { type: "refused", reason, retryAfterMs });
+    const refused = { type: "refused", reason, retryAfterMs } as const;
+    if (!this.resuming.settle(id, refused)) this.waiters.settle(id, refused);
   }
 
   private giveUp(id: string): void {
--- a/src/controller/connections/index.ts
+++ b/src/controller/connections/index.ts
@@ -3,6 +3,7 @@
   createPool,
   defaultConnectionSettings,
   listConnections,
+  listUnservedWaiters,
 } from "./pool.js";
 export { applyConnections, type ConnectionResult } from "./step.js";
 export {
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -25,6 +25,7 @@
   healthyTarget,
   type TargetHealth,
 } from "./health.js";
+import { IdleTransactions } from "./idle-transactions.js";
 import type { DirectPorts } from "./ports.js";
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
@@ -64,9 +65,14 @@
 /** An idle connection beyond the base is closed after this time, as other proxies may need it. */
 const surplusIdleMs = 1000;
 
+/** A statement that has waited this long for a connection needs one of an idle transaction, in milliseconds. */
+const starvedAfterMs = 100;
+
 /** This proxy's slots, connections, health records and log positions for a group's targets. */
 export class DirectGroup implements Disposable {
   readonly slots: SlotQueue;
+  /** Transactions that hold a connection without a slot. */
+  readonly idle: IdleTransactions;
   private readonly disposables = new DisposableStore();
   private readonly pools = new Map<string, TargetPool<TrackedLink>>();
   private readonly health = new Map<string, TargetHealth>();
@@ -82,6 +88,9 @@
     private readonly ports: DirectPorts,
   ) {
     this.slots = this.disposables.add(new SlotQueue(ports.clock));
+    this.idle = this.disposables.add(
+      new IdleTransactions(ports.clock, (target) => this.countWaitingForConnection(target)),
+    );
     this.update(group);
   }
 
@@ -89,6 +98,11 @@
     return this.group.name;
   }
 
+  /** Whether transactions hold slots only while one of their statements runs. */
+  get isSlotPlanned(): boolean {
+    return this.ports.isSlotPlanned();
+  }
+
   /** Applies the platform's latest list of the group's targets. */
   update(group: AnnouncedGroup): void {
     this.group = group;
@@ -108,8 +122,8 @@
       isLeaving: target.isLeaving === true,
       isLocal: target.dataCentre === this.ports.dataCentre,
       health: this.findHealth(target.name),
-      running: this.runningCounts.get(target.name) ?? 0,
-      hasIdle: this.pools.get(target.name)?.hasIdle(team) === true,
+      running: this.countRunning(target.name),
+      hasIdle: this.hasIdleConnection(target.name, team),
       slots: this.findShare(target.name).slots,
       occupiedSlots: this.findShare(target.name).slots - this.slots.countFree(target.name),
     }));
@@ -130,11 +144,17 @@
     this.slots.evict(target);
   }
 
-  /** Whether any statement waits for this target alone. */
+  /** Whether any statement waits for what an idle transaction holds at this target. */
   hasWaitersFor(target: string): boolean {
+    if (this.isSlotPlanned) return this.countWaitingForConnection(target) > 0;
     return this.slots.countWaitingOnlyFor(target) > 0;
   }
 
+  /** Whether a connection that serves the team is idle in its pool. */
+  hasIdleConnection(target: string, team: string): boolean {
+    return this.pools.get(target)?.hasIdle(team) === true;
+  }
+
   /** Waits for a connection that serves the team; the empty name stands for anonymous callers. */
   takeConnection(
     target: string,
@@ -203,6 +223,19 @@
     return this.disposables.dispose();
   }
 
+  /** Counts the requests that a connection of an idle transaction would serve. */
+  private countWaitingForConnection(target: string): number {
+    const pool = this.pools.get(target);
+    return this.slots.countWaitingForConnection(target) + (pool?.countStarved(starvedAfterMs) ?? 0);
+  }
+
+  /** Counts what runs at a target. With all connections taken by idle transactions it counts as full. */
+  private countRunning(target: string): number {
+    const running = this.runningCounts.get(target) ?? 0;
+    if (!this.isSlotPlanned || this.slots.countFree(target) > 0) return running;
+    return Math.max(running, this.findShare(target).slots);
+  }
+
   private findHealth(target: string): TargetHealth {
     return this.health.get(target) ?? healthyTarget;
   }
@@ -220,7 +253,8 @@
     pool?.resize(share.base + share.max, share.max);
     if (holding.type === "none") this.closePool(target.name);
     else if (pool === undefined && !isLeaving) this.addPool(target);
-    this.slots.resize(target.name, target.announcedRole, share.slots);
+    const connections = this.isSlotPlanned ? share.max : Infinity;
+    this.slots.resize(target.name, target.announcedRole, share.slots, undefined, connections);
   }
 
   /** Drains and removes a target's pool; the next request for a connection creates a new one. */
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -1,7 +1,8 @@
 import { type AdmissionRequest } from "../controller/admission/index.js";
-import type { HeldConnection, Slot } from "../capacity/index.js";
+import type { HeldConnection, ResumeResult, Slot } from "../capacity/index.js";
 import { chooseCandidates, type PlacementConstraints } from "./candidates.js";
-import type { DirectGroup } from "./group.js";
+import type { ConnectionResult, DirectGroup } from "./group.js";
+import type { IdleTransaction } from "./idle-transactions.js";
 import type { DirectPorts } from "./ports.js";
 import type { TrackedLink } from "./tracked-link.js";
 import type { Database } from "./serving-config.js";
@@ -24,6 +25,14 @@
   readonly link: TrackedLink;
   /** Records an answer, so that a long transaction's connection does not count as silent. */
   noteProgress(): void;
+  /** Whether it has given its slot back, because its transaction is idle between two statements. */
+  readonly isIdle: boolean;
+  /** Gives the slot back and keeps the connection, where slots are planned. */
+  pause(idle: Omit<IdleTransaction, "target">): void;
+  /** Gives the slot back for a rollback, which needs none. */
+  startRollback(): void;
+  /** Waits for a slot again, before all new work. */
+  resume(deadlineAt: number, signal: AbortSignal): Promise<ResumeResult>;
   /** Returns the connection to its pool. Nothing may be in flight, and no transaction open on it. */
   release(): void;
   /** Closes the connection, so that pending answers are discarded. */
@@ -52,6 +61,12 @@
 /** The retry hint when it is unknown when a group will serve again: the usual time of a change of primary. */
 const unknownPrimaryRetryMs = 1000;
 
+/**
+ * The wait for a connection after which a slot is given back to transactions, in milliseconds: several times
+ * the 12 ms of opening one.
+ */
+const maxBlockingWaitMs = 100;
+
 /** Finds a target for a statement, waits for a slot there and acquires a connection. */
 export async function placeStatement(
   ports: DirectPorts,
@@ -70,7 +85,7 @@
     return { type: "refused", reason, retryAfterMs, waitedFor: choice.names };
   }
   const { slot } = admitted;
-  const taken = await group.takeConnection(slot.target, request.team, request);
+  const taken = await takeConnection(group, slot.target, request);
   if (taken.type === "refused") {
     slot.release();
     return { type: "unreachable", target: slot.target, reason: taken.reason };
@@ -81,6 +96,31 @@
   };
 }
 
+/**
+ * Acquires a connection. Where slots are planned, gives up after a while if transactions that hold connections
+ * wait for slots: each would wait for the other.
+ */
+async function takeConnection(
+  group: DirectGroup,
+  target: string,
+  request: PlacementRequest,
+): Promise<ConnectionResult> {
+  const { team, deadlineAt, signal } = request;
+  if (!group.isSlotPlanned || group.hasIdleConnection(target, team)) {
+    return group.takeConnection(target, team, request);
+  }
+  const yielding = new AbortController();
+  const timer = setInterval(() => {
+    if (group.slots.countResuming(target) > 0) yielding.abort();
+  }, maxBlockingWaitMs);
+  try {
+    const either = AbortSignal.any([signal, yielding.signal]);
+    return await group.takeConnection(target, team, { deadlineAt, signal: either });
+  } finally {
+    clearInterval(timer);
+  }
+}
+
 type CandidateResult =
   | {
       readonly type: "chosen";
@@ -145,12 +185,24 @@
   const { target } = slot;
   group.noteStart(target);
   let isHeld = true;
+  let idle: IdleTransaction | undefined;
+  const freeSlot = () => {
+    if (!isHeld || slot.isPaused || !group.isSlotPlanned) return false;
+    group.noteEnd(target);
+    slot.pause();
+    return true;
+  };
+  const stopIdle = () => {
+    if (idle !== undefined) group.idle.remove(idle);
+    idle = undefined;
+  };
   const end = (finish: () => void) => {
     if (!isHeld) return;
     isHeld = false;
     finish();
+    if (!slot.isPaused) group.noteEnd(target);
     slot.release();
-    group.noteEnd(target);
+    stopIdle();
   };
   return {
     group,
@@ -158,6 +210,25 @@
     role,
     link: connection.session,
     noteProgress: () => connection.noteProgress(),
+    get isIdle() {
+      return isHeld && slot.isPaused;
+    },
+    pause: (transaction) => {
+      if (!freeSlot()) return;
+      idle = { ...transaction, target };
+      group.idle.add(idle);
+    },
+    startRollback: () => {
+      freeSlot();
+      if (idle !== undefined) group.idle.noteEnding(idle);
+    },
+    resume: async (deadlineAt, signal) => {
+      const wasPaused = slot.isPaused;
+      stopIdle();
+      const result = await slot.resume(deadlineAt, signal);
+      if (isHeld && wasPaused && result.type === "started") group.noteStart(target);
+      return result;
+    },
     release: () => end(() => connection.release()),
     drop: () => end(() => connection.drop()),
   };
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -1,19 +1,19 @@
-import type { Mark } from "../model/index.js";
 import {
   failLocally,
   findEffect,
   isNotRun,
   type CommandResult,
-  type PreparedDefinition,
   type Reply,
   type SessionState,
   type Work,
 } from "../statement/index.js";
 import { directEvents } from "../log/events/direct.js";
 import { isStillPrimary, placeAttempt, sendCommand, supersededReason } from "./attempt.js";
+import { beginOnConnection, findPrepared, rollbackAndRelease } from "./begin.js";
 import { findReadRequirement, type SessionContext } from "./context.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
 import type { PlacedConnection, RefusedPlacement } from "./placement.js";
+import { disconnectedReason, displacedReason, giveSlotBack, waitForSlotTurn } from "./slot-turn.js";
 import type { OpenTransaction } from "./runner.js";
 import { rateClaimLapsedReason, prepareLink, type StatementResult } from "./autocommit.js";
 import type { RateClaim } from "../rates/index.js";
@@ -24,16 +24,6 @@
 const minAttemptMs = 5;
 /** Attempts at a later statement while the target has no slot; with the pauses the deadline ends them first. */
 const maxBusyAttempts = 64;
-/** A rollback needs no slot; if it is not answered in this time, the connection is closed instead. */
-const rollbackTimeoutMs = 1000;
-
-/** The parameters for beginning a transaction on one connection. */
-interface BeginOptions {
-  readonly work: Work | undefined;
-  readonly atLeast: Mark | undefined;
-  readonly deadlineAt: number;
-  readonly claim: RateClaim;
-}
 
 type Phase =
   | { readonly type: "pending" }
@@ -58,16 +48,20 @@
 
   /** Runs a statement in the transaction. */
   async run(context: SessionContext, work: Work, arrivedAt: number): Promise<Reply> {
-    return this.trackRunning(async () => {
+    const reply = await this.trackRunning(async () => {
       switch (this.phase.type) {
         case "pending":
           return this.begin(context, work, arrivedAt);
         case "open":
-          return this.runOnConnection(context, this.phase.placement, work, arrivedAt);
+          return this.continue(context, this.phase.placement, work, arrivedAt);
         case "failed":
-          return failLocally("malformed", "the transaction has failed; roll it back", "failed");
+          return this.phase.reason === displacedReason
+            ? failLocally("aborted", `rolled back: ${displacedReason}`, "failed")
+            : failLocally("malformed", "the transaction has failed; roll it back", "failed");
       }
     });
+    this.pause(context);
+    return reply;
   }
 
   /** Commits the transaction. The session is idle afterwards, whatever the result. */
@@ -87,7 +81,10 @@
           reply: failLocally("aborted", "the transaction failed and was rolled back", "idle"),
         };
       }
-      return this.sendCommit(context, this.phase.placement, id, text, arrivedAt);
+      const { placement } = this.phase;
+      const failure = await this.takeSlot(context, placement, id, arrivedAt);
+      if (failure !== undefined) return { reply: { ...failure, state: "idle" } };
+      return this.sendCommit(context, placement, id, text, arrivedAt);
     });
   }
 
@@ -95,7 +92,7 @@
   rollback(context: SessionContext): void {
     const { phase } = this;
     this.phase = { type: "failed", reason: "rolled back" };
-    if (phase.type === "open") void this.rollbackAndRelease(context, phase.placement);
+    if (phase.type === "open") void rollbackAndRelease(context, phase.placement);
   }
 
   get hasWaiters(): boolean {
@@ -110,6 +107,53 @@
     return this.isStatementRunning;
   }
 
+  /** Runs a later statement, once it has a slot. */
+  private async continue(
+    context: SessionContext,
+    placement: PlacedConnection,
+    work: Work,
+    arrivedAt: number,
+  ): Promise<Reply> {
+    const failure = await this.takeSlot(context, placement, work.id, arrivedAt);
+    return failure ?? this.runOnConnection(context, placement, work, arrivedAt);
+  }
+
+  /**
+   * Waits for a slot if the transaction has none. Returns the answer for the caller if it gets none; nothing
+   * of the transaction is kept then.
+   */
+  private async takeSlot(
+    context: SessionContext,
+    placement: PlacedConnection,
+    id: string,
+    arrivedAt: number,
+  ): Promise<Reply | undefined> {
+    if (!placement.isIdle) return undefined;
+    const deadlineAt = arrivedAt + context.database.action.deadlineMs - minAttemptMs;
+    const turn = await waitForSlotTurn(context, placement, deadlineAt);
+    if (turn.type === "taken") return undefined;
+    void rollbackAndRelease(context, placement);
+    switch (turn.type) {
+      case "disconnected":
+        this.phase = { type: "failed", reason: disconnectedReason };
+        return failLocally("aborted", `rolled back: ${disconnectedReason}`, "failed");
+      case "superseded":
+        return this.abort(context, id, supersededReason);
+      case "refused":
+        return this.refuse(context, { ...turn, waitedFor: [placement.target] });
+    }
+  }
+
+  /** Gives the slot back until the next statement, and lets the transaction be ended for others. */
+  private pause(context: SessionContext): void {
+    const { phase } = this;
+    if (phase.type !== "open") return;
+    giveSlotBack(context, phase.placement, this.hasWritten, () => {
+      this.phase = { type: "failed", reason: displacedReason };
+      void rollbackAndRelease(context, phase.placement);
+    });
+  }
+
   private async trackRunning<T>(run: () => Promise<T>): Promise<T> {
     this.isStatementRunning = true;
     try {
@@ -184,13 +228,17 @@
         requirement.type === "replica" && placement.role === "replica"
           ? requirement.atLeast
           : undefined;
-      const failure = await this.beginOnConnection(context, placement, {
+      const failure = await beginOnConnection(context, placement, {
+        isReadOnly: this.isReadOnly,
         work,
         atLeast,
         deadlineAt,
         claim,
       });
-      if (failure === undefined) return undefined;
+      if (failure === undefined) {
+        this.phase = { type: "open", placement };
+        return undefined;
+      }
       reason = failure;
       if (failure === rateClaimLapsedReason) break;
       if (placement.role === "replica") excluded.add(placement.target);
@@ -199,39 +247,6 @@
     return this.refuse(context, { reason, retryAfterMs: 0, waitedFor: [] });
   }
 
-  /** Begins on a connection. On failure it releases or closes the connection and returns the reason. */
-  private async beginOnConnection(
-    context: SessionContext,
-    placement: PlacedConnection,
-    { work, atLeast, deadlineAt, claim }: BeginOptions,
-  ): Promise<string | undefined> {
-    const prepared = findPrepared(work);
-    if (!(await prepareLink(context, placement, prepared, deadlineAt)))
-      return "the connection broke";
-    if (!isStillPrimary(context, placement)) {
-      placement.release();
-      return supersededReason;
-    }
-    if (!claim.consume()) {
-      placement.release();
-      return rateClaimLapsedReason;
-    }
-    const mark = atLeast === undefined ? {} : { atLeast };
-    const command = { type: "begin", isReadOnly: this.isReadOnly, ...mark } as const;
-    const leftMs = deadlineAt - context.ports.clock.now();
-    const result = await sendCommand(context, placement, command, leftMs);
-    if (result.type === "broken") return result.reason;
-    const { end } = result.reply;
-    if (end.type === "complete") {
-      this.phase = { type: "open", placement };
-      return undefined;
-    }
-    if (isNotRun(end.code)) claim.noteNotRun();
-    if (end.code === "lagging") placement.group.noteLagging(placement.target);
-    await this.rollbackAndRelease(context, placement);
-    return end.code;
-  }
-
   /** Runs a statement on the transaction's connection, and retries it while the target is busy. */
   private async runOnConnection(
     context: SessionContext,
@@ -275,7 +290,7 @@
   private failWith(context: SessionContext, placement: PlacedConnection, reply: Reply): Reply {
     if (reply.end.type !== "error") return reply;
     this.phase = { type: "failed", reason: reply.end.code };
-    void this.rollbackAndRelease(context, placement);
+    void rollbackAndRelease(context, placement);
     const { code, text } = reply.end;
     if (isNotRun(code)) return { ...reply, state: "failed" };
     // The statement ran, but its effects were rolled back with the transaction.
@@ -300,7 +315,7 @@
     placement: PlacedConnection,
     id: string,
   ): Reply {
-    void this.rollbackAndRelease(context, placement);
+    void rollbackAndRelease(context, placement);
     return { ...this.abort(context, id, supersededReason), state: "idle" };
   }
 
@@ -354,7 +369,7 @@
     reply: Reply,
   ): StatementResult {
     if (reply.state === "idle") placement.release();
-    else void this.rollbackAndRelease(context, placement);
+    else void rollbackAndRelease(context, placement);
     const ended = { ...reply, state: "idle" } as const;
     const isWritten = this.hasWritten && reply.end.type === "complete";
     return isWritten && reply.mark !== undefined
@@ -368,17 +383,4 @@
       ? failLocally("inDoubt", `the commit may have run: ${reason}`, "idle")
       : failLocally("aborted", `nothing was written: ${reason}`, "idle");
   }
-
-  private async rollbackAndRelease(
-    context: SessionContext,
-    placement: PlacedConnection,
-  ): Promise<void> {
-    const result = await sendCommand(context, placement, { type: "rollback" }, rollbackTimeoutMs);
-    if (result.type === "answered" && result.reply.state === "idle") placement.release();
-    else placement.drop();
-  }
-}
-
-function findPrepared(work: Work | undefined): PreparedDefinition | undefined {
-  return work?.type === "execute" ? work.prepared : undefined;
 }
--- a/src/log/events/direct.ts
+++ b/src/log/events/direct.ts
@@ -62,6 +62,12 @@
     level: "info",
     text: "A transaction was rolled back because its caller's key no longer belongs to its team.",
   },
+  transactionDisplaced: {
+    id: 2116,
+    name: "transactionDisplaced",
+    level: "info",
+    text: "An idle transaction was rolled back because others needed its connection; its idle time is given.",
+  },
   linesDropped: {
     id: 2108,
     name: "logLinesDropped",
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -36,6 +36,8 @@
   readonly connections?: number;
   readonly slots?: number;
   readonly roster?: TeamRoster;
+  /** Whether transactions hold slots only while their statements run. */
+  readonly isSlotPlanned?: boolean;
 }
 
 export const group = "ledger";
@@ -64,6 +66,7 @@
   readonly groups: GroupDirectory;
   readonly ports: DirectPorts;
   private next = 1;
+  private readonly breakers: (() => void)[] = [];
   private readonly config: ServingConfig;
 
   constructor(options: FixtureOptions = {}) {
@@ -76,7 +79,7 @@
       },
       dataCentre: "a",
       topology: singleRegion,
-      isSlotPlanned: () => false,
+      isSlotPlanned: () => options.isSlotPlanned === true,
       primaries: {
         find: () => this.primary,
         noteContact: () => undefined,
@@ -123,6 +126,11 @@
     return this.sent.filter((s) => s.target === target && s.command.type === type);
   }
 
+  /** Breaks all connections; what was sent on them may still be answered. */
+  breakConnections(): void {
+    for (const breakLink of this.breakers) breakLink();
+  }
+
   /** Advances the clock and lets pending promises settle. */
   async advance(ms: number): Promise<void> {
     await this.clock.advance(ms);
@@ -136,6 +144,7 @@
   private makeLink(target: string): TargetLink {
     let isUsable = true;
     let isInUse = false;
+    this.breakers.push(() => (isUsable = false));
     return {
       target,
       get isUsable() {
