Give a target's slots to one gateway, and let the next one take over

Cause: up to six gateways of a group admit to a target of four slots without knowing of each other, each with slots computed from its connections. Change: where slots are planned, the first gateway of the target's data centre that is not lost has the target's slots and one more, every other gateway one.

--- a/src/direct/directory.ts
+++ b/src/direct/directory.ts
@@ -28,6 +28,11 @@
     }
   }
 
+  /** Applies changes of this proxy's share of the groups' targets. */
+  refreshShares(): void {
+    for (const group of this.groups.values()) group.refreshShares();
+  }
+
   /** Discards all known log positions. Called when the process was suspended for an unknown time. */
   forgetMarks(): void {
     for (const group of this.groups.values()) group.forgetMarks();
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -1,9 +1,9 @@
+import { directEvents } from "../log/events/direct.js";
 import { SlotQueue, TargetPool, type AcquireResult, type SlotResult } from "../capacity/index.js";
 import type { AdmissionRequest } from "../controller/admission/index.js";
 import {
   compareTerms,
   DisposableStore,
-  compareMarkOrder,
   pickLaterMark,
   type Disposable,
   type Mark,
@@ -30,7 +30,8 @@
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
 import type { AnnouncedGroup, AnnouncedTarget } from "./serving-config.js";
-import { computeShare, minShare, type ConnectionShare } from "./share.js";
+import { hasLostLog, hasRestarted, LostLogError } from "./restart.js";
+import { computeShare, hasSameShare, minShare, type ConnectionShare } from "./share.js";
 
 /** The result of acquiring a connection for one statement or transaction. */
 export type ConnectionResult = AcquireResult<TrackedLink>;
@@ -115,6 +116,18 @@
     for (const name of before.keys()) if (!this.targets.has(name)) this.removeTarget(name);
   }
 
+  /** Applies changes of this proxy's share of the targets, as gateways are lost or come back. */
+  refreshShares(): void {
+    for (const target of this.targets.values()) {
+      const share = this.computeShare(target);
+      if (hasSameShare(share, this.findShare(target.name))) continue;
+      const { slots } = share;
+      const fields = { group: this.name, target: target.name, slots };
+      this.ports.logger.write(directEvents.shareChanged, fields);
+      this.updateTarget(target);
+    }
+  }
+
   /** Lists the targets for the placement of a team's statement. */
   listCandidates(team: string): readonly CandidateTarget[] {
     return [...this.targets.values()].map((target) => ({
@@ -247,7 +260,7 @@
   private updateTarget(target: AnnouncedTarget): void {
     const isLeaving = target.isLeaving === true;
     const holding = this.ports.findShareRule(this.name, target.dataCentre);
-    const share = computeShare(this.group.connections, target, holding);
+    const share = this.computeShare(target);
     this.shares.set(target.name, share);
     const pool = this.pools.get(target.name);
     pool?.resize(share.base + share.max, share.max);
@@ -257,6 +270,11 @@
     this.slots.resize(target.name, target.announcedRole, share.slots, undefined, connections);
   }
 
+  private computeShare(target: AnnouncedTarget): ConnectionShare {
+    const rule = this.ports.findShareRule(this.name, target.dataCentre);
+    return computeShare(this.group.connections, target, rule, this.isSlotPlanned);
+  }
+
   /** Drains and removes a target's pool; the next request for a connection creates a new one. */
   private closePool(target: string): void {
     this.pools.get(target)?.drain();
@@ -373,20 +391,3 @@
   readonly target: string;
   readonly mark: Mark;
 }
-
-/** The primary lost acknowledged commits and must not be read until the primary has been determined again. */
-class LostLogError extends Error {
-  override readonly name = "LostLogError";
-}
-
-/** Whether a target's process has been replaced by another one under the same name. */
-function hasRestarted(before: AnnouncedTarget | undefined, now: AnnouncedTarget): boolean {
-  const known = before?.startedAt;
-  return known !== undefined && now.startedAt !== undefined && known !== now.startedAt;
-}
-
-/** Whether a primary's log ends before the end that it had reported earlier. */
-function hasLostLog(reported: Mark | undefined, openedAt: Mark | undefined): boolean {
-  if (reported === undefined) return false;
-  return openedAt === undefined || compareMarkOrder(openedAt, reported) < 0;
-}
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -112,7 +112,7 @@
   const yielding = new AbortController();
   const timer = setInterval(() => {
     if (group.slots.countResuming(target) > 0) yielding.abort();
-  }, maxBlockingWaitMs);
+  }, maxBlockingWaitMs).unref();
   try {
     const either = AbortSignal.any([signal, yielding.signal]);
     return await group.takeConnection(target, team, { deadlineAt, signal: either });
--- a/src/direct/share.ts
+++ b/src/direct/share.ts
@@ -6,8 +6,16 @@
   | { readonly type: "none" }
   /** An equal share among `proxies` proxies. */
   | { readonly type: "equal"; readonly proxies: number }
-  /** It is one of `proxies` chosen gateways. `isFirst` marks the one that proxies in that data centre prefer. */
-  | { readonly type: "chosen"; readonly proxies: number; readonly isFirst: boolean };
+  /**
+   * It is one of `proxies` chosen gateways. `isFirst` marks the one that proxies in that data centre prefer,
+   * and `isActing` the first one that is not lost.
+   */
+  | {
+      readonly type: "chosen";
+      readonly proxies: number;
+      readonly isFirst: boolean;
+      readonly isActing?: boolean;
+    };
 
 /** The connections that one proxy may open to a target, and the statements that it may run there. */
 export interface ConnectionShare {
@@ -45,12 +53,17 @@
  * A proxy opens connections beyond its base only for statements that have waited, and closes them soon. With
  * the base alone a proxy that takes over the callers of proxies that are cut off would refuse them with a
  * full queue while its target has free slots.
+ *
+ * With `isSlotPlanned` the gateway that acts for a target has the target's slots, and any other gateway one.
  */
 export function computeShare(
   connections: number,
   target: Pick<AnnouncedTarget, "slots" | "announcedRole">,
   rule: ShareRule,
+  isSlotPlanned = false,
 ): ConnectionShare {
+  if (isSlotPlanned && rule.type === "chosen")
+    return computePlannedShare(connections, target, rule);
   const free = connections - spareConnections;
   switch (rule.type) {
     case "none":
@@ -64,6 +77,22 @@
   }
 }
 
+/** Whether two shares are the same. */
+export function hasSameShare(a: ConnectionShare, b: ConnectionShare): boolean {
+  return a.base === b.base && a.max === b.max && a.slots === b.slots;
+}
+
+/** The share where slots are planned. A gateway that takes over needs the connections of the first one too. */
+function computePlannedShare(
+  connections: number,
+  target: Pick<AnnouncedTarget, "slots" | "announcedRole">,
+  { proxies, isFirst, isActing = isFirst }: Extract<ShareRule, { type: "chosen" }>,
+): ConnectionShare {
+  const rule = { type: "chosen", proxies, isFirst: isFirst || isActing } as const;
+  const { base, max } = computeShare(connections, target, rule);
+  return { base, max, slots: isActing ? Math.max(1, target.slots) + slotsInTransit : 1 };
+}
+
 function divideEqually(free: number, proxies: number): ConnectionShare {
   const base = clampShare(free / (2 * Math.max(1, proxies)), maxEqualShare);
   const all = clampShare(free / Math.max(1, proxies), maxEqualShare);
@@ -83,6 +112,9 @@
   return { base, max: base, slots: Math.max(1, limit) };
 }
 
+/** Statements on their way to or from the target, which hold a slot of the gateway and none there. */
+const slotsInTransit = 1;
+
 function clampShare(share: number, max: number): number {
   return Math.max(1, Math.min(max, Math.floor(share)));
 }
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -84,6 +84,7 @@
   private nextTransaction = 1;
   private isGreeted = false;
   private grantsTokens = false;
+  private dataCount = 0;
   private queued: readonly QueuedMessage[] = [];
 
   constructor(
@@ -92,7 +93,10 @@
     private readonly handlers: GatewayConnectionHandlers,
   ) {
     this.channel = new FrameChannel(connect({ ...address, noDelay: true }), {
-      onData: () => this.liveness.recordData(),
+      onData: () => {
+        this.dataCount += 1;
+        this.liveness.recordData();
+      },
       onFrame: (frame) => this.handle(fromBinary(GatewayResponseSchema, frame)),
       onClose: (reason) => this.handleClose(reason),
     });
@@ -179,6 +183,21 @@
     });
   }
 
+  /** The number of times that data arrived. */
+  get receivedCount(): number {
+    return this.dataCount;
+  }
+
+  /** Asks for a sign of life, which shows in `receivedCount`. */
+  ping(): void {
+    this.send({ case: "ping", value: true });
+  }
+
+  /** Closes the connection unless calls are pending on it. */
+  closeIfUnused(): void {
+    if (this.calls.size === 0 && this.tokenRequests.size === 0) this.close();
+  }
+
   /** Sends a step that gets no answer. */
   send(step: RequestStep): void {
     this.write({ call: 0, bytes: encodeRequest(step, 0) });
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -5,3 +5,4 @@
 export { RoutedRunner } from "./runner.js";
 export { countListedProxyQuota } from "./quota.js";
 export { GatewayServer } from "./server.js";
+export { SlotTakeover } from "./takeover.js";
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -2,6 +2,7 @@
 import type { Proxy } from "../leadership/index.js";
 import { chooseGateways, isGateway, listGateways, type GatewayPlan } from "./choose.js";
 import { orderGateways } from "./route.js";
+import { listWatchedGateways, orderSlotGateways } from "./slot-order.js";
 import type { Topology } from "../topology/index.js";
 
 /** Where a statement may run: over this process's own connections, or at a gateway. */
@@ -29,6 +30,8 @@
   readonly isListed: () => boolean;
   /** Whether other gateways are preferred to this one, because it failed recently or can't serve now. */
   readonly isAvoided: (vm: string) => boolean;
+  /** Whether a gateway is lost, so that the next one uses its slots. Absent: if it is avoided. */
+  readonly isLost?: (vm: string) => boolean;
   /** Called when none of the gateways that this process knows accepted a statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -94,7 +97,31 @@
     const proxies = Math.max(1, this.listGroupGateways(group).length);
     if (plan.isEveryProxyGateway) return { type: "equal", proxies };
     const first = plan.byDataCentre.get(dataCentre)?.[0];
-    return { type: "chosen", proxies, isFirst: first?.vm === this.ports.vm };
+    const order = orderSlotGateways(plan, dataCentre, this.ports.topology);
+    const acting = order.find(({ vm }) => !this.isLost(vm));
+    const { vm } = this.ports;
+    return { type: "chosen", proxies, isFirst: first?.vm === vm, isActing: acting?.vm === vm };
+  }
+
+  /** The gateways of a group whose loss this process must notice, to take over their slots. */
+  listWatched(group: string): readonly Proxy[] {
+    const plan = this.findPlan(group);
+    if (plan.isEveryProxyGateway || !this.isGateway(group)) return [];
+    const { vm, dataCentre, topology } = this.ports;
+    const targets = this.ports.findGroup(group)?.targets ?? [];
+    return [...new Set(targets.map((target) => target.dataCentre))].flatMap((centre) =>
+      listWatchedGateways(
+        orderSlotGateways(plan, centre, topology),
+        { vm, dataCentre },
+        topology,
+        (name) => this.isLost(name),
+      ),
+    );
+  }
+
+  private isLost(vm: string): boolean {
+    const { isLost, isAvoided } = this.ports;
+    return isLost === undefined ? isAvoided(vm) : isLost(vm);
   }
 
   private toDestination(gateway: Proxy): Destination {
--- a/src/log/events/direct.ts
+++ b/src/log/events/direct.ts
@@ -68,6 +68,12 @@
     level: "info",
     text: "An idle transaction was rolled back because others needed its connection; its idle time is given.",
   },
+  shareChanged: {
+    id: 2117,
+    name: "slotShareChanged",
+    level: "info",
+    text: "This gateway's slots at a target changed, as another gateway was lost, came back or left; the new number is given.",
+  },
   linesDropped: {
     id: 2108,
     name: "logLinesDropped",
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -12,6 +12,7 @@
   GatewayRouter,
   GatewayServer,
   RoutedRunner,
+  SlotTakeover,
   type TokenResult,
 } from "../gateway/index.js";
 import type { TokenRequest } from "../directpeer/index.js";
@@ -45,13 +46,23 @@
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
   private readonly router: GatewayRouter;
+  private readonly takeover: SlotTakeover;
   private server: GatewayServer | undefined;
+  private groups: GroupDirectory | undefined;
 
   constructor(private readonly ports: ForwardingPorts) {
     const { settings, clock, logger, listProxies, findGroup, findLeader, isListed } = ports;
     const { onNoneAccepted } = ports;
     const { vm, dataCentre, topology } = settings;
     this.connections = this.owned.add(new GatewayConnections({ clock, logger }));
+    this.takeover = this.owned.add(
+      new SlotTakeover({
+        connections: this.connections,
+        getRouter: () => this.router,
+        listGroups: ports.listGroups,
+        onChecked: () => this.groups?.refreshShares(),
+      }),
+    );
     this.router = new GatewayRouter({
       vm,
       dataCentre,
@@ -63,6 +74,8 @@
       onNoneAccepted: onNoneAccepted,
       isAvoided: (name) =>
         name === vm ? this.findRefusal() !== undefined : this.connections.isAvoided(name),
+      isLost: (name) =>
+        name === vm ? this.findRefusal() !== undefined : this.takeover.isLost(name),
     });
   }
 
@@ -76,6 +89,11 @@
     return this.isEnabled && (this.ports.settings.topology.hasRegions || hasLevels(config));
   }
 
+  /** Watches the gateways before this one while slots are planned, to take over theirs. */
+  updateSlotPlan(config: ServingConfig): void {
+    this.takeover.setRunning(this.isSlotPlanned(config));
+  }
+
   /** Creates the runner of callers' statements: forwarding where that is enabled, direct otherwise. */
   createRunner(): WorkRunner {
     return this.isEnabled ? new RoutedRunner(this.router, this.connections) : directRunner;
@@ -83,6 +101,7 @@
 
   /** Starts the server for other nodes' statements, if forwarding is enabled. */
   async listen(direct: DirectPorts, groups: GroupDirectory): Promise<void> {
+    this.groups = groups;
     const { gateway } = this.ports.settings;
     if (gateway === undefined) return;
     let nextCall = 1;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -350,6 +350,7 @@
 
   private applyServingConfig(config: ServingConfig): void {
     this.groups.update(config);
+    this.forwarding.updateSlotPlan(config);
     this.rates.refresh();
     this.callers.endRevoked();
     this.metrics.setRevision(config.revision);
