Answer a transaction that was ended for others as aborted

Cause: the caller of a transaction that was ended while it was idle was told that its message is malformed. Change: such a transaction answers its next statement with aborted and the reason.

--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -28,7 +28,9 @@
 type Phase =
   | { readonly type: "pending" }
   | { readonly type: "open"; readonly placement: PlacedConnection }
-  | { readonly type: "failed"; readonly reason: string };
+  | { readonly type: "failed"; readonly reason: string }
+  /** Rolled back for others, which the caller learns with its next statement. */
+  | { readonly type: "displaced" };
 
 /**
  * One caller's transaction. It acquires a connection at its first statement and keeps it until its end, as a
@@ -55,9 +57,10 @@
         case "open":
           return this.continue(context, this.phase.placement, work, arrivedAt);
         case "failed":
-          return this.phase.reason === displacedReason
-            ? failLocally("aborted", `rolled back: ${displacedReason}`, "failed")
-            : failLocally("malformed", "the transaction has failed; roll it back", "failed");
+          return failLocally("malformed", "the transaction has failed; roll it back", "failed");
+        case "displaced":
+          this.phase = { type: "failed", reason: displacedReason };
+          return failLocally("aborted", `rolled back: ${displacedReason}`, "failed");
       }
     });
     this.pause(context);
@@ -149,7 +152,7 @@
     const { phase } = this;
     if (phase.type !== "open") return;
     giveSlotBack(context, phase.placement, this.hasWritten, () => {
-      this.phase = { type: "failed", reason: displacedReason };
+      this.phase = { type: "displaced" };
       void rollbackAndRelease(context, phase.placement);
     });
   }
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -13,7 +13,7 @@
 import { DisposableStore, type Address } from "../../src/model/index.js";
 import type { Reply, Statement } from "../../src/statement/index.js";
 import { createSystemClock } from "../../src/system/index.js";
-import { group, ProxyFixture } from "../direct/fixture.js";
+import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { findAddress, waitUntil } from "../node/cluster.js";
 
 /** A gateway with a fake of its targets, which records what is sent to them, and a network link to it. */
@@ -56,9 +56,9 @@
     this.runner = new RoutedRunner(router, this.connections);
   }
 
-  static async start(count = 1): Promise<Hop> {
+  static async start(count = 1, options: FixtureOptions = {}): Promise<Hop> {
     const hop = new Hop();
-    for (let i = 0; i < count; i += 1) await hop.addGateway(`vm-${i}`);
+    for (let i = 0; i < count; i += 1) await hop.addGateway(`vm-${i}`, options);
     return hop;
   }
 
@@ -115,8 +115,8 @@
     this.connections.dispose();
   }
 
-  private async addGateway(vm: string): Promise<void> {
-    const stage = new ProxyFixture();
+  private async addGateway(vm: string, options: FixtureOptions): Promise<void> {
+    const stage = new ProxyFixture(options);
     const address = await findAddress();
     const link = new FaultyLink(() => address);
     const advertised = await link.start();
