Show the use of planned slots in the metrics

Cause: operators can't see whether statements wait for slots or for connections of idle transactions. Change: radishwalk_slots by group, target and state, and radishwalk_transactions_idle by group, read when the metrics are rendered; without planned slots they have no samples.

--- a/src/direct/directory.ts
+++ b/src/direct/directory.ts
@@ -3,6 +3,16 @@
 import type { DirectPorts } from "./ports.js";
 import type { ServingConfig } from "./serving-config.js";
 
+/** The use of one target's slots by this proxy. */
+export interface GroupSlotUse {
+  readonly group: string;
+  readonly target: string;
+  readonly running: number;
+  readonly free: number;
+  /** Transactions that hold a connection without a slot. */
+  readonly idle: number;
+}
+
 /** The groups that this proxy uses, updated from each new serving configuration. */
 export class GroupDirectory implements Disposable {
   private readonly groups = new Map<string, DirectGroup>();
@@ -33,6 +43,21 @@
     for (const group of this.groups.values()) group.refreshShares();
   }
 
+  /** The use of the slots of all targets where slots are planned. */
+  listSlots(): readonly GroupSlotUse[] {
+    return [...this.groups.values()]
+      .filter(({ isSlotPlanned }) => isSlotPlanned)
+      .flatMap(({ name, slots }) =>
+        slots.listUse().map(({ target, running, free, held }) => ({
+          group: name,
+          target,
+          running,
+          free,
+          idle: held - slots.countResuming(target),
+        })),
+      );
+  }
+
   /** Discards all known log positions. Called when the process was suspended for an unknown time. */
   forgetMarks(): void {
     for (const group of this.groups.values()) group.forgetMarks();
--- a/src/metric/index.ts
+++ b/src/metric/index.ts
@@ -5,4 +5,5 @@
   type FailoverSample,
   type Metrics,
   type RequestSample,
+  type SlotSample,
 } from "./metrics.js";
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -9,6 +9,7 @@
   type Verdict,
 } from "../model/index.js";
 import { LabelLimiter } from "./label-limiter.js";
+import { SlotGauges } from "./slots.js";
 
 const maxGroupLabels = 200;
 const waitBucketsSeconds = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3, 10];
@@ -32,6 +33,16 @@
 /** The states of a connection to a target. */
 export type ConnectionState = "opening" | "idle" | "active" | "suspect";
 
+/** The use of one target's slots by this process. */
+export interface SlotSample {
+  readonly group: string;
+  readonly target: string;
+  readonly running: number;
+  readonly free: number;
+  /** Transactions that are idle between two statements at the target. */
+  readonly idle: number;
+}
+
 /** The metrics of a process; see `createMetrics`. */
 export interface Metrics {
   recordRequest(sample: RequestSample): void;
@@ -45,6 +56,8 @@
   setConnections(group: string, state: ConnectionState, count: number): void;
   setRevision(revision: number): void;
   setCallers(count: number): void;
+  /** Sets where the metrics of slots are read whenever they are rendered. */
+  observeSlots(read: () => readonly SlotSample[]): void;
   /**
    * Counts each violated invariant and passes it to `handle`. Disposing the result restores the
    * previous handler.
@@ -75,6 +88,7 @@
   readonly contentType: string;
   private readonly groupLabels = new LabelLimiter(maxGroupLabels);
   private readonly readCounts = { primary: 0, replica: 0 };
+  private readonly slots: SlotGauges;
 
   private readonly requests: Counter<"verdict" | "reason" | "class">;
   private readonly reads: Counter<"group" | "role">;
@@ -148,6 +162,7 @@
     this.revision = new Gauge(
       define("configuration_revision", "Revision of the configuration in force.", []),
     );
+    this.slots = new SlotGauges(registry, this.groupLabels);
     this.callers = new Gauge(define("callers_connected", "Number of connected callers.", []));
     for (const invariant of invariants) this.violations.inc({ invariant }, 0);
   }
@@ -197,6 +212,10 @@
     this.callers.set(count);
   }
 
+  observeSlots(read: () => readonly SlotSample[]): void {
+    this.slots.observe(read);
+  }
+
   observeViolations(handle: (invariant: Invariant, detail: string) => void): Disposable {
     const previousHandler = setViolationHandler((invariant, detail) => {
       this.recordViolation(invariant);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -178,6 +178,7 @@
     );
     this.directPorts = this.createDirectPorts();
     this.groups = this.owned.add(new GroupDirectory(this.directPorts));
+    this.metrics.observeSlots(() => this.groups.listSlots());
     this.callers = new CallerRegistry(
       adapter.callerCodec,
       this.directPorts,
--- a/test/direct/slots.test.ts
+++ b/test/direct/slots.test.ts
@@ -62,6 +62,19 @@
   await openTransaction(new Answers());
   expect(countFree()).toBe(1);
   expect(listUse()).toMatchObject({ running: 2, held: 0 });
+  expect(fixture.groups.listSlots()).toEqual([]);
+});
+
+// Guards against metrics that count waiting statements as idle transactions, or miss targets.
+test("the slots and idle transactions of a target are listed for metrics", async () => {
+  createProxy();
+  const answers = new Answers();
+  await openTransaction(answers);
+  void fixture.open("primary").run(read("r"));
+  await fixture.advance(1);
+  expect(fixture.groups.listSlots()).toEqual([
+    { group, target: "p", running: 1, free: 2, idle: 1 },
+  ]);
 });
 
 // Guards against slots that an idle transaction keeps, and that are lost or freed twice at its end.
--- a/test/metric/metric.test.ts
+++ b/test/metric/metric.test.ts
@@ -32,6 +32,23 @@
   }).toThrow("atMostOnce");
 });
 
+// Guards against metrics of targets that are gone, and of deployments that do not plan slots.
+test("the metrics of slots show what is read at that moment", async () => {
+  const metrics = createMetrics();
+  expect(await metrics.render()).not.toContain("radishwalk_slots{");
+  let samples = [
+    { group: "ledger", target: "p", running: 3, free: 2, idle: 4 },
+    { group: "ledger", target: "q", running: 0, free: 1, idle: 1 },
+  ];
+  metrics.observeSlots(() => samples);
+  const text = await metrics.render();
+  expect(text).toContain('radishwalk_slots{group="ledger",target="p",state="running"} 3');
+  expect(text).toContain('radishwalk_slots{group="ledger",target="p",state="free"} 2');
+  expect(text).toContain('radishwalk_transactions_idle{group="ledger"} 5');
+  samples = samples.slice(1);
+  expect(await metrics.render()).not.toContain('target="p"');
+});
+
 // The balancer sends callers to a proxy whose /ready page answers 200. A new proxy does not know the
 // rules yet, and a leaving one must get no new callers. Both are alive, so only /ready may answer 503.
 test("the process is ready only with a configuration and not while leaving", async () => {
