Read once per configuration whether slots are planned

Cause: the answer looks through all databases of the configuration, and is read several times a statement. Change: a group keeps it until its next update, which each new configuration brings. Result: test/direct and test/gateway pass (94 tests).

--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -79,6 +79,7 @@
   private readonly health = new Map<string, TargetHealth>();
   private readonly runningCounts = new Map<string, number>();
   private targets = new Map<string, AnnouncedTarget>();
+  private isPlanned = false;
   private history: PositionHistory = emptyHistory;
   /** The newest end of its log that the current primary has reported. */
   private reportedEnd: ReportedEnd | undefined;
@@ -99,14 +100,15 @@
     return this.group.name;
   }
 
-  /** Whether transactions hold slots only while one of their statements runs. */
+  /** Whether transactions hold slots only while one of their statements runs. Kept, as it is read often. */
   get isSlotPlanned(): boolean {
-    return this.ports.isSlotPlanned();
+    return this.isPlanned;
   }
 
   /** Applies the platform's latest list of the group's targets. */
   update(group: AnnouncedGroup): void {
     this.group = group;
+    this.isPlanned = this.ports.isSlotPlanned();
     const before = this.targets;
     this.targets = new Map(group.targets.map((t) => [t.name, t]));
     for (const target of group.targets) {
