Keep the connection to a silent gateway for two seconds

Cause: a gateway that is silent for 0.3 s counted as lost and the connection to it was closed, which would roll back the idle transactions of this node there after a short stall. Change: the connection is closed after 2 s of silence, longer than the gateway keeps its end; until then the gateway is asked again each 0.5 s. An answer on a connection that has ended since does not count.

--- a/src/gateway/watch.ts
+++ b/src/gateway/watch.ts
@@ -8,8 +8,13 @@
  * answer. Checks are counted, and not time, so that a pause of this process is no fault of the gateway.
  */
 const maxUnansweredChecks = 3;
-/** A lost gateway is connected to again at each fifth check. */
-const reconnectChecks = 5;
+/** A lost gateway is asked again, or connected to again, at each fifth check. */
+const askAgainChecks = 5;
+/**
+ * A connection without an answer for this many checks is closed, as its other end may be gone: 2 s. Before, it may
+ * carry idle transactions, which the gateway itself ends after 1 s of silence.
+ */
+const closeChecks = 20;
 
 /** How a `GatewayWatch` reaches gateways. */
 export interface GatewayWatchPorts {
@@ -47,26 +52,36 @@
   }
 
   private checkGateway(proxy: Proxy, known: WatchedGateway | undefined): WatchedGateway {
-    const unansweredChecks = (known?.unansweredChecks ?? 0) + 1;
-    if (known?.isLost === true && unansweredChecks % reconnectChecks !== 0) {
-      const hasAnswered = (known.connection?.receivedCount ?? 0) > known.receivedCount;
-      if (!hasAnswered) return { ...known, unansweredChecks };
+    if (known === undefined) return this.ask(this.ports.open(proxy), false, 0);
+    const receivedCount = known.connection?.receivedCount ?? 0;
+    if (receivedCount > known.receivedCount) {
+      const answering = this.ports.open(proxy);
+      const hasBroken = answering !== known.connection;
+      if (known.isLost && !hasBroken) this.ports.onAnswer(proxy.vm);
+      return this.ask(answering, hasBroken, 0);
     }
-    const connection = this.ports.open(proxy);
-    if (known === undefined || known.connection !== connection) {
-      connection?.ping();
-      const isLost = known !== undefined;
-      return { connection, isLost, receivedCount: 0, unansweredChecks: isLost ? 1 : 0 };
+    const unansweredChecks = known.unansweredChecks + 1;
+    if (known.isLost && unansweredChecks % askAgainChecks !== 0) {
+      return { ...known, unansweredChecks };
     }
-    const receivedCount = connection?.receivedCount ?? 0;
-    if (receivedCount > known.receivedCount) {
-      if (known.isLost) this.ports.onAnswer(proxy.vm);
-      connection?.ping();
-      return { connection, isLost: false, receivedCount, unansweredChecks: 0 };
+    const connection = this.ports.open(proxy);
+    const hasEnded = connection !== known.connection;
+    const isLost = known.isLost || hasEnded || unansweredChecks >= maxUnansweredChecks;
+    if (!hasEnded && !known.isLost) return { ...known, isLost, unansweredChecks };
+    if (!hasEnded && unansweredChecks % closeChecks === 0) {
+      connection?.closeIfUnused();
+      return { ...known, unansweredChecks };
     }
-    const isLost = known.isLost || unansweredChecks >= maxUnansweredChecks;
-    // A connection whose other end is gone never answers; the next check opens another one.
-    if (isLost) connection?.closeIfUnused();
-    return { ...known, isLost, unansweredChecks };
+    return this.ask(connection, isLost, unansweredChecks);
+  }
+
+  /** Asks a gateway for a sign of life. */
+  private ask(
+    connection: WatchedGateway["connection"],
+    isLost: boolean,
+    unansweredChecks: number,
+  ): WatchedGateway {
+    connection?.ping();
+    return { connection, isLost, receivedCount: connection?.receivedCount ?? 0, unansweredChecks };
   }
 }
