Take over the slots of a gateway that refuses statements

Cause: a gateway that leaves or has no permit answers pings, so the next one learned of it only from statements of its own callers, and meanwhile ran one statement at a time. Change: where slots are planned, such a gateway answers pings with a pong of value false, and counts as lost until it serves again.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -85,6 +85,7 @@
   private isGreeted = false;
   private grantsTokens = false;
   private dataCount = 0;
+  private isGatewayServing = true;
   private queued: readonly QueuedMessage[] = [];
 
   constructor(
@@ -188,6 +189,11 @@
     return this.dataCount;
   }
 
+  /** Whether the gateway answered that it runs new statements. */
+  get isServing(): boolean {
+    return this.isGatewayServing;
+  }
+
   /** Asks for a sign of life, which shows in `receivedCount`. */
   ping(): void {
     this.send({ case: "ping", value: true });
@@ -246,6 +252,8 @@
         this.tokenRequests.get(call)?.({ type: "granted", grant: outcome.value });
         return;
       case "pong":
+        this.isGatewayServing = outcome.value;
+        return;
       case undefined:
         return;
     }
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -118,7 +118,7 @@
         this.calls.get(step.value)?.abort();
         return;
       case "ping":
-        this.send(0, { case: "pong", value: true });
+        this.send(0, { case: "pong", value: this.isServing() });
         return;
       case "tokens": {
         const { team, wanted } = step.value;
@@ -299,6 +299,11 @@
     this.liveness.setAwaiting(this.channel.isOpen && this.transactions.size > 0);
   }
 
+  /** Whether this process runs new statements. Where slots are planned, another gateway uses them otherwise. */
+  private isServing(): boolean {
+    return !this.ports.direct.isSlotPlanned() || this.ports.findRefusal("") === undefined;
+  }
+
   private refuse(call: number, reason: string): void {
     this.ports.direct.logger.write(gatewayEvents.statementRefused, { reason });
     this.send(call, { case: "turnedAway", value: reason });
--- a/src/gateway/watch.ts
+++ b/src/gateway/watch.ts
@@ -20,7 +20,8 @@
 export interface GatewayWatchPorts {
   readonly open: (
     proxy: Proxy,
-  ) => Pick<GatewayConnection, "receivedCount" | "ping" | "closeIfUnused"> | undefined;
+  ) =>
+    Pick<GatewayConnection, "receivedCount" | "isServing" | "ping" | "closeIfUnused"> | undefined;
   /** Called when a lost gateway answers again. */
   readonly onAnswer: (vm: string) => void;
 }
@@ -39,7 +40,10 @@
 
   constructor(private readonly ports: GatewayWatchPorts) {}
 
-  /** Whether a watched gateway does not answer, or its connection ended and no new one came about yet. */
+  /**
+   * Whether a watched gateway does not answer or runs no new statements, or its connection ended and no new one
+   * came about yet.
+   */
   isLost(vm: string): boolean {
     return this.watched.get(vm)?.isLost === true;
   }
@@ -56,9 +60,9 @@
     const receivedCount = known.connection?.receivedCount ?? 0;
     if (receivedCount > known.receivedCount) {
       const answering = this.ports.open(proxy);
-      const hasBroken = answering !== known.connection;
-      if (known.isLost && !hasBroken) this.ports.onAnswer(proxy.vm);
-      return this.ask(answering, hasBroken, 0);
+      const isLost = answering !== known.connection || answering?.isServing !== true;
+      if (known.isLost && !isLost) this.ports.onAnswer(proxy.vm);
+      return this.ask(answering, isLost, 0);
     }
     const unansweredChecks = known.unansweredChecks + 1;
     if (known.isLost && unansweredChecks % askAgainChecks !== 0) {
--- a/test/gateway/takeover.test.ts
+++ b/test/gateway/takeover.test.ts
@@ -59,8 +59,8 @@
 };
 
 /** The second of two gateways, with a faulty link to the first. */
-async function startSecond() {
-  const hop = await Hop.start(2);
+async function startSecond(isSlotPlanned = true) {
+  const hop = await Hop.start(2, { isSlotPlanned });
   owned.add(hop);
   const near = hop.gateways.map(({ vm, link }) => ({
     ...makeProxy(90),
@@ -102,15 +102,16 @@
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
 // Guards against a target whose slots nobody uses after the loss of its first gateway.
-test.each(["killed", "cut off"] as const)(
-  "the second gateway takes over when the first is %s, and gives back when it answers",
+test.each(["killed", "cut off", "refusing"] as const)(
+  "the second gateway takes over when the first is %s, and gives back when it serves",
   async (fault) => {
     const { firstGateway, getActing } = await startSecond();
     await sleep(400);
     expect(getActing()).toBe(false);
     const lostAt = performance.now();
     if (fault === "killed") firstGateway.link.setRefusing(true);
-    else firstGateway.link.setFlow("hold", "hold");
+    else if (fault === "cut off") firstGateway.link.setFlow("hold", "hold");
+    else firstGateway.refusal = "this node is leaving";
     await waitUntil(getActing);
     expect(performance.now() - lostAt).toBeLessThan(takeoverMs + timerToleranceMs);
     // It does not give the slots back before the first gateway answers.
@@ -120,10 +121,19 @@
     }
     firstGateway.link.setRefusing(false);
     firstGateway.link.setFlow("pass", "pass");
+    firstGateway.refusal = undefined;
     await waitUntil(() => !getActing());
   },
 );
 
+// Guards against a changed message where slots are not planned, or by a gateway of a build before.
+test("a refusing gateway that does not plan slots answers pings as before", async () => {
+  const { firstGateway, getActing } = await startSecond(false);
+  firstGateway.refusal = "this node is leaving";
+  await sleep(600);
+  expect(getActing()).toBe(false);
+});
+
 const dataCentres = ["a", "b", "c"];
 const regions = new Topology(
   new Map([
@@ -198,6 +208,7 @@
 function makeConnection() {
   const connection = {
     receivedCount: 0,
+    isServing: true,
     pings: 0,
     isClosed: false,
     ping: () => (connection.pings += 1),
