--- a/src/controller/admission/index.ts
+++ b/src/controller/admission/index.ts
@@ -17,7 +17,11 @@
 export {
   type AdmissionSummary,
   countFreeSlots,
+  countWaitingForConnection,
+  listSlotUse,
   listWaitingOnlyFor,
+  type SlotUse,
   summariseAdmission,
 } from "./view.js";
+export { listResuming } from "./hold.js";
 export { type WaitEstimate, type RequestProfile, estimateWait } from "./wait.js";
--- a/src/controller/admission/start.ts
+++ b/src/controller/admission/start.ts
@@ -1,5 +1,6 @@
 import { assertInvariant, succeed, type StepResult } from "../../model/index.js";
 import { findClassName, findGuaranteedShare, getClass, listClassesBelow } from "./classes.js";
+import { startNextHeld } from "./hold.js";
 import { makeTimeKey } from "./objective.js";
 import { chargeTeam, findNextRequest, hasWorkFor, isBackgroundWork, recordTurn } from "./queue.js";
 import { checkWait, refuse } from "./refusal.js";
@@ -18,13 +19,19 @@
 
 /**
  * Starts waiting requests on a target until it has no free slot or no suitable request is left.
- * Requests past their deadline are refused.
+ * Requests past their deadline are refused. Held requests that need a slot again go first.
  */
 export function fillSlots(admission: Admission, target: string, at: number): StartResult {
   let state = admission;
   const effects: AdmissionEffect[] = [];
   for (;;) {
     const waiting = pickNextRequest(state, target, at);
+    const resumed = startNextHeld(state, target, waiting !== undefined, at);
+    if (resumed !== undefined) {
+      state = resumed.state;
+      effects.push(...resumed.effects);
+      continue;
+    }
     if (waiting === undefined) return succeed(state, effects);
     const result =
       waiting.deadlineAt <= at
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -1,9 +1,9 @@
+import { directEvents } from "../log/events/direct.js";
 import { SlotQueue, TargetPool, type AcquireResult, type SlotResult } from "../capacity/index.js";
 import type { AdmissionRequest } from "../controller/admission/index.js";
 import {
   compareTerms,
   DisposableStore,
-  compareMarkOrder,
   pickLaterMark,
   type Disposable,
   type Mark,
@@ -26,13 +26,15 @@
   healthyTarget,
   type TargetHealth,
 } from "./health.js";
+import { IdleTransactions } from "./idle-transactions.js";
 import type { DirectPorts } from "./ports.js";
 import { positionReadIntervalMs } from "./redirect.js";
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
 import type { Distance } from "../topology/index.js";
 import type { AnnouncedGroup, AnnouncedTarget } from "./serving-config.js";
-import { computeShare, minShare, type ConnectionShare } from "./share.js";
+import { hasLostLog, hasRestarted, LostLogError } from "./restart.js";
+import { computeShare, hasSameShare, minShare, type ConnectionShare } from "./share.js";
 
 /** The result of acquiring a connection for one statement or transaction. */
 export type ConnectionResult = AcquireResult<TrackedLink>;
@@ -67,14 +69,20 @@
 /** An idle connection beyond the base is closed after this time, as other proxies may need it. */
 const surplusIdleMs = 1000;
 
+/** A statement that has waited this long for a connection needs one of an idle transaction, in milliseconds. */
+const starvedAfterMs = 100;
+
 /** This proxy's slots, connections, health records and log positions for a group's targets. */
 export class DirectGroup implements Disposable {
   readonly slots: SlotQueue;
+  /** Transactions that hold a connection without a slot. */
+  readonly idle: IdleTransactions;
   private readonly disposables = new DisposableStore();
   private readonly pools = new Map<string, TargetPool<TrackedLink>>();
   private readonly health = new Map<string, TargetHealth>();
   private readonly runningCounts = new Map<string, number>();
   private targets = new Map<string, AnnouncedTarget>();
+  private isPlanned = false;
   private history: PositionHistory = emptyHistory;
   /** The newest end of its log that the current primary has reported. */
   private reportedEnd: ReportedEnd | undefined;
@@ -90,6 +98,9 @@
       new SlotQueue(ports.clock, (wait) => ports.onSlotWait?.(this.name, wait)),
     );
     this.crossingTimes = new CrossingTimes(() => ports.clock.now());
+    this.idle = this.disposables.add(
+      new IdleTransactions(ports.clock, (target) => this.countWaitingForConnection(target)),
+    );
     this.update(group);
   }
 
@@ -97,9 +108,15 @@
     return this.group.name;
   }
 
+  /** Whether transactions hold slots only while one of their statements runs. Kept, as it is read often. */
+  get isSlotPlanned(): boolean {
+    return this.isPlanned;
+  }
+
   /** Applies the platform's latest list of the group's targets. */
   update(group: AnnouncedGroup): void {
     this.group = group;
+    this.isPlanned = this.ports.isSlotPlanned();
     const before = this.targets;
     this.targets = new Map(group.targets.map((t) => [t.name, t]));
     for (const target of group.targets) {
@@ -109,6 +126,18 @@
     for (const name of before.keys()) if (!this.targets.has(name)) this.removeTarget(name);
   }
 
+  /** Applies changes of this proxy's share of the targets, as gateways are lost or come back. */
+  refreshShares(): void {
+    for (const target of this.targets.values()) {
+      const share = this.computeShare(target);
+      if (hasSameShare(share, this.findShare(target.name))) continue;
+      const { slots } = share;
+      const fields = { group: this.name, target: target.name, slots };
+      this.ports.logger.write(directEvents.shareChanged, fields);
+      this.updateTarget(target);
+    }
+  }
+
   /** Lists the targets for the placement of a team's statement. */
   listCandidates(team: string): readonly CandidateTarget[] {
     return [...this.targets.values()].map((target) => ({
@@ -117,8 +146,8 @@
       isLocal: target.dataCentre === this.ports.dataCentre,
       distance: this.measureDistance(target),
       health: this.findHealth(target.name),
-      running: this.runningCounts.get(target.name) ?? 0,
-      hasIdle: this.pools.get(target.name)?.hasIdle(team) === true,
+      running: this.countRunning(target.name),
+      hasIdle: this.hasIdleConnection(target.name, team),
       slots: this.findShare(target.name).slots,
       occupiedSlots: this.findShare(target.name).slots - this.slots.countFree(target.name),
     }));
@@ -155,11 +184,17 @@
     this.slots.evict(target);
   }
 
-  /** Whether any statement waits for this target alone. */
+  /** Whether any statement waits for what an idle transaction holds at this target. */
   hasWaitersFor(target: string): boolean {
+    if (this.isSlotPlanned) return this.countWaitingForConnection(target) > 0;
     return this.slots.countWaitingOnlyFor(target) > 0;
   }
 
+  /** Whether a connection that serves the team is idle in its pool. */
+  hasIdleConnection(target: string, team: string): boolean {
+    return this.pools.get(target)?.hasIdle(team) === true;
+  }
+
   /** Waits for a connection that serves the team; the empty name stands for anonymous callers. */
   takeConnection(
     target: string,
@@ -240,6 +275,19 @@
     return this.ports.topology.measureDistance(this.ports.dataCentre, dataCentre);
   }
 
+  /** Counts the requests that a connection of an idle transaction would serve. */
+  private countWaitingForConnection(target: string): number {
+    const pool = this.pools.get(target);
+    return this.slots.countWaitingForConnection(target) + (pool?.countStarved(starvedAfterMs) ?? 0);
+  }
+
+  /** Counts what runs at a target. With all connections taken by idle transactions it counts as full. */
+  private countRunning(target: string): number {
+    const running = this.runningCounts.get(target) ?? 0;
+    if (!this.isSlotPlanned || this.slots.countFree(target) > 0) return running;
+    return Math.max(running, this.findShare(target).slots);
+  }
+
   private findHealth(target: string): TargetHealth {
     return this.health.get(target) ?? healthyTarget;
   }
@@ -251,13 +299,19 @@
   private updateTarget(target: AnnouncedTarget): void {
     const isLeaving = target.isLeaving === true;
     const holding = this.ports.findShareRule(this.name, target.dataCentre);
-    const share = computeShare(this.group.connections, target, holding);
+    const share = this.computeShare(target);
     this.shares.set(target.name, share);
     const pool = this.pools.get(target.name);
     pool?.resize(share.base + share.max, share.max);
     if (holding.type === "none") this.closePool(target.name);
     else if (pool === undefined && !isLeaving) this.addPool(target);
-    this.slots.resize(target.name, target.announcedRole, share.slots);
+    const connections = this.isSlotPlanned ? share.max : Infinity;
+    this.slots.resize(target.name, target.announcedRole, share.slots, undefined, connections);
+  }
+
+  private computeShare(target: AnnouncedTarget): ConnectionShare {
+    const rule = this.ports.findShareRule(this.name, target.dataCentre);
+    return computeShare(this.group.connections, target, rule, this.isSlotPlanned);
   }
 
   /** Drains and removes a target's pool; the next request for a connection creates a new one. */
@@ -376,20 +430,3 @@
   readonly target: string;
   readonly mark: Mark;
 }
-
-/** The primary lost acknowledged commits and must not be read until the primary has been determined again. */
-class LostLogError extends Error {
-  override readonly name = "LostLogError";
-}
-
-/** Whether a target's process has been replaced by another one under the same name. */
-function hasRestarted(before: AnnouncedTarget | undefined, now: AnnouncedTarget): boolean {
-  const known = before?.startedAt;
-  return known !== undefined && now.startedAt !== undefined && known !== now.startedAt;
-}
-
-/** Whether a primary's log ends before the end that it had reported earlier. */
-function hasLostLog(reported: Mark | undefined, openedAt: Mark | undefined): boolean {
-  if (reported === undefined) return false;
-  return openedAt === undefined || compareMarkOrder(openedAt, reported) < 0;
-}
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -86,6 +86,8 @@
   private nextTransaction = 1;
   private isGreeted = false;
   private grantsTokens = false;
+  private dataCount = 0;
+  private isGatewayServing = true;
   private queued: readonly QueuedMessage[] = [];
 
   constructor(
@@ -94,7 +96,10 @@
     private readonly handlers: GatewayConnectionHandlers,
   ) {
     this.channel = new FrameChannel(connect({ ...address, noDelay: true }), {
-      onData: () => this.liveness.recordData(),
+      onData: () => {
+        this.dataCount += 1;
+        this.liveness.recordData();
+      },
       onFrame: (frame) => this.handle(fromBinary(GatewayResponseSchema, frame)),
       onClose: (reason) => this.handleClose(reason),
     });
@@ -181,6 +186,26 @@
     });
   }
 
+  /** The number of times that data arrived. */
+  get receivedCount(): number {
+    return this.dataCount;
+  }
+
+  /** Whether the gateway answered that it runs new statements. */
+  get isServing(): boolean {
+    return this.isGatewayServing;
+  }
+
+  /** Asks for a sign of life, which shows in `receivedCount`. */
+  ping(): void {
+    this.send({ case: "ping", value: true });
+  }
+
+  /** Closes the connection unless calls are pending on it. */
+  closeIfUnused(): void {
+    if (this.calls.size === 0 && this.tokenRequests.size === 0) this.close();
+  }
+
   /** Sends a step that gets no answer. */
   send(step: RequestStep): void {
     this.write({ call: 0, bytes: encodeRequest(step, 0) });
@@ -229,6 +254,8 @@
         this.tokenRequests.get(call)?.({ type: "granted", grant: outcome.value });
         return;
       case "pong":
+        this.isGatewayServing = outcome.value;
+        return;
       case undefined:
         return;
     }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -179,6 +179,7 @@
     );
     this.directPorts = this.createDirectPorts();
     this.groups = this.owned.add(new GroupDirectory(this.directPorts));
+    this.metrics.observeSlots(() => this.groups.listSlots());
     this.callers = new CallerRegistry(
       adapter.callerCodec,
       this.directPorts,
@@ -362,6 +363,7 @@
     this.groups.update(config);
     const targets = [...config.groups.values()].flatMap((group) => group.targets);
     this.regionCheck.check(targets.map(({ dataCentre }) => dataCentre));
+    this.forwarding.updateSlotPlan(config);
     this.rates.refresh();
     this.callers.endRevoked();
     this.metrics.setRevision(config.revision);
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -44,6 +44,8 @@
   readonly dataCentre?: string;
   /** Databases of the configuration in addition to the usual ones. */
   readonly databases?: readonly Database[];
+  /** Whether transactions hold slots only while their statements run. */
+  readonly isSlotPlanned?: boolean;
 }
 
 export const group = "ledger";
@@ -74,15 +76,17 @@
   readonly groups: GroupDirectory;
   readonly ports: DirectPorts;
   /** Whether the fixture's deployment plans the slots of targets for the whole fleet. */
-  isSlotPlanned = false;
+  isSlotPlanned: boolean;
   /** The end of the log that targets report on new connections. */
   openedAt: Mark | undefined;
   /** How many statements this proxy left to the primary's gateway. */
   redirectCount = 0;
   private next = 1;
+  private readonly breakers: (() => void)[] = [];
   private readonly config: ServingConfig;
 
   constructor(options: FixtureOptions = {}) {
+    this.isSlotPlanned = options.isSlotPlanned === true;
     const config = makeServingConfig(options);
     this.shareRule = { type: "equal", proxies: options.proxies ?? 1 };
     this.ports = {
@@ -141,6 +145,11 @@
     return this.sent.filter((s) => s.target === target && s.command.type === type);
   }
 
+  /** Breaks all connections; what was sent on them may still be answered. */
+  breakConnections(): void {
+    for (const breakLink of this.breakers) breakLink();
+  }
+
   /** Advances the clock and lets pending promises settle. */
   async advance(ms: number): Promise<void> {
     await this.clock.advance(ms);
@@ -154,6 +163,7 @@
   private makeLink(target: string): TargetLink {
     let isUsable = true;
     let isInUse = false;
+    this.breakers.push(() => (isUsable = false));
     return {
       target,
       get isUsable() {
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -58,10 +58,13 @@
     this.runner = new RoutedRunner(router, this.connections);
   }
 
-  /** Starts gateways; with `isFar`, the way to them takes as long as between regions. */
+  /**
+   * Starts gateways with the same options as the node; with `isFar`, the way to them takes as long as between
+   * regions.
+   */
   static async start(count = 1, options: FixtureOptions = {}, isFar = false): Promise<Hop> {
     const hop = new Hop(options);
-    for (let i = 0; i < count; i += 1) await hop.addGateway(`vm-${i}`, isFar);
+    for (let i = 0; i < count; i += 1) await hop.addGateway(`vm-${i}`, options, isFar);
     return hop;
   }
 
@@ -118,8 +121,8 @@
     this.connections.dispose();
   }
 
-  private async addGateway(vm: string, isFar: boolean): Promise<void> {
-    const stage = new ProxyFixture();
+  private async addGateway(vm: string, options: FixtureOptions, isFar: boolean): Promise<void> {
+    const stage = new ProxyFixture(options);
     const address = await findAddress();
     const delayed = new DelayedLink(() => address);
     const destination = isFar ? await delayed.start() : address;
