Choose gateways in large fleets wherever slots are planned

Cause: with connections for all (56 for a target, at most 27 listed proxies) each listed proxy was a gateway, so that up to 27 queues admitted to a target of four slots without knowing of each other, and nothing was redirected. Change: where slots are planned only a fleet of at most twelve proxies makes each of them a gateway. The kept plan is computed again when the configuration starts or stops planning slots. Result: 27 proxies in four data centres have two gateways in each of three with targets when slots are planned, and each one is a gateway otherwise, as before; tests of choice, router and node for both.

--- a/src/gateway/choose.ts
+++ b/src/gateway/choose.ts
@@ -17,9 +17,9 @@
  */
 export const gatewaysPerDataCentre = 2;
 /**
- * When each proxy can open this many connections to each target, no statement is forwarded. The target's limit
- * must hold them twice: for some seconds after a restart a target still counts the connections of the previous
- * processes.
+ * When each proxy can open this many connections to each target, no statement is forwarded, unless slots are
+ * planned. The target's limit must hold them twice: for some seconds after a restart a target still counts the
+ * connections of the previous processes.
  */
 const minConnectionsPerProxy = 1;
 /**
@@ -36,18 +36,20 @@
  * Chooses a group's gateways by weighted rendezvous hashing. A proxy that joins or leaves moves only the groups
  * that it wins or held, and one with twice the processor power gets four times the groups. Gateways are needed
  * because a target accepts only a few dozen connections: if each proxy of a large fleet opened one, most would
- * be refused.
+ * be refused. Where slots are planned, a large fleet has chosen gateways even if connections suffice for all:
+ * dozens of proxies would admit to a target of a few slots without knowing of each other.
  */
 export function chooseGateways(
   { name, connections, targets }: Pick<AnnouncedGroup, "name" | "connections" | "targets">,
   proxies: readonly Proxy[],
+  isSlotPlanned = false,
 ): GatewayPlan {
   const eligible = proxies.filter(
     (proxy) => proxy.gateway !== undefined && proxy.isMissed !== true,
   );
+  const hasConnectionsForAll = connections >= 2 * minConnectionsPerProxy * eligible.length;
   const isEveryProxyGateway =
-    eligible.length <= smallFleetSize ||
-    connections >= 2 * minConnectionsPerProxy * eligible.length;
+    eligible.length <= smallFleetSize || (hasConnectionsForAll && !isSlotPlanned);
   const targetDataCentres = new Set(targets.map((target) => target.dataCentre));
   const near = eligible.filter(({ dataCentre }) => targetDataCentres.has(dataCentre ?? ""));
   // When no proxy is left in the targets' data centres, gateways elsewhere are better than none.
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -32,6 +32,8 @@
   readonly isAvoided: (vm: string) => boolean;
   /** Whether a gateway is lost, so that the next one uses its slots. Absent: if it is avoided. */
   readonly isLost?: (vm: string) => boolean;
+  /** Whether one gateway plans the slots of a target for the whole fleet. Absent: false. */
+  readonly isSlotPlanned?: () => boolean;
   /** Called when none of the gateways that this process knows accepted a statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -43,6 +45,7 @@
 interface CachedPlan {
   readonly proxies: readonly Proxy[];
   readonly group: AnnouncedGroup;
+  readonly isSlotPlanned: boolean;
   readonly plan: GatewayPlan;
 }
 
@@ -149,15 +152,17 @@
     return targets.find(({ name }) => name === leader.target)?.dataCentre;
   }
 
-  /** The plan of a group, computed again when the list of proxies or the group has changed. */
+  /** The plan of a group, computed again when what it depends on has changed. */
   private findPlan(name: string): GatewayPlan {
     const proxies = this.ports.listProxies();
     const group = this.ports.findGroup(name);
     if (group === undefined) return emptyPlan;
     const known = this.plans.get(name);
-    if (known?.proxies === proxies && known.group === group) return known.plan;
-    const plan = chooseGateways(group, proxies);
-    this.plans.set(name, { proxies, group, plan });
+    const isSlotPlanned = this.ports.isSlotPlanned?.() === true;
+    const isCurrent = known?.proxies === proxies && known.group === group;
+    if (isCurrent && known.isSlotPlanned === isSlotPlanned) return known.plan;
+    const plan = chooseGateways(group, proxies, isSlotPlanned);
+    this.plans.set(name, { proxies, group, isSlotPlanned, plan });
     return plan;
   }
 }
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -34,6 +34,7 @@
   readonly isPermitted: () => boolean;
   readonly listGroups: () => readonly string[];
   readonly findGroup: (group: string) => AnnouncedGroup | undefined;
+  readonly getServingConfig: () => ServingConfig;
   readonly findLeader: (group: string) => PrimaryState;
   /** Called when no known gateway accepted a statement. */
   readonly onNoneAccepted: () => void;
@@ -72,7 +73,8 @@
       findGroup,
       findLeader,
       isListed,
-      onNoneAccepted: onNoneAccepted,
+      isSlotPlanned: () => this.isSlotPlanned(ports.getServingConfig()),
+      onNoneAccepted,
       isAvoided: (name) =>
         name === vm ? this.findRefusal() !== undefined : this.connections.isAvoided(name),
       isLost: (name) =>
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -134,6 +134,7 @@
         isPermitted: () => this.tracker.isPermitted,
         listGroups: () => [...this.follower.servingConfig.groups.keys()],
         findGroup: (group) => this.follower.servingConfig.groups.get(group),
+        getServingConfig: () => this.follower.servingConfig,
         findLeader: (group) => this.tracker.findLeader(group),
         onNoneAccepted: () => this.refreshGateways(),
         grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
--- a/test/gateway/choose.test.ts
+++ b/test/gateway/choose.test.ts
@@ -114,6 +114,20 @@
   expect(isGateway(few, "vm-8")).toBe(true);
 });
 
+// Guards against dozens of proxies that each admit to a target's few slots without knowing of each other.
+test("where slots are planned a large fleet has chosen gateways even if connections suffice for all", () => {
+  const proxies = Array.from({ length: 27 }, (_, i) => makeProxy(i, dataCentres[i % 4]));
+  const plenty = { ...group, connections: 56 };
+  const planned = chooseGateways(plenty, proxies, true);
+  expect(planned.isEveryProxyGateway).toBe(false);
+  expect([...planned.byDataCentre.values()].map((gateways) => gateways.length)).toEqual([2, 2, 2]);
+  const listEvery = (isSlotPlanned: boolean) =>
+    [12, 13].map((n) => chooseGateways(plenty, proxies.slice(0, n), isSlotPlanned));
+  expect(listEvery(true).map((plan) => plan.isEveryProxyGateway)).toEqual([true, false]);
+  expect(listEvery(false).map((plan) => plan.isEveryProxyGateway)).toEqual([true, true]);
+  expect(chooseGateways(plenty, proxies).isEveryProxyGateway).toBe(true);
+});
+
 test("without proxies in the targets' data centres, others are gateways", () => {
   const proxies = Array.from({ length: 20 }, (_, i) => makeProxy(i, "d"));
   expect(list(proxies)).toHaveLength(gatewaysPerDataCentre);
--- a/test/gateway/router.test.ts
+++ b/test/gateway/router.test.ts
@@ -48,6 +48,33 @@
   expect(canRedirect(other, { avoided: [first, second] })).toBe(false);
 });
 
+// Guards against a plan that is kept when a new configuration starts or stops planning slots.
+test("a fleet with connections for all has chosen gateways only while slots are planned", () => {
+  const plenty = makeGroup({ connections: 40, dataCentres: ["a", "b"] });
+  let isSlotPlanned = false;
+  const router = new GatewayRouter({
+    vm: first,
+    dataCentre: "a",
+    topology: singleRegion,
+    listProxies: () => proxies,
+    findGroup: () => plenty,
+    findLeader: () => ({ type: "serving", target: "t-0" }),
+    isListed: () => true,
+    isAvoided: () => false,
+    isSlotPlanned: () => isSlotPlanned,
+    onNoneAccepted: () => undefined,
+  });
+  const describe = () => [
+    router.findHolding("ledger", "a").type,
+    router.listGroupGateways("ledger").length,
+  ];
+  expect(describe()).toEqual(["equal", 20]);
+  isSlotPlanned = true;
+  expect(describe()).toEqual(["chosen", 4]);
+  isSlotPlanned = false;
+  expect(describe()).toEqual(["equal", 20]);
+});
+
 test("nothing is left to others while the primary is unknown, or where each proxy is a gateway", () => {
   const changing = { type: "changing", readyInMs: 100, reason: "a change" } as const;
   expect(canRedirect(other, { leader: changing })).toBe(false);
--- a/test/node/slot-takeover.test.ts
+++ b/test/node/slot-takeover.test.ts
@@ -6,7 +6,7 @@
 import { Forwarding } from "../../src/node/forwarding.js";
 import { createSystemClock } from "../../src/system/index.js";
 import { singleRegion, Topology } from "../../src/topology/index.js";
-import { group, ProxyFixture } from "../direct/fixture.js";
+import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { makeProxy } from "../gateway/builders.js";
 import { findAddress, waitUntil } from "./cluster.js";
 
@@ -26,8 +26,13 @@
 );
 
 /** The forwarding of one gateway with its share of the slots of the target `p`. */
-async function startGateway(proxy: Proxy, proxies: readonly Proxy[], topology: Topology) {
-  const fixture = new ProxyFixture({ slots, isSlotPlanned: topology.hasRegions });
+async function startGateway(
+  proxy: Proxy,
+  proxies: readonly Proxy[],
+  topology: Topology,
+  options: FixtureOptions = {},
+) {
+  const fixture = new ProxyFixture({ slots, isSlotPlanned: topology.hasRegions, ...options });
   const config = fixture.ports.getServingConfig();
   const forwarding = new Forwarding({
     settings: { vm: proxy.vm, dataCentre: "a", topology, gateway: proxy.gateway },
@@ -39,6 +44,7 @@
     isPermitted: () => true,
     listGroups: () => [group],
     findGroup: (name) => config.groups.get(name),
+    getServingConfig: () => config,
     findLeader: () => ({ type: "serving", target: "p" }),
     onNoneAccepted: () => undefined,
     grantTokens: () => ({ tokens: 0, lifeMs: 0 }),
@@ -84,6 +90,20 @@
   await waitUntil(() => second.getSlots() === 1);
 });
 
+// Guards against a fleet whose configuration plans slots while its router still makes each proxy a gateway.
+test.each([
+  { topology: twoRegions, type: "chosen" },
+  { topology: singleRegion, type: "equal" },
+])("with connections for all, a node's share is $type", async ({ topology, type }) => {
+  const proxies = Array.from({ length: 18 }, (_, i) => makeProxy(i));
+  const [own] = proxies;
+  if (own === undefined) throw new Error("a proxy is needed");
+  const proxy = { ...own, power: 2, gateway: await findAddress() };
+  const listed = [proxy, ...proxies.slice(1)];
+  const { forwarding } = await startGateway(proxy, listed, topology, { connections: 56 });
+  expect(forwarding.findShareRule(group, "a").type).toBe(type);
+});
+
 // Guards against checks of other gateways and changed shares where slots are not planned.
 test("without planned slots no gateway takes over", async () => {
   const { gateways } = await startGateways(singleRegion);
