--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -7,6 +7,7 @@
 import type { Proxy } from "../leadership/index.js";
 import { chooseGateways, isGateway, listGateways, type GatewayPlan } from "./choose.js";
 import { orderGateways } from "./route.js";
+import { listWatchedGateways, orderSlotGateways } from "./slot-order.js";
 import type { Topology } from "../topology/index.js";
 
 /** Where a statement may run: over this process's own connections, or at a gateway. */
@@ -34,6 +35,10 @@
   readonly isListed: () => boolean;
   /** Whether other gateways are preferred to this one, because it failed recently or can't serve now. */
   readonly isAvoided: (vm: string) => boolean;
+  /** Whether a gateway is lost, so that the next one uses its slots. Absent: if it is avoided. */
+  readonly isLost?: (vm: string) => boolean;
+  /** Whether one gateway plans the slots of a target for the whole fleet. Absent: false. */
+  readonly isSlotPlanned?: () => boolean;
   /** Called when none of the gateways that this process knows accepted a statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -45,6 +50,7 @@
 interface CachedPlan {
   readonly proxies: readonly Proxy[];
   readonly group: AnnouncedGroup;
+  readonly isSlotPlanned: boolean;
   readonly plan: GatewayPlan;
 }
 
@@ -143,7 +149,31 @@
     const proxies = Math.max(1, this.listGroupGateways(group).length);
     if (plan.isEveryProxyGateway) return { type: "equal", proxies };
     const first = plan.byDataCentre.get(dataCentre)?.[0];
-    return { type: "chosen", proxies, isFirst: first?.vm === this.ports.vm };
+    const order = orderSlotGateways(plan, dataCentre, this.ports.topology);
+    const acting = order.find(({ vm }) => !this.isLost(vm));
+    const { vm } = this.ports;
+    return { type: "chosen", proxies, isFirst: first?.vm === vm, isActing: acting?.vm === vm };
+  }
+
+  /** The gateways of a group whose loss this process must notice, to take over their slots. */
+  listWatched(group: string): readonly Proxy[] {
+    const plan = this.findPlan(group);
+    if (plan.isEveryProxyGateway || !this.isGateway(group)) return [];
+    const { vm, dataCentre, topology } = this.ports;
+    const targets = this.ports.findGroup(group)?.targets ?? [];
+    return [...new Set(targets.map((target) => target.dataCentre))].flatMap((centre) =>
+      listWatchedGateways(
+        orderSlotGateways(plan, centre, topology),
+        { vm, dataCentre },
+        topology,
+        (name) => this.isLost(name),
+      ),
+    );
+  }
+
+  private isLost(vm: string): boolean {
+    const { isLost, isAvoided } = this.ports;
+    return isLost === undefined ? isAvoided(vm) : isLost(vm);
   }
 
   private isRemote(from: string | undefined, { dataCentre }: Proxy): boolean {
@@ -163,15 +193,17 @@
     return targets.find(({ name }) => name === leader.target)?.dataCentre;
   }
 
-  /** The plan of a group, computed again when the list of proxies or the group has changed. */
+  /** The plan of a group, computed again when what it depends on has changed. */
   private findPlan(name: string): GatewayPlan {
     const proxies = this.ports.listProxies();
     const group = this.ports.findGroup(name);
     if (group === undefined) return emptyPlan;
     const known = this.plans.get(name);
-    if (known?.proxies === proxies && known.group === group) return known.plan;
-    const plan = chooseGateways(group, proxies);
-    this.plans.set(name, { proxies, group, plan });
+    const isSlotPlanned = this.ports.isSlotPlanned?.() === true;
+    const isCurrent = known?.proxies === proxies && known.group === group;
+    if (isCurrent && known.isSlotPlanned === isSlotPlanned) return known.plan;
+    const plan = chooseGateways(group, proxies, isSlotPlanned);
+    this.plans.set(name, { proxies, group, isSlotPlanned, plan });
     return plan;
   }
 }
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -122,7 +122,7 @@
         this.calls.get(step.value)?.abort();
         return;
       case "ping":
-        this.send(0, { case: "pong", value: true });
+        this.send(0, { case: "pong", value: this.isServing() });
         return;
       case "tokens": {
         const { team, wanted } = step.value;
@@ -324,6 +324,11 @@
     this.liveness.setAwaiting(this.channel.isOpen && this.transactions.size > 0);
   }
 
+  /** Whether this process runs new statements. Where slots are planned, another gateway uses them otherwise. */
+  private isServing(): boolean {
+    return !this.ports.direct.isSlotPlanned() || this.ports.findRefusal("") === undefined;
+  }
+
   private refuse(call: number, reason: string, part?: SessionPart): void {
     const level = part?.level === undefined ? {} : { level: part.level };
     this.ports.direct.logger.write(gatewayEvents.statementRefused, { reason, ...level });
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -134,6 +134,7 @@
         isPermitted: () => this.tracker.isPermitted,
         listGroups: () => [...this.follower.servingConfig.groups.keys()],
         findGroup: (group) => this.follower.servingConfig.groups.get(group),
+        getServingConfig: () => this.follower.servingConfig,
         findLeader: (group) => this.tracker.findLeader(group),
         onNoneAccepted: () => this.refreshGateways(),
         grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
@@ -179,6 +180,7 @@
     );
     this.directPorts = this.createDirectPorts();
     this.groups = this.owned.add(new GroupDirectory(this.directPorts));
+    this.metrics.observeSlots(() => this.groups.listSlots());
     this.callers = new CallerRegistry(
       adapter.callerCodec,
       this.directPorts,
@@ -362,6 +364,7 @@
     this.groups.update(config);
     const targets = [...config.groups.values()].flatMap((group) => group.targets);
     this.regionCheck.check(targets.map(({ dataCentre }) => dataCentre));
+    this.forwarding.updateSlotPlan(config);
     this.rates.refresh();
     this.callers.endRevoked();
     this.metrics.setRevision(config.revision);
