Ask a failing replica without regions, as before

Cause: without a usable primary, a read waited for a lagging replica instead of asking one that had failed, also in deployments with one region, whose decisions must not change. Change: the preference for replicas that answer holds only where the group has targets in other regions.

--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -119,9 +119,10 @@
 }
 
 /**
- * Chooses a replica for a read that has no eligible target and can't use the primary. If a replica answers but
- * lacks the required mark, the read waits for it: asked again at once it would answer the same, and the read
- * would use up its attempts, and the target's time, within milliseconds.
+ * Chooses a replica for a read that has no eligible target and can't use the primary. While the replicas that it
+ * could ask lack the required mark the read waits: asked again at once they would answer the same, and the read
+ * would use up its attempts, and the targets' time, within milliseconds. Where there are targets in other regions,
+ * one that does not answer is not asked instead: it may be cut off with its region.
  */
 function chooseFallbackReplica(
   replicas: readonly CandidateTarget[],
@@ -131,7 +132,8 @@
 ): CandidateChoice {
   const lagging = replicas.filter((v) => hasRequiredMark && now < v.health.laggingUntil);
   const others = replicas.filter((v) => !lagging.includes(v));
-  const answering = others.filter((v) => now >= v.health.avoidUntil);
+  const hasRegions = replicas.some(isRemote);
+  const answering = hasRegions ? others.filter((v) => now >= v.health.avoidUntil) : others;
   if (answering.length === 0 && lagging.length > 0) {
     const readyInMs = Math.min(...lagging.map((v) => v.health.laggingUntil)) - now;
     return { type: "wait", readyInMs, reason: replicasLagReason };
--- a/test/direct/decisions.test.ts
+++ b/test/direct/decisions.test.ts
@@ -120,6 +120,17 @@
   });
 });
 
+// Without regions a failing replica is asked at once. Waiting for a lagging one instead would delay reads by the lag
+// while the failing one may have recovered.
+test("without regions a read without a primary asks a failing replica rather than wait for a lagging one", () => {
+  const views = [
+    view("a", { health: noteLagging(healthyTarget, 90) }),
+    view("b", { health: noteFailure(healthyTarget, 90) }),
+  ];
+  const unknown = { type: "unknown", reason: "no primary" } as const;
+  expect(chooseCandidates(read, unknown, views, 100, () => 0.5)).toMatchObject({ names: ["b"] });
+});
+
 // An unreachable target stays listed for seconds, and statements sent to it wait in vain for a connection.
 // Only one statement at a time may probe it. Others go elsewhere, or wait if there is no other target.
 test("a failing target is probed by one statement at a time", () => {
