Count the way to another region only for gateways there when a read is redirected

Cause: with regions, the time left of a redirected read was computed for an unnamed data centre, which counts as another region. A read with less than 75 ms left was refused although the primary's gateway in its region could answer it. Change: the read is refused when none of its destinations leaves it 10 ms.

--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -68,8 +68,7 @@
     } finally {
       if (way === "probe") this.needs.endProbe(key, isFresh);
     }
-    if (countRemainingMs(context, deadlineAt, undefined) < minRedirectMs)
-      return { type: "outOfTime" };
+    if (!this.hasTimeForPrimary(context, deadlineAt)) return { type: "outOfTime" };
     return this.sendOnce(context, true, deadlineAt, tryRead);
   }
 
@@ -79,6 +78,17 @@
     return { ...context, redirect };
   }
 
+  /** Whether a read that needs the primary can still be answered by one of its destinations. */
+  private hasTimeForPrimary(context: SessionContext, deadlineAt: number): boolean {
+    const destinations = this.router.listDestinations(context.group.name, true);
+    const times = destinations.map((destination) =>
+      destination.type === "local"
+        ? deadlineAt - context.ports.clock.now()
+        : countRemainingMs(context, deadlineAt, destination.gateway.dataCentre),
+    );
+    return times.length === 0 || Math.max(...times) >= minRedirectMs;
+  }
+
   /** Sends a read that no destination may redirect. */
   private async sendOnce<T>(
     context: SessionContext,
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -14,7 +14,7 @@
 import { silentLogger } from "../../src/log/index.js";
 import { DisposableStore, type Mark } from "../../src/model/index.js";
 import { failLocally, type CommandResult, type Work } from "../../src/statement/index.js";
-import { singleRegion } from "../../src/topology/index.js";
+import { singleRegion, type Topology } from "../../src/topology/index.js";
 import { answered, group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { findAddress } from "../node/cluster.js";
 import { makeProxy } from "./builders.js";
@@ -48,6 +48,8 @@
   /** Whether the entry node is itself the near gateway. */
   readonly isEntryNear?: boolean;
   readonly stage?: FixtureOptions;
+  /** The regions of the data centres; one region by default. */
+  readonly topology?: Topology;
 }
 
 const entryVm = "vm-entry";
@@ -60,7 +62,7 @@
  * sockets; all clocks stand still unless a test advances them.
  */
 export class RedirectFleet implements Beliefs {
-  readonly entry = createStage(nearCentre, {});
+  readonly entry: ProxyFixture;
   readonly gateways: FleetGateway[] = [];
   proxies: readonly Proxy[] = [];
   leader: PrimaryState = { type: "serving", target: "p" };
@@ -72,6 +74,8 @@
   private readonly timers: NodeJS.Timeout[] = [];
 
   private constructor(private readonly options: FleetOptions) {
+    const { topology } = options;
+    this.entry = createStage(nearCentre, topology === undefined ? {} : { topology });
     const { clock } = this.entry;
     this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
     const isListed = options.isEntryNear === true;
@@ -207,7 +211,7 @@
     return new GatewayRouter({
       vm,
       dataCentre,
-      topology: singleRegion,
+      topology: this.options.topology ?? singleRegion,
       listProxies: () => beliefs.proxies,
       findGroup: (name) => groups.get(name),
       findLeader: () => beliefs.leader,
--- a/test/gateway/redirect.test.ts
+++ b/test/gateway/redirect.test.ts
@@ -5,11 +5,14 @@
 import { noTransaction } from "../../src/gateway/codec.js";
 import { waitUntil } from "../node/cluster.js";
 import { commit, findEnd, makeRead, makeWrite } from "./hop.js";
+import { Topology } from "../../src/topology/index.js";
 import {
   lagging,
   beginPositionRead,
+  homeCentre,
   learnMark,
   mark,
+  nearCentre,
   RedirectFleet,
   type FleetGateway,
   type FleetOptions,
@@ -327,6 +330,22 @@
   expect(countWork(fleet.home, "p")).toBe(0);
 });
 
+// The way to another region counts only for gateways there. Taken off for all, it would refuse reads whose primary's
+// gateway is near and could answer them.
+test("with regions a redirect within the region is followed with 60 ms left", async () => {
+  const regions = [nearCentre, homeCentre, "c"].map((centre) => [centre, "east"] as const);
+  const topology = new Topology(new Map([...regions, ["d", "west"]]));
+  await start({ topology });
+  learnMark(fleet.near.stage);
+  fleet.answerAll(fleet.home.stage, answered());
+  const reply = fleet.open("own").run(makeRead("1"));
+  await waitUntil(hasWork(fleet.near, "q"));
+  await fleet.entry.advance(740);
+  fleet.near.stage.list("q", "work")[0]?.answer(lagging);
+  expect(findEnd(await reply)).toBe("complete");
+  expect(countWork(fleet.home, "p")).toBe(1);
+});
+
 // The gateway has almost no time left itself: a redirect would only cost a message before the refusal.
 test("a gateway with less than 10 ms left does not redirect", async () => {
   await start();
