Forget the response times of targets that are no longer listed

Cause: the times of targets in other regions were kept by target name for the life of the process, and names change with each new process of a target. Change: they are discarded with the target's other state. Result: the new test fails before; test/direct passes.

--- a/src/direct/crossing.ts
+++ b/src/direct/crossing.ts
@@ -38,6 +38,11 @@
     return Number.isFinite(shortest) ? shortest : assumedCrossingMs;
   }
 
+  /** Discards the times of a target that is no longer listed. */
+  forget(target: string): void {
+    this.windows.delete(target);
+  }
+
   private turnWindow(target: string): Window {
     const now = this.now();
     const known = this.windows.get(target);
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -357,6 +357,7 @@
   private removeTarget(name: string): void {
     this.forgetTarget(name);
     this.shares.delete(name);
+    this.crossingTimes.forget(name);
     this.slots.resize(name, "replica", 0);
   }
 
--- a/test/direct/regions.test.ts
+++ b/test/direct/regions.test.ts
@@ -273,6 +273,19 @@
   return slots;
 }
 
+// The names of targets change with each new process. A time kept for each name would be kept for ever.
+test("the response time of a target is forgotten when it is no longer listed", () => {
+  const regions = createRegions();
+  const group = regions.groups.find("ledger");
+  const listed = regions.ports.getServingConfig().groups.get("ledger");
+  if (group === undefined || listed === undefined) throw new Error("no group");
+  group.noteResponseTime("remote", 40);
+  expect(group.estimateCrossingMs(["remote"])).toBe(40);
+  group.update({ ...listed, targets: listed.targets.filter(({ name }) => name !== "remote") });
+  group.update(listed);
+  expect(group.estimateCrossingMs(["remote"])).toBe(60);
+});
+
 test("reads fill the region's replica first and wait there before they cross", async () => {
   const started = startRegions();
   const slots = await fillRegion(started);
