Give back the token of a transaction whose begin was not sent

Cause: a connection that broke before the begin of a transaction was sent counted as a use of the team's token. After a redirect the gateway that ran the transaction took a second one. Change: the token is released as not used, as for a statement outside a transaction. Result: the new test fails before; test/direct and test/gateway pass.

--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -228,6 +228,7 @@
     const result = await sendCommand(context, placement, command, leftMs);
     if (result.type === "broken") {
       if (result.sent) context.redirect?.withdraw();
+      else claim.noteNotRun();
       return result.reason;
     }
     const { end } = result.reply;
--- a/test/gateway/redirect.test.ts
+++ b/test/gateway/redirect.test.ts
@@ -389,6 +389,26 @@
   expect(rates).toMatchObject({ reserved: 4, open: 0, consumed: 2 });
 });
 
+// The connection to the replica breaks before the transaction has begun, so that no replica is left. A token that the
+// near gateway kept would count the transaction twice.
+test("the near gateway gives back the token of a redirected transaction that was never begun", async () => {
+  const rates = new CountingLimiter();
+  await start({ stage: { rates } });
+  learnMark(fleet.near.stage);
+  fleet.near.stage.isBeginHeld = true;
+  fleet.answerAll(fleet.home.stage, answered(), answered("transaction"));
+  const session = fleet.open("own");
+  await session.run(beginReading);
+  const first = session.run(makeRead("1"));
+  await waitUntil(() => fleet.near.stage.list("q", "begin").length > 0);
+  const unsent = { type: "broken", sent: false, reason: "reset" } as const;
+  fleet.near.stage.list("q", "begin")[0]?.answer(unsent);
+  await fleet.near.stage.advance(30);
+  expect((await first).state).toBe("transaction");
+  expect(fleet.near.stage.redirectCount).toBe(1);
+  expect(rates).toMatchObject({ reserved: 2, open: 0, consumed: 1 });
+});
+
 test("an entry node that is the near gateway itself redirects without a message", async () => {
   await startLagging({ isEntryNear: true });
   expect((await runReads(3)).map(findEnd)).toEqual(["complete", "complete", "complete"]);
