Find the proxies of the region once for each list of proxies

Cause: with regions, each request for tokens searched the list of proxies twice for each issuer, which is work with the square of the fleet at a team's limit. Change: the names of near proxies are computed when the list changes.

--- a/src/node/rates.ts
+++ b/src/node/rates.ts
@@ -49,6 +49,8 @@
   private readonly tokenLimiter: TokenRateLimiter;
   private readonly shares: RateShares;
   private listedProxies: readonly Proxy[] = [];
+  /** The listed proxies of this region. */
+  private nearProxies: ReadonlySet<string> = new Set();
   private lastRoster: TeamRoster | undefined;
   private couldIssue = false;
   /** When this process last knew that it is listed and not marked as missed. */
@@ -114,6 +116,7 @@
   private updateProxies(proxies: readonly Proxy[]): boolean {
     if (proxies === this.listedProxies) return false;
     this.listedProxies = proxies;
+    this.nearProxies = new Set(this.listNear(proxies));
     this.shares.updateProxies(proxies.map(toWeightedProxy), this.ports.clock.now());
     return true;
   }
@@ -156,11 +159,15 @@
     };
   }
 
-  private isRemote(vm: string): boolean {
+  private listNear(proxies: readonly Proxy[]): readonly string[] {
     const { topology, dataCentre } = this.ports.settings;
-    if (!topology.hasRegions) return false;
-    const proxy = this.listedProxies.find((listed) => listed.vm === vm);
-    return topology.measureDistance(dataCentre, proxy?.dataCentre ?? "") === "remote";
+    return proxies
+      .filter((proxy) => topology.measureDistance(dataCentre, proxy.dataCentre ?? "") !== "remote")
+      .map(({ vm }) => vm);
+  }
+
+  private isRemote(vm: string): boolean {
+    return this.ports.settings.topology.hasRegions && !this.nearProxies.has(vm);
   }
 
   private async requestTokens(
--- a/test/node/token-requests.test.ts
+++ b/test/node/token-requests.test.ts
@@ -5,7 +5,7 @@
 import type { Proxy } from "../../src/leadership/index.js";
 import type { Team } from "../../src/model/index.js";
 import { NodeRates } from "../../src/node/rates.js";
-import { singleRegion } from "../../src/topology/index.js";
+import { singleRegion, Topology, type Distance } from "../../src/topology/index.js";
 import { createSystemClock, createSystemRandom } from "../../src/system/index.js";
 
 const team: Team = { name: "cello", plan: "paying", rate: { perSecond: 50, burst: 50 } };
@@ -15,14 +15,18 @@
 const signal = new AbortController().signal;
 
 /** Rates of a node that issues no tokens itself, before one issuer that answers after a time. */
-function createRates(answerMs: () => number): NodeRates {
+function createRates(
+  answerMs: () => number,
+  topology = singleRegion,
+  listed: readonly Proxy[] = [own, issuer],
+): NodeRates {
   const clock = createSystemClock();
   const config = { ...emptyServingConfig, roster: new TeamRoster([team]) };
   const rates = new NodeRates({
     settings: {
       vm: own.vm,
       dataCentre: "a",
-      topology: singleRegion,
+      topology,
       peers: own.address,
       rateBounds: { windowMs: 5000, overage: 0.1, slack: 20 },
     },
@@ -35,7 +39,7 @@
     },
     gateways: { requestTokens: () => Promise.resolve({ type: "unsupported" }) },
     tracker: { confirmedAt: undefined, hasStalledSince: () => false },
-    getRegistry: () => ({ list: () => [own, issuer] }),
+    getRegistry: () => ({ list: () => listed }),
     findPolledAt: () => undefined,
     clock,
     random: createSystemRandom(),
@@ -66,3 +70,29 @@
   await sleep(1000);
   expect(await reserve(rates)).toBe("granted");
 });
+
+/** Counts how often a distance is measured. */
+class CountingTopology extends Topology {
+  measuredCount = 0;
+
+  override measureDistance(from: string, to: string): Distance {
+    this.measuredCount += 1;
+    return super.measureDistance(from, to);
+  }
+}
+
+// A team above its rate asks for tokens again and again. Work for each listed proxy at each request would grow with
+// the square of the fleet.
+test("a request for tokens measures no distances", async () => {
+  const topology = new CountingTopology(
+    new Map([
+      ["a", "east"],
+      ["c", "west"],
+    ]),
+  );
+  const others = Array.from({ length: 80 }, (_, i) => ({ ...issuer, vm: `b-${i}` }));
+  const rates = createRates(() => 1, topology, [own, ...others]);
+  const before = topology.measuredCount;
+  expect(await reserve(rates)).toBe("granted");
+  expect(topology.measuredCount).toBe(before);
+});
