--- a/src/direct/begin.ts
+++ b/src/direct/begin.ts
@@ -40,6 +40,7 @@
   const result = await sendCommand(context, placement, command, leftMs);
   if (result.type === "broken") {
     if (result.sent) context.redirect?.withdraw();
+    else claim.noteNotRun();
     return result.reason;
   }
   const { end } = result.reply;
--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -96,8 +96,7 @@
       if (way === "probe") this.needs.endProbe(key, answeredBy === "replica");
       if (left === "probe") this.leftRegions.endProbe(group.name, answeredBy !== undefined);
     }
-    if (countRemainingMs(context, deadlineAt, undefined) < minRedirectMs)
-      return { type: "outOfTime" };
+    if (!this.hasTimeFor(context, order, deadlineAt)) return { type: "outOfTime" };
     return this.sendOnce(context, order, deadlineAt, tryRead);
   }
 
@@ -127,6 +126,22 @@
     return { needsPrimary: false, leftDataCentre: this.leftDataCentres.get(group) };
   }
 
+  /** Whether a redirected read can still be answered by one of its destinations. */
+  private hasTimeFor(
+    context: SessionContext,
+    { needsPrimary, leftDataCentre }: SendOrder,
+    deadlineAt: number,
+  ): boolean {
+    const { name } = context.group;
+    const destinations = this.router.listDestinations(name, needsPrimary, leftDataCentre);
+    const times = destinations.map((destination) =>
+      destination.type === "local"
+        ? deadlineAt - context.ports.clock.now()
+        : countRemainingMs(context, deadlineAt, destination.gateway.dataCentre),
+    );
+    return times.length === 0 || Math.max(...times) >= minRedirectMs;
+  }
+
   /** Sends a read that no destination may redirect. */
   private async sendOnce<T>(
     context: SessionContext,
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -14,7 +14,7 @@
 import { silentLogger } from "../../src/log/index.js";
 import { DisposableStore, type Mark } from "../../src/model/index.js";
 import { failLocally, type CommandResult, type Work } from "../../src/statement/index.js";
-import { singleRegion } from "../../src/topology/index.js";
+import { singleRegion, type Topology } from "../../src/topology/index.js";
 import { answered, group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { findAddress } from "../node/cluster.js";
 import { makeProxy } from "./builders.js";
@@ -48,6 +48,8 @@
   /** Whether the entry node is itself the near gateway. */
   readonly isEntryNear?: boolean;
   readonly stage?: FixtureOptions;
+  /** The regions of the data centres; one region by default. */
+  readonly topology?: Topology;
 }
 
 const entryVm = "vm-entry";
@@ -72,7 +74,9 @@
   private readonly timers: NodeJS.Timeout[] = [];
 
   private constructor(private readonly options: FleetOptions) {
-    this.entry = createStage(nearCentre, options.stage ?? {});
+    const { topology } = options;
+    const stage = options.stage ?? {};
+    this.entry = createStage(nearCentre, topology === undefined ? stage : { ...stage, topology });
     const { clock } = this.entry;
     this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
     const isListed = options.isEntryNear === true;
@@ -208,7 +212,7 @@
     return new GatewayRouter({
       vm,
       dataCentre,
-      topology: this.options.stage?.topology ?? singleRegion,
+      topology: this.options.topology ?? this.options.stage?.topology ?? singleRegion,
       listProxies: () => beliefs.proxies,
       findGroup: (name) => groups.get(name),
       findLeader: () => beliefs.leader,
--- a/test/gateway/redirect.test.ts
+++ b/test/gateway/redirect.test.ts
@@ -5,11 +5,14 @@
 import { noTransaction } from "../../src/gateway/codec.js";
 import { waitUntil } from "../node/cluster.js";
 import { commit, findEnd, makeRead, makeWrite } from "./hop.js";
+import { Topology } from "../../src/topology/index.js";
 import {
   lagging,
   beginPositionRead,
+  homeCentre,
   learnMark,
   mark,
+  nearCentre,
   RedirectFleet,
   type FleetGateway,
   type FleetOptions,
@@ -327,6 +330,22 @@
   expect(countWork(fleet.home, "p")).toBe(0);
 });
 
+// The way to another region counts only for gateways there. Taken off for all, it would refuse reads whose primary's
+// gateway is near and could answer them.
+test("with regions a redirect within the region is followed with 60 ms left", async () => {
+  const regions = [nearCentre, homeCentre, "c"].map((centre) => [centre, "east"] as const);
+  const topology = new Topology(new Map([...regions, ["d", "west"]]));
+  await start({ topology });
+  learnMark(fleet.near.stage);
+  fleet.answerAll(fleet.home.stage, answered());
+  const reply = fleet.open("own").run(makeRead("1"));
+  await waitUntil(hasWork(fleet.near, "q"));
+  await fleet.entry.advance(740);
+  fleet.near.stage.list("q", "work")[0]?.answer(lagging);
+  expect(findEnd(await reply)).toBe("complete");
+  expect(countWork(fleet.home, "p")).toBe(1);
+});
+
 // The gateway has almost no time left itself: a redirect would only cost a message before the refusal.
 test("a gateway with less than 10 ms left does not redirect", async () => {
   await start();
@@ -370,6 +389,26 @@
   expect(rates).toMatchObject({ reserved: 4, open: 0, consumed: 2 });
 });
 
+// The connection to the replica breaks before the transaction has begun, so that no replica is left. A token that the
+// near gateway kept would count the transaction twice.
+test("the near gateway gives back the token of a redirected transaction that was never begun", async () => {
+  const rates = new CountingLimiter();
+  await start({ stage: { rates } });
+  learnMark(fleet.near.stage);
+  fleet.near.stage.isBeginHeld = true;
+  fleet.answerAll(fleet.home.stage, answered(), answered("transaction"));
+  const session = fleet.open("own");
+  await session.run(beginReading);
+  const first = session.run(makeRead("1"));
+  await waitUntil(() => fleet.near.stage.list("q", "begin").length > 0);
+  const unsent = { type: "broken", sent: false, reason: "reset" } as const;
+  fleet.near.stage.list("q", "begin")[0]?.answer(unsent);
+  await fleet.near.stage.advance(30);
+  expect((await first).state).toBe("transaction");
+  expect(fleet.near.stage.redirectCount).toBe(1);
+  expect(rates).toMatchObject({ reserved: 2, open: 0, consumed: 1 });
+});
+
 test("an entry node that is the near gateway itself redirects without a message", async () => {
   await startLagging({ isEntryNear: true });
   expect((await runReads(3)).map(findEnd)).toEqual(["complete", "complete", "complete"]);
