--- a/test/platformside/levels.test.ts
+++ b/test/platformside/levels.test.ts
@@ -83,6 +83,21 @@
   },
 );
 
+// Guards against a deadline of 0 without an objective that makes the decoding of the configuration fail.
+test.each([0, -5])(
+  "a deadline of %d in place of the objective is named as the fault",
+  (deadlineMs) => {
+    const odd = route("odd", { priority: 1, "timeout-ms": deadlineMs });
+    for (const source of [odd, { ...odd, "target-latency-ms": null }]) {
+      const table = decode(...three, source);
+      const value = String(deadlineMs);
+      expect(findAction(table, "odd")).not.toHaveProperty("level");
+      expect(table?.levelFaults).toEqual([{ name: "odd", field: "timeout-ms", value }]);
+      expect(findAction(table, "a")).toMatchObject({ level: 0 });
+    }
+  },
+);
+
 test("a route without a level keeps its class and is no fault", () => {
   const table = decode(...three, route("plain", { "target-latency-ms": 5000 }));
   expect(findAction(table, "plain")).not.toHaveProperty("level");
