--- a/test/node/cluster.ts
+++ b/test/node/cluster.ts
@@ -1,4 +1,4 @@
-import { singleRegion } from "../../src/topology/index.js";
+import { singleRegion, type Topology } from "../../src/topology/index.js";
 import { connect, type Socket } from "node:net";
 import { createAdapter } from "../../platform/adapter.js";
 import { silentLogger, type LogEvent, type LogFields, type Logger } from "../../src/log/index.js";
@@ -29,6 +29,10 @@
   readonly rateBounds?: RateBounds;
   /** The number of connections that each target accepts. */
   readonly connections?: number;
+  /** The data centres, over which targets and nodes are distributed in turn; one by default. */
+  readonly dataCentres?: readonly string[];
+  /** The regions of the data centres; one region by default. */
+  readonly topology?: Topology;
 }
 
 /** A team in the operators' configuration format. */
@@ -124,7 +128,7 @@
     this.store.set("servers", target.id, {
       service,
       address: `${host}:${port}`,
-      zone: "a",
+      zone: this.findDataCentre(this.targets.indexOf(target)),
       version: "v1",
       capacity: 2,
       state,
@@ -154,14 +158,14 @@
   async addNode(vm: string): Promise<Node> {
     const settings: NodeSettings = {
       vm,
-      dataCentre: "a",
+      dataCentre: this.findDataCentre(this.settings.length),
       callers: await findAddress(),
       readiness: await findAddress(),
       peers: await findAddress(),
       gateway: this.options.gateways === true ? await findAddress() : undefined,
       power: 1,
       dataCentres: 1,
-      topology: singleRegion,
+      topology: this.options.topology ?? singleRegion,
       seeds: this.settings.flatMap((s) => s.peers ?? []),
       store: this.store.address,
       promotionAddress: this.store.address,
@@ -206,6 +210,11 @@
     return client;
   }
 
+  private findDataCentre(index: number): string {
+    const { dataCentres = [] } = this.options;
+    return dataCentres[index % dataCentres.length] ?? "a";
+  }
+
   private promote(id: string): boolean {
     const target = this.targets.find((t) => t.id === id);
     if (target === undefined || !this.log.promote(id)) return false;
