Know the region of a primary that another proxy has just installed

Cause: a proxy noted where a primary is only while it might replace it, which it may not for 3.2 s after another proxy has installed it. A primary whose entry was removed in this time was replaced without regard to its region. The notes were also kept by the primary's name for the life of the process. Change: each check of a group notes its primary's data centre, one note for each group.

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -29,6 +29,12 @@
 /** Upper limit of a random delay, so that of several proxies that see the same failure one starts first. */
 const maxStartDelayMs = 80;
 
+/** A primary, and its data centre when it was last listed. */
+interface ListedPrimary {
+  readonly target: string;
+  readonly dataCentre: string;
+}
+
 /** Replaces primaries: detects a failure, asks the other proxies, acquires the lease and carries out the change. */
 export class PrimaryChanger {
   private readonly changingGroups = new Set<string>();
@@ -38,8 +44,8 @@
   private readonly lease: ChangeLease;
   private readonly inquirer: TargetInquirer;
   private readonly leaderlessSince = new Map<string, number>();
-  /** By primary: where it was when last listed; the entry of one that is replaced is often gone. */
-  private readonly primaryDataCentres = new Map<string, string>();
+  /** By group: where its primary was when last listed; the entry of one that is replaced is often gone. */
+  private readonly lastPrimaries = new Map<string, ListedPrimary>();
   private isStopped = false;
 
   constructor(
@@ -54,7 +60,10 @@
   checkGroups(): void {
     if (this.isStopped) return;
     this.lease.observeDocument();
-    for (const group of this.ports.listGroups()) this.checkGroup(group);
+    for (const group of this.ports.listGroups()) {
+      this.notePrimary(group);
+      this.checkGroup(group);
+    }
   }
 
   /** Prevents further changes; those under way continue. */
@@ -66,6 +75,14 @@
     return this.changingGroups.size > 0;
   }
 
+  /** Records where a group's primary is, also while this proxy may not replace it. */
+  private notePrimary(group: string): void {
+    const target = this.tracker.findKnownPrimary(group);
+    const listed = this.ports.listTargets(group).find(({ name }) => name === target);
+    if (listed === undefined) return;
+    this.lastPrimaries.set(group, { target: listed.name, dataCentre: listed.dataCentre });
+  }
+
   private checkGroup(group: string): void {
     const { clock } = this.ports;
     const now = clock.now();
@@ -98,7 +115,6 @@
 
   private findSuspicion(group: string, oldTarget: string): Suspicion | undefined {
     const listed = this.ports.listTargets(group).find((t) => t.name === oldTarget);
-    if (listed !== undefined) this.primaryDataCentres.set(oldTarget, listed.dataCentre);
     const observation = {
       target: oldTarget,
       isListed: listed !== undefined,
@@ -299,7 +315,8 @@
     oldTarget: string,
     silent?: string,
   ): Promise<readonly Candidate[]> {
-    const oldDataCentre = this.primaryDataCentres.get(oldTarget);
+    const last = this.lastPrimaries.get(group);
+    const oldDataCentre = last?.target === oldTarget ? last.dataCentre : undefined;
     const isRemote = (dataCentre: string) =>
       oldDataCentre !== undefined &&
       this.ports.topology.measureDistance(oldDataCentre, dataCentre) === "remote";
--- a/test/leadership/changer.test.ts
+++ b/test/leadership/changer.test.ts
@@ -77,8 +77,16 @@
   expect(suspectedAt.length).toBeGreaterThanOrEqual(4);
 });
 
-/** Replaces a silent primary in data centre `a` that has two replicas with equal logs; returns the new primary. */
-async function replacePrimary(topology: Topology): Promise<string | undefined> {
+const regions = new Topology(
+  new Map([
+    ["a", "east"],
+    ["b", "east"],
+    ["c", "west"],
+  ]),
+);
+
+/** A primary in data centre `a` and two replicas with equal logs, of which the second is in its region. */
+function createGroup(topology: Topology): LeadershipFixture {
   const fixture = new LeadershipFixture();
   fixture.topology = topology;
   fixture.otherTargets = [
@@ -90,6 +98,12 @@
     type: "report",
     report: { role: "replica", received, round: 1, lagMs: 0 },
   };
+  return fixture;
+}
+
+/** Replaces the silent primary of such a group; returns the new one. */
+async function replacePrimary(topology: Topology): Promise<string | undefined> {
+  const fixture = createGroup(topology);
   const { changer, tracker } = fixture.makeProxy("a");
   tracker.noteProbeResult("ledger", "i-0", 0, false);
   fixture.clock.time = 400;
@@ -99,13 +113,27 @@
 }
 
 test("the new primary is in the region of the replaced one where logs are equally complete", async () => {
-  const regions = new Topology(
-    new Map([
-      ["a", "east"],
-      ["b", "east"],
-      ["c", "west"],
-    ]),
-  );
   expect(await replacePrimary(regions)).toBe("i-2");
   expect(await replacePrimary(singleRegion)).toBe("i-1");
 });
+
+// A proxy leaves a primary that another one has just installed alone for some seconds. If that primary's entry is
+// removed meanwhile, its region must be known afterwards, or any region gets the new primary.
+test("the region of a primary that was lost soon after its installation by another proxy is known", async () => {
+  const fixture = createGroup(regions);
+  const { changer, tracker } = fixture.makeProxy("a");
+  const install = (version: number, target: string) => {
+    const entry = { type: "serving", round: version, target, by: "b" } as const;
+    const document = { holder: undefined, groups: { ledger: entry } };
+    fixture.stored = { version, document };
+    tracker.adopt({ leadership: fixture.stored, promoted: [] });
+    changer.checkGroups();
+  };
+  install(1, "i-2");
+  install(2, "i-0");
+  fixture.isPrimaryListed = false;
+  await fixture.clock.advance(4000);
+  changer.checkGroups();
+  await fixture.clock.advance(8000);
+  expect(fixture.promoted[0]).toBe("i-2");
+});
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -27,6 +27,8 @@
   topology = singleRegion;
   /** Replaces the group's targets; they answer status requests as `replicaAnswer` says. */
   otherTargets: readonly { readonly name: string; readonly dataCentre: string }[] = [];
+  /** Whether the entry of the primary `i-0` is still in the listing. */
+  isPrimaryListed = true;
   private version = 10;
 
   makeProxy(vm: string, wall: () => number = () => this.clock.now()) {
@@ -89,9 +91,10 @@
   }
 
   private listTargets() {
-    if (this.replicaAnswer === undefined) return [primary];
-    if (this.otherTargets.length === 0) return [primary, replica];
-    return [primary, ...this.otherTargets.map((change) => ({ ...replica, ...change }))];
+    const listed = this.isPrimaryListed ? [primary] : [];
+    if (this.replicaAnswer === undefined) return listed;
+    if (this.otherTargets.length === 0) return [...listed, replica];
+    return [...listed, ...this.otherTargets.map((change) => ({ ...replica, ...change }))];
   }
 
   private writeDocument(document: LeadershipDocument) {
