Let only the deadline bound the wait of a statement with a level

A statement with an objective of 150 ms and a deadline of 800 ms was refused as queueFull on arrival when its wait was estimated at 300 or 400 ms, because a route's statements may queue for half of their deadline. The design refuses only what cannot be answered by its deadline, since a late answer is worth something. Statements with a level may now wait up to the deadline; those without are bounded as before.

--- a/bench/levels/world.ts
+++ b/bench/levels/world.ts
@@ -85,7 +85,8 @@
 
   private createRequest(id: string, { at, shape, team, needsPrimary }: Arrival) {
     const { level, objectiveMs, deadlineMs, priority } = shape;
-    const fields = this.order === "classes" ? {} : { level, objectiveAt: at + objectiveMs - hopMs };
+    const isByClass = this.order === "classes";
+    const fields = isByClass ? {} : { level, objectiveAt: at + objectiveMs - hopMs };
     return {
       id,
       team,
@@ -94,7 +95,7 @@
       ...fields,
       candidates: needsPrimary ? [primaryTarget] : [...replicaTargets],
       deadlineAt: at + deadlineMs - hopMs,
-      maxQueueMs: computeMaxQueueMs(shape),
+      maxQueueMs: isByClass ? computeMaxQueueMs(shape) : deadlineMs,
     };
   }
 
@@ -141,7 +142,7 @@
   }
 }
 
-/** The rule of the platform's routes: the objective or half of the deadline, whichever is longer. */
+/** The rule of the platform's routes without levels: the objective or half of the deadline, whichever is longer. */
 function computeMaxQueueMs({ objectiveMs, deadlineMs }: KindShape): number {
   return Math.min(deadlineMs, Math.max(objectiveMs, deadlineMs / 2));
 }
