Count only background work that could run as waiting for a connection

Cause: background work leaves one slot of a primary free, but counted as waiting for the connection of an idle transaction even when it could not have used it. The transaction was ended for nothing. Change: background work counts up to the slots that it may use. Result: with one of two slots in background use and all connections taken, a second background request ends none (one before); a new test of the queue.

--- a/src/controller/admission/view.ts
+++ b/src/controller/admission/view.ts
@@ -1,5 +1,6 @@
 import { getClass } from "./classes.js";
-import { hasFreeConnection } from "./slots.js";
+import { isBackgroundWork } from "./queue.js";
+import { countUsableSlots, hasFreeConnection } from "./slots.js";
 import { countEntries, listValues } from "./tree.js";
 import type { Admission, ByClass } from "./types.js";
 
@@ -57,18 +58,22 @@
 
 /**
  * The number of waiting requests that a free slot of the target could run if held connections were given back;
- * 0 while a connection is left.
+ * 0 while a connection is left. Background work counts only up to the slots that it may use.
  */
 export function countWaitingForConnection(admission: Admission, target: string): number {
   const known = admission.targets[target];
   if (known === undefined || known.held === 0 || hasFreeConnection(known)) return 0;
   const free = Math.max(0, known.slots - known.running);
-  let count = 0;
   if (free === 0) return 0;
-  for (const { candidates } of listValues(admission.waiting)) {
-    if (candidates.includes(target)) count += 1;
+  const usable = Math.max(0, countUsableSlots(known, true) - known.runningBackground);
+  let count = 0;
+  let backgroundCount = 0;
+  for (const waiting of listValues(admission.waiting)) {
+    if (!waiting.candidates.includes(target)) continue;
+    if (isBackgroundWork(waiting)) backgroundCount += 1;
+    else count += 1;
   }
-  return Math.min(free, count);
+  return Math.min(free, count + Math.min(usable, backgroundCount));
 }
 
 /** The ids of the waiting requests that have this target as their only candidate. */
--- a/test/admission/hold.test.ts
+++ b/test/admission/hold.test.ts
@@ -88,6 +88,21 @@
   ]);
 });
 
+// Guards against transactions that are ended for background work which could not use their connections.
+test("background work beyond the slots that it may use waits for no connection", () => {
+  const harness = new AdmissionHarness({}, 2);
+  harness.resize({ slots: 2, connections: 3 });
+  for (const id of ["t1", "t2"]) {
+    harness.arrive(id);
+    harness.apply({ type: "pause", at: 0, id });
+  }
+  harness.arrive("b1", { priority: "browsing" });
+  harness.arrive("b2", { priority: "browsing" });
+  expect(countWaitingForConnection(harness.admission, "p")).toBe(0);
+  harness.arrive("a");
+  expect(countWaitingForConnection(harness.admission, "p")).toBe(1);
+});
+
 // Guards against a wait beyond the deadline, and against a slot for a request that was withdrawn.
 test("a held request is refused at its deadline and forgotten when it is cancelled", () => {
   const harness = new AdmissionHarness({}, 1);
