End idle transactions of planned slots in one place

Cause: where slots are planned, the watch of each session also ended its transaction after 400 ms while anything waited for a connection. While one rollback was on its way it ended all others, those that had written first of all included. Change: the sessions' watches do so only where slots are not planned. Result: one waiting read and an unanswered rollback end one of two idle transactions (both before); a new test.

--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -184,10 +184,12 @@
     this.slots.evict(target);
   }
 
-  /** Whether any statement waits for what an idle transaction holds at this target. */
+  /**
+   * Whether any statement waits for what an idle transaction holds at this target. Where slots are planned,
+   * `idle` ends as many transactions as statements wait; this would end all that are idle.
+   */
   hasWaitersFor(target: string): boolean {
-    if (this.isSlotPlanned) return this.countWaitingForConnection(target) > 0;
-    return this.slots.countWaitingOnlyFor(target) > 0;
+    return !this.isSlotPlanned && this.slots.countWaitingOnlyFor(target) > 0;
   }
 
   /** Whether a connection that serves the team is idle in its pool. */
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -64,6 +64,8 @@
   readonly silentPrimaries: string[] = [];
   /** Whether the test answers `begin` commands itself. */
   isBeginHeld = false;
+  /** Whether `rollback` commands get no answer. */
+  isRollbackHeld = false;
   /** The targets of closed connections. */
   readonly closedConnections: string[] = [];
   /** Primaries that were reported to have lost their log. */
@@ -174,7 +176,9 @@
         if (!isUsable || isInUse) {
           return Promise.resolve({ type: "broken", sent: false, reason: "closed or in use" });
         }
-        const isHeld = command.type === "begin" && this.isBeginHeld;
+        const isHeld =
+          (command.type === "begin" && this.isBeginHeld) ||
+          (command.type === "rollback" && this.isRollbackHeld);
         if (!isHeld && (command.type === "begin" || command.type === "rollback")) {
           this.sent.push({ target, command, answer: () => undefined });
           const state = command.type === "begin" ? "transaction" : "idle";
--- a/test/direct/idle-transactions.test.ts
+++ b/test/direct/idle-transactions.test.ts
@@ -91,6 +91,16 @@
   expect((await committed)?.end.type).toBe("complete");
 });
 
+// Guards against a slow rollback, during which the watch of each session ends its idle transaction as well.
+test("while the rollback for one request is not answered, no other transaction is ended", async () => {
+  const { proxy } = await holdAllConnections();
+  await proxy.advance(500);
+  proxy.isRollbackHeld = true;
+  void proxy.open("primary").run(read("w"));
+  await new Promise((resolve) => setTimeout(resolve, 700));
+  expect(proxy.list("p", "rollback")).toHaveLength(1);
+});
+
 // Guards against a commit that is reported as done after its transaction was ended for others.
 test("the commit of an ended transaction is answered as aborted", async () => {
   const { proxy, directGroup, sessions } = await holdAllConnections();
