Keep slots with a gateway that refuses single statements

Cause: a refused statement of one team made the next gateway take over a target's slots, and the next answered one gave them back, although the first gateway answered all checks. Change: a watched gateway is lost by its checks, or when it has refused again after the first pause with no answer in between, as one of an earlier build does while it leaves.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -67,6 +67,11 @@
     return until !== undefined && this.ports.clock.now() < until;
   }
 
+  /** Whether a gateway is avoided and has failed again since the first pause, without an answer in between. */
+  isFailing(vm: string): boolean {
+    return this.isAvoided(vm) && (this.health.get(vm)?.failures ?? 0) > 1;
+  }
+
   dispose(): void {
     for (const connection of [...this.connections.values()]) connection.close();
     this.connections.clear();
--- a/src/gateway/takeover.ts
+++ b/src/gateway/takeover.ts
@@ -32,9 +32,15 @@
     if (!isRunning) this.watch.check([]);
   }
 
-  /** Whether a gateway is lost as far as this process knows. */
+  /**
+   * Whether a gateway is lost as far as this process knows. One that answers the checks and refuses single
+   * statements is not: its slots would change hands with each of them. It is lost once it refuses repeatedly,
+   * as one of an earlier build does while it leaves.
+   */
   isLost(vm: string): boolean {
-    return this.watch.isLost(vm) || this.ports.connections.isAvoided(vm);
+    const { connections } = this.ports;
+    if (!this.watch.isWatched(vm)) return connections.isAvoided(vm);
+    return this.watch.isLost(vm) || connections.isFailing(vm);
   }
 
   dispose(): void {
--- a/src/gateway/watch.ts
+++ b/src/gateway/watch.ts
@@ -48,6 +48,11 @@
     return this.watched.get(vm)?.isLost === true;
   }
 
+  /** Whether this gateway was among those of the last check. */
+  isWatched(vm: string): boolean {
+    return this.watched.has(vm);
+  }
+
   /** Checks these gateways and forgets all others. Call it at the check interval. */
   check(proxies: readonly Proxy[]): void {
     this.watched = new Map(
--- a/test/gateway/takeover.test.ts
+++ b/test/gateway/takeover.test.ts
@@ -96,7 +96,7 @@
     isLost: (vm) => takeover.isLost(vm),
   });
   takeover.setRunning(true);
-  return { firstGateway, getActing: () => wasActing };
+  return { firstGateway, connections, getActing: () => wasActing };
 }
 
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -126,6 +126,23 @@
   },
 );
 
+// Guards against a takeover for each refused statement of a team that the first gateway does not know yet.
+test("refusals between answers make no takeover, repeated ones without an answer do", async () => {
+  const { firstGateway, connections, getActing } = await startSecond();
+  const { vm } = firstGateway;
+  await sleep(300);
+  for (let i = 0; i < 12; i += 1) {
+    connections.recordFailure(vm, "the team is unknown to this gateway");
+    await sleep(50);
+    expect(getActing()).toBe(false);
+    connections.recordAnswer(vm);
+  }
+  connections.recordFailure(vm, "this node is leaving");
+  await waitUntil(() => !connections.isAvoided(vm));
+  connections.recordFailure(vm, "this node is leaving");
+  await waitUntil(getActing);
+});
+
 // Guards against a changed message where slots are not planned, or by a gateway of a build before.
 test("a refusing gateway that does not plan slots answers pings as before", async () => {
   const { firstGateway, getActing } = await startSecond(false);
