Skip the estimates of a level's teams that are far within their limits

A tick estimated the wait of every waiting request of a level. A bound of the longest wait of a team now spares its requests the estimates.

--- a/src/controller/admission/overdue.ts
+++ b/src/controller/admission/overdue.ts
@@ -3,7 +3,7 @@
 import { listInServiceOrder } from "./objective.js";
 import { computeOverlap } from "./order.js";
 import { dropIdleTeams } from "./queue.js";
-import { findRefusalReason, refuse } from "./refusal.js";
+import { computeMaxWaitMs, findRefusalReason, refuse } from "./refusal.js";
 import { removeWaiting, withClass } from "./state.js";
 import { findFirstEntry, findLastEntry, listValues, removeEntry } from "./tree.js";
 import type {
@@ -66,7 +66,8 @@
   };
   for (const team of listValues(getClass(admission, name).teams)) {
     if (isLevelClass(name)) {
-      overdue.push(...collectOverdueInTeam(admission, team, findEstimator, at));
+      if (!isWithinLimits(team, findEstimator, at))
+        overdue.push(...collectOverdueInTeam(admission, team, findEstimator, at));
       continue;
     }
     for (const lane of listValues(team.lanes)) {
@@ -78,6 +79,28 @@
   return overdue;
 }
 
+/**
+ * Whether the longest wait that a team's requests may have is within the limits of them all. Most teams are, and
+ * need no estimate for each request.
+ */
+function isWithinLimits(
+  team: TeamQueue,
+  findEstimator: (lane: Lane, first: WaitingRequest) => WaitEstimator,
+  at: number,
+): boolean {
+  for (const lane of listValues(team.lanes)) {
+    const first = findFirstEntry(lane.queue)?.value;
+    if (first === undefined) continue;
+    const estimator = findEstimator(lane, first);
+    const boundMs = estimator.boundLevelWaitMs(team.team, team.size);
+    for (const waiting of listValues(lane.queue)) {
+      const isWithin = computeMaxWaitMs(waiting, estimator.serviceMs, at) > boundMs;
+      if (!isWithin) return false;
+    }
+  }
+  return true;
+}
+
 /**
  * Checks each waiting request of a team in a level, in the order in which they are served. Limits and order
  * of arrival don't agree there, so that the ends of a lane say nothing of the requests between them. A
--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -70,6 +70,10 @@
   readonly estimate: (team: string, position: number) => WaitEstimate;
   /** Estimates the wait of a team's request with an objective, by the requests that are served before it. */
   readonly estimateLevel: (team: string, ahead: CountAhead, objectiveAt: number) => WaitEstimate;
+  /** A time that no wait of a team's requests with objectives exceeds, of which there are `count`. */
+  readonly boundLevelWaitMs: (team: string, count: number) => number;
+  /** The longest mean service time among the candidates. */
+  readonly serviceMs: number;
 }
 
 /**
@@ -102,18 +106,23 @@
       estimateGuaranteedWait(capacity, ownClassCount),
     );
   };
+  const getLateShare = (team: string) =>
+    Math.max(minLateShare, getEntry(queue.teams, team)?.lateShare ?? 1);
   return {
     countWaiting: order.countWaiting,
     inTimeFrom,
     estimate,
+    serviceMs: capacity.serviceMs,
+    // The pessimistic wait never falls with the position, and no mean exceeds it.
+    boundLevelWaitMs: (team, count) =>
+      computePessimisticWaitMs(estimate(team, count + 1)) / getLateShare(team),
     estimateLevel: (team, ahead, objectiveAt) => {
       const latestStartMs = objectiveAt - capacity.serviceMs - at;
-      const lateShare = getEntry(queue.teams, team)?.lateShare ?? 1;
       return estimateLevelWait(
         (position) => estimate(team, position),
         ahead,
         latestStartMs,
-        lateShare,
+        getLateShare(team),
       );
     },
   };
@@ -140,7 +149,7 @@
   const ifLate = estimate(inTime + late + 1);
   if (!Number.isFinite(ifLate.waitMs)) return ifLate;
   const lateMs = estimate(inTime + late + 2).waitMs - ifInTime.waitMs;
-  const stretchedMs = lateMs * (1 / Math.max(minLateShare, lateShare) - 1);
+  const stretchedMs = lateMs * (1 / lateShare - 1);
   return {
     ...ifLate,
     waitMs: ifLate.waitMs + stretchedMs,
