Send reads to the other region when their wait here becomes hopeless

Cause: a read that waits in its region may leave it after the time of crossing. When the replica here had been silent for a second, the next check of the queue refused the reads that were still waiting, though the other region could serve them. Change: such a read is placed again at once, at the replicas of all regions.

--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -142,7 +142,8 @@
 
 /**
  * Waits for a slot. A read that waits in its region may use the replicas of all regions once it has waited for as
- * long as crossing takes: the estimate of its wait was too short, or the target here has stopped answering.
+ * long as crossing takes: the estimate of its wait was too short, or the target here has stopped answering. It
+ * does so at once when the queue refuses it before, as its wait here has become too long.
  */
 async function acquireSlot(
   ports: DirectPorts,
@@ -150,23 +151,33 @@
   request: PlacementRequest,
   { names, leavesRegionAfterMs }: ChosenTargets,
 ): Promise<SlotResult> {
-  const admitted = group.acquire(makeAdmissionRequest(request, names), request.signal);
+  const acquire = (targets: readonly string[]) =>
+    group.acquire(makeAdmissionRequest(request, targets), request.signal);
+  const admitted = acquire(names);
   if (leavesRegionAfterMs === undefined) return admitted;
+  const listWider = () => {
+    const primary = ports.primaries.find(group.name);
+    const candidates = group.listCandidates(request.team);
+    return listReplicasOfAllRegions(request, primary, candidates, ports.clock.now());
+  };
   const ended = new AbortController();
+  let waitsFor = names;
   const leave = async () => {
     await ports.clock.sleep(leavesRegionAfterMs, ended.signal);
-    const primary = ports.primaries.find(group.name);
-    const candidates = group.listCandidates(request.team);
-    const wider = listReplicasOfAllRegions(request, primary, candidates, ports.clock.now());
-    if (wider.length > 0) group.slots.retarget(request.id, wider);
+    const wider = listWider();
+    if (wider.length === 0) return;
+    waitsFor = wider;
+    group.slots.retarget(request.id, wider);
   };
   // The sleep rejects when the wait has ended before.
   leave().catch(() => undefined);
-  try {
-    return await admitted;
-  } finally {
-    ended.abort();
-  }
+  const result = await admitted;
+  ended.abort();
+  const isTooLong =
+    result.type === "refused" && (result.reason === "queueFull" || result.reason === "deadline");
+  if (!isTooLong || waitsFor !== names || request.signal.aborted) return result;
+  const wider = listWider();
+  return wider.length > 0 ? acquire(wider) : result;
 }
 
 /**
--- a/test/direct/region-load.test.ts
+++ b/test/direct/region-load.test.ts
@@ -18,11 +18,27 @@
 let fixture: ProxyFixture | undefined;
 afterEach(() => fixture?.dispose());
 
+/** The virtual milliseconds after each of which the queue checks for waits that have become too long. */
+interface CheckTimes {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+const noChecks: CheckTimes = { fromMs: 0, untilMs: 0 };
+
+/** Longer than the interval of the queue's checks, which run in real time. */
+const waitForQueueCheck = () => new Promise((resolve) => setTimeout(resolve, 60));
+
 /**
  * Sends reads to a gateway with one replica in its region, and the primary and a replica in the other. Until
  * `silentAfterMs` the region's replica answers. Returns how the reads ended and what crossed, in virtual time.
  */
-async function runLoad(perSecond: number, known: Topology, silentAfterMs = Infinity) {
+async function runLoad(
+  perSecond: number,
+  known: Topology,
+  silentAfterMs = Infinity,
+  checks: CheckTimes = noChecks,
+) {
   const started = new ProxyFixture({
     targets: ["p", "near", "remote"],
     dataCentres: ["c", "b", "c"],
@@ -53,6 +69,7 @@
         .then(({ end }) => (ends[end.type === "complete" ? "complete" : "refused"] += 1));
     }
     await started.advance(1);
+    if (ms >= checks.fromMs && ms < checks.untilMs) await waitForQueueCheck();
     for (const { target, answer } of started.sent.slice(seen)) {
       const isNear = target === "near";
       if (isNear) sentNear += 1;
@@ -97,3 +114,12 @@
   expect(unanswered).toBeLessThanOrEqual(8);
   expect(crossings).toBeGreaterThan(60);
 });
+
+// Guards against a check of the queue that refuses the reads which wait behind a silent replica, as it will not end
+// their wait, before they leave the region.
+test("reads that wait when a silent replica is noticed are served in the other region", async () => {
+  const checks = { fromMs: 1560, untilMs: 1590 };
+  const { refused, unanswered } = await runLoad(80, topology, 500, checks);
+  expect(refused).toBe(0);
+  expect(unanswered).toBeLessThanOrEqual(8);
+});
