End the wait of an open transaction for a slot at its deadline

Cause: the wait was ended by the queue's tick, up to 50 ms after the deadline, when the caller has given up already. A commit that had not run could then be in doubt for it. Change: a timer ends each such wait at its deadline; statements that get a slot at once need none.

--- a/src/capacity/slots.ts
+++ b/src/capacity/slots.ts
@@ -243,14 +243,26 @@
     };
   }
 
-  private waitToResume(id: string, deadlineAt: number, signal: AbortSignal): Promise<ResumeResult> {
+  /** Waits until the deadline itself: an answer after the next tick would reach a caller that has given up. */
+  private async waitToResume(
+    id: string,
+    deadlineAt: number,
+    signal: AbortSignal,
+  ): Promise<ResumeResult> {
     const submit = () => {
       this.apply({ type: "resume", at: this.clock.now(), id, deadlineAt });
     };
     const giveUp = () => {
       this.stopResuming(id, "deadline", refusedRetryMs);
     };
-    return this.resuming.wait(id, signal, submit, giveUp);
+    const result = this.resuming.wait(id, signal, submit, giveUp);
+    if (!this.resuming.has(id)) return result;
+    const timer = setTimeout(giveUp, Math.max(0, Math.ceil(deadlineAt - this.clock.now()))).unref();
+    try {
+      return await result;
+    } finally {
+      clearTimeout(timer);
+    }
   }
 
   private stopResuming(id: string, reason: NotRunReason, retryAfterMs: number): void {
