Test that open transactions keep the class of their level

Change: a test of the queue. Result: 10 ms of a resumed statement count for level 3 and none for its priority.

--- a/test/admission/hold.test.ts
+++ b/test/admission/hold.test.ts
@@ -88,6 +88,16 @@
   ]);
 });
 
+// Guards against slot time of a level's transactions that counts for the class of its priority.
+test("the statements of a transaction count in the class of its level", () => {
+  const harness = new AdmissionHarness({}, 2);
+  harness.arrive("t", { level: 3, priority: "normal" });
+  harness.apply({ type: "pause", at: 0, id: "t" });
+  harness.apply({ type: "resume", at: 0, id: "t", deadlineAt: 100 });
+  harness.finish("t", 10);
+  expect(harness.admission.targets.p?.usageMs).toMatchObject({ "level 3": 10, normal: 0 });
+});
+
 // Guards against transactions that are ended for background work which could not use their connections.
 test("background work beyond the slots that it may use waits for no connection", () => {
   const harness = new AdmissionHarness({}, 2);
