--- /dev/null
+++ b/src/rates/request-budget.ts
@@ -0,0 +1,40 @@
+/** The time over which requests are counted, in milliseconds. */
+const windowMs = 1000;
+/**
+ * Limits the requests of this process. When many teams run out at once, as after a loss of power, all
+ * proxies would otherwise spend their time on asking each other for tokens that nobody has.
+ */
+const maxRequestsPerSecond = 120;
+/**
+ * The most of these for one team. A team that asks for more than its rate would otherwise use up all requests of
+ * the process, and teams within their rates would be refused.
+ */
+const maxTeamRequestsPerSecond = 40;
+
+/** Counts the requests for tokens that this process sends. Times are on its clock, in milliseconds. */
+export class RequestBudget {
+  private windowStart = -Infinity;
+  private total = 0;
+  private readonly byTeam = new Map<string, number>();
+
+  /** Whether tokens of a team may be requested now. */
+  canRequest(team: string, now: number): boolean {
+    this.startWindow(now);
+    const ofTeam = this.byTeam.get(team) ?? 0;
+    return this.total < maxRequestsPerSecond && ofTeam < maxTeamRequestsPerSecond;
+  }
+
+  /** Records that a request for tokens of a team was sent. */
+  recordRequest(team: string, now: number): void {
+    this.startWindow(now);
+    this.total += 1;
+    this.byTeam.set(team, (this.byTeam.get(team) ?? 0) + 1);
+  }
+
+  private startWindow(now: number): void {
+    if (now - this.windowStart < windowMs) return;
+    this.windowStart = now;
+    this.total = 0;
+    this.byTeam.clear();
+  }
+}
--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -11,6 +11,7 @@
 } from "./limiter.js";
 import { toTokenRate, type RateBounds } from "./limits.js";
 import { listGrantedBatches, TokenPool, type TokenGrant } from "./pool.js";
+import { RequestBudget } from "./request-budget.js";
 import { TokenRequestRound } from "./request-round.js";
 import { countIssuers } from "./shares.js";
 
@@ -52,16 +53,6 @@
 const maxBackoffMs = 400;
 /** The longest such time while peers do not answer, as their processors may be busy with just such requests. */
 const maxSilentBackoffMs = 1600;
-/**
- * Limits the requests of this process. When many teams run out at once, as after a loss of power, all
- * proxies would otherwise spend their time on asking each other for tokens that nobody has.
- */
-const maxRequestsPerSecond = 120;
-/**
- * The most of these for one team. A team that asks for more than its rate would otherwise use up all requests of
- * the process, and teams within their rates would be refused.
- */
-const maxTeamRequestsPerSecond = 40;
 /** Sums of fractions of tokens fall short of whole ones by less than this. */
 const roundingError = 1e-6;
 /** Tokens for the expected demand of this time ahead are not given to other proxies, in milliseconds. */
@@ -105,9 +96,6 @@
   refusedCount: number;
   pendingRequest: Promise<void> | undefined;
   lastRequest: RequestOutcome | undefined;
-  /** Requests sent in the second that began at `requestWindowStart`. */
-  requestCount: number;
-  requestWindowStart: number;
 }
 
 /**
@@ -117,8 +105,7 @@
  */
 export class TokenRateLimiter implements RateLimiter, Disposable {
   private readonly teams = new Map<string, TeamState>();
-  private requestWindowStart = 0;
-  private requestCount = 0;
+  private readonly budget = new RequestBudget();
   private isDisposed = false;
 
   constructor(private readonly ports: RateLimiterPorts) {}
@@ -134,7 +121,8 @@
     const granted = this.tryReserve(team, state, now);
     if (granted !== undefined) return granted;
     if (now < state.backoffUntil) return this.refuse(team, state, now, "backoff");
-    if (!this.canRequest(state, now)) return this.refuse(team, state, now, "requestLimit");
+    if (!this.budget.canRequest(team.name, now))
+      return this.refuse(team, state, now, "requestLimit");
     return this.reserveFromPeers(team, state, deadlineAt, signal);
   }
 
@@ -216,20 +204,6 @@
     return { type: "granted", claim: this.createClaim(state, expiresAt, now) };
   }
 
-  private canRequest(state: TeamState, now: number): boolean {
-    if (now - this.requestWindowStart >= 1000) {
-      this.requestWindowStart = now;
-      this.requestCount = 0;
-    }
-    if (state.requestWindowStart !== this.requestWindowStart) {
-      state.requestWindowStart = this.requestWindowStart;
-      state.requestCount = 0;
-    }
-    return (
-      this.requestCount < maxRequestsPerSecond && state.requestCount < maxTeamRequestsPerSecond
-    );
-  }
-
   /** Waits for a request to other proxies, which all waiting operations of the team share. */
   private async reserveFromPeers(
     team: Team,
@@ -292,8 +266,7 @@
   ): Promise<void> {
     const { clock, requestTokens, bounds, hasStalledSince } = this.ports;
     const requestedAt = clock.now();
-    this.requestCount += 1;
-    state.requestCount += 1;
+    this.budget.recordRequest(team.name, requestedAt);
     outcome.asked += 1;
     const grant = await requestTokens(
       peer,
@@ -375,8 +348,6 @@
     refusedCount: 0,
     pendingRequest: undefined,
     lastRequest: undefined,
-    requestCount: 0,
-    requestWindowStart: now,
   };
 }
 
