--- a/test/platformside/levels.test.ts
+++ b/test/platformside/levels.test.ts
@@ -57,6 +57,17 @@
   }
 });
 
+// A few unused routes of one group put levels in force for a whole deployment that has two.
+test("levels are in force only if the routes of each group have three", () => {
+  const other = [1, 2].map((priority) => route(`o${priority}`, { priority, service: "rentals" }));
+  const table = decode(...three, ...other);
+  for (const name of ["a", "b", "c", "o1", "o2"]) {
+    expect(findAction(table, name)).not.toHaveProperty("level");
+  }
+  const third = route("o0", { priority: 0, service: "rentals" });
+  expect(findAction(decode(...three, ...other, third), "a")).toMatchObject({ level: 0 });
+});
+
 // Guards against an invalid value that discards the configuration, or that takes effect unnoticed.
 test.each([
   [{ priority: -1 }, "priority", "-1"],
