--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -115,6 +115,7 @@
 }
 
 type ChosenTargets = Extract<CandidateChoice, { type: "targets" }>;
+
 /**
  * Acquires a connection. Where slots are planned, gives up after a while if transactions that hold connections
  * wait for slots: each would wait for the other.
