Transfer fractions of tokens from proxies where a team has no callers

Cause: peers without callers of the team keep what they hold below a whole token, and it expires there; since grants keep their expiry, fractions of several peers make up a token. Change: they are transferred, except where the team has callers itself.

--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -57,6 +57,8 @@
 const roundingError = 1e-6;
 /** Tokens for the expected demand of this time ahead are not given to other proxies, in milliseconds. */
 const retainHorizonMs = 500;
+/** With less expected demand, in operations, a proxy has no callers of the team. */
+const negligibleDemand = 0.01;
 /**
  * A request asks for the expected demand of this time ahead, in milliseconds, but of no more than half a
  * token's life. Otherwise a team whose callers use few proxies would need one request for each operation.
@@ -134,9 +136,12 @@
     const now = clock.now();
     const state = this.ensureState(team, now);
     const retained = estimateDemand(state, now, retainHorizonMs);
-    // A fraction of a token lets nothing run where it goes, and would be missing here for a whole one.
-    const spare = Math.floor(Math.max(0, state.pool.count(now) - retained) + roundingError);
-    return state.pool.withdraw(Math.min(Math.floor(wanted), spare), now);
+    const spare = Math.max(0, state.pool.count(now) - retained);
+    // Where the team has callers a fraction would be missing for a whole token. Elsewhere it would expire, while
+    // the fractions of several proxies make up a token where they go.
+    const isUnusedHere = retained < negligibleDemand;
+    const granted = isUnusedHere ? spare : Math.floor(spare + roundingError);
+    return state.pool.withdraw(Math.min(Math.floor(wanted), granted), now);
   }
 
   /**
--- a/test/rates/transfers.test.ts
+++ b/test/rates/transfers.test.ts
@@ -180,3 +180,29 @@
   expect(answered).toBeGreaterThanOrEqual((2 * 10_000) / 400);
   expect(unanswered).toBeLessThan(answered / 2);
 });
+
+// Each of three peers held 0.6 of a token and granted none, and a team within its rate was refused.
+test("fractions of tokens that several peers hold let an operation run", async () => {
+  const clock = new FakeClock();
+  const create = (share: number, peers: ReadonlyMap<string, TokenRateLimiter>) => {
+    const limiter = new TokenRateLimiter({
+      clock,
+      random: makeRandom(1),
+      logger: silentLogger,
+      bounds,
+      findTeam: () => team,
+      findShare: () => share,
+      listIssuers: () => ({ responsive: [...peers.keys()], silent: [] }),
+      requestTokens: (peer, name, wanted) =>
+        Promise.resolve(peers.get(peer)?.grantTokens(name, wanted)),
+      hasStalledSince: () => false,
+    });
+    limiter.update([team]);
+    return limiter;
+  };
+  const peers = new Map(["a", "b", "c"].map((name) => [name, create(0.2, new Map())]));
+  const limiter = create(0, peers);
+  await clock.advance(300);
+  const reserved = await limiter.reserve(team, clock.now() + 1000, signal);
+  expect(reserved.type).toBe("granted");
+});
