Move the readiness decision of a node to a module of its own

ReadinessMonitor decides whether the balancer sends callers to the node and closes idle sessions after that. No behaviour changes.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -26,8 +26,8 @@
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
 import { planDrain, type DrainPlan } from "./drain.js";
-import { findMaxUnconfirmedMs } from "./confirmation-age.js";
 import { countTokenRequests, createRemotePeers } from "./remote-peers.js";
+import { ReadinessMonitor } from "./readiness.js";
 import { RegionCheck } from "./region-check.js";
 import { NodeRates } from "./rates.js";
 import type { NodeSettings } from "./settings.js";
@@ -47,14 +47,6 @@
   readonly metrics?: Address;
 }
 
-/**
- * An unlisted node that has had no answer for this long reports that it is not ready, in milliseconds. Two
- * requests to other proxies and one poll of the store have failed by then.
- */
-const maxSilenceMs = 2500;
-/** In milliseconds: the balancer asks once a second and sends callers elsewhere after two answers. */
-const balancerReactionMs = 2300;
-
 /** A node that serves callers over direct connections to targets. */
 export class Node {
   private readonly owned = new DisposableStore();
@@ -70,13 +62,12 @@
   private readonly proxyLiveness: ProxyLivenessMonitor;
   private readonly rates: NodeRates;
   private readonly regionCheck: RegionCheck;
+  private readonly readiness: ReadinessMonitor;
   private readonly server: LineServer;
   private readonly drainer: DrainRunner;
   private readonly drainPlan: DrainPlan;
-  private wasReady = false;
   private gatewayRefreshAt = -Infinity;
   private readonly probing = new Set<string>();
-  private idleCloseTimer: NodeJS.Timeout | undefined;
   private primaryCheckTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: NodeOptions) {
@@ -187,6 +178,16 @@
       this.groups,
       this.forwarding.createRunner(),
     );
+    this.readiness = this.owned.add(
+      new ReadinessMonitor({
+        clock,
+        logger,
+        topology: settings.topology,
+        tracker: this.tracker,
+        follower: this.follower,
+        closeIdleCallers: () => this.callers.closeIdleNow(),
+      }),
+    );
     this.server = this.owned.add(
       new LineServer({
         address: settings.callers,
@@ -290,7 +291,7 @@
       new HealthServer({
         metrics: this.metrics,
         getState: () => ({
-          isConfigurationKnown: this.isReady(),
+          isConfigurationKnown: this.readiness.isReady(),
           isLeaving: this.drainer.isLeaving(),
         }),
         getReport: () => ({ vm: this.options.settings.vm, callers: this.callers.size }),
@@ -327,39 +328,6 @@
     };
   }
 
-  /**
-   * Whether the balancer should send callers here. A listed node must know the configuration and have been
-   * confirmed recently; an unlisted one must know the configuration and a gateway, and have had an answer.
-   */
-  private isReady(): boolean {
-    const { clock, logger, settings } = this.options;
-    const now = clock.now();
-    const { confirmedAt } = this.tracker;
-    const maxUnconfirmedMs = findMaxUnconfirmedMs(settings.topology);
-    const { heardAt, registry, isUnlisted } = this.follower;
-    const isPermitted = confirmedAt !== undefined && now - confirmedAt < maxUnconfirmedMs;
-    // Without another listed proxy, no gateway could run a statement and all callers would be refused.
-    const hasOthers = registry.list().some(({ isMissed }) => isMissed !== true);
-    const isInTouch = hasOthers && heardAt !== undefined && now - heardAt < maxSilenceMs;
-    const isReady = this.follower.isInitialised && (isUnlisted ? isInTouch : isPermitted);
-    if (isReady !== this.wasReady) {
-      this.wasReady = isReady;
-      logger.write(nodeEvents.readinessChanged, { isReady });
-      this.scheduleIdleClose(isReady);
-    }
-    return isReady;
-  }
-
-  /**
-   * Closes idle sessions once the balancer no longer sends callers here. They reconnect through another node;
-   * their statements would otherwise be refused for as long as this node is not ready.
-   */
-  private scheduleIdleClose(isReady: boolean): void {
-    clearTimeout(this.idleCloseTimer);
-    if (isReady) return;
-    this.idleCloseTimer = setTimeout(() => this.callers.closeIdleNow(), balancerReactionMs).unref();
-  }
-
   private applyServingConfig(config: ServingConfig): void {
     this.groups.update(config);
     const targets = [...config.groups.values()].flatMap((group) => group.targets);
