--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -1,19 +1,17 @@
 import type { ServingConfig } from "../direct/index.js";
-import type { DirectPeerClient } from "../directpeer/index.js";
 import type { RouteTable } from "../feed/index.js";
 import { countListedProxyQuota } from "../gateway/index.js";
-import type { LeadershipAnswer, LeadershipTracker, Proxy } from "../leadership/index.js";
+import type { LeadershipAnswer, Proxy } from "../leadership/index.js";
 import { leadershipEvents } from "../log/events/leadership.js";
 import { nodeEvents } from "../log/events/node.js";
-import type { Logger } from "../log/index.js";
-import type { Clock, Random, StoreRead } from "../model/index.js";
+import type { StoreRead } from "../model/index.js";
 import { PeerConfirmer, peerTimeoutMs } from "./confirmer.js";
 import { ProxyRegistry } from "./proxy-registry.js";
 import { computePollDelayMs } from "./poll-delay.js";
-import type { NodeStore, StoreStatus } from "./ports.js";
+import type { StoreStatus } from "./ports.js";
+import type { StoreFollowerPorts, StorePoll } from "./follower-ports.js";
 import { ReaderClient, type PollResult } from "./reader.js";
 import { ServingConfigTracker } from "./serving-config-tracker.js";
-import type { NodeSettings } from "./settings.js";
 
 /**
  * Mean interval between an unlisted process's own polls of the store, in milliseconds, varied by up to half.
@@ -23,26 +21,6 @@
 /** Random variation of the interval between polls, so that the proxies' calls don't coincide. */
 const jitterShare = 0.1;
 
-/** The store's revision at the last poll, and when that poll was sent, on this process's clock. */
-export interface StorePoll {
-  readonly revision: number;
-  readonly requestedAt: number;
-}
-
-/** The dependencies of `StoreFollower`. */
-export interface StoreFollowerPorts {
-  readonly settings: NodeSettings;
-  readonly store: NodeStore;
-  readonly peers: DirectPeerClient;
-  readonly tracker: LeadershipTracker;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly onServingConfig: (config: ServingConfig) => void;
-  /** Called after each poll, whatever its result. */
-  readonly onPoll: () => void;
-}
-
 /**
  * Synchronises a node with the platform's store by polling one small object at a regular interval. The poll
  * confirms the leadership, and the store's revision shows whether anything else has changed; the
