Count only requests that bring no tokens against the limit of requests

Callers of teams within their rates were refused: on 60 nodes each of the 27 issuers of a team has few of its tokens, so that a busy gateway needs more than 120 requests a second.

A request that brings tokens no longer counts. The limit for each team still holds for one that asks for more than its rate. The new test fails without this change (40 of 400 operations granted).

--- a/src/rates/request-budget.ts
+++ b/src/rates/request-budget.ts
@@ -1,8 +1,9 @@
 /** The time over which requests are counted, in milliseconds. */
 const windowMs = 1000;
 /**
- * Limits the requests of this process. When many teams run out at once, as after a loss of power, all
- * proxies would otherwise spend their time on asking each other for tokens that nobody has.
+ * Limits the requests of this process that bring no tokens. When many teams run out at once, as after a loss of
+ * power, all proxies would otherwise spend their time on asking each other for tokens that nobody has. Requests that
+ * bring tokens are not limited: each lets operations run that would be refused although their team is within its rate.
  */
 const maxRequestsPerSecond = 120;
 /**
@@ -11,7 +12,10 @@
  */
 const maxTeamRequestsPerSecond = 40;
 
-/** Counts the requests for tokens that this process sends. Times are on its clock, in milliseconds. */
+/**
+ * Counts the requests for tokens that this process sends and that have not brought any. Times are on its clock, in
+ * milliseconds.
+ */
 export class RequestBudget {
   private windowStart = -Infinity;
   private total = 0;
@@ -31,6 +35,15 @@
     this.byTeam.set(team, (this.byTeam.get(team) ?? 0) + 1);
   }
 
+  /** Stops counting a request of the current window that brought tokens. */
+  recordGrant(team: string, now: number): void {
+    this.startWindow(now);
+    const ofTeam = this.byTeam.get(team) ?? 0;
+    if (ofTeam === 0) return;
+    this.total -= 1;
+    this.byTeam.set(team, ofTeam - 1);
+  }
+
   private startWindow(now: number): void {
     if (now - this.windowStart < windowMs) return;
     this.windowStart = now;
--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -280,13 +280,16 @@
     );
     if (grant === undefined) return;
     outcome.answered += 1;
-    if (grant.tokens <= 0) outcome.empty += 1;
+    if (grant.tokens <= 0) {
+      outcome.empty += 1;
+      return;
+    }
+    this.budget.recordGrant(team.name, clock.now());
     // The life is counted from the request, since the time that the answer took is not known. After a
     // suspension, which the clock may not show, the tokens may have expired.
-    else if (!hasStalledSince(requestedAt)) {
-      for (const { tokens, lifeMs } of listGrantedBatches(grant)) {
-        state.pool.add(tokens, requestedAt + lifeMs);
-      }
+    if (hasStalledSince(requestedAt)) return;
+    for (const { tokens, lifeMs } of listGrantedBatches(grant)) {
+      state.pool.add(tokens, requestedAt + lifeMs);
     }
   }
 
--- a/test/rates/token-limiter.test.ts
+++ b/test/rates/token-limiter.test.ts
@@ -143,3 +143,40 @@
   expect(await silent.reserve()).toMatchObject({ type: "refused" });
   expect(silent.asked).toHaveLength(asked);
 });
+
+// A team's tokens are issued by dozens of processes and each has a few, so that a busy process needs hundreds of requests
+// a second. If those that bring tokens counted against the limit, it would refuse a team that is within its rate.
+test("requests that bring tokens do not use up the limit of requests", async () => {
+  const peers = Array.from({ length: 30 }, (_, i) => `p${i}`);
+  const ask = () => Promise.resolve({ tokens: 1, lifeMs: 1000 });
+  const fixture = new LimiterFixture({ share: 0, peers, ask });
+  expect(await countGranted(fixture, 400)).toBe(400);
+  expect(fixture.asked.length).toBeGreaterThan(120);
+});
+
+// All processes run out of tokens at once. If requests without an answer or without tokens were not limited, all would
+// spend their time on asking each other.
+test.each([
+  ["are not answered", undefined],
+  ["bring no tokens", { tokens: 0, lifeMs: 0 }],
+])("requests that %s use up the limit of requests of their team", async (_, grant) => {
+  const peers = Array.from({ length: 30 }, (__, i) => `p${i}`);
+  const fixture = new LimiterFixture({ share: 0, peers, ask: () => Promise.resolve(grant) });
+  for (let i = 0; i < 400; i += 1) {
+    fixture.now += 2;
+    await fixture.reserve();
+  }
+  expect(fixture.asked.length).toBeGreaterThan(0);
+  // A round of six that begins below the limit of 40 may exceed it.
+  expect(fixture.asked.length).toBeLessThanOrEqual(45);
+});
+
+/** Reserves `count` operations within a fraction of a second, and returns how many were granted. */
+async function countGranted(fixture: LimiterFixture, count: number): Promise<number> {
+  let granted = 0;
+  for (let i = 0; i < count; i += 1) {
+    fixture.now += 2;
+    if ((await fixture.reserve()).type === "granted") granted += 1;
+  }
+  return granted;
+}
