Void the permit first and close the peer address last when a node stops

A refused connection to a peer address is to prove that its process holds no permit. A stop without a drain left the permit as it was, and every stop closed the peer address before the listeners of callers and nodes and the connections to targets. A stop now revokes the permit for good before anything closes, and the peer server is released after everything else. Without a drain no proxy did this before, since only tests stop a node that way.

--- a/src/leadership/tracker.ts
+++ b/src/leadership/tracker.ts
@@ -112,7 +112,10 @@
     return this.lastStoreQueryAt;
   }
 
-  /** Drops the permit for good. Required before deregistration, since changes do not wait for an unlisted proxy. */
+  /**
+   * Drops the permit for good. Required before this process deregisters or closes its peer address, since changes of
+   * primary wait neither for an unlisted proxy nor for one that has ended.
+   */
   revokePermit(): void {
     this.isRevoked = true;
     this.permit = noPermit;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -63,6 +63,7 @@
   private readonly rates: NodeRates;
   private readonly regionCheck: RegionCheck;
   private readonly readiness: ReadinessMonitor;
+  private readonly peerServer: DirectPeerServer | undefined;
   private readonly server: LineServer;
   private readonly drainer: DrainRunner;
   private readonly drainPlan: DrainPlan;
@@ -72,6 +73,9 @@
 
   constructor(private readonly options: NodeOptions) {
     const { settings, adapter, clock, random, logger } = options;
+    this.peerServer = this.createPeerServer();
+    // Released last: peers take a process for ended once its peer address refuses connections.
+    if (this.peerServer !== undefined) this.owned.add(this.peerServer);
     this.metrics = createMetrics({ process: true });
     this.drainPlan = planDrain(settings.graceMs);
     this.regionCheck = new RegionCheck(settings.topology, logger);
@@ -214,7 +218,9 @@
     const { settings, logger, metrics } = this.options;
     await this.listenHealth(settings.readiness);
     if (metrics !== undefined) await this.listenHealth(metrics);
-    await this.listenPeers();
+    // Before the first request to the store or a peer: a process whose peer address refuses connections counts as
+    // ended, and a change of primary does not wait for a permit that it may have.
+    await this.peerServer?.listen();
     await this.forwarding.listen(this.directPorts, this.groups);
     await this.server.listen();
     logger.write(processEvents.started, { vm: settings.vm, dataCentre: settings.dataCentre });
@@ -240,7 +246,9 @@
     this.options.logger.write(nodeEvents.settingsReloaded, { vm: settings.vm });
   }
 
+  /** Stops at once. The permit is void before anything closes, and the peer address closes last. */
   dispose(): Promise<void> {
+    this.tracker.revokePermit();
     this.follower.stop();
     this.changer.stop();
     return this.owned.dispose();
@@ -300,16 +308,15 @@
     await health.listen(address);
   }
 
-  private async listenPeers(): Promise<void> {
+  private createPeerServer(): DirectPeerServer | undefined {
     const { peers } = this.options.settings;
-    if (peers === undefined) return;
-    const server = new DirectPeerServer(peers, {
+    if (peers === undefined) return undefined;
+    return new DirectPeerServer(peers, {
       receiveLeadership: (from, update) => this.applyUpdate(from, update),
       askTarget: (question) => this.targetStatus.ask(question, peerQuestionTimeoutMs),
       encodeScene: () => this.follower.encodeServingConfig(),
       grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
     });
-    await this.owned.add(server).listen();
   }
 
   private applyUpdate(from: string, update: LeadershipUpdate): LeadershipAnswer {
