Tell proxies that have ended from silent ones when a primary is changed

Cause: with a primary, more than half of the listed proxies died and stayed down. They counted as silent, like proxies behind a partition: the primary was kept, and then the change waited 12 s for their permits.

Change: a refused connection to a listed peer address (an IP address) shows that no process listens there. Such a proxy is not counted when the change is decided, and there is no wait for permits if all others are notified or have ended. Ended proxies are marked as missed. The result of a call to a peer is a union of answered, silent and ended; existing tests that fake or check such calls were changed to it. Event proxiesEnded, field ended of proxiesTold, metric radishwalk_ended_proxies_total.

--- a/src/directpeer/client.ts
+++ b/src/directpeer/client.ts
@@ -2,13 +2,15 @@
 import { createConnectTransport } from "@connectrpc/connect-node";
 import { peerEvents } from "../log/events/peer.js";
 import type { Logger } from "../log/index.js";
-import type {
-  LeadershipAnswer,
-  LeadershipPeers,
-  LeadershipUpdate,
-  Proxy,
-  TargetAnswer,
-  TargetQuestion,
+import {
+  findAnswer,
+  type LeadershipAnswer,
+  type LeadershipPeers,
+  type LeadershipUpdate,
+  type PeerResult,
+  type Proxy,
+  type TargetAnswer,
+  type TargetQuestion,
 } from "../leadership/index.js";
 import type { Address, Clock } from "../model/index.js";
 import { DirectPeer } from "../peer/gen/radishwalk/direct/v1/direct_pb.js";
@@ -16,6 +18,7 @@
 import { ResponseTimes, startStallTolerantTimer } from "../system/index.js";
 import type { TokenGrant } from "../rates/index.js";
 import { decodeLeadershipAnswer, decodeTargetAnswer, encodeLeadershipUpdate } from "./codec.js";
+import { isConnectionRefused } from "./refusal.js";
 
 /** A request for tokens of a team, in the fields of the message. */
 export interface TokenRequest {
@@ -38,7 +41,7 @@
  */
 const remoteExtraMs = 2 * assumedCrossingMs;
 
-/** Calls to peers. Each ends within its timeout, with `undefined` when it was not answered. */
+/** Calls to peers. Each ends within its timeout. */
 export class DirectPeerClient implements LeadershipPeers {
   private readonly clients = new Map<string, Client<typeof DirectPeer>>();
 
@@ -60,24 +63,24 @@
     proxy: Proxy,
     word: LeadershipUpdate,
     timeoutMs: number,
-  ): Promise<LeadershipAnswer | undefined> {
+  ): Promise<PeerResult<LeadershipAnswer>> {
     const request = { vm: this.vm, ...encodeLeadershipUpdate(word) };
-    const answer = await this.callProxy("share", proxy, timeoutMs, (options) =>
+    const result = await this.callProxy("share", proxy, timeoutMs, (options) =>
       this.getClient(proxy.address).share(request, options),
     );
-    return answer === undefined ? undefined : decodeLeadershipAnswer(answer);
+    return mapAnswer(result, decodeLeadershipAnswer);
   }
 
   async askTarget(
     proxy: Proxy,
     { group, target, demoteRound }: TargetQuestion,
     timeoutMs: number,
-  ): Promise<TargetAnswer | undefined> {
+  ): Promise<PeerResult<TargetAnswer>> {
     const request = { group, target, ...(demoteRound === undefined ? {} : { demoteRound }) };
-    const answer = await this.callProxy("askTarget", proxy, timeoutMs, (options) =>
+    const result = await this.callProxy("askTarget", proxy, timeoutMs, (options) =>
       this.getClient(proxy.address).askTarget(request, options),
     );
-    return answer === undefined ? undefined : decodeTargetAnswer(answer);
+    return mapAnswer(result, decodeTargetAnswer);
   }
 
   /** Requests tokens of a team. If the answer is lost, so are its tokens, and they let nothing run. */
@@ -86,20 +89,19 @@
     request: TokenRequest,
     timeoutMs: number,
   ): Promise<TokenGrant | undefined> {
-    return this.callProxy("takeTokens", proxy, timeoutMs, (options) =>
+    const result = await this.callProxy("takeTokens", proxy, timeoutMs, (options) =>
       this.getClient(proxy.address).takeTokens(request, options),
     );
+    return findAnswer(result);
   }
 
   /** Fetches the scene that a peer knows, as JSON. */
   async fetchScene(address: Address, timeoutMs: number): Promise<string | undefined> {
-    const answer = await this.callPeer(
-      "fetchScene",
-      `${address.host}:${address.port}`,
-      timeoutMs,
-      (options) => this.getClient(address).fetchScene({}, options),
+    const peer = { vm: `${address.host}:${address.port}`, address };
+    const result = await this.callPeer("fetchScene", peer, timeoutMs, (options) =>
+      this.getClient(address).fetchScene({}, options),
     );
-    return answer?.snapshot;
+    return findAnswer(result)?.snapshot;
   }
 
   private callProxy<T>(
@@ -107,21 +109,21 @@
     proxy: Proxy,
     usualTimeoutMs: number,
     call: (options: CallOptions) => Promise<T>,
-  ): Promise<T | undefined> {
+  ): Promise<PeerResult<T>> {
     const { isRemote, onRemoteCall } = this.remote;
-    if (!isRemote(proxy)) return this.callPeer(method, proxy.vm, usualTimeoutMs, call);
+    if (!isRemote(proxy)) return this.callPeer(method, proxy, usualTimeoutMs, call);
     onRemoteCall();
     const timeoutMs = usualTimeoutMs + remoteExtraMs;
-    return this.callPeer(method, proxy.vm, timeoutMs, call, this.remoteResponseTimes);
+    return this.callPeer(method, proxy, timeoutMs, call, this.remoteResponseTimes);
   }
 
   private async callPeer<T>(
     method: string,
-    peer: string,
+    { vm, address }: Pick<Proxy, "vm" | "address">,
     usualTimeoutMs: number,
     call: (options: CallOptions) => Promise<T>,
     responseTimes = this.responseTimes,
-  ): Promise<T | undefined> {
+  ): Promise<PeerResult<T>> {
     const longest = new AbortController();
     const stopTimer = startStallTolerantTimer(
       ResponseTimes.getLongestTimeoutMs(usualTimeoutMs),
@@ -130,12 +132,13 @@
     const pending = call({ signal: longest.signal }).finally(stopTimer);
     try {
       const answer = await responseTimes.awaitAnswer(pending, usualTimeoutMs);
-      if (answer !== undefined) return answer;
-      this.logFailure(peer, method, "no answer in time");
+      if (answer !== undefined) return { type: "answered", answer };
+      this.logFailure(vm, method, "no answer in time");
     } catch (error) {
-      this.logFailure(peer, method, String(error));
+      this.logFailure(vm, method, String(error));
+      if (isConnectionRefused(error, address)) return { type: "ended" };
     }
-    return undefined;
+    return { type: "silent" };
   }
 
   private logFailure(peer: string, method: string, reason: string): void {
@@ -154,3 +157,7 @@
     return client;
   }
 }
+
+function mapAnswer<T, U>(result: PeerResult<T>, decode: (answer: T) => U): PeerResult<U> {
+  return result.type === "answered" ? { type: "answered", answer: decode(result.answer) } : result;
+}
--- /dev/null
+++ b/src/directpeer/refusal.ts
@@ -0,0 +1,36 @@
+import { isIP } from "node:net";
+import type { Address } from "../model/index.js";
+
+/**
+ * Whether a call failed because the peer's machine refused the connection. A connection that broke later, a timeout
+ * or an unreachable network says nothing about the peer's process. Nor does a refusal at an address that is a name:
+ * the name may resolve to another machine than the one on which the process runs.
+ */
+export function isConnectionRefused(error: unknown, { host }: Address): boolean {
+  return isIP(host) !== 0 && listCauses(error).some(isRefusedConnect);
+}
+
+interface ErrorFields {
+  readonly code?: unknown;
+  readonly syscall?: unknown;
+  readonly cause?: unknown;
+}
+
+/** The error and its causes, the outermost first. */
+function listCauses(error: unknown): readonly ErrorFields[] {
+  const causes: ErrorFields[] = [];
+  let next = error;
+  while (isObject(next) && !causes.includes(next)) {
+    causes.push(next);
+    next = next.cause;
+  }
+  return causes;
+}
+
+function isObject(value: unknown): value is ErrorFields {
+  return typeof value === "object" && value !== null;
+}
+
+function isRefusedConnect({ code, syscall }: ErrorFields): boolean {
+  return code === "ECONNREFUSED" && syscall === "connect";
+}
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -217,6 +217,7 @@
     const changeStartedAt = this.ports.clock.now();
     const isListed = await this.ports.refreshProxies();
     const notified = await this.notifyOthers();
+    this.recordEnded(notified);
     if (suspicion.type === "leaving") await this.ports.clock.sleep(statementDrainMs);
     const oldReport = await this.demoteOldPrimary(group, oldTarget);
     await waitForPermitExpiry(this.ports, this.tracker, changeStartedAt, notified, isListed);
@@ -256,10 +257,18 @@
     const outcome = await notifyProxies(this.ports, this.tracker, this.inquirer.listOtherProxies());
     const told = outcome.notifiedAt.length;
     const silent = outcome.unanswered.length;
-    this.ports.logger.write(leadershipEvents.proxiesNotified, { version, told, silent });
+    const ended = outcome.ended.length;
+    this.ports.logger.write(leadershipEvents.proxiesNotified, { version, told, silent, ended });
     return outcome;
   }
 
+  private recordEnded({ ended }: NotificationResult): void {
+    if (ended.length === 0) return;
+    const proxies = ended.map(({ proxy }) => proxy.vm);
+    this.ports.logger.write(leadershipEvents.proxiesEnded, { proxies });
+    this.ports.onProxiesEnded(ended.length);
+  }
+
   /** Demotes the old primary through any proxy that reaches it; resolves to its report, with the end of its log. */
   private async demoteOldPrimary(
     group: string,
@@ -367,9 +376,10 @@
     const notified = this.notifyOthers();
     await this.lease.endChange(group, round, target);
     await notified;
-    const { unanswered } = await this.notifyOthers();
+    const { unanswered, ended } = await this.notifyOthers();
     // Without the mark, every later change would wait for a proxy that has terminated.
-    await Promise.all(unanswered.map((proxy) => this.ports.markMissed(proxy)));
+    const missed = [...unanswered, ...ended.map(({ proxy }) => proxy)];
+    await Promise.all(missed.map((proxy) => this.ports.markMissed(proxy)));
   }
 }
 
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -19,11 +19,13 @@
   permitMs,
 } from "./permit.js";
 export {
+  findAnswer,
   type LeadershipAnswer,
   type LeadershipPeers,
   type LeadershipPorts,
   type LeadershipStore,
   type LeadershipUpdate,
+  type PeerResult,
   type PromotedPrimary,
   type PromoteOrder,
   type Promoter,
--- a/src/leadership/inquirer.ts
+++ b/src/leadership/inquirer.ts
@@ -1,7 +1,14 @@
 import { shuffle } from "../system/index.js";
 import type { TargetReport } from "../statement/index.js";
 import type { Reachability } from "./decide.js";
-import type { LeadershipPorts, Proxy, TargetAnswer, TargetQuestion } from "./ports.js";
+import {
+  findAnswer,
+  type LeadershipPorts,
+  type PeerResult,
+  type Proxy,
+  type TargetAnswer,
+  type TargetQuestion,
+} from "./ports.js";
 
 /** A status request takes a round trip of 1 to 3 ms and a slot; this is twice the longest usual use of a slot. */
 const askTimeoutMs = 200;
@@ -29,8 +36,9 @@
   async measureReachability(group: string, target: string): Promise<Reachability> {
     const question = { group, target, demoteRound: undefined };
     const holders = this.listOtherHolders(group);
+    const own = this.askDirectly(question).then(toResult);
     const first = await Promise.all([
-      this.askDirectly(question),
+      own,
       ...this.askThrough(holders.slice(0, firstProxies), question),
     ]);
     const sample = countReaching(first);
@@ -54,13 +62,14 @@
    * sequence, each question to it took 0.55 s.
    */
   askThroughAll(question: TargetQuestion): Promise<TargetReport | undefined> {
-    const answers = [this.askDirectly(question), ...this.askThroughOthers(question)];
+    const own = this.askDirectly(question).then(toResult);
+    const answers = [own, ...this.askThroughOthers(question)];
     return findFirstDefined(answers.map(async (answer) => findReport(await answer)));
   }
 
   /** Asks a target directly, and through the other proxies only if that yields no report. */
   async askWithFallback(question: TargetQuestion): Promise<TargetReport | undefined> {
-    const own = findReport(await this.askDirectly(question));
+    const own = findReport(toResult(await this.askDirectly(question)));
     if (own !== undefined) return own;
     return findFirstDefined(
       this.askThroughOthers(question).map(async (answer) => findReport(await answer)),
@@ -76,14 +85,14 @@
     return this.ports.askTarget(question, askTimeoutMs);
   }
 
-  private askThroughOthers(question: TargetQuestion): readonly Promise<TargetAnswer | undefined>[] {
+  private askThroughOthers(question: TargetQuestion): readonly Promise<PeerResult<TargetAnswer>>[] {
     return this.askThrough(this.listOtherHolders(question.group), question);
   }
 
   private askThrough(
     proxies: readonly Proxy[],
     question: TargetQuestion,
-  ): readonly Promise<TargetAnswer | undefined>[] {
+  ): readonly Promise<PeerResult<TargetAnswer>>[] {
     const { peers } = this.ports;
     return proxies.map((proxy) => peers.askTarget(proxy, question, askTimeoutMs + relayTimeoutMs));
   }
@@ -101,17 +110,20 @@
   }
 }
 
-function countReaching(answers: readonly (TargetAnswer | undefined)[]): Reachability {
-  const known = answers.filter((answer) => answer !== undefined);
+function toResult(answer: TargetAnswer): PeerResult<TargetAnswer> {
+  return { type: "answered", answer };
+}
+
+/** Ended proxies are not counted: they can't reach anything and are not on the other side of a partition. */
+function countReaching(results: readonly PeerResult<TargetAnswer>[]): Reachability {
+  const known = results.flatMap((result) => findAnswer(result) ?? []);
   const reaching = known.filter(showsLeadingPrimary).length;
-  return {
-    reaching,
-    notReaching: known.length - reaching,
-    silent: answers.length - known.length,
-  };
+  const silent = results.filter(({ type }) => type === "silent").length;
+  return { reaching, notReaching: known.length - reaching, silent };
 }
 
-function findReport(answer: TargetAnswer | undefined): TargetReport | undefined {
+function findReport(result: PeerResult<TargetAnswer>): TargetReport | undefined {
+  const answer = findAnswer(result);
   return answer?.type === "report" ? answer.report : undefined;
 }
 
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -49,19 +49,32 @@
   readonly lookedAgoMs: number | undefined;
 }
 
-/** Calls to other proxies. They resolve to `undefined` if no answer arrives in time. */
+/** The outcome of a call to another proxy. */
+export type PeerResult<T> =
+  | { readonly type: "answered"; readonly answer: T }
+  /** Nothing arrived in time: the proxy may run and use primaries. */
+  | { readonly type: "silent" }
+  /** Its machine refused the connection: no process listens at the listed address, so none there has a permit. */
+  | { readonly type: "ended" };
+
+/** The answer of a call, or `undefined` if there was none, for callers to which the reason makes no difference. */
+export function findAnswer<T>(result: PeerResult<T>): T | undefined {
+  return result.type === "answered" ? result.answer : undefined;
+}
+
+/** Calls to other proxies. They end within their timeout and never reject. */
 export interface LeadershipPeers {
   share(
     proxy: Proxy,
     update: LeadershipUpdate,
     timeoutMs: number,
-  ): Promise<LeadershipAnswer | undefined>;
+  ): Promise<PeerResult<LeadershipAnswer>>;
   /** If `demoteRound` is set, also demotes the target, unless it is the primary of that round. */
   askTarget(
     proxy: Proxy,
     question: TargetQuestion,
     timeoutMs: number,
-  ): Promise<TargetAnswer | undefined>;
+  ): Promise<PeerResult<TargetAnswer>>;
 }
 
 /** A status request to a target, with an optional demotion. */
@@ -125,6 +138,8 @@
   readonly refreshProxies: () => Promise<boolean>;
   /** Marks a proxy's entry as missed, unless the entry has changed since it was read. */
   readonly markMissed: (proxy: Proxy) => Promise<void>;
+  /** Called with the number of proxies that a change of primary finds to have ended. */
+  readonly onProxiesEnded: (count: number) => void;
   /** The registered proxies that hold a group's connections and so can tell whether its targets are reachable. */
   readonly listGroupProxies: (group: string) => readonly Proxy[];
   readonly listTargets: (group: string) => readonly AnnouncedTarget[];
--- a/src/log/events/leadership.ts
+++ b/src/log/events/leadership.ts
@@ -62,6 +62,12 @@
     level: "info",
     text: "The proxy notified the other proxies of the change; it waits until the permits of those that did not answer have expired.",
   },
+  proxiesEnded: {
+    id: 3116,
+    name: "proxiesEnded",
+    level: "info",
+    text: "The machines of listed proxies refused a connection, so their processes have ended; a change of primary does not wait for their permits.",
+  },
   demoted: {
     id: 3109,
     name: "primaryDemoted",
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -58,6 +58,8 @@
   recordStoreCall(operation: string, outcome: string): void;
   /** Counts a statement or message that this process sends to another region. */
   recordCrossing(kind: CrossingKind): void;
+  /** Counts listed proxies that a change of primary found to have ended. */
+  recordEndedProxies(count: number): void;
   recordViolation(invariant: Invariant): void;
   setConnections(group: string, state: ConnectionState, count: number): void;
   setRevision(revision: number): void;
@@ -108,6 +110,7 @@
   private readonly redirects: Counter<"group">;
   private readonly storeCalls: Counter<"operation" | "outcome">;
   private readonly crossings: Counter<"kind">;
+  private readonly endedProxies: Counter;
   private readonly violations: Counter<"invariant">;
   private readonly connections: Gauge<"group" | "state">;
   private readonly revision: Gauge;
@@ -171,6 +174,9 @@
     this.crossings = new Counter(
       define("region_crossings_total", "Requests sent to another region, by kind.", ["kind"]),
     );
+    this.endedProxies = new Counter(
+      define("ended_proxies_total", "Listed proxies that a change found to have ended.", []),
+    );
     this.violations = new Counter(
       define("invariant_violations_total", "Violations of invariants.", ["invariant"]),
     );
@@ -222,6 +228,10 @@
     this.crossings.inc({ kind });
   }
 
+  recordEndedProxies(count: number): void {
+    this.endedProxies.inc(count);
+  }
+
   recordViolation(invariant: Invariant): void {
     this.violations.inc({ invariant });
   }
--- a/src/node/confirmer.ts
+++ b/src/node/confirmer.ts
@@ -1,5 +1,6 @@
 import type { DirectPeerClient } from "../directpeer/index.js";
 import {
+  findAnswer,
   isConfirmedByPeers,
   type LeadershipAnswer,
   type LeadershipTracker,
@@ -76,10 +77,10 @@
   ): Promise<readonly TimedAnswer[]> {
     const { tracker, clock, peers, registry } = this.ports;
     const askedAt = clock.now();
-    const answers = await Promise.all(
+    const results = await Promise.all(
       proxies.map((proxy) => peers.share(proxy, tracker.latestUpdate, peerTimeoutMs)),
     );
-    const known = answers.filter((answer) => answer !== undefined);
+    const known = results.flatMap((result) => findAnswer(result) ?? []);
     for (const answer of known) tracker.adopt(answer);
     const all = [...earlier, ...known.map((answer) => ({ ...answer, askedAt }))];
     const firstAskedAt = Math.min(askedAt, ...earlier.map((answer) => answer.askedAt));
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -167,6 +167,7 @@
         listProxies: () => this.follower.registry.list(),
         refreshProxies: () => this.follower.registry.refresh(),
         markMissed: (proxy) => adapter.store.markMissed(proxy),
+        onProxiesEnded: (count) => this.metrics.recordEndedProxies(count),
         listGroupProxies: (group) => this.forwarding.listGroupProxies(group),
         listTargets: (group) => this.listTargets(group),
         listGroups: () => this.forwarding.listOwnGroups(),
--- a/src/node/proxy-liveness.ts
+++ b/src/node/proxy-liveness.ts
@@ -1,4 +1,9 @@
-import type { LeadershipTracker, LeadershipPeers, Proxy } from "../leadership/index.js";
+import {
+  findAnswer,
+  type LeadershipPeers,
+  type LeadershipTracker,
+  type Proxy,
+} from "../leadership/index.js";
 import { nodeEvents } from "../log/events/node.js";
 import type { Logger } from "../log/index.js";
 import type { Clock } from "../model/index.js";
@@ -81,8 +86,8 @@
     this.probing.add(proxy.vm);
     try {
       for (let attempts = 0; attempts < maxProbeAttempts; attempts += 1) {
-        if ((await peers.share(proxy, tracker.latestUpdate, probeTimeoutMs)) === undefined)
-          continue;
+        const result = await peers.share(proxy, tracker.latestUpdate, probeTimeoutMs);
+        if (findAnswer(result) === undefined) continue;
         this.recordContact(proxy.vm);
         return;
       }
--- a/src/node/reader.ts
+++ b/src/node/reader.ts
@@ -1,5 +1,10 @@
 import type { DirectPeerClient } from "../directpeer/index.js";
-import type { LeadershipAnswer, LeadershipUpdate, Proxy } from "../leadership/index.js";
+import {
+  findAnswer,
+  type LeadershipAnswer,
+  type LeadershipUpdate,
+  type Proxy,
+} from "../leadership/index.js";
 import type { Clock } from "../model/index.js";
 import { hashPair } from "../policy/index.js";
 import { distances, singleRegion, type Topology } from "../topology/index.js";
@@ -96,7 +101,7 @@
     const isAvoided = (name: string) => (this.avoidedUntil.get(name) ?? 0) > askedAt;
     const reader = chooseReader(dataCentre, proxies, isAvoided);
     if (reader === undefined || reader.vm === vm) return undefined;
-    const answer = await peers.share(reader, update, readerTimeoutMs);
+    const answer = findAnswer(await peers.share(reader, update, readerTimeoutMs));
     const isUsable = answer?.listsAsker === true;
     const maxAgeMs = findMaxPollAgeMs(topology);
     const poll = isUsable ? toPollResult(reader, answer, askedAt, maxAgeMs) : undefined;
@@ -111,7 +116,7 @@
     const isAvoided = (name: string) => (this.avoidedUntil.get(name) ?? 0) > askedAt;
     const upstream = chooseUpstream(vm, dataCentre, proxies, isAvoided, topology);
     if (upstream === undefined) return { type: "silent" };
-    const answer = await peers.share(upstream, update, upstreamTimeoutMs);
+    const answer = findAnswer(await peers.share(upstream, update, upstreamTimeoutMs));
     const maxAgeMs = findMaxPollAgeMs(topology);
     const poll =
       answer === undefined ? undefined : toPollResult(upstream, answer, askedAt, maxAgeMs);
--- a/test/directpeer/distance.test.ts
+++ b/test/directpeer/distance.test.ts
@@ -59,7 +59,10 @@
 
 test("updates to a peer and requests for tokens hold at a round trip of 60 ms", async () => {
   const { client, proxy, countCalls } = await start(0, true);
-  expect(await client.share(proxy, update, shareTimeoutMs)).toMatchObject({ vm: "vm-1" });
+  expect(await client.share(proxy, update, shareTimeoutMs)).toMatchObject({
+    type: "answered",
+    answer: { vm: "vm-1" },
+  });
   const request = { team: "cello", wanted: 1 };
   expect(await client.takeTokens(proxy, request, 1000)).toMatchObject({ tokens: 1 });
   expect(countCalls()).toBe(2);
@@ -69,16 +72,22 @@
 test("a status request through a peer holds at a round trip of 60 ms", async () => {
   const question = { group: "ledger", target: "p", demoteRound: undefined };
   const { client, proxy } = await start(260, true);
-  expect(await client.askTarget(proxy, question, relayTimeoutMs)).toEqual({ type: "alive" });
+  expect(await client.askTarget(proxy, question, relayTimeoutMs)).toEqual({
+    type: "answered",
+    answer: { type: "alive" },
+  });
 });
 
 // A near peer that is gone would be waited for as long as the slowest one of the other region takes.
 test("the answers of another region do not stretch the timeouts of near peers", async () => {
   const question = { group: "ledger", target: "p", demoteRound: undefined };
   const { client, proxy } = await start(260, true, "near");
-  expect(await client.askTarget(proxy, question, relayTimeoutMs)).toEqual({ type: "alive" });
+  expect(await client.askTarget(proxy, question, relayTimeoutMs)).toEqual({
+    type: "answered",
+    answer: { type: "alive" },
+  });
   const near = { ...proxy, vm: "near" };
-  expect(await client.askTarget(near, question, shareTimeoutMs)).toBeUndefined();
+  expect(await client.askTarget(near, question, shareTimeoutMs)).toEqual({ type: "silent" });
   await sleep(300);
 });
 
@@ -86,7 +95,7 @@
 test("a peer that is not in another region has the usual timeout", async () => {
   const question = { group: "ledger", target: "p", demoteRound: undefined };
   const { client, proxy, countCalls } = await start(260, false);
-  expect(await client.askTarget(proxy, question, relayTimeoutMs)).toBeUndefined();
+  expect(await client.askTarget(proxy, question, relayTimeoutMs)).toEqual({ type: "silent" });
   expect(countCalls()).toBe(0);
   // The late answer is on its way; without this wait it would fail after the test.
   await sleep(100);
--- a/test/leadership/distance.test.ts
+++ b/test/leadership/distance.test.ts
@@ -16,9 +16,10 @@
   const peers = {
     share: async () => {
       await clock.sleep(2 * roundTripMs);
-      return { ...update, vm: "", listsAsker: true } as unknown as LeadershipAnswer;
+      const answer = { ...update, vm: "", listsAsker: true } as unknown as LeadershipAnswer;
+      return { type: "answered", answer } as const;
     },
-    askTarget: () => Promise.resolve(undefined),
+    askTarget: () => Promise.resolve({ type: "silent" } as const),
   };
   const others = Array.from({ length: 24 }, (_, i) => makeProxy(i));
   let endedAt: number | undefined;
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -3,8 +3,12 @@
   LeadershipTracker,
   PrimaryChanger,
   StallDetector,
+  type LeadershipAnswer,
   type LeadershipDocument,
   type LeadershipPorts,
+  type LeadershipUpdate,
+  type PeerResult,
+  type Proxy,
   type TargetAnswer,
   type VersionedLeadership,
 } from "../../src/leadership/index.js";
@@ -29,6 +33,14 @@
   otherTargets: readonly { readonly name: string; readonly dataCentre: string }[] = [];
   /** Whether the entry of the primary `i-0` is still in the listing. */
   isPrimaryListed = true;
+  /** All listed proxies. */
+  proxies: readonly Proxy[] = [];
+  /** How calls to the proxies end. */
+  readonly states = new Map<string, PeerResult<never>["type"]>();
+  /** The proxies that were called, in order. */
+  readonly calls: string[] = [];
+  readonly missed: string[] = [];
+  endedCount = 0;
   private version = 10;
 
   makeProxy(vm: string, wall: () => number = () => this.clock.now()) {
@@ -59,8 +71,8 @@
       incarnation: `${vm}-1`,
       store,
       peers: {
-        share: () => Promise.resolve(undefined),
-        askTarget: () => Promise.resolve(undefined),
+        share: (proxy, update) => this.notify(proxy, update),
+        askTarget: (proxy) => this.askThrough(proxy),
       },
       askTarget: ({ target }) =>
         Promise.resolve(target === "i-0" ? this.targetAnswer : this.getReplicaAnswer()),
@@ -72,10 +84,11 @@
       clock,
       random: makeRandom(1),
       logger,
-      listProxies: () => [],
-      listGroupProxies: () => [],
+      listProxies: () => this.proxies,
+      listGroupProxies: () => this.proxies,
       refreshProxies: () => Promise.resolve(true),
-      markMissed: () => Promise.resolve(),
+      markMissed: (proxy) => Promise.resolve(void this.missed.push(proxy.vm)),
+      onProxiesEnded: (count) => (this.endedCount += count),
       listTargets: () => this.listTargets(),
       listGroups: () => ["ledger"],
     };
@@ -86,6 +99,21 @@
     };
   }
 
+  /** A proxy in `states` that is running acknowledges the update and does not reach the primary. */
+  private notify(proxy: Proxy, update: LeadershipUpdate): Promise<PeerResult<LeadershipAnswer>> {
+    this.calls.push(proxy.vm);
+    const type = this.states.get(proxy.vm) ?? "silent";
+    if (type !== "answered") return Promise.resolve({ type });
+    const answer = { ...update, vm: proxy.vm, listsAsker: true } as LeadershipAnswer;
+    return Promise.resolve({ type, answer });
+  }
+
+  private askThrough(proxy: Proxy): Promise<PeerResult<TargetAnswer>> {
+    this.calls.push(proxy.vm);
+    const type = this.states.get(proxy.vm) ?? "silent";
+    return Promise.resolve(type === "answered" ? { type, answer: { type: "silent" } } : { type });
+  }
+
   private getReplicaAnswer(): TargetAnswer {
     return this.replicaAnswer ?? { type: "silent" };
   }
--- a/test/node/change.test.ts
+++ b/test/node/change.test.ts
@@ -234,8 +234,8 @@
   expect(told.map((line) => line.fields.silent)).toEqual(told.map(() => 0));
 });
 
-// A node loses power and does not return. The next change of primary gets no answer from it, waits until its
-// permit expires and marks its entry as missed. The entry is removed later, so that no further change waits.
+// A node ends without a signal and does not return. The next change of primary can't notify it and marks its entry
+// as missed. The entry is removed later, so that it does not occupy the place of a live node.
 test("the entry of a node that does not return is removed", async () => {
   cluster = await Cluster.start({ nodes: 2 });
   await waitUntil(() => cluster.isListed());
--- a/test/node/confirmer.test.ts
+++ b/test/node/confirmer.test.ts
@@ -50,7 +50,7 @@
     peers: {
       share: ({ vm }) => {
         asked.push(vm);
-        return Promise.resolve(answer(vm));
+        return Promise.resolve({ type: "answered", answer: answer(vm) });
       },
     },
     tracker: tracker as unknown as LeadershipTracker,
--- a/test/node/distance.test.ts
+++ b/test/node/distance.test.ts
@@ -1,7 +1,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect, test } from "@jest/globals";
 import { emptyServingConfig, TeamRoster, type TargetDialer } from "../../src/direct/index.js";
-import { emptyLeadership, type LeadershipAnswer, type Proxy } from "../../src/leadership/index.js";
+import {
+  emptyLeadership,
+  type LeadershipAnswer,
+  type PeerResult,
+  type Proxy,
+} from "../../src/leadership/index.js";
 import { extendPermit, isPermitted, noPermit, type Permit } from "../../src/leadership/permit.js";
 import { silentLogger, type LogEvent, type LogFields } from "../../src/log/index.js";
 import type { Team } from "../../src/model/index.js";
@@ -59,10 +64,11 @@
       await clock.sleep(findIntervalMs(false));
     }
   };
-  const share = (): Promise<LeadershipAnswer> => {
+  const share = (): Promise<PeerResult<LeadershipAnswer>> => {
     const ageMs = clock.now() - polledAt;
     const ages = { confirmedAgoMs: ageMs, storeAgoMs: ageMs, lookedAgoMs: ageMs };
-    return Promise.resolve({ ...update, ...ages, vm: "vm-0", listsAsker: true, storeRevision: 1 });
+    const answer = { ...update, ...ages, vm: "vm-0", listsAsker: true, storeRevision: 1 };
+    return Promise.resolve({ type: "answered", answer });
   };
   const peers = { share };
   const client = new ReaderClient({ vm: "vm-9", dataCentre: "c", topology: known, peers, clock });
@@ -163,7 +169,8 @@
     peers: {
       share: async (_proxy, _update, timeoutMs) => {
         await clock.sleep(Math.min(timeoutMs, 2 * roundTripMs));
-        return timeoutMs < 2 * roundTripMs ? undefined : ({} as LeadershipAnswer);
+        if (timeoutMs < 2 * roundTripMs) return { type: "silent" };
+        return { type: "answered", answer: {} as LeadershipAnswer };
       },
     },
     tracker: { latestUpdate: update },
--- a/test/node/follower.test.ts
+++ b/test/node/follower.test.ts
@@ -134,7 +134,7 @@
     super("vm-1", silentLogger, createSystemClock());
   }
 
-  override share = () => Promise.resolve(undefined);
+  override share = () => Promise.resolve({ type: "silent" } as const);
   override fetchScene = () => Promise.resolve(this.getSnapshot());
 }
 
--- a/test/node/proxy-liveness.test.ts
+++ b/test/node/proxy-liveness.test.ts
@@ -25,7 +25,9 @@
     peers: {
       share: ({ vm }) => {
         asked.push(vm);
-        return Promise.resolve(alive.includes(vm) ? answer : undefined);
+        return Promise.resolve(
+          alive.includes(vm) ? { type: "answered", answer } : { type: "silent" },
+        );
       },
     },
     tracker: { latestUpdate: { leadership, promoted: [] } },
--- a/test/node/reader.test.ts
+++ b/test/node/reader.test.ts
@@ -1,5 +1,10 @@
 import { afterEach, expect, test } from "@jest/globals";
-import type { LeadershipAnswer, Proxy } from "../../src/leadership/index.js";
+import {
+  findAnswer,
+  type LeadershipAnswer,
+  type PeerResult,
+  type Proxy,
+} from "../../src/leadership/index.js";
 import { DirectPeerClient } from "../../src/directpeer/index.js";
 import { silentLogger } from "../../src/log/index.js";
 import { hashPair } from "../../src/policy/index.js";
@@ -76,7 +81,9 @@
 
 const ask = (vm: string, reply: LeadershipAnswer | undefined, clock = new FakeClock()) => {
   clock.time = 5000;
-  const peers = { share: () => Promise.resolve(reply) };
+  const result: PeerResult<LeadershipAnswer> =
+    reply === undefined ? { type: "silent" } : { type: "answered", answer: reply };
+  const peers = { share: () => Promise.resolve(result) };
   const client = new ReaderClient({ vm, dataCentre: "a", topology: singleRegion, peers, clock });
   return client.askReader(proxies, update);
 };
@@ -148,11 +155,11 @@
   const address = reader.peers ?? reader.callers;
   let reply: LeadershipAnswer | undefined;
   await waitUntil(async () => {
-    reply = await peers.share({ vm: reader.vm, address }, update, 250);
+    reply = findAnswer(await peers.share({ vm: reader.vm, address }, update, 250));
     return reply?.storeAgoMs !== undefined && (reply.lookedAgoMs ?? 0) > reply.storeAgoMs + 1500;
   });
   await waitUntil(() => hasApplied("vm-0", 2) && hasApplied("vm-1", 2));
-  const after = await peers.share({ vm: reader.vm, address }, update, 250);
+  const after = findAnswer(await peers.share({ vm: reader.vm, address }, update, 250));
   expect(after?.lookedAgoMs ?? Infinity).toBeGreaterThan((after?.storeAgoMs ?? 0) + 1500);
 });
 
