Don't report proxies on an outdated list as ended

When the list of proxies can't be read for a change, a refused connection proves nothing: the proxy may run at another address. The change waited correctly, but the event proxiesEnded and the metric still named these proxies as ended, which by the operations page points to a firewall that rejects connections. Measured: the new test fails without the change; test/leadership/ended.test.ts: 6 passed.

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -217,7 +217,8 @@
     const changeStartedAt = this.ports.clock.now();
     const isListed = await this.ports.refreshProxies();
     const notified = await this.notifyOthers();
-    this.recordEnded(notified);
+    // A proxy on an outdated list may run at another address, so that a refused connection proves nothing.
+    if (isListed) this.recordEnded(notified);
     if (suspicion.type === "leaving") await this.ports.clock.sleep(statementDrainMs);
     const oldReport = await this.demoteOldPrimary(group, oldTarget);
     await waitForPermitExpiry(this.ports, this.tracker, changeStartedAt, notified, isListed);
--- a/test/leadership/ended.test.ts
+++ b/test/leadership/ended.test.ts
@@ -1,5 +1,10 @@
 import { expect, test } from "@jest/globals";
-import { permitMs, type PeerResult, type Proxy } from "../../src/leadership/index.js";
+import {
+  noMajorityWaitMs,
+  permitMs,
+  type PeerResult,
+  type Proxy,
+} from "../../src/leadership/index.js";
 import { makeProxy } from "../gateway/builders.js";
 import { LeadershipFixture } from "./fixture.js";
 
@@ -59,6 +64,17 @@
   expect([...fixture.missed].sort()).toEqual(["vm-1", "vm-2"]);
 });
 
+// Without a current list a proxy may run at another address than the one that refuses connections. Reported as ended,
+// it would send operators to search for a rejecting firewall, which is the documented cause of a false report.
+test("proxies on an outdated list are not reported as ended", async () => {
+  const fixture = createGroup("ended", "ended", "answered");
+  fixture.isProxyListReadable = false;
+  await fixture.clock.advance(2 * noMajorityWaitMs);
+  expect(fixture.promoted).toContain("i-1");
+  expect(listEvents(fixture)).not.toContain("proxiesEnded");
+  expect(fixture.endedCount).toBe(0);
+});
+
 // Guards the costs: evidence of an end must come from calls that are made anyway.
 test("a proxy that answers gets no more calls than it gets where no proxy has ended", async () => {
   const countCalls = async (second: CallOutcome) => {
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -33,6 +33,8 @@
   otherTargets: readonly { readonly name: string; readonly dataCentre: string }[] = [];
   /** Whether the entry of the primary `i-0` is still in the listing. */
   isPrimaryListed = true;
+  /** Whether the list of proxies can be read for a change. */
+  isProxyListReadable = true;
   /** All listed proxies. */
   proxies: readonly Proxy[] = [];
   /** How calls to the proxies end. */
@@ -86,7 +88,7 @@
       logger,
       listProxies: () => this.proxies,
       listGroupProxies: () => this.proxies,
-      refreshProxies: () => Promise.resolve(true),
+      refreshProxies: () => Promise.resolve(this.isProxyListReadable),
       markMissed: (proxy) => Promise.resolve(void this.missed.push(proxy.vm)),
       onProxiesEnded: (count) => (this.endedCount += count),
       listTargets: () => this.listTargets(),
