Test that ended proxies are not tried again without a pause

No test failed when the repetition in waitForPermitExpiry left out its pause while some proxies had answered with an outdated document, or while the list of proxies could not be read.

--- a/test/leadership/ended-wait.test.ts
+++ b/test/leadership/ended-wait.test.ts
@@ -95,6 +95,36 @@
   expect(withMajority.endedAt).toBeGreaterThanOrEqual(permitMs);
 });
 
+// Ended proxies are tried again without a pause once the others are notified. If that held for other states too, a
+// proxy that restarts over and over would be called as fast as it answers, until all permits have expired.
+test("a proxy that alternates between ended and an outdated answer is tried with pauses", async () => {
+  const leadership = { ...update.leadership, version: 6 };
+  const outdated: PeerResult<LeadershipAnswer> = {
+    type: "answered",
+    answer: { ...answer, leadership },
+  };
+  const alternating: Behaviour = (attempt) => (attempt % 2 === 0 ? ended : outdated);
+  const behaviours = [alternating, always(answered), always(answered)];
+  const unlisted = await wait(behaviours, false);
+  expect(unlisted.endedAt).toBeGreaterThanOrEqual(permitMs);
+  expect(unlisted.endedAt).toBeLessThan(2 * permitMs);
+  expect(unlisted.attempts[0]).toBeLessThan(permitMs / 50);
+  const listed = await wait(behaviours);
+  expect(listed.attempts).toEqual([3, 1, 1]);
+  expect(listed.endedAt).toBeGreaterThan(100);
+});
+
+// Each answer makes the earlier refusals too old, so that the remaining ended proxies are tried once more.
+test("the wait ends when ended proxies return one after the other", async () => {
+  const returning = (last: number): Behaviour => {
+    return (attempt) => (attempt < last ? ended : answered);
+  };
+  const behaviours = [always(answered), returning(1), returning(2), returning(3)];
+  const { endedAt, attempts } = await wait(behaviours);
+  expect(attempts).toEqual([1, 2, 3, 4]);
+  expect(endedAt).toBe(8);
+});
+
 test("a proxy that answers is notified once", async () => {
   const { attempts } = await wait([always(answered), always(ended)]);
   expect(attempts).toEqual([1, 2]);
