Take no evidence from a refusal at the unspecified address

A connection to 0.0.0.0 or :: reaches the machine of the asking process. A peer that is listed with such an address and another port than the asking process would count as ended while it runs, and a change of primary would not wait for its permit: stale reads and lost acknowledged writes. The settings accept such addresses.

--- a/test/directpeer/refusal.test.ts
+++ b/test/directpeer/refusal.test.ts
@@ -67,6 +67,17 @@
   expect(await share({ host: "localhost", port })).toEqual({ type: "silent" });
 });
 
+// A process that listens at all addresses of its machine may be listed with the unspecified address. A connection to
+// that reaches the machine of the asking process, and says nothing about the peer.
+test("a refusal at the unspecified address proves nothing", async () => {
+  const { port } = await findAddress();
+  expect(await share({ host: "0.0.0.0", port })).toEqual({ type: "silent" });
+  const refused = Object.assign(new Error("refused"), { code: "ECONNREFUSED", syscall: "connect" });
+  for (const host of ["0.0.0.0", "::", "0:0:0:0:0:0:0:0", "::ffff:0.0.0.0"])
+    expect(isConnectionRefused(refused, { host, port })).toBe(false);
+  expect(isConnectionRefused(refused, { host: "fd00::1", port })).toBe(true);
+});
+
 // Only the kernel's answer to the attempt to connect shows that no process listens.
 test("errors other than a refused attempt to connect prove nothing", () => {
   const address = { host: "10.0.0.1", port: 7000 };
