Place reads by the estimated positions of replicas

Where replicas lag, a gateway learnt it from a refused read and forgot it after 80 ms, so that reads right after a write of their session were refused by replicas again and again.

Where slots are planned, a gateway records the end of its log that each answer of a replica reports, estimates the replica's delay, and places reads by it: at a replica that has or will have the position, after a wait without a slot of at most 100 ms, or as load of the primary. One read in 400 ms tries a replica that is expected to lag. The check at the target (atLeast) is unchanged. Elsewhere candidates have no estimate.

--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -34,6 +34,7 @@
     team: team?.name ?? "",
     needsPrimary: requirement.type === "primary",
     hasRequiredMark: requirement.type === "replica",
+    atLeast: requirement.type === "replica" ? requirement.atLeast : undefined,
     isBackground: database.action.priority === "browsing",
     signal: disconnectSignal,
     redirect,
@@ -93,6 +94,7 @@
   placement.group.noteAnswer(placement.target);
   if (hasReportedBusy(result)) placement.group.noteSaturated(placement.target);
   notePosition(context, placement, result.reply.mark, askedAt);
+  noteExpectation(context, placement, command, result);
   return result;
 }
 
@@ -147,8 +149,8 @@
 export const supersededReason = "the target is no longer the primary";
 
 /**
- * Records where the primary's log ended. Checks after the answer that the target is still the primary: the
- * mark of a replaced primary would make stale data count as fresh.
+ * Records where a target's log ended. For the primary, checks after the answer that the target is still the primary:
+ * the mark of a replaced primary would make stale data count as fresh.
  */
 function notePosition(
   context: SessionContext,
@@ -156,7 +158,29 @@
   mark: Mark | undefined,
   askedAt: number,
 ): void {
-  if (mark === undefined || placement.role !== "primary") return;
+  if (mark === undefined) return;
+  if (placement.role === "replica") {
+    if (placement.group.isSlotPlanned)
+      placement.group.positions.noteReplicaMark(placement.target, mark, askedAt);
+    return;
+  }
   if (!isStillPrimary(context, placement)) return;
   placement.group.notePrimaryMark(placement.target, mark, askedAt);
 }
+
+/** Compares a replica's answer to a read that required a position with what was expected. */
+function noteExpectation(
+  { ports }: SessionContext,
+  { role, target, group, expectation }: PlacedConnection,
+  command: TargetCommand,
+  result: CommandResult,
+): void {
+  const requiresMark = command.type === "work" || command.type === "begin";
+  const atLeast = requiresMark ? command.atLeast : undefined;
+  if (role === "primary" || atLeast === undefined || !group.isSlotPlanned) return;
+  const isLagging = hasFailedWith(result, "lagging");
+  if (isLagging) group.positions.noteRefused(target, atLeast);
+  const hasMark = result.type === "answered" && result.reply.end.type === "complete";
+  if ((isLagging && expectation === "ready") || (hasMark && expectation === "late"))
+    ports.onExpectedWrong?.(group.name);
+}
--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -1,6 +1,14 @@
 import { assumedCrossingMs, type Distance } from "../topology/index.js";
+import {
+  canReadFromLocalPrimary,
+  findLagMs,
+  isEligible,
+  isExpectedInTime,
+  isRemote,
+} from "./eligibility.js";
 import type { TargetHealth } from "./health.js";
 import type { PrimaryState } from "./primary.js";
+import type { Readiness } from "./replica-positions.js";
 
 /** The state of a target that the choice of one depends on. */
 export interface CandidateTarget {
@@ -19,6 +27,8 @@
   readonly slots: number;
   /** Slots taken by statements that run there or wait for a connection. */
   readonly occupiedSlots: number;
+  /** When it has the position that the statement requires; absent where this is not estimated. */
+  readonly readiness?: Readiness;
 }
 
 /** The constraints of a statement on its target. */
@@ -130,12 +140,12 @@
   now: number,
   random: () => number,
 ): CandidateChoice {
-  const lagging = replicas.filter((v) => hasRequiredMark && now < v.health.laggingUntil);
+  const lagging = replicas.filter((v) => hasRequiredMark && !isExpectedInTime(v, now));
   const others = replicas.filter((v) => !lagging.includes(v));
   const hasRegions = replicas.some(isRemote);
   const answering = hasRegions ? others.filter((v) => now >= v.health.avoidUntil) : others;
   if (answering.length === 0 && lagging.length > 0) {
-    const readyInMs = Math.min(...lagging.map((v) => v.health.laggingUntil)) - now;
+    const readyInMs = Math.min(...lagging.map((v) => findLagMs(v, now)));
     return { type: "wait", readyInMs, reason: replicasLagReason };
   }
   const near = answering.filter((v) => !isRemote(v));
@@ -262,10 +272,6 @@
   );
 }
 
-function isRemote({ distance }: CandidateTarget): boolean {
-  return distance === "remote";
-}
-
 function hasFreeSlot({ occupiedSlots, slots }: CandidateTarget): boolean {
   return occupiedSlots < slots;
 }
@@ -302,44 +308,6 @@
   }
 }
 
-/**
- * Whether a read may go to the primary although replicas are eligible: the primary is in this data centre,
- * runs nothing of this proxy and has not been saturated recently. Each proxy has at most one such read on it,
- * so that writes find a slot; background statements are excluded. Without this rule reads would pay for
- * traffic to another data centre while a local primary is idle.
- */
-function canReadFromLocalPrimary(
-  candidate: CandidateTarget,
-  constraints: PlacementConstraints,
-  now: number,
-): boolean {
-  if (constraints.isBackground || !candidate.isLocal || candidate.running > 0) return false;
-  return (
-    isEligible(candidate, { ...constraints, hasRequiredMark: false }, now) &&
-    now >= candidate.health.saturatedUntil
-  );
-}
-
-/**
- * Whether a failing target already has the one statement that probes for its recovery; others then go
- * elsewhere. Each statement sent to an unreachable target waits up to 0.4 s for a connection, longer than
- * callers' latency target, and statements queued behind it are refused.
- */
-function isBeingProbed({ health, occupiedSlots }: CandidateTarget): boolean {
-  return health.failures > 0 && occupiedSlots > 0;
-}
-
-function isEligible(
-  candidate: CandidateTarget,
-  constraints: PlacementConstraints,
-  now: number,
-): boolean {
-  if (candidate.isLeaving || candidate.slots === 0 || constraints.excluded.has(candidate.name))
-    return false;
-  if (now < candidate.health.avoidUntil || isBeingProbed(candidate)) return false;
-  return !constraints.hasRequiredMark || now >= candidate.health.laggingUntil;
-}
-
 /**
  * The running statements plus the load of opening a connection if none is idle, which takes about 12 ms
  * and one of the target's slots.
--- a/src/direct/directory.ts
+++ b/src/direct/directory.ts
@@ -1,6 +1,7 @@
 import type { Disposable } from "../model/index.js";
 import { DirectGroup } from "./group.js";
 import type { DirectPorts } from "./ports.js";
+import type { ReplicaDelay } from "./replica-positions.js";
 import type { ServingConfig } from "./serving-config.js";
 
 /** The use of one target's slots by this proxy. */
@@ -13,6 +14,11 @@
   readonly idle: number;
 }
 
+/** The estimated replication delay of one replica. */
+export interface GroupReplicaDelay extends ReplicaDelay {
+  readonly group: string;
+}
+
 /** The groups that this proxy uses, updated from each new serving configuration. */
 export class GroupDirectory implements Disposable {
   private readonly groups = new Map<string, DirectGroup>();
@@ -58,6 +64,15 @@
       );
   }
 
+  /** The estimated replication delays of all replicas where slots are planned. */
+  listReplicaDelays(): readonly GroupReplicaDelay[] {
+    return [...this.groups.values()]
+      .filter(({ isSlotPlanned }) => isSlotPlanned)
+      .flatMap(({ name, positions }) =>
+        positions.listDelays().map((delay) => ({ group: name, ...delay })),
+      );
+  }
+
   /** Discards all known log positions. Called when the process was suspended for an unknown time. */
   forgetMarks(): void {
     for (const group of this.groups.values()) group.forgetMarks();
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -1,23 +1,10 @@
 import { directEvents } from "../log/events/direct.js";
 import { SlotQueue, TargetPool, type AcquireResult, type SlotResult } from "../capacity/index.js";
 import type { AdmissionRequest } from "../controller/admission/index.js";
-import {
-  compareTerms,
-  DisposableStore,
-  pickLaterMark,
-  type Disposable,
-  type Mark,
-  type Target,
-} from "../model/index.js";
-import {
-  emptyHistory,
-  findMarkSince,
-  findNewestMark,
-  observePrimary,
-  type PositionHistory,
-} from "../policy/index.js";
+import { DisposableStore, type Disposable, type Mark, type Target } from "../model/index.js";
 import type { CandidateTarget } from "./candidates.js";
 import { CrossingTimes } from "./crossing.js";
+import { GroupPositions } from "./group-positions.js";
 import {
   noteAnswer,
   noteLagging,
@@ -29,7 +16,7 @@
 import { IdleTransactions } from "./idle-transactions.js";
 import { checkTimeoutMs, createPoolOptions } from "./pool-options.js";
 import type { DirectPorts } from "./ports.js";
-import { positionReadIntervalMs } from "./redirect.js";
+import type { RequiredMark } from "./replica-positions.js";
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
 import type { Distance } from "../topology/index.js";
@@ -54,16 +41,14 @@
   readonly slots: SlotQueue;
   /** Transactions that hold a connection without a slot. */
   readonly idle: IdleTransactions;
+  /** What is known of the ends of the targets' logs. */
+  readonly positions: GroupPositions;
   private readonly disposables = new DisposableStore();
   private readonly pools = new Map<string, TargetPool<TrackedLink>>();
   private readonly health = new Map<string, TargetHealth>();
   private readonly runningCounts = new Map<string, number>();
   private targets = new Map<string, AnnouncedTarget>();
   private isPlanned = false;
-  private history: PositionHistory = emptyHistory;
-  /** The newest end of its log that the current primary has reported. */
-  private reportedEnd: ReportedEnd | undefined;
-  private positionReadAt = -Infinity;
   private readonly shares = new Map<string, ConnectionShare>();
   private readonly crossingTimes: CrossingTimes;
 
@@ -78,6 +63,12 @@
     this.idle = this.disposables.add(
       new IdleTransactions(ports.clock, (target) => this.countWaitingForConnection(target)),
     );
+    this.positions = new GroupPositions(ports.clock, {
+      onStalledChange: (target, isStalled) => {
+        const event = isStalled ? directEvents.replicaStalled : directEvents.replicaRecovered;
+        ports.logger.write(event, { group: this.name, target });
+      },
+    });
     this.update(group);
   }
 
@@ -115,8 +106,8 @@
     }
   }
 
-  /** Lists the targets for the placement of a team's statement. */
-  listCandidates(team: string): readonly CandidateTarget[] {
+  /** Lists the targets for the placement of a team's statement, which may require a position of a replica. */
+  listCandidates(team: string, required?: RequiredMark): readonly CandidateTarget[] {
     return [...this.targets.values()].map((target) => ({
       name: target.name,
       isLeaving: target.isLeaving === true,
@@ -127,6 +118,7 @@
       hasIdle: this.hasIdleConnection(target.name, team),
       slots: this.findShare(target.name).slots,
       occupiedSlots: this.findShare(target.name).slots - this.slots.countFree(target.name),
+      ...this.assessReadiness(target.name, required),
     }));
   }
 
@@ -157,7 +149,7 @@
    * would be refused without having been sent.
    */
   evict(target: string): void {
-    this.reportedEnd = undefined;
+    this.positions.forgetReportedEnd();
     this.slots.evict(target);
   }
 
@@ -217,32 +209,22 @@
 
   /** Records the end of the primary's log as reported in the answer to a command sent at `askedAt`. */
   notePrimaryMark(target: string, mark: Mark, askedAt: number): void {
-    const reported = this.findReportedEnd(target);
-    this.reportedEnd = {
-      target,
-      mark: reported === undefined ? mark : pickLaterMark(reported, mark),
-    };
-    const newest = findNewestMark(this.history);
-    if (newest !== undefined && compareTerms(mark.term, newest.term) < 0) return;
-    this.history = observePrimary(this.history, { status: { mark }, askedAt });
+    this.positions.notePrimaryMark(target, mark, askedAt);
   }
 
   /** Finds a mark that covers every commit acknowledged before `time`; undefined if none is known. */
   findMarkSince(time: number): Mark | undefined {
-    return findMarkSince(this.history, time);
+    return this.positions.findMarkSince(time);
   }
 
   /** Whether a read may go to the primary to learn the end of its log; false while another one does so. */
   beginPositionRead(): boolean {
-    const now = this.ports.clock.now();
-    if (now - this.positionReadAt < positionReadIntervalMs) return false;
-    this.positionReadAt = now;
-    return true;
+    return this.positions.beginPositionRead();
   }
 
   /** Discards the known log positions. Called when the process was suspended for an unknown time. */
   forgetMarks(): void {
-    this.history = emptyHistory;
+    this.positions.forgetMarks();
   }
 
   dispose(): Promise<void> {
@@ -254,6 +236,18 @@
     return this.ports.topology.measureDistance(this.ports.dataCentre, dataCentre);
   }
 
+  /** Estimates when a replica has the position that a statement requires; empty where nothing is known. */
+  private assessReadiness(
+    target: string,
+    required: RequiredMark | undefined,
+  ): Pick<CandidateTarget, "readiness"> {
+    if (required === undefined || !this.isSlotPlanned || this.isPrimary({ name: target }))
+      return {};
+    const transitMs = this.isRemote(target) ? this.estimateCrossingMs([target]) / 2 : 0;
+    const readiness = this.positions.assess(target, required, transitMs);
+    return readiness === undefined ? {} : { readiness };
+  }
+
   /** Counts the requests that a connection of an idle transaction would serve. */
   private countWaitingForConnection(target: string): number {
     const pool = this.pools.get(target);
@@ -314,10 +308,12 @@
   private async openLink(target: Target, timeoutMs: number, team: string): Promise<TrackedLink> {
     const { dialer, primaries, clock } = this.ports;
     const askedAt = clock.now();
-    const reported = this.findReportedEnd(target.name);
+    const reported = this.positions.findReportedEnd(target.name);
     try {
       const link = await dialer.open(this.name, target, timeoutMs, team || undefined);
       if (this.isPrimary(target)) this.checkOpenedLog(target, link, reported, askedAt);
+      else if (this.isSlotPlanned && link.openedAt !== undefined)
+        this.positions.noteReplicaMark(target.name, link.openedAt, askedAt);
       return new TrackedLink(link);
     } catch (error) {
       if (!dialer.isTooManyConnections(error)) {
@@ -353,16 +349,11 @@
         throw new LostLogError(`target ${name} lacks commits that it had acknowledged`);
       }
       // It stays the primary because no other target runs, so its log is tracked from this position.
-      this.history = emptyHistory;
-      this.reportedEnd = undefined;
+      this.positions.restart();
     }
     if (openedAt !== undefined) this.notePrimaryMark(name, openedAt, askedAt);
   }
 
-  private findReportedEnd(target: string): Mark | undefined {
-    return this.reportedEnd?.target === target ? this.reportedEnd.mark : undefined;
-  }
-
   private isPrimary({ name }: Pick<Target, "name">): boolean {
     const primary = this.ports.primaries.find(this.name);
     return primary.type === "serving" && primary.target === name;
@@ -383,11 +374,6 @@
   private forgetTarget(name: string): void {
     this.closePool(name);
     this.health.delete(name);
+    this.positions.forgetReplica(name);
   }
 }
-
-/** The newest end of its log that a primary has reported. */
-interface ReportedEnd {
-  readonly target: string;
-  readonly mark: Mark;
-}
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -1,5 +1,6 @@
 import { type AdmissionRequest } from "../controller/admission/index.js";
-import type { HeldConnection, ResumeResult, Slot, SlotResult } from "../capacity/index.js";
+import type { ResumeResult, SlotResult } from "../capacity/index.js";
+import type { Mark } from "../model/index.js";
 import {
   chooseCandidates,
   hasRegionalTarget,
@@ -15,7 +16,10 @@
 import { makeAdmissionLevel } from "./levels.js";
 import type { DirectPorts } from "./ports.js";
 import type { PrimaryState } from "./primary.js";
+import { makePlacedConnection } from "./placed-connection.js";
 import { minRedirectMs, type RedirectCause, type RedirectOffer } from "./redirect.js";
+import type { Expectation, RequiredMark } from "./replica-positions.js";
+import { findProbe, findReplicaWaitMs, limitReplicaWait } from "./replica-wait.js";
 import type { TrackedLink } from "./tracked-link.js";
 import type { Database } from "./serving-config.js";
 
@@ -27,6 +31,8 @@
   readonly team: string;
   readonly deadlineAt: number;
   readonly signal: AbortSignal;
+  /** The position that a replica's log must contain. */
+  readonly atLeast?: Mark | undefined;
   /** For a read that may be left to the primary's gateway. */
   readonly redirect?: RedirectOffer | undefined;
 }
@@ -37,6 +43,8 @@
   readonly target: string;
   readonly role: "primary" | "replica";
   readonly link: TrackedLink;
+  /** Whether the target was expected to have the position that the statement requires. */
+  readonly expectation: Expectation;
   /** Records an answer, so that a long transaction's connection does not count as silent. */
   noteProgress(): void;
   /** Whether it has given its slot back, because its transaction is idle between two statements. */
@@ -93,6 +101,20 @@
 ): Promise<PlacementResult> {
   const choice = await waitForCandidates(ports, group, request);
   if (choice.type !== "targets") return choice;
+  const endProbe =
+    choice.probes === undefined ? undefined : group.positions.beginProbe(choice.probes);
+  const result = await placeAtTargets(ports, group, request, choice, endProbe);
+  if (result.type !== "placed") endProbe?.();
+  return result;
+}
+
+async function placeAtTargets(
+  ports: DirectPorts,
+  group: DirectGroup,
+  request: PlacementRequest,
+  choice: ChosenTargets,
+  endProbe: (() => void) | undefined,
+): Promise<PlacementResult> {
   const admitted = await acquireSlot(ports, group, request, choice);
   if (admitted.type === "refused") {
     const { reason } = admitted;
@@ -103,18 +125,34 @@
     return { type: "refused", reason, retryAfterMs, waitedFor: choice.names };
   }
   const { slot } = admitted;
+  const expectation = findExpectation(group, request, choice.role, slot.target);
   const taken = await takeConnection(group, slot.target, request);
   if (taken.type === "refused") {
     slot.release();
     return { type: "unreachable", target: slot.target, reason: taken.reason };
   }
+  const expected = { expectation, endProbe };
   return {
     type: "placed",
-    placement: makePlacedConnection(group, slot, choice.role, taken.connection),
+    placement: makePlacedConnection(group, slot, choice.role, taken.connection, expected),
   };
 }
 
-type ChosenTargets = Extract<CandidateChoice, { type: "targets" }>;
+/** Whether a replica is expected to have the required position when the read is sent. */
+function findExpectation(
+  group: DirectGroup,
+  { atLeast }: PlacementRequest,
+  role: ChosenTargets["role"],
+  target: string,
+): Expectation {
+  if (role === "primary" || atLeast === undefined || !group.isSlotPlanned) return "unknown";
+  return group.positions.findExpectation(target, atLeast);
+}
+
+type ChosenTargets = Extract<CandidateChoice, { type: "targets" }> & {
+  /** The replica that the read tries although it is expected to lag. */
+  readonly probes?: string;
+};
 
 /**
  * Acquires a connection. Where slots are planned, gives up after a while if transactions that hold connections
@@ -161,7 +199,7 @@
   if (leavesRegionAfterMs === undefined) return admitted;
   const listWider = () => {
     const primary = ports.primaries.find(group.name);
-    const candidates = group.listCandidates(request.team);
+    const candidates = group.listCandidates(request.team, findRequired(request, ports.clock.now()));
     return listReplicasOfAllRegions(request, primary, candidates, ports.clock.now());
   };
   const ended = new AbortController();
@@ -185,8 +223,8 @@
 }
 
 /**
- * Chooses candidates, and waits for a usable primary while one is expected before the deadline and within
- * `maxPrimaryWaitMs`.
+ * Chooses candidates. Waits for a replica that is expected to have the required position soon, and for a usable
+ * primary while one is expected before the deadline and within `maxPrimaryWaitMs`.
  */
 async function waitForCandidates(
   ports: DirectPorts,
@@ -195,6 +233,8 @@
 ): Promise<CandidateResult> {
   const { clock, primaries, random } = ports;
   const startedAt = clock.now();
+  const required = findRequired(request, startedAt);
+  const waitEndsAt = startedAt + limitReplicaWait(findObjectiveEnd(request) - startedAt);
   const crossing: CrossingCost = {
     estimateWaitMs: (names) => group.slots.estimateWaitMs(makeAdmissionRequest(request, names)),
     estimateCrossingMs: (names) => group.estimateCrossingMs(names),
@@ -202,7 +242,16 @@
   for (;;) {
     const now = clock.now();
     const primary = primaries.find(group.name);
-    const candidates = group.listCandidates(request.team);
+    const candidates = group.listCandidates(request.team, required);
+    const probes = findProbe(request, primary, candidates, now);
+    if (probes !== undefined) return { type: "targets", role: "replica", names: [probes], probes };
+    const waitMs = findReplicaWaitMs(request, primary, candidates, now, waitEndsAt);
+    if (request.signal.aborted) return disconnectedRefusal;
+    if (waitMs !== undefined) {
+      // The sleep rejects when the caller disconnects.
+      await clock.sleep(waitMs, request.signal).catch(() => undefined);
+      continue;
+    }
     const cause = findRedirectCause(group, request, primary, candidates, now);
     if (cause !== undefined) {
       request.redirect?.accept(cause);
@@ -264,6 +313,24 @@
   return { reason: "no replica is known to be fresh enough", leavesRegion };
 }
 
+/** Of a statement whose caller disconnected before it waited for a slot. */
+const disconnectedRefusal: RefusedPlacement = {
+  type: "refused",
+  reason: "the caller has disconnected",
+  retryAfterMs: 0,
+  waitedFor: [],
+};
+
+/** When the objective of a statement ends; its deadline without an objective. */
+function findObjectiveEnd({ database, deadlineAt }: PlacementRequest): number {
+  const { deadlineMs, objectiveMs = deadlineMs } = database.action;
+  return deadlineAt - deadlineMs + objectiveMs;
+}
+
+function findRequired({ atLeast }: PlacementRequest, since: number): RequiredMark | undefined {
+  return atLeast === undefined ? undefined : { mark: atLeast, since };
+}
+
 function makeAdmissionRequest(
   request: PlacementRequest,
   candidates: readonly string[],
@@ -275,61 +342,3 @@
   const team = request.team || database.name;
   return { id, team, plan: "paying", priority, ...level, candidates, deadlineAt, maxQueueMs };
 }
-
-function makePlacedConnection(
-  group: DirectGroup,
-  slot: Slot,
-  role: "primary" | "replica",
-  connection: HeldConnection<TrackedLink>,
-): PlacedConnection {
-  const { target } = slot;
-  group.noteStart(target);
-  let isHeld = true;
-  let idle: IdleTransaction | undefined;
-  const freeSlot = () => {
-    if (!isHeld || slot.isPaused || !group.isSlotPlanned) return false;
-    group.noteEnd(target);
-    slot.pause();
-    return true;
-  };
-  const stopIdle = () => {
-    if (idle !== undefined) group.idle.remove(idle);
-    idle = undefined;
-  };
-  const end = (finish: () => void) => {
-    if (!isHeld) return;
-    isHeld = false;
-    finish();
-    if (!slot.isPaused) group.noteEnd(target);
-    slot.release();
-    stopIdle();
-  };
-  return {
-    group,
-    target,
-    role,
-    link: connection.session,
-    noteProgress: () => connection.noteProgress(),
-    get isIdle() {
-      return isHeld && slot.isPaused;
-    },
-    pause: (transaction) => {
-      if (!freeSlot()) return;
-      idle = { ...transaction, target };
-      group.idle.add(idle);
-    },
-    startRollback: () => {
-      freeSlot();
-      if (idle !== undefined) group.idle.noteEnding(idle);
-    },
-    resume: async (deadlineAt, signal) => {
-      const wasPaused = slot.isPaused;
-      stopIdle();
-      const result = await slot.resume(deadlineAt, signal);
-      if (isHeld && wasPaused && result.type === "started") group.noteStart(target);
-      return result;
-    },
-    release: () => end(() => connection.release()),
-    drop: () => end(() => connection.drop()),
-  };
-}
--- a/src/direct/ports.ts
+++ b/src/direct/ports.ts
@@ -63,6 +63,8 @@
   readonly onStatement: (sample: StatementSample) => void;
   /** Called when this process leaves a statement of a group to the primary's gateway. */
   readonly onRedirect: (group: string) => void;
+  /** Called when a replica had the position that a read required, or lacked it, contrary to what was expected. */
+  readonly onExpectedWrong?: (group: string) => void;
   /** Called at the end of the wait for a slot of each statement with a level. */
   readonly onSlotWait?: (group: string, wait: SlotWait) => void;
 }
--- a/src/log/events/direct.ts
+++ b/src/log/events/direct.ts
@@ -74,6 +74,18 @@
     level: "info",
     text: "This gateway's slots at a target changed, as another gateway was lost, came back or left; the new number is given.",
   },
+  replicaStalled: {
+    id: 2118,
+    name: "replicaStalled",
+    level: "warn",
+    text: "A replica has received nothing for 1 s while the primary's log grew; reads that need newer positions go elsewhere.",
+  },
+  replicaRecovered: {
+    id: 2119,
+    name: "replicaRecovered",
+    level: "info",
+    text: "A replica no longer counts as stalled: it reported a newer position, or what was known of it was discarded.",
+  },
   linesDropped: {
     id: 2108,
     name: "logLinesDropped",
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -11,6 +11,7 @@
 import type { CrossingKind } from "../topology/index.js";
 import { LabelLimiter } from "./label-limiter.js";
 import { LevelMetrics } from "./level-metrics.js";
+import { ReplicaMetrics } from "./replicas.js";
 import { SlotGauges } from "./slots.js";
 
 const maxGroupLabels = 200;
@@ -74,6 +75,8 @@
   readonly contentType: string;
   /** The metrics of statements with a level. */
   readonly levels: LevelMetrics;
+  /** The metrics of replicas' positions. */
+  readonly replicas: ReplicaMetrics;
 }
 
 /**
@@ -95,6 +98,7 @@
 class RegistryMetrics implements Metrics {
   readonly contentType: string;
   readonly levels: LevelMetrics;
+  readonly replicas: ReplicaMetrics;
   private readonly groupLabels = new LabelLimiter(maxGroupLabels);
   private readonly readCounts = { primary: 0, replica: 0 };
   private readonly slots: SlotGauges;
@@ -181,6 +185,7 @@
       define("configuration_revision", "Revision of the configuration in force.", []),
     );
     this.slots = new SlotGauges(registry, this.groupLabels);
+    this.replicas = new ReplicaMetrics(registry, this.groupLabels);
     this.callers = new Gauge(define("callers_connected", "Number of connected callers.", []));
     for (const invariant of invariants) this.violations.inc({ invariant }, 0);
   }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -172,6 +172,7 @@
     this.directPorts = this.createDirectPorts();
     this.groups = this.owned.add(new GroupDirectory(this.directPorts));
     this.metrics.observeSlots(() => this.groups.listSlots());
+    this.metrics.replicas.observe(() => this.groups.listReplicaDelays());
     this.callers = new CallerRegistry(
       adapter.callerCodec,
       this.directPorts,
@@ -263,6 +264,7 @@
       onCrossing: (kind) => this.metrics.recordCrossing(kind),
       onStatement: (sample) => this.recordStatement(sample),
       onRedirect: (group) => this.metrics.recordRedirect(group),
+      onExpectedWrong: (group) => this.metrics.replicas.recordExpectedWrong(group),
       onSlotWait: (group, wait) => this.metrics.levels.recordAdmission({ group, ...wait }),
     };
   }
--- a/test/direct/fixture.ts
+++ b/test/direct/fixture.ts
@@ -81,8 +81,12 @@
   isSlotPlanned: boolean;
   /** The end of the log that targets report on new connections. */
   openedAt: Mark | undefined;
+  /** The ends of the logs of single targets, in place of `openedAt`. */
+  readonly openedAtOf = new Map<string, Mark>();
   /** How many statements this proxy left to the primary's gateway. */
   redirectCount = 0;
+  /** How many reads ended contrary to what was expected of their replica. */
+  expectedWrongCount = 0;
   private next = 1;
   private readonly breakers: (() => void)[] = [];
   private readonly config: ServingConfig;
@@ -117,6 +121,7 @@
       onCrossing: (kind) => this.crossings.push(kind),
       onStatement: () => undefined,
       onRedirect: () => (this.redirectCount += 1),
+      onExpectedWrong: () => (this.expectedWrongCount += 1),
     };
     this.groups = new GroupDirectory(this.ports);
     this.config = config;
@@ -171,7 +176,7 @@
       get isUsable() {
         return isUsable && !isInUse;
       },
-      openedAt: this.openedAt,
+      openedAt: this.openedAtOf.get(target) ?? this.openedAt,
       run: (command) => {
         if (!isUsable || isInUse) {
           return Promise.resolve({ type: "broken", sent: false, reason: "closed or in use" });
--- a/test/metric/metric.test.ts
+++ b/test/metric/metric.test.ts
@@ -94,3 +94,14 @@
   metrics.recordRedirect("ledger");
   expect(await metrics.render()).toContain('radishwalk_redirects_total{group="ledger"} 2');
 });
+
+// Guards against delays of replicas that are gone, and values where replicas' positions are not used.
+test("the estimated delays of replicas and wrong estimates are exported", async () => {
+  const metrics = createMetrics();
+  expect(await metrics.render()).not.toContain("radishwalk_replica_delay_seconds{");
+  metrics.replicas.observe(() => [{ group: "ledger", target: "q", delayMs: 150 }]);
+  metrics.replicas.recordExpectedWrong("ledger");
+  const page = await metrics.render();
+  expect(page).toContain('radishwalk_replica_delay_seconds{group="ledger",target="q"} 0.15');
+  expect(page).toContain('radishwalk_reads_expected_wrong_total{group="ledger"} 1');
+});
