Share positions between the gateways of a group

A gateway away from the primary observes its log only with its own few statements there, so it knows late which position a read requires and when the primary reached it.

A position is dated by the request less its age, and told only by the process that got it from the primary itself. It is dropped after a suspension of either process, for a target that is not the primary, and for an earlier term. Builds that don't know the field are asked once on a connection.

--- a/src/direct/group-positions.ts
+++ b/src/direct/group-positions.ts
@@ -1,4 +1,10 @@
-import { compareTerms, pickLaterMark, type Clock, type Mark } from "../model/index.js";
+import {
+  compareMarkOrder,
+  compareTerms,
+  pickLaterMark,
+  type Clock,
+  type Mark,
+} from "../model/index.js";
 import {
   emptyHistory,
   findMarkSince,
@@ -22,12 +28,50 @@
   readonly mark: Mark;
 }
 
+/** A position that one process tells another, and how old it is. */
+export interface AgedPosition {
+  readonly target: string;
+  readonly mark: Mark;
+  /** Since the target was asked for it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** The positions of a group that one process tells another. */
+export interface SharedPositions {
+  /** Absent where it knows none, or may not use the primary now. */
+  readonly primary: AgedPosition | undefined;
+  readonly replicas: readonly AgedPosition[];
+}
+
+/** A request for another process's positions. */
+export interface PositionsRequest {
+  /** When it was sent, on this process's clock, in milliseconds. */
+  readonly askedAt: number;
+  /** Changes when the process was suspended. */
+  readonly epoch: number;
+}
+
+/** The newest position that this process got from the primary itself; `askedAt` is when it asked for it. */
+interface OwnEnd {
+  readonly target: string;
+  readonly mark: Mark;
+  readonly askedAt: number;
+}
+
+/** Positions are requested for this long after a read that requires one, in milliseconds. */
+const requiredForMs = 1000;
+
 /** What this process knows of the ends of the logs of a group's targets. */
 export class GroupPositions {
   private history: PositionHistory = emptyHistory;
   /** The newest end of its log that the current primary has reported. */
   private reportedEnd: ReportedEnd | undefined;
+  private ownEnd: OwnEnd | undefined;
   private positionReadAt = -Infinity;
+  private requiredAt = -Infinity;
+  /** The number of times that the positions were discarded, and when this happened last. */
+  private epoch = 0;
+  private forgottenAt = -Infinity;
   private readonly replicas: ReplicaPositions;
 
   constructor(
@@ -44,9 +88,58 @@
       target,
       mark: reported === undefined ? mark : pickLaterMark(reported, mark),
     };
-    const newest = findNewestMark(this.history);
-    if (newest !== undefined && compareTerms(mark.term, newest.term) < 0) return;
-    this.history = observePrimary(this.history, { status: { mark }, askedAt });
+    this.noteOwnEnd({ target, mark, askedAt });
+    this.observe(mark, askedAt);
+  }
+
+  /** Records that a read requires a position. */
+  noteRequired(): void {
+    this.requiredAt = this.clock.now();
+  }
+
+  /** Whether a read has required a position recently. */
+  get isRequired(): boolean {
+    return this.clock.now() - this.requiredAt <= requiredForMs;
+  }
+
+  /** Starts a request for another process's positions. */
+  startRequest(): PositionsRequest {
+    return { askedAt: this.clock.now(), epoch: this.epoch };
+  }
+
+  /**
+   * Lists the positions to tell another process. `primary` is the target that this process may use as the primary
+   * now; undefined if there is none. Only what this primary has itself reported to this process is told.
+   */
+  share(primary: string | undefined): SharedPositions {
+    const now = this.clock.now();
+    const own = this.ownEnd?.target === primary ? this.ownEnd : undefined;
+    return {
+      primary: own && { target: own.target, mark: own.mark, ageMs: now - own.askedAt },
+      replicas: this.replicas
+        .list()
+        .map(({ target, mark, reportedAt }) => ({ target, mark, ageMs: now - reportedAt })),
+    };
+  }
+
+  /**
+   * Applies another process's positions; `primary` is the target that this process may use as the primary now. They
+   * are dated by when they were requested less their age, since the other process answered later than that: with a
+   * date that is too late, a stale replica would count as fresh. They are dropped if this process was suspended since
+   * the request, because its clock may have stood still.
+   */
+  applyShared(
+    shared: SharedPositions,
+    { askedAt, epoch }: PositionsRequest,
+    primary: string | undefined,
+  ): void {
+    if (epoch !== this.epoch) return;
+    if (shared.primary !== undefined && shared.primary.target === primary)
+      this.observe(shared.primary.mark, askedAt - shared.primary.ageMs);
+    for (const { target, mark, ageMs } of shared.replicas) {
+      const at = askedAt - ageMs;
+      this.replicas.record(target, { mark, askedAt: at, at }, this.history);
+    }
   }
 
   /** Finds the newest end of its log that a target has reported as the primary. */
@@ -56,6 +149,7 @@
 
   /** Discards the newest end that the primary has reported, when it is replaced. */
   forgetReportedEnd(): void {
+    this.ownEnd = undefined;
     this.reportedEnd = undefined;
   }
 
@@ -113,13 +207,33 @@
 
   /** Discards the known positions. Called when the process was suspended for an unknown time. */
   forgetMarks(): void {
+    this.epoch += 1;
+    this.forgottenAt = this.clock.now();
+    this.ownEnd = undefined;
     this.history = emptyHistory;
     this.replicas.forgetAll();
   }
 
   /** Starts again with a primary that has lost a part of its log. */
   restart(): void {
+    this.epoch += 1;
     this.history = emptyHistory;
+    this.ownEnd = undefined;
     this.reportedEnd = undefined;
   }
+
+  /** Keeps what may be told to others, unless it was asked for before the process was suspended. */
+  private noteOwnEnd(end: OwnEnd): void {
+    if (end.askedAt < this.forgottenAt) return;
+    const { ownEnd } = this;
+    const order = ownEnd?.target === end.target ? compareMarkOrder(end.mark, ownEnd.mark) : 1;
+    if (ownEnd !== undefined && (order < 0 || end.askedAt < ownEnd.askedAt)) return;
+    this.ownEnd = end;
+  }
+
+  private observe(mark: Mark, askedAt: number): void {
+    const newest = findNewestMark(this.history);
+    if (newest !== undefined && compareTerms(mark.term, newest.term) < 0) return;
+    this.history = observePrimary(this.history, { status: { mark }, askedAt });
+  }
 }
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -122,6 +122,17 @@
     }));
   }
 
+  /** The target that this process may use as the primary now. The query notices that the process was suspended. */
+  findPrimary(): string | undefined {
+    const primary = this.ports.primaries.find(this.name);
+    return primary.type === "serving" ? primary.target : undefined;
+  }
+
+  /** Whether the platform lists a target of this name. */
+  hasTarget(target: string): boolean {
+    return this.targets.has(target);
+  }
+
   /** Whether a target is in another region than this proxy. */
   isRemote(target: string): boolean {
     const listed = this.targets.get(target);
@@ -355,8 +366,7 @@
   }
 
   private isPrimary({ name }: Pick<Target, "name">): boolean {
-    const primary = this.ports.primaries.find(this.name);
-    return primary.type === "serving" && primary.target === name;
+    return this.findPrimary() === name;
   }
 
   private removeTarget(name: string): void {
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -1,5 +1,7 @@
 export { type CallerCodec, type CallerMessage, CallerRegistry } from "./callers.js";
 export { type SessionContext } from "./context.js";
+export { type AgedPosition, type SharedPositions } from "./group-positions.js";
+export { applySharedPositions, sharePositions } from "./position-sharing.js";
 export { GroupDirectory } from "./directory.js";
 export { type DirectPorts, type StatementSample, type TargetDialer } from "./ports.js";
 export { identifyCaller, TeamRoster } from "./roster.js";
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -234,6 +234,7 @@
   const { clock, primaries, random } = ports;
   const startedAt = clock.now();
   const required = findRequired(request, startedAt);
+  if (request.atLeast !== undefined || wantsPosition(request)) group.positions.noteRequired();
   const waitEndsAt = startedAt + limitReplicaWait(findObjectiveEnd(request) - startedAt);
   const crossing: CrossingCost = {
     estimateWaitMs: (names) => group.slots.estimateWaitMs(makeAdmissionRequest(request, names)),
@@ -307,9 +308,7 @@
   const hasFreeSlot = candidates.some(
     (v) => v.name === target && v.occupiedSlots < Math.max(1, v.slots - reserved),
   );
-  const { route } = request.database.action;
-  const wantsPosition = route.type !== "primary" && route.maxAgeMs !== undefined;
-  if (wantsPosition && hasFreeSlot && group.beginPositionRead()) return undefined;
+  if (wantsPosition(request) && hasFreeSlot && group.beginPositionRead()) return undefined;
   return { reason: "no replica is known to be fresh enough", leavesRegion };
 }
 
@@ -321,6 +320,12 @@
   waitedFor: [],
 };
 
+/** Whether a read may go to replicas once a position of the primary is known. */
+function wantsPosition({ database }: PlacementRequest): boolean {
+  const { route } = database.action;
+  return route.type !== "primary" && route.maxAgeMs !== undefined;
+}
+
 /** When the objective of a statement ends; its deadline without an objective. */
 function findObjectiveEnd({ database, deadlineAt }: PlacementRequest): number {
   const { deadlineMs, objectiveMs = deadlineMs } = database.action;
--- a/src/gateway/codec.ts
+++ b/src/gateway/codec.ts
@@ -295,10 +295,12 @@
   }
 }
 
-function encodeMark({ term, offset }: Mark) {
+/** Encodes a log position. */
+export function encodeMark({ term, offset }: Mark) {
   return { round: term.round, vm: term.vm, offset };
 }
 
-function decodeMark({ round, vm, offset }: GatewayMark): Mark {
+/** Decodes a log position. */
+export function decodeMark({ round, vm, offset }: GatewayMark): Mark {
   return { term: { round, vm }, offset };
 }
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -5,6 +5,7 @@
 import {
   GatewayRequestSchema,
   GatewayResponseSchema,
+  type GatewayPositions,
   type GatewayResponse,
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
 import type { TokenGrant } from "../rates/index.js";
@@ -78,6 +79,7 @@
   private readonly channel: FrameChannel;
   private readonly calls = new Map<number, Call>();
   private readonly tokenRequests = new Map<number, (result: TokenResult) => void>();
+  private readonly positionRequests = new Map<number, (answer?: GatewayPositions) => void>();
   private readonly liveness: LivenessMonitor;
   private readonly openedAt = performance.now();
   private readonly stopConnectTimer: () => void;
@@ -86,6 +88,7 @@
   private nextTransaction = 1;
   private isGreeted = false;
   private grantsTokens = false;
+  private answersPositions = true;
   private dataCount = 0;
   private isGatewayServing = true;
   private queued: readonly QueuedMessage[] = [];
@@ -186,6 +189,28 @@
     });
   }
 
+  /**
+   * Asks the gateway for the positions of a group's targets; undefined if it does not answer. A gateway that once
+   * has not answered is not asked again on this connection, as its build does not know the request.
+   */
+  requestPositions(group: string, timeoutMs: number): Promise<GatewayPositions | undefined> {
+    if (!this.isOpen || !this.answersPositions) return Promise.resolve(undefined);
+    const id = this.nextCall;
+    this.nextCall += 1;
+    return new Promise((resolve) => {
+      const stopTimer = startStallTolerantTimer(timeoutMs, () => {
+        this.answersPositions = !this.isGreeted;
+        this.positionRequests.get(id)?.();
+      });
+      this.positionRequests.set(id, (answer) => {
+        stopTimer();
+        this.positionRequests.delete(id);
+        resolve(answer);
+      });
+      this.write({ call: id, bytes: encodeRequest({ case: "positions", value: { group } }, id) });
+    });
+  }
+
   /** The number of times that data arrived. */
   get receivedCount(): number {
     return this.dataCount;
@@ -257,6 +282,9 @@
       case "tokens":
         this.tokenRequests.get(call)?.({ type: "granted", grant: outcome.value });
         return;
+      case "positions":
+        this.positionRequests.get(call)?.(outcome.value);
+        return;
       case "pong":
         this.isGatewayServing = outcome.value;
         return;
@@ -292,6 +320,7 @@
     const isSent = this.isGreeted;
     for (const { settle } of [...this.calls.values()]) settle({ type: "broken", isSent, reason });
     this.endTokenRequests({ type: "silent" });
+    for (const settle of [...this.positionRequests.values()]) settle();
     this.liveness.stop();
     this.handlers.onEnd(reason);
   }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,3 +1,4 @@
+export { PositionWatch } from "./position-watch.js";
 export { type GatewayPlan } from "./choose.js";
 export { type TokenResult } from "./connection.js";
 export { GatewayConnections } from "./connections.js";
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -105,12 +105,17 @@
    * primary's data centre. False where the primary's data centre is unknown or has no usable gateway.
    */
   canRedirect(group: string): boolean {
+    return this.findPrimaryGateway(group) !== undefined;
+  }
+
+  /** The first usable gateway of the primary's data centre; undefined if there is none or it is this process. */
+  findPrimaryGateway(group: string): Proxy | undefined {
     const plan = this.findPlan(group);
     const centre = this.findPrimaryDataCentre(group);
-    if (plan.isEveryProxyGateway || centre === undefined) return false;
+    if (plan.isEveryProxyGateway || centre === undefined) return undefined;
     const gateways = plan.byDataCentre.get(centre) ?? [];
     const first = gateways.find(({ vm }) => !this.ports.isAvoided(vm));
-    return first !== undefined && first.vm !== this.ports.vm;
+    return first?.vm === this.ports.vm ? undefined : first;
   }
 
   /** The processes that may run a read of a group instead of this one. */
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -5,6 +5,7 @@
   directRunner,
   type RedirectDestinations,
   RedirectOffer,
+  sharePositions,
   StatementTrace,
   watchTransactionIdle,
   type DirectPorts,
@@ -29,6 +30,7 @@
 import { decodeSession, decodeWork, encodeAnswer, type TransactionPart } from "./codec.js";
 import { FrameChannel } from "./channel.js";
 import { LivenessMonitor } from "./liveness.js";
+import { encodePositions } from "./position-codec.js";
 
 /** The environment of a `ServedConnection`. */
 export interface ServedConnectionPorts {
@@ -130,6 +132,12 @@
         this.send(call, { case: "tokens", value: { tokens, lifeMs, batches: [...batches] } });
         return;
       }
+      case "positions": {
+        const group = this.ports.groups.find(step.value.group);
+        const positions = group === undefined ? {} : encodePositions(sharePositions(group));
+        this.send(call, { case: "positions", value: positions });
+        return;
+      }
       case "pong":
       case undefined:
         return;
--- a/src/log/events/gateway.ts
+++ b/src/log/events/gateway.ts
@@ -38,4 +38,10 @@
     level: "info",
     text: "This node left a read that needs the primary to the primary's gateway; nothing of it ran here.",
   },
+  positionsInvalid: {
+    id: 2139,
+    name: "positionsInvalid",
+    level: "warn",
+    text: "A gateway sent a log position that is no whole number; it is ignored, and further ones are not reported.",
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -11,6 +11,7 @@
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
+  PositionWatch,
   RoutedRunner,
   SlotTakeover,
   type TokenResult,
@@ -48,6 +49,7 @@
   private readonly connections: GatewayConnections;
   private readonly router: GatewayRouter;
   private readonly takeover: SlotTakeover;
+  private readonly positions: PositionWatch;
   private server: GatewayServer | undefined;
   private planned: { readonly config: ServingConfig; readonly isPlanned: boolean } | undefined;
   private groups: GroupDirectory | undefined;
@@ -65,6 +67,15 @@
         onChecked: () => this.groups?.refreshShares(),
       }),
     );
+    this.positions = this.owned.add(
+      new PositionWatch({
+        connections: this.connections,
+        getRouter: () => this.router,
+        listGroups: ports.listGroups,
+        getGroups: () => this.groups,
+        logger,
+      }),
+    );
     this.router = new GatewayRouter({
       vm,
       dataCentre,
@@ -99,7 +110,9 @@
 
   /** Watches the gateways before this one while slots are planned, to take over theirs. */
   updateSlotPlan(config: ServingConfig): void {
-    this.takeover.setRunning(this.isSlotPlanned(config));
+    const isPlanned = this.isSlotPlanned(config);
+    this.takeover.setRunning(isPlanned);
+    this.positions.setRunning(isPlanned);
   }
 
   /** Creates the runner of callers' statements: forwarding where that is enabled, direct otherwise. */
