Keep half of the primary's starts for writes beside reads that lack a replica

While replicas lag, their reads wait for the primary beside the writes of their level.

Placement marks such a read (lacksReplica) where slots are planned. After the start of one the next start at the target belongs to other work of its class, if any waits. Levels keep their order.

--- a/src/controller/admission/queue.ts
+++ b/src/controller/admission/queue.ts
@@ -45,6 +45,7 @@
     key,
     candidates,
     isBackground: isBackgroundWork(waiting),
+    lacksReplica: waiting.lacksReplica === true,
     queue: undefined,
     byObjective: undefined,
   };
@@ -153,6 +154,8 @@
 export interface PickRules {
   readonly target: string;
   readonly isBackgroundAllowed: boolean;
+  /** Whether reads that lack a replica may be picked. */
+  readonly isLackingAllowed: boolean;
   /** The key of the time at which a statement that starts now is expected to end. */
   readonly inTimeFrom: string;
   readonly levelOrder: AdmissionSettings["levelOrder"];
@@ -200,10 +203,13 @@
 }
 
 /**
- * The key of the lane that a request belongs to: background or not, and its candidates in order.
+ * The key of the lane that a request belongs to: background or not, whether it lacks a replica, and its candidates
+ * in order.
  */
 export function makeLaneKey(waiting: WaitingRequest): string {
-  return `${isBackgroundWork(waiting) ? "background" : "other"} ${waiting.candidates.join(" ")}`;
+  const kind = isBackgroundWork(waiting) ? "background" : "other";
+  const lacking = waiting.lacksReplica === true ? " lacking" : "";
+  return `${kind}${lacking} ${waiting.candidates.join(" ")}`;
 }
 
 function findNextOfTeam(team: TeamQueue, rules: PickRules): WaitingRequest | undefined {
@@ -236,8 +242,10 @@
   };
 }
 
-function canServeLane(lane: Lane, { target, isBackgroundAllowed }: PickRules): boolean {
-  return (isBackgroundAllowed || !lane.isBackground) && lane.candidates.includes(target);
+function canServeLane(lane: Lane, rules: PickRules): boolean {
+  if (lane.isBackground && !rules.isBackgroundAllowed) return false;
+  if (lane.lacksReplica && !rules.isLackingAllowed) return false;
+  return lane.candidates.includes(rules.target);
 }
 
 /**
--- a/src/controller/admission/slots.ts
+++ b/src/controller/admission/slots.ts
@@ -27,6 +27,7 @@
     runningBackground: 0,
     runningResumed: 0,
     isResumedLast: false,
+    isLackingLast: false,
     held: 0,
     connections: Infinity,
     serviceMs,
--- a/src/controller/admission/start.ts
+++ b/src/controller/admission/start.ts
@@ -57,6 +57,7 @@
     () => `request ${waiting.id} started on target ${name}, which has no free slot`,
   );
   const isBackground = isBackgroundWork(waiting);
+  const isLackingLast = waiting.lacksReplica === true;
   const isQueued = getEntry(admission.waiting, waiting.id) !== undefined;
   const running: RunningRequest = {
     id: waiting.id,
@@ -72,14 +73,16 @@
   const next = {
     ...dequeued,
     running: putEntry(dequeued.running, running.id, running),
-    targets: { ...dequeued.targets, [name]: takeSlot(target, isBackground) },
+    targets: { ...dequeued.targets, [name]: { ...takeSlot(target, isBackground), isLackingLast } },
   };
   return succeed(next, [{ type: "start", id: waiting.id, target: name }]);
 }
 
 /**
  * Picks the next request for a target: from a class with a full credit of its guaranteed share if
- * there is one, else from the most important class.
+ * there is one, else from the most important class. Within a class the start after one of a read that lacks a replica
+ * belongs to other work, if any waits: otherwise a burst of such reads, which replicas serve at other times, would
+ * delay the writes, which only the primary serves.
  */
 function pickNextRequest(
   admission: Admission,
@@ -91,12 +94,17 @@
   const rules = {
     target: name,
     isBackgroundAllowed: canRunBackground(target),
+    isLackingAllowed: true,
     inTimeFrom: makeTimeKey(at + target.serviceMs),
     levelOrder: admission.settings.levelOrder,
   };
   const withCredit = admission.order.filter((c) => getClass(admission, c).credit >= 1);
   for (const className of [...withCredit, ...admission.order]) {
-    const waiting = findNextRequest(getClass(admission, className), rules);
+    const queue = getClass(admission, className);
+    const other = target.isLackingLast
+      ? findNextRequest(queue, { ...rules, isLackingAllowed: false })
+      : undefined;
+    const waiting = other ?? findNextRequest(queue, rules);
     if (waiting !== undefined) return waiting;
   }
   return undefined;
--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -23,6 +23,8 @@
   readonly level?: number;
   /** When the latency objective ends. Used only together with `level`; the deadline if it is absent. */
   readonly objectiveAt?: number;
+  /** Whether it is a read that waits for the primary only because no replica has the position that it requires. */
+  readonly lacksReplica?: boolean;
   /** The names of the targets that may serve the request. At least one. */
   readonly candidates: readonly string[];
   readonly deadlineAt: number;
@@ -122,13 +124,14 @@
 }
 
 /**
- * Waiting requests of one team with the same candidates, in order of arrival. Background work has
- * lanes of its own.
+ * Waiting requests of one team with the same candidates, in order of arrival. Background work and reads that
+ * lack a replica have lanes of their own.
  */
 export interface Lane {
   readonly key: string;
   readonly candidates: readonly string[];
   readonly isBackground: boolean;
+  readonly lacksReplica: boolean;
   readonly queue: Tree<number, WaitingRequest>;
   /** The same requests by their `objectiveKey`, without those that have none. */
   readonly byObjective: Tree<string, WaitingRequest>;
@@ -215,6 +218,8 @@
   readonly runningResumed: number;
   /** Whether the last request that was started had been held. */
   readonly isResumedLast: boolean;
+  /** Whether the last waiting request that was started was a read that lacks a replica. */
+  readonly isLackingLast: boolean;
   /** Requests that hold a connection but no slot. */
   readonly held: number;
   /** The most connections. A request is started only if one is left for it. */
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -33,6 +33,8 @@
   readonly signal: AbortSignal;
   /** The position that a replica's log must contain. */
   readonly atLeast?: Mark | undefined;
+  /** Whether it goes to the primary only because no replica has the position. */
+  readonly lacksReplica?: boolean;
   /** For a read that may be left to the primary's gateway. */
   readonly redirect?: RedirectOffer | undefined;
 }
@@ -115,7 +117,7 @@
   choice: ChosenTargets,
   endProbe: (() => void) | undefined,
 ): Promise<PlacementResult> {
-  const admitted = await acquireSlot(ports, group, request, choice);
+  const admitted = await acquireSlot(ports, group, markLacking(group, request, choice), choice);
   if (admitted.type === "refused") {
     const { reason } = admitted;
     // The primary that it waited for was replaced; the next attempt finds the new one.
@@ -138,6 +140,16 @@
   };
 }
 
+/** Marks a read that goes to the primary because no replica has its position; writes then keep half of the starts. */
+function markLacking(
+  group: DirectGroup,
+  request: PlacementRequest,
+  { role }: ChosenTargets,
+): PlacementRequest {
+  const lacksReplica = group.isSlotPlanned && role === "primary" && request.hasRequiredMark;
+  return lacksReplica ? { ...request, lacksReplica } : request;
+}
+
 /** Whether a replica is expected to have the required position when the read is sent. */
 function findExpectation(
   group: DirectGroup,
@@ -345,5 +357,7 @@
   const level = makeAdmissionLevel(database.action, deadlineAt);
   // Admission takes turns by team, so that a team with a burst of statements delays only itself.
   const team = request.team || database.name;
-  return { id, team, plan: "paying", priority, ...level, candidates, deadlineAt, maxQueueMs };
+  const lacking = request.lacksReplica === true ? { lacksReplica: true } : {};
+  const rest = { candidates, deadlineAt, maxQueueMs, ...lacking };
+  return { id, team, plan: "paying", priority, ...level, ...rest };
 }
--- a/test/direct/replica-wait.test.ts
+++ b/test/direct/replica-wait.test.ts
@@ -243,3 +243,26 @@
   const views = started.groups.find(group)?.listCandidates("", required) ?? [];
   expect(views.some((v) => v.readiness !== undefined)).toBe(false);
 });
+
+// Guards against writes that get no turn beside such reads, since admission cannot tell them apart.
+test("a read that uses the primary as replicas lag is marked for admission, where slots are planned", async () => {
+  for (const isSlotPlanned of [true, false]) {
+    const started = await startBehind(isSlotPlanned);
+    const directGroup = started.groups.find(group);
+    directGroup?.positions.beginProbe("q")();
+    const marks: (boolean | undefined)[] = [];
+    const acquire = directGroup?.acquire.bind(directGroup);
+    if (directGroup === undefined || acquire === undefined) throw new Error("no group");
+    directGroup.acquire = (request, signal) => {
+      if (request.candidates.includes("p")) marks.push(request.lacksReplica);
+      return acquire(request, signal);
+    };
+    const { end } = await writeAndRead(started);
+    await started.advance(70);
+    await answerNext(started, "q", makeLagging(makeMark(6)));
+    await answerNext(started, "p", answered());
+    expect((await end).end.type).toBe("complete");
+    expect(marks).toEqual([undefined, isSlotPlanned ? true : undefined]);
+    await started.dispose();
+  }
+});
