Refuse only reads that waited for a replica when their caller disconnects

The check of the disconnection came before every placement, also where positions of replicas decide nothing. It now follows only the wait for a replica; all other placements are as before.

--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -259,10 +259,12 @@
     const probes = findProbe(request, primary, candidates, now);
     if (probes !== undefined) return { type: "targets", role: "replica", names: [probes], probes };
     const waitMs = findReplicaWaitMs(request, primary, candidates, now, waitEndsAt);
-    if (request.signal.aborted) return disconnectedRefusal;
     if (waitMs !== undefined) {
-      // The sleep rejects when the caller disconnects.
-      await clock.sleep(waitMs, request.signal).catch(() => undefined);
+      const isDisconnected = await clock.sleep(waitMs, request.signal).then(
+        () => false,
+        () => true,
+      );
+      if (isDisconnected) return disconnectedRefusal;
       continue;
     }
     const cause = findRedirectCause(group, request, primary, candidates, now);
@@ -324,7 +326,7 @@
   return { reason: "no replica is known to be fresh enough", leavesRegion };
 }
 
-/** Of a statement whose caller disconnected before it waited for a slot. */
+/** Of a read whose caller disconnected while it waited for a replica. */
 const disconnectedRefusal: RefusedPlacement = {
   type: "refused",
   reason: "the caller has disconnected",
