Report a gateway's load with its answers

Entry nodes learn that a gateway's queue is full only by the refusal of each statement. Where slots are planned, a gateway now adds GatewayLoad to its answers: the wait of the most important level and the least important level that it admits, apart for the primary and the replicas, at most once in 50 ms for a group, role and connection, and with each refusal. Connections share figures for 25 ms. Nodes ignore the field so far.

--- a/src/capacity/slots.ts
+++ b/src/capacity/slots.ts
@@ -7,12 +7,14 @@
   listSlotUse,
   listWaitingOnlyFor,
   estimateWait,
+  previewRequest,
   summariseAdmission,
   type Admission,
   type AdmissionEffect,
   type AdmissionEvent,
   type AdmissionRequest,
   type AdmissionSummary,
+  type RequestPreview,
   type RequestProfile,
   type SlotUse,
 } from "../controller/admission/index.js";
@@ -155,6 +157,11 @@
     return estimateWait(this.admission, request, this.clock.now()).waitMs;
   }
 
+  /** Estimates what would become of a request that arrived now, without adding it to the queue. */
+  preview(request: Omit<AdmissionRequest, "id">): RequestPreview {
+    return previewRequest(this.admission, request, this.clock.now());
+  }
+
   summarise(): AdmissionSummary {
     return summariseAdmission(this.admission);
   }
--- a/src/controller/admission/index.ts
+++ b/src/controller/admission/index.ts
@@ -24,4 +24,5 @@
   summariseAdmission,
 } from "./view.js";
 export { listResuming } from "./hold.js";
+export { previewRequest, type RequestPreview } from "./preview.js";
 export { type WaitEstimate, type RequestProfile, estimateWait } from "./wait.js";
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -1,6 +1,8 @@
 export { type CallerCodec, type CallerMessage, CallerRegistry } from "./callers.js";
 export { type SessionContext } from "./context.js";
+export { type CandidateTarget } from "./candidates.js";
 export { GroupDirectory } from "./directory.js";
+export { type DirectGroup } from "./group.js";
 export { type DirectPorts, type StatementSample, type TargetDialer } from "./ports.js";
 export { identifyCaller, TeamRoster } from "./roster.js";
 export { describeRefusal } from "./pause.js";
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -29,6 +29,8 @@
 import { decodeSession, decodeWork, encodeAnswer, type TransactionPart } from "./codec.js";
 import { FrameChannel } from "./channel.js";
 import { LivenessMonitor } from "./liveness.js";
+import type { LoadRole } from "./load-figures.js";
+import { LoadReporter, type LoadSource } from "./load-source.js";
 
 /** The environment of a `ServedConnection`. */
 export interface ServedConnectionPorts {
@@ -69,12 +71,15 @@
   private readonly transactions = new Map<number, ServedTransaction>();
   private readonly channel: FrameChannel;
   private readonly liveness: LivenessMonitor;
+  private readonly reporter: LoadReporter;
 
   constructor(
     socket: Socket,
     private readonly ports: ServedConnectionPorts,
+    loads: LoadSource,
     private readonly onEnd: () => void,
   ) {
+    this.reporter = new LoadReporter(loads);
     this.channel = new FrameChannel(socket, {
       onData: () => this.liveness.recordData(),
       onFrame: (frame) => this.handle(fromBinary(GatewayRequestSchema, frame)),
@@ -158,13 +163,13 @@
     const redirect = this.createRedirectOffer(step, work);
     const context = redirect === undefined ? admitted : { ...admitted, redirect };
     if (step.transaction === 0) {
-      await this.answer(call, context, () =>
+      await this.answer(call, context, findRole(context, work, true), () =>
         directRunner.runAutocommit(context, work, context.ports.clock.now()),
       );
       return;
     }
     const held = this.findTransaction(step, context);
-    await this.answer(call, context, async () => ({
+    await this.answer(call, context, findRole(context, work, step.isReadOnly), async () => ({
       reply:
         held === undefined
           ? createLostReply("failed")
@@ -178,7 +183,7 @@
     const context = this.admit(call, session, !step.opens);
     if (context === undefined) return;
     const held = this.findTransaction(step, context);
-    await this.answer(call, context, async () =>
+    await this.answer(call, context, "primary", async () =>
       held === undefined
         ? { reply: createLostReply("idle") }
         : held.body.commit(context, id, text, context.ports.clock.now()),
@@ -264,18 +269,25 @@
   /** Runs a step and sends its answer, which the node ignores if it has cancelled the call. */
   private async answer(
     call: number,
-    { trace, redirect }: SessionContext,
+    { trace, redirect, group }: SessionContext,
+    concerned: LoadRole,
     run: () => Promise<StatementResult>,
   ): Promise<void> {
     try {
       const { reply, commitMark: written } = await run();
       if (redirect?.cause !== undefined) {
-        this.send(call, { case: "redirect", value: redirect.cause });
+        const load = this.reporter.findReport(group.name, concerned, false);
+        const value = redirect.cause;
+        this.write({ call, outcome: { case: "redirect", value }, ...(load && { load }) });
         return;
       }
       const { target, role, attemptCount: tries } = trace;
       const answer = { reply, isWritten: written !== undefined, target, role, tries };
-      this.send(call, { case: "reply", value: encodeAnswer(answer) });
+      const isRefusal = reply.end.type === "error" && reply.end.code === "busy";
+      const ranAt = role === "none" ? concerned : role;
+      const load = this.reporter.findReport(group.name, ranAt, isRefusal);
+      const value = encodeAnswer(answer);
+      this.write({ call, outcome: { case: "reply", value }, ...(load && { load }) });
     } finally {
       this.calls.delete(call);
     }
@@ -359,6 +371,18 @@
   held?.stopIdleTimer?.();
 }
 
+/** The targets that a statement's node takes it to need. */
+function findRole(
+  { database, lastCommit }: SessionContext,
+  work: Work,
+  isReadOnly: boolean,
+): LoadRole {
+  const { route } = database.action;
+  const isFresh = route.type === "replica" && route.maxAgeMs === undefined && !lastCommit;
+  const needsPrimary = !isReadOnly || findEffect(work) === "write" || route.type === "primary";
+  return needsPrimary || isFresh ? "primary" : "replica";
+}
+
 function createLostReply(state: "idle" | "failed"): Reply {
   return failLocally("aborted", "the transaction has already ended at its gateway", state);
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { Address, Disposable } from "../model/index.js";
+import { LoadSource } from "./load-source.js";
 import { ServedConnection, type ServedConnectionPorts } from "./served.js";
 
 /** Connections that may wait to be accepted: after a loss of power all nodes connect within a second. */
@@ -9,11 +10,13 @@
 export class GatewayServer implements Disposable {
   private readonly server: Server;
   private readonly connections = new Set<ServedConnection>();
+  private readonly loads: LoadSource;
 
   constructor(
     private readonly address: Address,
     private readonly ports: ServedConnectionPorts,
   ) {
+    this.loads = new LoadSource(ports);
     this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
   }
 
@@ -41,7 +44,7 @@
   }
 
   private accept(socket: Socket): void {
-    const connection: ServedConnection = new ServedConnection(socket, this.ports, () =>
+    const connection: ServedConnection = new ServedConnection(socket, this.ports, this.loads, () =>
       this.connections.delete(connection),
     );
     this.connections.add(connection);
--- /dev/null
+++ b/test/gateway/load-report.test.ts
@@ -0,0 +1,83 @@
+import { afterEach, expect, test } from "@jest/globals";
+import { GatewayRole } from "../../src/peer/gen/radishwalk/direct/v1/gateway_pb.js";
+import { chooseReportRole } from "../../src/gateway/load-report.js";
+import { LoadReporter, LoadSource } from "../../src/gateway/load-source.js";
+import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
+
+let fixture: ProxyFixture = new ProxyFixture();
+let refusal: string | undefined;
+
+afterEach(() => fixture.dispose());
+
+function start(options: FixtureOptions = {}) {
+  fixture = new ProxyFixture({ isSlotPlanned: true, ...options });
+  refusal = undefined;
+  const { ports: direct, groups } = fixture;
+  const source = new LoadSource({ direct, groups, findRefusal: () => refusal });
+  return { source, reporter: new LoadReporter(source) };
+}
+
+// Guards against reports that cost a visible amount of time and bytes.
+test("a connection reports a group and role at most once in 50 ms, and with each refusal", () => {
+  expect(chooseReportRole({}, "replica", false, 0)).toBe("replica");
+  expect(chooseReportRole({ replica: 0 }, "replica", false, 49)).toBe("primary");
+  expect(chooseReportRole({ replica: 0, primary: 10 }, "replica", false, 49)).toBeUndefined();
+  expect(chooseReportRole({ replica: 0, primary: 10 }, "replica", false, 50)).toBe("replica");
+  expect(chooseReportRole({ replica: 0, primary: 10 }, "replica", true, 20)).toBe("replica");
+});
+
+test("many answers within 50 ms carry one report for each role", () => {
+  const { reporter } = start();
+  const count = () =>
+    Array.from({ length: 100 }, () => reporter.findReport(group, "primary", false)).filter(
+      (report) => report !== undefined,
+    ).length;
+  expect(count()).toBe(2);
+  fixture.clock.time += 49;
+  expect(count()).toBe(0);
+  fixture.clock.time += 1;
+  expect(count()).toBe(2);
+});
+
+// Guards against a wait estimate for each of hundreds of connections.
+test("connections share figures, whose age is reported", () => {
+  const { source } = start();
+  const reporters = Array.from({ length: 3 }, () => new LoadReporter(source));
+  const ages = reporters.map((reporter) => {
+    const report = reporter.findReport(group, "primary", false);
+    fixture.clock.time += 12;
+    return [report?.role, report?.ageMs];
+  });
+  expect(ages).toEqual([0, 12, 24].map((age) => [GatewayRole.PRIMARY, age]));
+});
+
+test("the figures of a refusal are at most 5 ms old", () => {
+  const { source } = start();
+  new LoadReporter(source).findReport(group, "primary", false);
+  fixture.clock.time += 6;
+  expect(new LoadReporter(source).findReport(group, "primary", true)?.ageMs).toBe(0);
+});
+
+// Guards against a node that sends statements to a gateway which has no connections for them any more.
+test("a gateway that holds no connections, or refuses statements, reports nothing", () => {
+  const { reporter } = start();
+  refusal = "this node is leaving";
+  expect(reporter.findReport(group, "primary", true)).toBeUndefined();
+  refusal = undefined;
+  expect(reporter.findReport(group, "primary", true)).toBeDefined();
+  fixture.setShareRule({ type: "none" });
+  expect(reporter.findReport(group, "primary", true)).toBeUndefined();
+  expect(reporter.findReport("unknown", "primary", true)).toBeUndefined();
+});
+
+// Guards against a primary's figures that outlive it.
+test("nothing is reported of a primary that is being changed", () => {
+  const { reporter } = start();
+  fixture.primary = { type: "changing", readyInMs: 100, reason: "lost" };
+  expect(reporter.findReport(group, "primary", true)).toBeUndefined();
+});
+
+test("nothing is reported where slots are not planned", () => {
+  const { reporter } = start({ isSlotPlanned: false });
+  expect(reporter.findReport(group, "primary", true)).toBeUndefined();
+});
