Choose gateways and refuse statements by the reported load

In a burst each refusal costs a forwarded message and one of the caller's few attempts, while other gateways of the group may admit the statement. Where slots are planned, an entry node keeps the gateways' reports, sends a part of the statements to a gateway of equal rank with a shorter wait, prefers gateways that admit the level, and refuses at once what all of a statement's gateways refuse. Elsewhere the order and the messages are as before. DestinationSource gains findRefusal, and tryDestinations tells a refusal from a statement that nobody took. The test of slot takeover gives Forwarding its two new ports.

--- a/src/gateway/answers.ts
+++ b/src/gateway/answers.ts
@@ -6,6 +6,7 @@
 } from "../direct/index.js";
 import { directEvents } from "../log/events/direct.js";
 import { gatewayEvents } from "../log/events/gateway.js";
+import type { EntryRefusal } from "./entry-loads.js";
 import { failLocally, type Reply } from "../statement/index.js";
 import type { GatewayAnswer } from "./codec.js";
 
@@ -35,6 +36,23 @@
   return failLocally("busy", describeRefusal(reason, noGatewayRetryMs), state);
 }
 
+/** Logs and builds the refusal of a statement whose gateways would all refuse its level. Nothing has run. */
+export function refuseByLoad(
+  { session, ports, trace }: SessionContext,
+  id: string,
+  { level, retryAfterMs }: EntryRefusal,
+  state: Reply["state"],
+): Reply {
+  const reason = "each gateway of the group refuses statements of this level";
+  trace.noteReason(reason);
+  const fields = { id, session, retryAfterMs: Math.ceil(retryAfterMs) };
+  ports.logger.write(gatewayEvents.refusedByLoad, {
+    ...fields,
+    ...(level === undefined ? {} : { level }),
+  });
+  return failLocally("busy", describeRefusal(reason, retryAfterMs), state);
+}
+
 /** Logs and builds the refusal of a read that was redirected too late to be sent again. Nothing has run. */
 export function refuseOutOfTime(
   { session, ports, trace }: SessionContext,
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -5,6 +5,7 @@
 import {
   GatewayRequestSchema,
   GatewayResponseSchema,
+  type GatewayLoad,
   type GatewayResponse,
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
 import type { TokenGrant } from "../rates/index.js";
@@ -65,6 +66,8 @@
 export interface GatewayConnectionHandlers {
   /** The gateway has not greeted in time; the connection may still come about. */
   readonly onSlow: (reason: string) => void;
+  /** An answer reports the gateway's load. */
+  readonly onLoad: (load: GatewayLoad) => void;
   /** The connection has ended. */
   readonly onEnd: (reason: string) => void;
 }
@@ -235,8 +238,9 @@
     this.channel.close("closed by this process");
   }
 
-  private handle({ call, outcome, grantsTokens }: GatewayResponse): void {
+  private handle({ call, outcome, grantsTokens, load }: GatewayResponse): void {
     this.handleGreeting(grantsTokens);
+    if (load !== undefined) this.handlers.onLoad(load);
     switch (outcome.case) {
       case "reply":
         this.calls.get(call)?.settle({ type: "answered", answer: decodeAnswer(outcome.value) });
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -5,11 +5,14 @@
 import { ResponseTimes } from "../system/index.js";
 import { recordGatewayFailure, type GatewayHealth } from "./health.js";
 import { GatewayConnection } from "./connection.js";
+import type { EntryLoads } from "./entry-loads.js";
 
 /** The environment of `GatewayConnections`. */
 export interface GatewayConnectionsPorts {
   readonly clock: Pick<Clock, "now">;
   readonly logger: Logger;
+  /** Keeps the gateways' load reports. Absent: they are ignored. */
+  readonly loads?: Pick<EntryLoads, "record" | "forget">;
 }
 
 /** This process's connections to gateways, one to each that is in use, with its recent failures. */
@@ -36,6 +39,7 @@
     if (known?.isOpen === true) return known;
     const connection: GatewayConnection = new GatewayConnection(gateway, this.responseTimes, {
       onSlow: (reason) => this.recordFailure(vm, reason),
+      onLoad: (load) => this.ports.loads?.record(vm, load),
       onEnd: (reason) => {
         if (this.connections.get(key) === connection) this.connections.delete(key);
         this.recordFailure(vm, reason);
@@ -53,6 +57,7 @@
   /** Records that a gateway failed or refused a statement; others are preferred for a while. */
   recordFailure(vm: string, reason: string): void {
     this.ports.logger.write(gatewayEvents.avoided, { gateway: vm, reason });
+    this.ports.loads?.forget(vm);
     this.health.set(vm, recordGatewayFailure(this.health.get(vm), this.ports.clock.now()));
   }
 
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -3,6 +3,7 @@
 import type { GatewayAnswer, RequestStep } from "./codec.js";
 import type { GatewayConnection, ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
+import type { EntryRefusal } from "./entry-loads.js";
 import type { Destination, DestinationSource } from "./router.js";
 
 /**
@@ -92,29 +93,39 @@
   return { gateway, target, role, tries };
 }
 
+/** The end of trying a statement's destinations. Except for `accepted`, nothing has run. */
+export type TryResult<T> =
+  | { readonly type: "accepted"; readonly value: T }
+  | { readonly type: "notAccepted" }
+  /** It was not sent, as all destinations would have refused it. */
+  | { readonly type: "refused"; readonly refusal: EntryRefusal };
+
 /**
  * Tries a statement's destinations one after the other, and again after a pause while that is likely to help.
- * Returns undefined when none accepted it. A gateway that has just been listed may use no primary until it
+ * A gateway that has just been listed may use no primary until it
  * next reads the store, 0.1 s later; if its predecessor leaves meanwhile, every caller would be refused
  * without the further rounds. `onNoneAccepted` is called after each round so that the node looks for other
  * gateways: right after its start it may know a single one, which is shutting down.
  */
 export async function tryDestinations<T>(
   { ports: { clock }, disconnectSignal: gone }: SessionContext,
-  { listDestinations, onNoneAccepted }: DestinationSource,
+  { listDestinations, findRefusal, onNoneAccepted }: DestinationSource,
   deadlineAt: number,
   tryDestination: (destination: Destination) => Promise<T | undefined>,
-): Promise<T | undefined> {
+): Promise<TryResult<T>> {
   const giveUpAt = Math.min(deadlineAt, clock.now() + maxWaitMs);
+  let destinations = listDestinations();
+  const refusal = findRefusal(destinations);
+  if (refusal !== undefined) return { type: "refused", refusal };
   for (;;) {
-    const destinations = listDestinations();
     for (const destination of destinations) {
       const found = await tryDestination(destination);
-      if (found !== undefined) return found;
+      if (found !== undefined) return { type: "accepted", value: found };
     }
     onNoneAccepted();
     if (destinations.length === 0 || gone.aborted || clock.now() + roundPauseMs >= giveUpAt)
-      return undefined;
+      return { type: "notAccepted" };
     await clock.sleep(roundPauseMs);
+    destinations = listDestinations();
   }
 }
--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -1,4 +1,5 @@
 import { RedirectOffer, minRedirectMs, type SessionContext } from "../direct/index.js";
+import type { EntryRefusal } from "./entry-loads.js";
 import { findEffect, type Work } from "../statement/index.js";
 import { countRemainingMs, tryDestinations } from "./forward.js";
 import { PrimaryNeeds } from "./primary-need.js";
@@ -19,6 +20,8 @@
 export type SendResult<T> =
   | { readonly type: "ended"; readonly value: T }
   | { readonly type: "notAccepted" }
+  /** It was not sent, as all destinations would have refused it. */
+  | { readonly type: "refused"; readonly refusal: EntryRefusal }
   /** It was redirected with too little time left to be sent again. */
   | { readonly type: "outOfTime" };
 
@@ -82,11 +85,13 @@
     let answeredBy: "replica" | "any" | undefined;
     let order: SendOrder;
     try {
-      const source = this.router.createDestinationSource(group.name, false);
-      const end = await tryDestinations(context, source, deadlineAt, (destination) =>
+      const { level } = context.database.action;
+      const source = this.router.createDestinationSource(group.name, false, undefined, level);
+      const sent = await tryDestinations(context, source, deadlineAt, (destination) =>
         tryRead(destination, true),
       );
-      if (end === undefined) return { type: "notAccepted" };
+      if (sent.type !== "accepted") return sent;
+      const end = sent.value;
       if (end.type === "ended") {
         if (end.isComplete) answeredBy = context.trace.role === "replica" ? "replica" : "any";
         return end;
@@ -150,11 +155,13 @@
     tryRead: TryRead<T>,
   ): Promise<SendResult<T>> {
     const { name } = context.group;
-    const source = this.router.createDestinationSource(name, needsPrimary, leftDataCentre);
-    const end = await tryDestinations(context, source, deadlineAt, (destination) =>
+    const { level } = context.database.action;
+    const source = this.router.createDestinationSource(name, needsPrimary, leftDataCentre, level);
+    const sent = await tryDestinations(context, source, deadlineAt, (destination) =>
       tryRead(destination, false),
     );
-    return end?.type === "ended" ? end : { type: "notAccepted" };
+    if (sent.type !== "accepted") return sent;
+    return sent.value.type === "ended" ? sent.value : { type: "notAccepted" };
   }
 }
 
--- a/src/gateway/route.ts
+++ b/src/gateway/route.ts
@@ -33,6 +33,11 @@
   return ranked.flatMap(({ centre }) => byDataCentre.get(centre) ?? []);
 }
 
+/** The rank of a gateway for a statement; those of the same rank may stand for each other. */
+export function rankGateway({ dataCentre }: Pick<Proxy, "dataCentre">, query: RouteQuery): number {
+  return rankDataCentre(dataCentre ?? "", query);
+}
+
 /**
  * Ranks a data centre so that a statement crosses between regions at most once: a read stays in this region
  * while that has a gateway, and a statement that needs the primary goes to the primary's region.
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -6,9 +6,11 @@
 } from "../direct/index.js";
 import type { Proxy } from "../leadership/index.js";
 import { chooseGateways, isGateway, listGateways, type GatewayPlan } from "./choose.js";
-import { orderGateways } from "./route.js";
+import type { EntryLoads, EntryRefusal } from "./entry-loads.js";
+import type { LoadCandidate } from "./load-choice.js";
+import { orderGateways, rankGateway, type RouteQuery } from "./route.js";
 import { listWatchedGateways, orderSlotGateways } from "./slot-order.js";
-import type { Topology } from "../topology/index.js";
+import { assumedCrossingMs, type Topology } from "../topology/index.js";
 
 /** Where a statement may run: over this process's own connections, or at a gateway. */
 export type Destination =
@@ -17,6 +19,8 @@
 /** Lists a statement's destinations. */
 export interface DestinationSource {
   readonly listDestinations: () => readonly Destination[];
+  /** Why the statement is refused without being sent; undefined where it is to be sent. */
+  readonly findRefusal: (destinations: readonly Destination[]) => EntryRefusal | undefined;
   /** Called when no destination accepted the statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -39,6 +43,8 @@
   readonly isLost?: (vm: string) => boolean;
   /** Whether one gateway plans the slots of a target for the whole fleet. Absent: false. */
   readonly isSlotPlanned?: () => boolean;
+  /** Decides by the gateways' load reports. Absent: these play no part. */
+  readonly loads?: Pick<EntryLoads, "isActive" | "order" | "findRefusal">;
   /** Called when none of the gateways that this process knows accepted a statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -69,13 +75,11 @@
     needsPrimary: boolean,
     leftDataCentre?: string,
   ): readonly Destination[] {
-    const { vm, dataCentre, topology, isAvoided } = this.ports;
+    const { vm, isAvoided } = this.ports;
     const plan = this.findPlan(group);
     const canServe = this.ports.isListed() && !isAvoided(vm);
     if (plan.isEveryProxyGateway && canServe) return [localDestination];
-    const primaryDataCentre = this.findPrimaryDataCentre(group);
-    const query = { group, needsPrimary, primaryDataCentre, vm, dataCentre, topology };
-    const all = orderGateways(plan, query);
+    const all = orderGateways(plan, this.createQuery(group, needsPrimary));
     const remote = all.filter((proxy) => this.isRemote(leftDataCentre, proxy));
     const ordered = remote.length > 0 ? remote : all;
     const preferred = ordered.filter((proxy) => !isAvoided(proxy.vm));
@@ -87,15 +91,26 @@
     return destinations.length === 0 && this.ports.isListed() ? [localDestination] : destinations;
   }
 
-  /** The destinations of one statement, computed again for each round of attempts. */
+  /**
+   * The destinations of one statement, computed again for each round of attempts. `level` is the statement's, by
+   * which the load of its gateways decides.
+   */
   createDestinationSource(
     group: string,
     needsPrimary: boolean,
     leftDataCentre?: string,
+    level?: number,
   ): DestinationSource {
-    const { onNoneAccepted } = this.ports;
+    const { onNoneAccepted, loads } = this.ports;
+    const list = () => this.listDestinations(group, needsPrimary, leftDataCentre);
+    if (loads?.isActive !== true)
+      return { listDestinations: list, findRefusal: () => undefined, onNoneAccepted };
+    const statement = { group, role: needsPrimary ? "primary" : "replica", level } as const;
+    const describe = (destination: Destination) =>
+      this.describeDestination(destination, this.createQuery(group, needsPrimary));
     return {
-      listDestinations: () => this.listDestinations(group, needsPrimary, leftDataCentre),
+      listDestinations: () => loads.order(statement, list(), describe),
+      findRefusal: (destinations) => loads.findRefusal(statement, destinations.map(describe)),
       onNoneAccepted,
     };
   }
@@ -176,11 +191,33 @@
     return isLost === undefined ? isAvoided(vm) : isLost(vm);
   }
 
-  private isRemote(from: string | undefined, { dataCentre }: Proxy): boolean {
+  private isRemote(from: string | undefined, { dataCentre }: Pick<Proxy, "dataCentre">): boolean {
     if (from === undefined) return false;
     return this.ports.topology.measureDistance(from, dataCentre ?? "") === "remote";
   }
 
+  private createQuery(group: string, needsPrimary: boolean): RouteQuery {
+    const { vm, dataCentre, topology } = this.ports;
+    const primaryDataCentre = this.findPrimaryDataCentre(group);
+    return { group, needsPrimary, primaryDataCentre, vm, dataCentre, topology };
+  }
+
+  private describeDestination(
+    destination: Destination,
+    query: RouteQuery,
+  ): Omit<LoadCandidate, "load"> {
+    const { vm, dataCentre, isAvoided } = this.ports;
+    const isLocal = destination.type === "local";
+    const gateway = isLocal ? { vm, dataCentre } : destination.gateway;
+    return {
+      vm: gateway.vm,
+      rank: rankGateway(gateway, query),
+      distanceMs: this.isRemote(dataCentre, gateway) ? assumedCrossingMs : 0,
+      isAvoided: isAvoided(gateway.vm),
+      isLocal,
+    };
+  }
+
   private toDestination(gateway: Proxy): Destination {
     const isLocal = gateway.vm === this.ports.vm && this.ports.isListed();
     return isLocal ? localDestination : { type: "gateway", gateway };
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -7,7 +7,7 @@
 } from "../direct/index.js";
 import type { Effect } from "../model/index.js";
 import { failLocally, findEffect, type Work } from "../statement/index.js";
-import { refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
+import { refuseByLoad, refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
 import { encodeRun, noTransaction } from "./codec.js";
 import type { ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
@@ -44,13 +44,22 @@
     const source = this.router.createDestinationSource(
       context.group.name,
       needsPrimary(context, work),
+      undefined,
+      context.database.action.level,
     );
     const end = await tryDestinations(context, source, deadlineAt, async (destination) => {
       if (destination.type === "local") return directRunner.runAutocommit(context, work, arrivedAt);
       const result = await this.tryGateway(destination, context, work, deadlineAt, false);
       return result === undefined ? undefined : interpretResult(result, findEffect(work));
     });
-    return end ?? { reply: refuseWithoutGateway(context, work.id, "idle") };
+    switch (end.type) {
+      case "accepted":
+        return end.value;
+      case "notAccepted":
+        return { reply: refuseWithoutGateway(context, work.id, "idle") };
+      case "refused":
+        return { reply: refuseByLoad(context, work.id, end.refusal, "idle") };
+    }
   }
 
   openTransaction(isReadOnly: boolean): OpenTransaction {
@@ -80,6 +89,8 @@
         return sent.value;
       case "notAccepted":
         return { reply: refuseWithoutGateway(context, work.id, "idle") };
+      case "refused":
+        return { reply: refuseByLoad(context, work.id, sent.refusal, "idle") };
       case "outOfTime":
         return { reply: refuseOutOfTime(context, work.id, "idle") };
     }
--- a/src/gateway/transaction.ts
+++ b/src/gateway/transaction.ts
@@ -12,7 +12,7 @@
   type SessionState,
   type Work,
 } from "../statement/index.js";
-import { refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
+import { refuseByLoad, refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
 import { encodeCommit, encodeRun, type RequestStep, type TransactionPart } from "./codec.js";
 import type { GatewayConnection, ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
@@ -24,6 +24,7 @@
   forwardStep,
   tooLargeReason,
   tryDestinations,
+  type TryResult,
 } from "./forward.js";
 
 /** Where a transaction runs. */
@@ -39,6 +40,9 @@
   /** It failed or ended, and holds no connection. */
   | { readonly type: "over" };
 
+/** The result of sending a step; `local` when the transaction runs in this process. */
+type SendStepResult = TryResult<ForwardResult | "local">;
+
 /** Builds a step of a transaction for the gateway that it is sent to. */
 type BuildStep = (leftMs: number, part: TransactionPart) => RequestStep;
 
@@ -115,13 +119,13 @@
       return this.runFirstRead(context, work, arrivedAt);
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
     const build: BuildStep = (leftMs, part) => encodeRun(context, work, leftMs, part);
-    const result = await this.send(context, build, deadlineAt);
-    if (result === "local") return this.runLocally(context, work, arrivedAt);
-    if (result === undefined) {
+    const sent = await this.send(context, build, deadlineAt);
+    if (sent.type !== "accepted") {
       this.location = { type: "over" };
-      return refuseWithoutGateway(context, work.id, "failed");
+      return refuseStep(context, work.id, sent, "failed");
     }
-    return this.handleResult(context, work, result);
+    if (sent.value === "local") return this.runLocally(context, work, arrivedAt);
+    return this.handleResult(context, work, sent.value);
   }
 
   /** Runs the first statement of a read-only transaction, which may be redirected. */
@@ -147,7 +151,7 @@
     this.location = { type: "over" };
     return sent.type === "outOfTime"
       ? refuseOutOfTime(context, work.id, "failed")
-      : refuseWithoutGateway(context, work.id, "failed");
+      : refuseStep(context, work.id, sent, "failed");
   }
 
   private async openLocally(
@@ -188,13 +192,13 @@
     }
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
     const build: BuildStep = (leftMs, part) => encodeCommit(context, { id, text }, leftMs, part);
-    const result = await this.send(context, build, deadlineAt);
-    if (result === "local") {
+    const sent = await this.send(context, build, deadlineAt);
+    if (sent.type !== "accepted") return { reply: refuseStep(context, id, sent, "idle") };
+    if (sent.value === "local") {
       if (this.location.type !== "local") throw new Error("a local transaction has no body");
       return this.location.body.commit(context, id, text, arrivedAt);
     }
-    if (result === undefined) return { reply: refuseWithoutGateway(context, id, "idle") };
-    return this.handleCommitResult(context, id, result);
+    return this.handleCommitResult(context, id, sent.value);
   }
 
   /**
@@ -215,29 +219,30 @@
   }
 
   /**
-   * Sends a step to the transaction's gateway, or to the first destination that accepts it. Returns `local` when
-   * the transaction runs in this process, undefined when no destination accepted it.
+   * Sends a step to the transaction's gateway, or the first step to the first destination that accepts it. Only
+   * the first step may be refused by the gateways' load.
    */
   private async send(
     context: SessionContext,
     build: BuildStep,
     deadlineAt: number,
-  ): Promise<ForwardResult | "local" | undefined> {
+  ): Promise<SendStepResult> {
     const { location, isReadOnly } = this;
     switch (location.type) {
       case "none":
         return this.open(context, build, deadlineAt);
       case "local":
-        return "local";
+        return { type: "accepted", value: "local" };
       case "gateway": {
         const { vm, connection, id: transaction } = location;
         const gatewayDataCentre = this.connections.findDataCentre(vm);
         const leftMs = Math.max(1, countRemainingMs(context, deadlineAt, gatewayDataCentre));
         const step = build(leftMs, { transaction, opens: false, isReadOnly });
-        return this.forward(connection, vm, context, step, leftMs);
+        const value = await this.forward(connection, vm, context, step, leftMs);
+        return { type: "accepted", value };
       }
       case "over":
-        return undefined;
+        return { type: "notAccepted" };
     }
   }
 
@@ -246,9 +251,11 @@
     context: SessionContext,
     build: BuildStep,
     deadlineAt: number,
-  ): Promise<ForwardResult | "local" | undefined> {
-    const needsPrimary = !this.isReadOnly || context.database.action.route.type === "primary";
-    const source = this.router.createDestinationSource(context.group.name, needsPrimary);
+  ): Promise<SendStepResult> {
+    const { route, level } = context.database.action;
+    const needsPrimary = !this.isReadOnly || route.type === "primary";
+    const { name } = context.group;
+    const source = this.router.createDestinationSource(name, needsPrimary, undefined, level);
     return tryDestinations<ForwardResult | "local">(
       context,
       source,
@@ -315,6 +322,18 @@
   return { type: "ended", value, isComplete: value.end.type === "complete" };
 }
 
+/** Builds the refusal of a step that was not sent or that no gateway accepted. */
+function refuseStep(
+  context: SessionContext,
+  id: string,
+  sent: Exclude<TryResult<never>, { type: "accepted" }>,
+  state: SessionState,
+): Reply {
+  return sent.type === "refused"
+    ? refuseByLoad(context, id, sent.refusal, state)
+    : refuseWithoutGateway(context, id, state);
+}
+
 function describeFailure(result: Exclude<ForwardResult, { type: "answered" }>): string {
   return result.type === "tooLarge" ? tooLargeReason : result.reason;
 }
--- a/src/log/events/gateway.ts
+++ b/src/log/events/gateway.ts
@@ -38,4 +38,28 @@
     level: "info",
     text: "This node left a read that needs the primary to the primary's gateway; nothing of it ran here.",
   },
+  refusedByLoad: {
+    id: 2140,
+    name: "refusedByLoad",
+    level: "info",
+    text: "A statement was refused without being sent, as all its gateways report that they refuse its level; it did not run.",
+  },
+  levelClosed: {
+    id: 2141,
+    name: "levelClosed",
+    level: "info",
+    text: "All gateways of a group report that they refuse a level; most of its statements are refused at this node.",
+  },
+  levelOpened: {
+    id: 2142,
+    name: "levelOpened",
+    level: "info",
+    text: "A gateway of a group may admit a level again; its statements are sent.",
+  },
+  loadReportInvalid: {
+    id: 2143,
+    name: "loadReportInvalid",
+    level: "warn",
+    text: "A gateway reported a load with an impossible age or wait, which is given; the report is ignored.",
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/metric/level-metrics.ts
+++ b/src/metric/level-metrics.ts
@@ -21,6 +21,7 @@
   private readonly waits: Histogram<"group" | "level">;
   private readonly refusals: Counter<"group" | "level" | "reason">;
   private readonly missed: Counter<"group" | "level">;
+  private readonly entryRefusals: Counter<"group" | "level">;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -43,6 +44,17 @@
       labelNames: ["group", "level"],
       registers,
     });
+    this.entryRefusals = new Counter({
+      name: "radishwalk_entry_refused_total",
+      help: "Statements that this node refused, as all gateways of their group refuse their level.",
+      labelNames: ["group", "level"],
+      registers,
+    });
+  }
+
+  /** Records a statement that was refused by the gateways' load reports, without being sent to one. */
+  recordEntryRefusal(group: string, level: number): void {
+    this.entryRefusals.inc(this.toLabels(group, level));
   }
 
   /** Records the end of a statement's wait for a slot. */
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -8,6 +8,7 @@
 } from "../direct/index.js";
 import { directRunner, hasLevels, type AnnouncedGroup } from "../direct/index.js";
 import {
+  EntryLoads,
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
@@ -18,7 +19,7 @@
 import type { TokenRequest } from "../directpeer/index.js";
 import type { Proxy } from "../leadership/index.js";
 import type { Logger } from "../log/index.js";
-import { DisposableStore, type Clock, type Disposable } from "../model/index.js";
+import { DisposableStore, type Clock, type Disposable, type Random } from "../model/index.js";
 import type { TokenGrant } from "../rates/index.js";
 import type { NodeSettings } from "./settings.js";
 
@@ -26,6 +27,7 @@
 export interface ForwardingPorts {
   readonly settings: Pick<NodeSettings, "vm" | "dataCentre" | "topology" | "gateway">;
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
   readonly listProxies: () => readonly Proxy[];
   readonly isListed: () => boolean;
@@ -40,6 +42,8 @@
   readonly onNoneAccepted: () => void;
   /** Transfers tokens of a team to another node. */
   readonly grantTokens: (team: string, wanted: number) => TokenGrant;
+  /** Called for each statement that is refused by the gateways' load reports. */
+  readonly onEntryRefused: (group: string, level: number) => void;
 }
 
 /** Forwards this node's statements to gateways, and runs statements as a gateway of other nodes. */
@@ -55,8 +59,19 @@
   constructor(private readonly ports: ForwardingPorts) {
     const { settings, clock, logger, listProxies, findGroup, findLeader, isListed } = ports;
     const { onNoneAccepted } = ports;
+    const isSlotPlanned = () => this.isSlotPlanned(ports.getServingConfig());
+    const loads = new EntryLoads({
+      clock,
+      random: ports.random,
+      logger,
+      isSlotPlanned,
+      getServingConfig: ports.getServingConfig,
+      isGateway: (group, name) =>
+        this.router.listGroupGateways(group).some((proxy) => proxy.vm === name),
+      onRefused: ports.onEntryRefused,
+    });
     const { vm, dataCentre, topology } = settings;
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger }));
+    this.connections = this.owned.add(new GatewayConnections({ clock, logger, loads }));
     this.takeover = this.owned.add(
       new SlotTakeover({
         connections: this.connections,
@@ -73,7 +88,8 @@
       findGroup,
       findLeader,
       isListed,
-      isSlotPlanned: () => this.isSlotPlanned(ports.getServingConfig()),
+      isSlotPlanned,
+      loads,
       onNoneAccepted,
       isAvoided: (name) =>
         name === vm ? this.findRefusal() !== undefined : this.connections.isAvoided(name),
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -118,6 +118,7 @@
       new Forwarding({
         settings,
         clock,
+        random,
         logger,
         listProxies: () => this.follower.registry.list(),
         isListed: () => this.follower.registry.isRegistered(),
@@ -129,6 +130,7 @@
         findLeader: (group) => this.tracker.findLeader(group),
         onNoneAccepted: () => this.refreshGateways(),
         grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
+        onEntryRefused: (group, level) => this.metrics.levels.recordEntryRefusal(group, level),
       }),
     );
     this.rates = this.owned.add(
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -2,6 +2,7 @@
 import { FaultyLink } from "../../standin/link.js";
 import { DirectSession } from "../../src/direct/session.js";
 import {
+  EntryLoads,
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
@@ -14,6 +15,7 @@
 import type { Reply, Statement } from "../../src/statement/index.js";
 import { createSystemClock } from "../../src/system/index.js";
 import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
+import { FakeClock, makeRandom } from "../fleet/fakes.js";
 import { findAddress, waitUntil } from "../node/cluster.js";
 import { DelayedLink } from "../node/delayed-link.js";
 
@@ -33,6 +35,12 @@
   readonly gateways: HopGateway[] = [];
   readonly node: ProxyFixture;
   private readonly owned = new DisposableStore();
+  /** The clock by which load reports grow old; it stands still unless a test advances it. */
+  readonly loadClock = new FakeClock();
+  /** The node's load reports, which play no part unless the node's slots are planned. */
+  readonly loads: EntryLoads;
+  /** The levels of the statements that the node refused by load reports. */
+  readonly refusedLevels: number[] = [];
   private readonly connections: GatewayConnections;
   private readonly runner: RoutedRunner;
   private proxies: readonly Proxy[] = [];
@@ -43,7 +51,20 @@
   private constructor(options: FixtureOptions) {
     this.node = new ProxyFixture(options);
     const clock = createSystemClock();
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
+    const isSlotPlanned = () => this.node.isSlotPlanned;
+    this.loads = new EntryLoads({
+      clock: this.loadClock,
+      random: makeRandom(1),
+      logger: silentLogger,
+      isSlotPlanned,
+      getServingConfig: this.node.ports.getServingConfig,
+      isGateway: () => true,
+      onRefused: (_group, level) => this.refusedLevels.push(level),
+    });
+    const { loads } = this;
+    this.connections = this.owned.add(
+      new GatewayConnections({ clock, logger: silentLogger, loads }),
+    );
     const router = new GatewayRouter({
       vm: "vm-entry",
       dataCentre: "a",
@@ -54,6 +75,7 @@
       isListed: () => false,
       onNoneAccepted: () => (this.notAcceptedCount += 1),
       isAvoided: (vm) => this.connections.isAvoided(vm),
+      loads,
     });
     this.runner = new RoutedRunner(router, this.connections);
   }
@@ -116,6 +138,11 @@
     await waitUntil(() => !this.connections.isAvoided(vm));
   }
 
+  /** Whether the node prefers other gateways to this one. */
+  isAvoided({ vm }: HopGateway): boolean {
+    return this.connections.isAvoided(vm);
+  }
+
   /** Closes all connections of the node, as when its process is killed. */
   killNode(): void {
     this.connections.dispose();
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -5,6 +5,7 @@
 import { encodeRun, type TransactionPart } from "../../src/gateway/codec.js";
 import type { ForwardResult } from "../../src/gateway/connection.js";
 import {
+  EntryLoads,
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
@@ -67,6 +68,8 @@
   proxies: readonly Proxy[] = [];
   leader: PrimaryState = { type: "serving", target: "p" };
   readonly avoided = new Set<string>();
+  /** The entry node's load reports. */
+  readonly loads: EntryLoads;
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
   private readonly runner: RoutedRunner;
@@ -78,11 +81,23 @@
     const stage = options.stage ?? {};
     this.entry = createStage(nearCentre, topology === undefined ? stage : { ...stage, topology });
     const { clock } = this.entry;
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
+    this.loads = new EntryLoads({
+      clock,
+      random: this.entry.ports.random,
+      logger: silentLogger,
+      isSlotPlanned: () => this.entry.isSlotPlanned,
+      getServingConfig: this.entry.ports.getServingConfig,
+      isGateway: () => true,
+      onRefused: () => undefined,
+    });
+    const { loads } = this;
+    this.connections = this.owned.add(
+      new GatewayConnections({ clock, logger: silentLogger, loads }),
+    );
     const isListed = options.isEntryNear === true;
     const isAvoided = (vm: string) => this.connections.isAvoided(vm);
     const router = this.createRouter(
-      { vm: entryVm, dataCentre: nearCentre, isListed, isAvoided },
+      { vm: entryVm, dataCentre: nearCentre, isListed, isAvoided, loads },
       this,
     );
     this.runner = new RoutedRunner(router, this.connections);
@@ -219,6 +234,7 @@
       isListed: () => isListed,
       isAvoided: (name) => name !== vm && isAvoided(name),
       onNoneAccepted: () => undefined,
+      ...(self.loads === undefined ? {} : { loads: self.loads }),
     });
   }
 }
@@ -229,6 +245,7 @@
   readonly dataCentre: string;
   readonly isListed: boolean;
   readonly isAvoided: (vm: string) => boolean;
+  readonly loads?: EntryLoads;
 }
 
 /** The fake targets of one process, which has one place at each unless it is in the primary's data centre. */
--- a/test/metric/metric.test.ts
+++ b/test/metric/metric.test.ts
@@ -88,6 +88,14 @@
   await server.dispose();
 });
 
+test("statements that are refused by load reports are counted by group and level", async () => {
+  const metrics = createMetrics();
+  metrics.levels.recordEntryRefusal("ledger", 2);
+  expect(await metrics.render()).toContain(
+    'radishwalk_entry_refused_total{group="ledger",level="2"} 1',
+  );
+});
+
 test("redirects are counted by group", async () => {
   const metrics = createMetrics();
   metrics.recordRedirect("ledger");
--- a/test/node/slot-takeover.test.ts
+++ b/test/node/slot-takeover.test.ts
@@ -7,6 +7,7 @@
 import { createSystemClock } from "../../src/system/index.js";
 import { singleRegion, Topology } from "../../src/topology/index.js";
 import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
+import { makeRandom } from "../fleet/fakes.js";
 import { makeProxy } from "../gateway/builders.js";
 import { findAddress, waitUntil } from "./cluster.js";
 
@@ -37,6 +38,7 @@
   const forwarding = new Forwarding({
     settings: { vm: proxy.vm, dataCentre: "a", topology, gateway: proxy.gateway },
     clock: createSystemClock(),
+    random: makeRandom(1),
     logger: silentLogger,
     listProxies: () => proxies,
     isListed: () => true,
@@ -48,6 +50,7 @@
     findLeader: () => ({ type: "serving", target: "p" }),
     onNoneAccepted: () => undefined,
     grantTokens: () => ({ tokens: 0, lifeMs: 0 }),
+    onEntryRefused: () => undefined,
   });
   const ports = {
     ...fixture.ports,
