--- a/bench/levels/world.ts
+++ b/bench/levels/world.ts
@@ -142,6 +142,6 @@
 }
 
 /** The rule of the platform's routes: the objective or half of the deadline, whichever is longer. */
-function computeMaxQueueMs({ objectiveMs, deadlineMs }: KindShape): number {
+export function computeMaxQueueMs({ objectiveMs, deadlineMs }: KindShape): number {
   return Math.min(deadlineMs, Math.max(objectiveMs, deadlineMs / 2));
 }
