--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -13,7 +13,12 @@
 import type { Proxy } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
 import { DisposableStore, type Mark } from "../../src/model/index.js";
-import { failLocally, type CommandResult, type Work } from "../../src/statement/index.js";
+import {
+  failLocally,
+  type CommandResult,
+  type Statement,
+  type Work,
+} from "../../src/statement/index.js";
 import { singleRegion, type Topology } from "../../src/topology/index.js";
 import { answered, group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { findAddress } from "../node/cluster.js";
@@ -99,6 +104,16 @@
     return fleet;
   }
 
+  /** Starts a fleet whose near gateway finds its replica behind, and whose gateways at home answer. */
+  static async startLagging(options: FleetOptions = {}): Promise<RedirectFleet> {
+    const fleet = await RedirectFleet.start(options);
+    for (const { stage } of [fleet.home, fleet.spare]) fleet.answerAll(stage, lagging);
+    const stage = options.isEntryNear === true ? fleet.entry : fleet.near.stage;
+    learnMark(stage);
+    fleet.answerAll(stage, lagging);
+    return fleet;
+  }
+
   get near(): FleetGateway {
     return this.find("vm-near");
   }
@@ -269,3 +284,14 @@
   stage.openedAt = mark;
   stage.groups.find(group)?.notePrimaryMark("p", mark, stage.clock.now());
 }
+
+/** Counts the statements that a gateway sent to a target. */
+export const countWork = ({ stage }: { readonly stage: ProxyFixture }, target: string): number =>
+  stage.list(target, "work").length;
+
+/** Tells whether a gateway has sent a statement to a target. */
+export const hasWork = (gateway: FleetGateway, target: string) => (): boolean =>
+  countWork(gateway, target) > 0;
+
+/** Begins a read-only transaction. */
+export const beginReading: Statement = { type: "begin", id: "b", isReadOnly: true };
