Count links and descriptors of proxies in the choice of gateways

The choice knew only processor power, so that a strong node on a link of 7 Mbit/s was gateway of many groups. Invalid values are logged once (5227) and count as absent.

--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -1,3 +1,4 @@
+export { isValidCapacity, type CapacityField, type InvalidCapacity } from "./capacity.js";
 export { PrimaryChanger } from "./changer.js";
 export {
   decodeLeadership,
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -15,6 +15,10 @@
   readonly gateway?: Address;
   /** The CPU share that it may use, in cores; absent if the entry does not say. */
   readonly power?: number;
+  /** The bandwidth of its link, in Mbit/s; absent if the entry does not say. */
+  readonly linkMbps?: number;
+  /** The file descriptors that it may use; absent if the entry does not say. */
+  readonly descriptors?: number;
   /** Set by a change of primary that it did not answer; cleared when it updates its own entry. */
   readonly isMissed?: boolean;
   /** The version of its entry in the store; changes whenever the entry is marked as missed or updated. */
--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -116,6 +116,12 @@
     level: "warn",
     text: "The settings name no region for a data centre, which is treated as a region of its own.",
   },
+  capacityInvalid: {
+    id: 5227,
+    name: "capacityInvalid",
+    level: "warn",
+    text: "A power, link or number of descriptors in a proxy's entry or the settings is invalid and does not count.",
+  },
   targetUnanswered: {
     id: 5207,
     name: "targetUnanswered",
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -219,6 +219,8 @@
     await this.server.listen();
     logger.write(processEvents.started, { vm: settings.vm, dataCentre: settings.dataCentre });
     this.regionCheck.check([settings.dataCentre, ...settings.topology.listWithoutRegion()]);
+    for (const { field, value } of settings.invalidCapacities ?? [])
+      logger.write(nodeEvents.capacityInvalid, { proxy: settings.vm, field, value });
     void this.follower.run();
   }
 
--- a/src/node/proxy-registry.ts
+++ b/src/node/proxy-registry.ts
@@ -110,9 +110,13 @@
   /** Registers this proxy, so that each change of primary notifies it or waits for its permit to expire. */
   async register(): Promise<void> {
     const { settings, store, logger } = this.ports;
-    const { vm, peers: address, dataCentre, gateway, power } = settings;
+    const { vm, peers: address, dataCentre, gateway, power, linkMbps, descriptors } = settings;
     if (address === undefined || this.isRegistered()) return;
-    const optional = gateway === undefined ? {} : { gateway };
+    const optional = {
+      ...(gateway === undefined ? {} : { gateway }),
+      ...(linkMbps === undefined ? {} : { linkMbps }),
+      ...(descriptors === undefined ? {} : { descriptors }),
+    };
     const own = { vm, address, dataCentre, power, ...optional };
     this.hasTriedToRegister = true;
     if (!(await store.register(own))) return;
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -1,3 +1,4 @@
+import type { InvalidCapacity } from "../leadership/index.js";
 import type { Address } from "../model/index.js";
 import type { RateBounds } from "../rates/index.js";
 import type { Topology } from "../topology/index.js";
@@ -16,6 +17,12 @@
   readonly gateway: Address | undefined;
   /** The processor capacity that this node may use, in cores. */
   readonly power: number;
+  /** The bandwidth of its link, in Mbit/s; absent where the settings do not say. */
+  readonly linkMbps?: number;
+  /** The file descriptors that it may use; absent where the settings do not say. */
+  readonly descriptors?: number;
+  /** Stated values of the two that are invalid, and so absent. */
+  readonly invalidCapacities?: readonly InvalidCapacity[];
   /** The number of data centres of the deployment. */
   readonly dataCentres: number;
   /** The region of each data centre. */
