Send part of the reads of a slow gateway to the other one of its data centre

Each entry node measures response times of reads at the first two usable gateways of a group, if they are in one data centre, and the router puts the second one first for the part of the reads that the times call for. Only where slots are planned; statements for the primary and transactions that may write stay with the acting gateway. Events 2137 and 2138, metric radishwalk_gateway_share. The fixtures hop.ts and slot-takeover.test.ts supply the new ports; no test of theirs changes.

--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../log/index.js";
 import type { Clock, Disposable } from "../model/index.js";
 import { ResponseTimes } from "../system/index.js";
+import type { SentRead } from "./gateway-shares.js";
 import { recordGatewayFailure, type GatewayHealth } from "./health.js";
 import { GatewayConnection } from "./connection.js";
 
@@ -10,6 +11,8 @@
 export interface GatewayConnectionsPorts {
   readonly clock: Pick<Clock, "now">;
   readonly logger: Logger;
+  /** Called with the end of each read that was sent to a gateway. */
+  readonly onRead?: (read: SentRead) => void;
 }
 
 /** This process's connections to gateways, one to each that is in use, with its recent failures. */
@@ -61,6 +64,16 @@
     this.health.delete(vm);
   }
 
+  /** The time by which response times of gateways are measured, in milliseconds. */
+  now(): number {
+    return this.ports.clock.now();
+  }
+
+  /** Records how a read that was sent to a gateway ended, and in what time. */
+  recordRead(read: SentRead): void {
+    this.ports.onRead?.(read);
+  }
+
   /** Whether other gateways are preferred to this one. */
   isAvoided(vm: string): boolean {
     const until = this.health.get(vm)?.avoidUntil;
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -3,6 +3,7 @@
 import type { GatewayAnswer, RequestStep } from "./codec.js";
 import type { GatewayConnection, ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
+import type { ReadOutcome } from "./gateway-share.js";
 import type { Destination, DestinationSource } from "./router.js";
 
 /**
@@ -48,7 +49,18 @@
   kind: CrossingKind,
 ): Promise<ForwardResult> {
   noteCrossing(context, connections.findDataCentre(vm), kind);
+  const sentAt = connections.now();
   const result = await connection.call(step, leftMs + answerMarginMs, context.disconnectSignal);
+  const elapsedMs = connections.now() - sentAt;
+  const outcome = kind === "read" ? findReadOutcome(result, elapsedMs >= leftMs) : undefined;
+  if (outcome !== undefined)
+    connections.recordRead({
+      group: context.group.name,
+      gateway: vm,
+      outcome,
+      elapsedMs,
+      givenMs: leftMs,
+    });
   switch (result.type) {
     case "answered":
       connections.recordAnswer(vm);
@@ -72,6 +84,22 @@
   return result;
 }
 
+/** How a read ended at a gateway; undefined when the gateway did not get or did not try it. */
+function findReadOutcome(result: ForwardResult, isTimeOver: boolean): ReadOutcome | undefined {
+  switch (result.type) {
+    case "answered": {
+      const { end } = result.answer.reply;
+      return end.type === "complete" ? end : { type: "error", code: end.code };
+    }
+    case "broken":
+      return result.isSent && isTimeOver ? { type: "silent" } : undefined;
+    case "turnedAway":
+    case "redirected":
+    case "tooLarge":
+      return undefined;
+  }
+}
+
 /** Counts a step that is sent to a gateway of another region. */
 function noteCrossing(
   { ports }: SessionContext,
--- a/src/gateway/gateway-share.ts
+++ b/src/gateway/gateway-share.ts
@@ -180,7 +180,8 @@
   return ms > otherMs * factor + marginMs;
 }
 
-function isUsable(
+/** Whether an estimate is recent enough to be compared. */
+export function isUsable(
   estimate: ResponseEstimate | undefined,
   now: number,
 ): estimate is ResponseEstimate {
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -39,6 +39,8 @@
   readonly isLost?: (vm: string) => boolean;
   /** Whether one gateway plans the slots of a target for the whole fleet. Absent: false. */
   readonly isSlotPlanned?: () => boolean;
+  /** Divides the reads of a group between its usable gateways, given in order. Absent: the order stays. */
+  readonly orderReads?: (group: string, gateways: readonly Proxy[]) => readonly Proxy[];
   /** Called when none of the gateways that this process knows accepted a statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -78,7 +80,9 @@
     const all = orderGateways(plan, query);
     const remote = all.filter((proxy) => this.isRemote(leftDataCentre, proxy));
     const ordered = remote.length > 0 ? remote : all;
-    const preferred = ordered.filter((proxy) => !isAvoided(proxy.vm));
+    const usable = ordered.filter((proxy) => !isAvoided(proxy.vm));
+    const isNearRead = !needsPrimary && leftDataCentre === undefined;
+    const preferred = isNearRead ? (this.ports.orderReads?.(group, usable) ?? usable) : usable;
     const avoided = ordered.filter((proxy) => isAvoided(proxy.vm));
     const destinations = [...preferred, ...avoided]
       .slice(0, maxDestinations)
--- a/src/log/events/gateway.ts
+++ b/src/log/events/gateway.ts
@@ -38,4 +38,16 @@
     level: "info",
     text: "This node left a read that needs the primary to the primary's gateway; nothing of it ran here.",
   },
+  shareReduced: {
+    id: 2137,
+    name: "gatewayShareReduced",
+    level: "info",
+    text: "A gateway answers reads more slowly than the other one of its data centre, which now gets part of them.",
+  },
+  shareRestored: {
+    id: 2138,
+    name: "gatewayShareRestored",
+    level: "info",
+    text: "A gateway whose share of reads was reduced gets nearly all of them again.",
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -11,6 +11,7 @@
 import type { CrossingKind } from "../topology/index.js";
 import { LabelLimiter } from "./label-limiter.js";
 import { LevelMetrics } from "./level-metrics.js";
+import { GatewayShareGauge, type GatewayShareSample } from "./gateway-shares.js";
 import { SlotGauges } from "./slots.js";
 
 const maxGroupLabels = 200;
@@ -64,6 +65,8 @@
   setCallers(count: number): void;
   /** Sets where the metrics of slots are read whenever they are rendered. */
   observeSlots(read: () => readonly SlotSample[]): void;
+  /** Sets where the shares of gateways are read whenever the metrics are rendered. */
+  observeGatewayShares(read: () => readonly GatewayShareSample[]): void;
   /**
    * Counts each violated invariant and passes it to `handle`. Disposing the result restores the
    * previous handler.
@@ -98,6 +101,7 @@
   private readonly groupLabels = new LabelLimiter(maxGroupLabels);
   private readonly readCounts = { primary: 0, replica: 0 };
   private readonly slots: SlotGauges;
+  private readonly gatewayShares: GatewayShareGauge;
 
   private readonly requests: Counter<"verdict" | "reason" | "class">;
   private readonly reads: Counter<"group" | "role">;
@@ -181,6 +185,7 @@
       define("configuration_revision", "Revision of the configuration in force.", []),
     );
     this.slots = new SlotGauges(registry, this.groupLabels);
+    this.gatewayShares = new GatewayShareGauge(registry);
     this.callers = new Gauge(define("callers_connected", "Number of connected callers.", []));
     for (const invariant of invariants) this.violations.inc({ invariant }, 0);
   }
@@ -242,6 +247,10 @@
     this.slots.observe(read);
   }
 
+  observeGatewayShares(read: () => readonly GatewayShareSample[]): void {
+    this.gatewayShares.observe(read);
+  }
+
   observeViolations(handle: (invariant: Invariant, detail: string) => void): Disposable {
     const previousHandler = setViolationHandler((invariant, detail) => {
       this.recordViolation(invariant);
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -11,6 +11,8 @@
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
+  GatewayShares,
+  type GatewayShareSample,
   RoutedRunner,
   SlotTakeover,
   type TokenResult,
@@ -18,7 +20,7 @@
 import type { TokenRequest } from "../directpeer/index.js";
 import type { Proxy } from "../leadership/index.js";
 import type { Logger } from "../log/index.js";
-import { DisposableStore, type Clock, type Disposable } from "../model/index.js";
+import { DisposableStore, type Clock, type Disposable, type Random } from "../model/index.js";
 import type { TokenGrant } from "../rates/index.js";
 import type { NodeSettings } from "./settings.js";
 
@@ -26,6 +28,7 @@
 export interface ForwardingPorts {
   readonly settings: Pick<NodeSettings, "vm" | "dataCentre" | "topology" | "gateway">;
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
   readonly listProxies: () => readonly Proxy[];
   readonly isListed: () => boolean;
@@ -46,6 +49,7 @@
 export class Forwarding implements Disposable {
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
+  private readonly shares: GatewayShares;
   private readonly router: GatewayRouter;
   private readonly takeover: SlotTakeover;
   private server: GatewayServer | undefined;
@@ -53,10 +57,13 @@
   private groups: GroupDirectory | undefined;
 
   constructor(private readonly ports: ForwardingPorts) {
-    const { settings, clock, logger, listProxies, findGroup, findLeader, isListed } = ports;
+    const { settings, clock, random, logger, listProxies, findGroup, findLeader, isListed } = ports;
     const { onNoneAccepted } = ports;
     const { vm, dataCentre, topology } = settings;
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger }));
+    const isSlotPlanned = () => this.isSlotPlanned(ports.getServingConfig());
+    this.shares = new GatewayShares({ vm, clock, random, logger, isSlotPlanned });
+    const onRead = this.shares.record.bind(this.shares);
+    this.connections = this.owned.add(new GatewayConnections({ clock, logger, onRead }));
     this.takeover = this.owned.add(
       new SlotTakeover({
         connections: this.connections,
@@ -73,7 +80,8 @@
       findGroup,
       findLeader,
       isListed,
-      isSlotPlanned: () => this.isSlotPlanned(ports.getServingConfig()),
+      isSlotPlanned,
+      orderReads: (group, gateways) => this.shares.order(group, gateways),
       onNoneAccepted,
       isAvoided: (name) =>
         name === vm ? this.findRefusal() !== undefined : this.connections.isAvoided(name),
@@ -139,6 +147,11 @@
     return connection.requestTokens(team, wanted, timeoutMs);
   }
 
+  /** The shares of gateways in this node's reads, for metrics. */
+  listGatewayShares(): readonly GatewayShareSample[] {
+    return this.shares.list();
+  }
+
   /** Counts the statements and transactions in progress for other nodes. */
   countActive(): number {
     return this.server?.countActive() ?? 0;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -118,6 +118,7 @@
       new Forwarding({
         settings,
         clock,
+        random,
         logger,
         listProxies: () => this.follower.registry.list(),
         isListed: () => this.follower.registry.isRegistered(),
@@ -172,6 +173,7 @@
     this.directPorts = this.createDirectPorts();
     this.groups = this.owned.add(new GroupDirectory(this.directPorts));
     this.metrics.observeSlots(() => this.groups.listSlots());
+    this.metrics.observeGatewayShares(() => this.forwarding.listGatewayShares());
     this.callers = new CallerRegistry(
       adapter.callerCodec,
       this.directPorts,
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -5,6 +5,7 @@
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
+  GatewayShares,
   RoutedRunner,
   type TokenResult,
 } from "../../src/gateway/index.js";
@@ -37,13 +38,29 @@
   private readonly runner: RoutedRunner;
   private proxies: readonly Proxy[] = [];
   private nextSession = 1;
+  readonly shares: GatewayShares;
+  /** What the node draws to choose between the gateways of a read where slots are planned; 1 keeps the order. */
+  draw = 1;
   /** How often none of the gateways that the node knows accepted a statement. */
   notAcceptedCount = 0;
 
   private constructor(options: FixtureOptions) {
     this.node = new ProxyFixture(options);
     const clock = createSystemClock();
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
+    this.shares = new GatewayShares({
+      vm: "vm-entry",
+      clock,
+      random: { draw: () => this.draw },
+      logger: silentLogger,
+      isSlotPlanned: () => options.isSlotPlanned === true,
+    });
+    this.connections = this.owned.add(
+      new GatewayConnections({
+        clock,
+        logger: silentLogger,
+        onRead: (read) => this.shares.record(read),
+      }),
+    );
     const router = new GatewayRouter({
       vm: "vm-entry",
       dataCentre: "a",
@@ -54,6 +71,7 @@
       isListed: () => false,
       onNoneAccepted: () => (this.notAcceptedCount += 1),
       isAvoided: (vm) => this.connections.isAvoided(vm),
+      orderReads: (name, gateways) => this.shares.order(name, gateways),
     });
     this.runner = new RoutedRunner(router, this.connections);
   }
--- a/test/metric/metric.test.ts
+++ b/test/metric/metric.test.ts
@@ -61,6 +61,21 @@
   expect(await metrics.render()).not.toContain('target="p"');
 });
 
+// Guards against a share that stays in the metrics after its gateway has been replaced.
+test("the shares of gateways are read when the metrics are rendered", async () => {
+  const metrics = createMetrics();
+  let samples = [
+    { gateway: "vm-1", share: 0.1 },
+    { gateway: "vm-2", share: 0.98 },
+  ];
+  metrics.observeGatewayShares(() => samples);
+  expect(await metrics.render()).toContain('radishwalk_gateway_share{gateway="vm-1"} 0.1');
+  samples = samples.slice(1);
+  const text = await metrics.render();
+  expect(text).toContain('radishwalk_gateway_share{gateway="vm-2"} 0.98');
+  expect(text).not.toContain("vm-1");
+});
+
 // The balancer sends callers to a proxy whose /ready page answers 200. A new proxy does not know the
 // rules yet, and a leaving one must get no new callers. Both are alive, so only /ready may answer 503.
 test("the process is ready only with a configuration and not while leaving", async () => {
--- a/test/node/slot-takeover.test.ts
+++ b/test/node/slot-takeover.test.ts
@@ -4,7 +4,7 @@
 import { silentLogger } from "../../src/log/index.js";
 import { DisposableStore } from "../../src/model/index.js";
 import { Forwarding } from "../../src/node/forwarding.js";
-import { createSystemClock } from "../../src/system/index.js";
+import { createSystemClock, createSystemRandom } from "../../src/system/index.js";
 import { singleRegion, Topology } from "../../src/topology/index.js";
 import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { makeProxy } from "../gateway/builders.js";
@@ -37,6 +37,7 @@
   const forwarding = new Forwarding({
     settings: { vm: proxy.vm, dataCentre: "a", topology, gateway: proxy.gateway },
     clock: createSystemClock(),
+    random: createSystemRandom(),
     logger: silentLogger,
     listProxies: () => proxies,
     isListed: () => true,
