--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../log/index.js";
 import type { Clock, Disposable } from "../model/index.js";
 import { ResponseTimes } from "../system/index.js";
+import type { SentRead } from "./gateway-shares.js";
 import { recordGatewayFailure, type GatewayHealth } from "./health.js";
 import { GatewayConnection } from "./connection.js";
 import type { EntryLoads } from "./entry-loads.js";
@@ -13,6 +14,8 @@
   readonly logger: Logger;
   /** Keeps the gateways' load reports. Absent: they are ignored. */
   readonly loads?: Pick<EntryLoads, "record" | "forget">;
+  /** Called with the end of each read that was sent to a gateway. */
+  readonly onRead?: (read: SentRead) => void;
 }
 
 /** This process's connections to gateways, one to each that is in use, with its recent failures. */
@@ -66,6 +69,16 @@
     this.health.delete(vm);
   }
 
+  /** The time by which response times of gateways are measured, in milliseconds. */
+  now(): number {
+    return this.ports.clock.now();
+  }
+
+  /** Records how a read that was sent to a gateway ended, and in what time. */
+  recordRead(read: SentRead): void {
+    this.ports.onRead?.(read);
+  }
+
   /** Whether other gateways are preferred to this one. */
   isAvoided(vm: string): boolean {
     const until = this.health.get(vm)?.avoidUntil;
--- a/src/log/events/gateway.ts
+++ b/src/log/events/gateway.ts
@@ -68,4 +68,16 @@
     level: "warn",
     text: "A gateway reported a load with an impossible age or wait, which is given; the report is ignored.",
   },
+  shareReduced: {
+    id: 2137,
+    name: "gatewayShareReduced",
+    level: "info",
+    text: "A gateway answers reads more slowly than the other one of its data centre, which now gets part of them.",
+  },
+  shareRestored: {
+    id: 2138,
+    name: "gatewayShareRestored",
+    level: "info",
+    text: "A gateway whose share of reads was reduced gets nearly all of them again.",
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -13,6 +13,8 @@
   GatewayRouter,
   GatewayServer,
   PositionWatch,
+  GatewayShares,
+  type GatewayShareSample,
   RoutedRunner,
   SlotTakeover,
   type TokenResult,
@@ -51,6 +53,7 @@
 export class Forwarding implements Disposable {
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
+  private readonly shares: GatewayShares;
   private readonly router: GatewayRouter;
   private readonly takeover: SlotTakeover;
   private readonly positions: PositionWatch;
@@ -59,12 +62,12 @@
   private groups: GroupDirectory | undefined;
 
   constructor(private readonly ports: ForwardingPorts) {
-    const { settings, clock, logger, listProxies, findGroup, findLeader, isListed } = ports;
+    const { settings, clock, random, logger, listProxies, findGroup, findLeader, isListed } = ports;
     const { onNoneAccepted } = ports;
     const isSlotPlanned = () => this.isSlotPlanned(ports.getServingConfig());
     const loads = new EntryLoads({
       clock,
-      random: ports.random,
+      random,
       logger,
       isSlotPlanned,
       getServingConfig: ports.getServingConfig,
@@ -73,7 +76,9 @@
       onRefused: ports.onEntryRefused,
     });
     const { vm, dataCentre, topology } = settings;
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger, loads }));
+    this.shares = new GatewayShares({ vm, clock, random, logger, isSlotPlanned });
+    const onRead = this.shares.record.bind(this.shares);
+    this.connections = this.owned.add(new GatewayConnections({ clock, logger, loads, onRead }));
     this.takeover = this.owned.add(
       new SlotTakeover({
         connections: this.connections,
@@ -101,6 +106,7 @@
       isListed,
       isSlotPlanned,
       loads,
+      orderReads: (group, gateways) => this.shares.order(group, gateways),
       onNoneAccepted,
       isAvoided: (name) =>
         name === vm ? this.findRefusal() !== undefined : this.connections.isAvoided(name),
@@ -168,6 +174,11 @@
     return connection.requestTokens(team, wanted, timeoutMs);
   }
 
+  /** The shares of gateways in this node's reads, for metrics. */
+  listGatewayShares(): readonly GatewayShareSample[] {
+    return this.shares.list();
+  }
+
   /** Counts the statements and transactions in progress for other nodes. */
   countActive(): number {
     return this.server?.countActive() ?? 0;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -180,6 +180,7 @@
     this.groups = this.owned.add(new GroupDirectory(this.directPorts));
     this.metrics.observeSlots(() => this.groups.listSlots());
     this.metrics.replicas.observe(() => this.groups.listReplicaDelays());
+    this.metrics.observeGatewayShares(() => this.forwarding.listGatewayShares());
     this.callers = new CallerRegistry(
       adapter.callerCodec,
       this.directPorts,
@@ -229,6 +230,8 @@
     await this.server.listen();
     logger.write(processEvents.started, { vm: settings.vm, dataCentre: settings.dataCentre });
     this.regionCheck.check([settings.dataCentre, ...settings.topology.listWithoutRegion()]);
+    for (const { field, value } of settings.invalidCapacities ?? [])
+      logger.write(nodeEvents.capacityInvalid, { proxy: settings.vm, field, value });
     void this.follower.run();
   }
 
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -6,6 +6,7 @@
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
+  GatewayShares,
   RoutedRunner,
   type TokenResult,
 } from "../../src/gateway/index.js";
@@ -45,6 +46,9 @@
   private readonly runner: RoutedRunner;
   private proxies: readonly Proxy[] = [];
   private nextSession = 1;
+  readonly shares: GatewayShares;
+  /** What the node draws to choose between the gateways of a read where slots are planned; 1 keeps the order. */
+  draw = 1;
   /** How often none of the gateways that the node knows accepted a statement. */
   notAcceptedCount = 0;
 
@@ -61,9 +65,21 @@
       isGateway: () => true,
       onRefused: (_group, level) => this.refusedLevels.push(level),
     });
+    this.shares = new GatewayShares({
+      vm: "vm-entry",
+      clock,
+      random: { draw: () => this.draw },
+      logger: silentLogger,
+      isSlotPlanned: () => options.isSlotPlanned === true,
+    });
     const { loads } = this;
     this.connections = this.owned.add(
-      new GatewayConnections({ clock, logger: silentLogger, loads }),
+      new GatewayConnections({
+        clock,
+        logger: silentLogger,
+        loads,
+        onRead: (read) => this.shares.record(read),
+      }),
     );
     const router = new GatewayRouter({
       vm: "vm-entry",
@@ -76,6 +92,7 @@
       onNoneAccepted: () => (this.notAcceptedCount += 1),
       isAvoided: (vm) => this.connections.isAvoided(vm),
       loads,
+      orderReads: (name, gateways) => this.shares.order(name, gateways),
     });
     this.runner = new RoutedRunner(router, this.connections);
   }
