Report nothing of replicas while none can be read

A wait of 0 was reported then. It attracted the reads of all entry nodes to a gateway that redirects each of them. Without a report the gateway is used as without load feedback, and its closed levels open within 100 ms. The test of chooseReportTargets that expected a separate result for this case now expects that nothing is said, and a new test checks the report itself.

--- a/src/gateway/load-figures.ts
+++ b/src/gateway/load-figures.ts
@@ -27,9 +27,7 @@
 /** The targets whose load is reported. */
 export type ReportTargets =
   | { readonly type: "targets"; readonly names: readonly string[] }
-  /** No target is known to serve such statements here, so the gateway decides about each of them. */
-  | { readonly type: "undecided" }
-  /** Nothing can be said: the primary is being changed. */
+  /** Nothing can be said: the primary is being changed, or no replica can be read. */
   | { readonly type: "unknown" };
 
 /** The longest wait that is reported, in milliseconds. It stands for all longer ones and for an unknown one. */
@@ -57,7 +55,8 @@
 
 /**
  * Chooses the targets whose load a report tells. A read also uses the primary while that is near and idle, and
- * needs it while no replica can be read; the queue of the replicas then says nothing about the read.
+ * needs it while no replica can be read. Nothing is reported then: the queue of the replicas says nothing about the
+ * read, and a wait of 0 would attract the reads of all nodes to a gateway that redirects them.
  */
 export function chooseReportTargets(
   role: LoadRole,
@@ -72,7 +71,7 @@
     return isUsable ? { type: "targets", names: [own.name] } : { type: "unknown" };
   }
   const replicas = candidates.filter((v) => v.name !== primaryName && isReadable(v, now));
-  if (replicas.length === 0) return { type: "undecided" };
+  if (replicas.length === 0) return { type: "unknown" };
   const isPrimaryUsed = own !== undefined && mayServeReads(own, candidates, now);
   const names = [...replicas, ...(isPrimaryUsed ? [own] : [])].map(({ name }) => name);
   return { type: "targets", names };
--- a/src/gateway/load-source.ts
+++ b/src/gateway/load-source.ts
@@ -74,8 +74,6 @@
     switch (chosen.type) {
       case "unknown":
         return undefined;
-      case "undecided":
-        return { waitMs: 0 };
       case "targets": {
         const kinds = listStatementKinds(direct.getServingConfig(), group.name);
         const own = kinds.filter(({ usesReplicas }) => role === "primary" || usesReplicas);
--- a/test/gateway/load-figures.test.ts
+++ b/test/gateway/load-figures.test.ts
@@ -100,7 +100,7 @@
 test("reads that use the primary are not closed by the replicas' queue", () => {
   const lagging = { health: { ...healthy, laggingUntil: 10 } };
   const behind = [makeTarget("p"), makeTarget("r1", lagging)];
-  expect(chooseReportTargets("replica", serving, behind, 5)).toEqual({ type: "undecided" });
+  expect(chooseReportTargets("replica", serving, behind, 5)).toEqual({ type: "unknown" });
   expect(chooseReportTargets("replica", serving, behind, 10).type).toBe("targets");
   const idle = [makeTarget("p", { isLocal: true, running: 0, occupiedSlots: 0 }), makeTarget("r1")];
   expect(chooseReportTargets("replica", serving, idle, 0)).toEqual({
--- a/test/gateway/load-report.test.ts
+++ b/test/gateway/load-report.test.ts
@@ -83,6 +83,15 @@
   expect(reporter.findReport(group, "primary", true)).toBeUndefined();
 });
 
+// Guards against reads that all move to a gateway which can't read any replica, as it reports no wait.
+test("nothing is reported of replicas while none can be read", () => {
+  const { reporter } = start();
+  expect(reporter.findReport(group, "replica", true)).toBeDefined();
+  fixture.clock.time += 100;
+  fixture.groups.find(group)?.noteLagging("q");
+  expect(reporter.findReport(group, "replica", true)).toBeUndefined();
+});
+
 test("nothing is reported where slots are not planned", () => {
   const { reporter } = start({ isSlotPlanned: false });
   expect(reporter.findReport(group, "primary", true)).toBeUndefined();
