Report nothing of targets that do not answer

A gateway refuses statements for such a target before they wait, so that its empty queue was reported as a wait of 0 and attracted the statements of entry nodes from gateways that reach the target.

--- a/src/gateway/load-figures.ts
+++ b/src/gateway/load-figures.ts
@@ -27,7 +27,7 @@
 /** The targets whose load is reported. */
 export type ReportTargets =
   | { readonly type: "targets"; readonly names: readonly string[] }
-  /** Nothing can be said: the primary is being changed, or no replica can be read. */
+  /** Nothing can be said: the primary is being changed or does not answer, or no replica can be read. */
   | { readonly type: "unknown" };
 
 /** The longest wait that is reported, in milliseconds. It stands for all longer ones and for an unknown one. */
@@ -67,7 +67,7 @@
   const primaryName = primary.type === "serving" ? primary.target : undefined;
   const own = candidates.find(({ name }) => name === primaryName);
   if (role === "primary") {
-    const isUsable = own !== undefined && !own.isLeaving && own.slots > 0;
+    const isUsable = own !== undefined && isAnswering(own, now);
     return isUsable ? { type: "targets", names: [own.name] } : { type: "unknown" };
   }
   const replicas = candidates.filter((v) => v.name !== primaryName && isReadable(v, now));
@@ -129,8 +129,17 @@
   return level ?? Number.MAX_SAFE_INTEGER - priorities.length + priorities.indexOf(priority);
 }
 
-function isReadable({ isLeaving, slots, health }: CandidateTarget, now: number): boolean {
-  return !isLeaving && slots > 0 && now >= health.avoidUntil && now >= health.laggingUntil;
+/**
+ * Whether statements wait for a target's slots. While it does not answer, all but one are refused before they wait,
+ * and its empty queue says nothing.
+ */
+function isAnswering({ isLeaving, slots, occupiedSlots, health }: CandidateTarget, now: number) {
+  const isProbed = health.failures > 0 && occupiedSlots > 0;
+  return !isLeaving && slots > 0 && now >= health.avoidUntil && !isProbed;
+}
+
+function isReadable(replica: CandidateTarget, now: number): boolean {
+  return isAnswering(replica, now) && now >= replica.health.laggingUntil;
 }
 
 /** Whether reads are placed at the primary although replicas can be read: in its data centre, or in its region. */
@@ -139,8 +148,8 @@
   candidates: readonly CandidateTarget[],
   now: number,
 ): boolean {
-  const { isLeaving, health, slots, occupiedSlots, isLocal, running, distance } = primary;
-  if (isLeaving || now < health.avoidUntil || occupiedSlots >= slots) return false;
+  const { slots, occupiedSlots, isLocal, running, distance } = primary;
+  if (!isAnswering(primary, now) || occupiedSlots >= slots) return false;
   if (candidates.some((v) => v.distance === "remote")) return distance !== "remote";
   return isLocal && running === 0;
 }
--- a/test/gateway/load-figures.test.ts
+++ b/test/gateway/load-figures.test.ts
@@ -119,6 +119,22 @@
   expect(isUnknown(serving, {})).toBe(false);
 });
 
+// Guards against statements that all move to a gateway whose queue is empty only because its targets don't answer:
+// it refuses statements before they wait.
+test("targets that have not answered are not reported as free", () => {
+  const avoided = { health: { ...healthy, failures: 1, avoidUntil: 10 }, occupiedSlots: 0 };
+  const probed = { health: { ...healthy, failures: 2 }, occupiedSlots: 1 };
+  for (const fields of [avoided, probed]) {
+    const choose = (role: "primary" | "replica", names: readonly string[]) => {
+      const candidates = names.map((name) => makeTarget(name, name === "r2" ? {} : fields));
+      return chooseReportTargets(role, serving, candidates, 5);
+    };
+    expect(choose("primary", ["p", "r1"])).toEqual({ type: "unknown" });
+    expect(choose("replica", ["p", "r1"])).toEqual({ type: "unknown" });
+    expect(choose("replica", ["p", "r1", "r2"])).toEqual({ type: "targets", names: ["r2"] });
+  }
+});
+
 // Guards against a level that is reported as closed while a team without waiting statements gets a slot in time:
 // the flood of one team must not refuse the statements of others at their entry nodes.
 test("a queue that one team has filled is open for the others", () => {
