--- a/src/gateway/load-source.ts
+++ b/src/gateway/load-source.ts
@@ -8,6 +8,7 @@
   makeKindRequest,
   type LoadFigures,
   type LoadRole,
+  type StatementKind,
 } from "./load-figures.js";
 import { chooseReportRole, type SentTimes } from "./load-report.js";
 
@@ -32,6 +33,9 @@
 /** This process's load as a gateway, shared by its connections to other nodes. */
 export class LoadSource {
   private readonly cached = new Map<string, CachedFigures>();
+  /** The kinds of statements of each group, for the configuration from which they were listed. */
+  private kinds = new Map<string, readonly StatementKind[]>();
+  private kindsConfig: object | undefined;
 
   constructor(private readonly ports: LoadSourcePorts) {}
 
@@ -66,6 +70,20 @@
     return targets.some((t) => direct.findShareRule(name, t.dataCentre).type !== "none");
   }
 
+  /** Lists a group's kinds of statements. Kept, as that takes a pass over the databases of all groups. */
+  private listKinds(group: string): readonly StatementKind[] {
+    const config = this.ports.direct.getServingConfig();
+    if (this.kindsConfig !== config) {
+      this.kinds = new Map();
+      this.kindsConfig = config;
+    }
+    const known = this.kinds.get(group);
+    if (known !== undefined) return known;
+    const kinds = listStatementKinds(config, group);
+    this.kinds.set(group, kinds);
+    return kinds;
+  }
+
   private compute(group: DirectGroup, role: LoadRole): LoadFigures | undefined {
     const { direct } = this.ports;
     const { now } = this;
@@ -75,7 +93,7 @@
       case "unknown":
         return undefined;
       case "targets": {
-        const kinds = listStatementKinds(direct.getServingConfig(), group.name);
+        const kinds = this.listKinds(group.name);
         const own = kinds.filter(({ usesReplicas }) => role === "primary" || usesReplicas);
         return computeFigures(own, (kind) =>
           group.slots.preview(makeKindRequest(kind, chosen.names, now)),
--- a/test/gateway/load-report.test.ts
+++ b/test/gateway/load-report.test.ts
@@ -92,6 +92,31 @@
   expect(reporter.findReport(group, "replica", true)).toBeUndefined();
 });
 
+// Guards against a cost of each report that grows with the number of databases.
+test("reports list the databases once for a configuration", () => {
+  const { source } = start();
+  const { ports } = fixture;
+  let listed = 0;
+  const makeConfig = () => {
+    const config = ports.getServingConfig();
+    const databases = new Map(config.databases);
+    const list = databases.values.bind(databases);
+    databases.values = () => {
+      listed += 1;
+      return list();
+    };
+    return { ...config, databases };
+  };
+  for (const config of [makeConfig(), makeConfig()]) {
+    Object.assign(ports, { getServingConfig: () => config });
+    for (let i = 0; i < 20; i += 1) {
+      expect(new LoadReporter(source).findReport(group, "primary", true)).toBeDefined();
+      fixture.clock.time += 6;
+    }
+  }
+  expect(listed).toBe(2);
+});
+
 test("nothing is reported where slots are not planned", () => {
   const { reporter } = start({ isSlotPlanned: false });
   expect(reporter.findReport(group, "primary", true)).toBeUndefined();
