--- a/src/gateway/load-report.ts
+++ b/src/gateway/load-report.ts
@@ -8,7 +8,7 @@
 
 /**
  * Decides what an answer reports: the load of the targets that its statement was about, or else of the others if
- * these are due. A refusal always reports the load that it comes from, since the node sends the next statement by it.
+ * these are due. A refusal always has a report, since the node sends the next statement by it.
  */
 export function chooseReportRole(
   sent: SentTimes,
@@ -16,9 +16,10 @@
   isRefusal: boolean,
   now: number,
 ): LoadRole | undefined {
-  if (isRefusal || isDue(sent[concerned], now)) return concerned;
+  if (isDue(sent[concerned], now)) return concerned;
   const other = concerned === "primary" ? "replica" : "primary";
-  return isDue(sent[other], now) ? other : undefined;
+  if (isDue(sent[other], now)) return other;
+  return isRefusal ? concerned : undefined;
 }
 
 function isDue(sentAt: number | undefined, now: number): boolean {
