Derive the retry delay of a closed level from how long it has been closed

The reported wait is that of the most important level, mostly close to 0 while less important levels are refused, so that callers used up their attempts within a few 50 ms. The delay is now at least the time for which the level has been closed, up to 1,000 ms.

--- a/src/gateway/entry-loads.ts
+++ b/src/gateway/entry-loads.ts
@@ -6,7 +6,7 @@
 import { orderByLoad, type LoadCandidate } from "./load-choice.js";
 import { decodeLoad } from "./load-codec.js";
 import type { LoadRole } from "./load-figures.js";
-import { decideByLoad, type ClosedLevel } from "./load-refusal.js";
+import { decideByLoad, noteSent, type ClosedLevel } from "./load-refusal.js";
 import { findReportFault, LoadTable, maxLoadAgeMs } from "./load-table.js";
 
 /** The environment of an `EntryLoads`. */
@@ -125,9 +125,12 @@
     const verdict = decideByLoad(candidates, query, this.closed.get(key), now, draw);
     this.noteState(key, statement, verdict.type !== "send", now);
     switch (verdict.type) {
-      case "send":
-        this.closed.delete(key);
+      case "send": {
+        const kept = noteSent(this.closed.get(key), now);
+        if (kept === undefined) this.closed.delete(key);
+        else this.closed.set(key, kept);
         return undefined;
+      }
       case "probe":
         this.closed.set(key, verdict.closed);
         return undefined;
--- a/src/gateway/load-refusal.ts
+++ b/src/gateway/load-refusal.ts
@@ -5,6 +5,9 @@
   /** Statements refused since the last probe. */
   readonly refusedCount: number;
   readonly probedAt: number;
+  /** When it was first and last found closed, without a longer gap in between. */
+  readonly since: number;
+  readonly seenAt: number;
 }
 
 /** What becomes of a statement by the reports of its gateways. */
@@ -26,6 +29,13 @@
 const maxProbeIntervalMs = 100;
 /** The shortest retry delay, in milliseconds: a gateway reports no more often than this. */
 const minRetryMs = 50;
+/** The longest retry delay that comes from the time a level has been closed, in milliseconds. */
+const maxClosedRetryMs = 1000;
+/**
+ * A level found closed again within this time has stayed closed, in milliseconds: twice the age at which reports no
+ * longer count, so that a statement sent after that can bring the next one.
+ */
+const maxClosedGapMs = 200;
 
 /**
  * Decides whether a statement is sent. It is refused when each of its gateways would refuse it by its level: one
@@ -44,9 +54,24 @@
   if (!isLeveled || usable.length === 0 || !usable.every((c) => isClosedFor(c, level)))
     return { type: "send" };
   const { refusedCount, probedAt } = closed ?? { refusedCount: 0, probedAt: now };
+  const since = closed !== undefined && isContinued(closed, now) ? closed.since : now;
+  const seen = { since, seenAt: now };
   if (refusedCount >= statementsPerProbe - 1 || now - probedAt >= maxProbeIntervalMs)
-    return { type: "probe", closed: { refusedCount: 0, probedAt: now } };
+    return { type: "probe", closed: { ...seen, refusedCount: 0, probedAt: now } };
   const waitMs = Math.min(...usable.map(({ load }) => load?.waitMs ?? 0));
-  const retryAfterMs = Math.max(minRetryMs, waitMs) * (1 + draw());
-  return { type: "refuse", closed: { refusedCount: refusedCount + 1, probedAt }, retryAfterMs };
+  // The wait is that of the most important level. One that has long been closed is likely to stay so for as long.
+  const closedMs = Math.min(now - since, maxClosedRetryMs);
+  const retryAfterMs = Math.max(minRetryMs, waitMs, closedMs) * (1 + draw());
+  const next = { ...seen, refusedCount: refusedCount + 1, probedAt };
+  return { type: "refuse", closed: next, retryAfterMs };
+}
+
+/** What is kept of a closed level when one of its statements is sent because the reports do not close it now. */
+export function noteSent(closed: ClosedLevel | undefined, now: number): ClosedLevel | undefined {
+  if (closed === undefined || !isContinued(closed, now)) return undefined;
+  return { ...closed, refusedCount: 0, probedAt: now };
+}
+
+function isContinued({ seenAt }: ClosedLevel, now: number): boolean {
+  return now - seenAt <= maxClosedGapMs;
 }
--- a/test/gateway/entry-loads.test.ts
+++ b/test/gateway/entry-loads.test.ts
@@ -69,6 +69,32 @@
   expect(loads.findRefusal({ ...statement, level: 0 }, gateways)).toBeUndefined();
 });
 
+// Guards against hints so short that callers use up their attempts while the level stays closed, as the wait of the
+// most important level says little about it.
+test("the hint grows with the time that the level has been closed, also over statements sent in between", () => {
+  const { loads, record, clock } = createLoads();
+  const findHint = () => {
+    for (const vm of ["a", "b"]) record(vm, { waitMs: 0, lowestLevel: 1 });
+    return loads.findRefusal(statement, gateways)?.retryAfterMs;
+  };
+  expect(findHint()).toBeLessThan(100);
+  for (let i = 0; i < 4; i += 1) {
+    clock.time += 99;
+    findHint();
+    clock.time += 11;
+    findHint();
+    clock.time += 101;
+    // The reports are too old, so that it is sent.
+    expect(loads.findRefusal(statement, gateways)).toBeUndefined();
+  }
+  const hint = findHint();
+  expect(hint).toBeGreaterThanOrEqual(844);
+  expect(hint).toBeLessThan(2000);
+  clock.time += 1000;
+  expect(findHint()).toBeUndefined();
+  expect(findHint()).toBeLessThan(100);
+});
+
 // Guards against a log that a level fills which closes and opens with each report.
 test("a level that opens is sent at once, and logged at most once a second", () => {
   const { loads, record, lines, clock } = createLoads();
