--- a/src/gateway/load-figures.ts
+++ b/src/gateway/load-figures.ts
@@ -27,9 +27,7 @@
 /** The targets whose load is reported. */
 export type ReportTargets =
   | { readonly type: "targets"; readonly names: readonly string[] }
-  /** No target is known to serve such statements here, so the gateway decides about each of them. */
-  | { readonly type: "undecided" }
-  /** Nothing can be said: the primary is being changed. */
+  /** Nothing can be said: the primary is being changed or does not answer, or no replica can be read. */
   | { readonly type: "unknown" };
 
 /** The longest wait that is reported, in milliseconds. It stands for all longer ones and for an unknown one. */
@@ -57,7 +55,8 @@
 
 /**
  * Chooses the targets whose load a report tells. A read also uses the primary while that is near and idle, and
- * needs it while no replica can be read; the queue of the replicas then says nothing about the read.
+ * needs it while no replica can be read. Nothing is reported then: the queue of the replicas says nothing about the
+ * read, and a wait of 0 would attract the reads of all nodes to a gateway that redirects them.
  */
 export function chooseReportTargets(
   role: LoadRole,
@@ -68,11 +67,11 @@
   const primaryName = primary.type === "serving" ? primary.target : undefined;
   const own = candidates.find(({ name }) => name === primaryName);
   if (role === "primary") {
-    const isUsable = own !== undefined && !own.isLeaving && own.slots > 0;
+    const isUsable = own !== undefined && isAnswering(own, now);
     return isUsable ? { type: "targets", names: [own.name] } : { type: "unknown" };
   }
   const replicas = candidates.filter((v) => v.name !== primaryName && isReadable(v, now));
-  if (replicas.length === 0) return { type: "undecided" };
+  if (replicas.length === 0) return { type: "unknown" };
   const isPrimaryUsed = own !== undefined && mayServeReads(own, candidates, now);
   const names = [...replicas, ...(isPrimaryUsed ? [own] : [])].map(({ name }) => name);
   return { type: "targets", names };
@@ -130,8 +129,17 @@
   return level ?? Number.MAX_SAFE_INTEGER - priorities.length + priorities.indexOf(priority);
 }
 
-function isReadable({ isLeaving, slots, health }: CandidateTarget, now: number): boolean {
-  return !isLeaving && slots > 0 && now >= health.avoidUntil && now >= health.laggingUntil;
+/**
+ * Whether statements wait for a target's slots. While it does not answer, all but one are refused before they wait,
+ * and its empty queue says nothing.
+ */
+function isAnswering({ isLeaving, slots, occupiedSlots, health }: CandidateTarget, now: number) {
+  const isProbed = health.failures > 0 && occupiedSlots > 0;
+  return !isLeaving && slots > 0 && now >= health.avoidUntil && !isProbed;
+}
+
+function isReadable(replica: CandidateTarget, now: number): boolean {
+  return isAnswering(replica, now) && now >= replica.health.laggingUntil;
 }
 
 /** Whether reads are placed at the primary although replicas can be read: in its data centre, or in its region. */
@@ -140,8 +148,8 @@
   candidates: readonly CandidateTarget[],
   now: number,
 ): boolean {
-  const { isLeaving, health, slots, occupiedSlots, isLocal, running, distance } = primary;
-  if (isLeaving || now < health.avoidUntil || occupiedSlots >= slots) return false;
+  const { slots, occupiedSlots, isLocal, running, distance } = primary;
+  if (!isAnswering(primary, now) || occupiedSlots >= slots) return false;
   if (candidates.some((v) => v.distance === "remote")) return distance !== "remote";
   return isLocal && running === 0;
 }
