Measure only reads that may be divided

Reads sent to the primary's gateway were counted with its response times. They wait for the primary's slots, so that in the primary's data centre the first gateway seemed slow and reads left it without need.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -49,18 +49,7 @@
   kind: CrossingKind,
 ): Promise<ForwardResult> {
   noteCrossing(context, connections.findDataCentre(vm), kind);
-  const sentAt = connections.now();
   const result = await connection.call(step, leftMs + answerMarginMs, context.disconnectSignal);
-  const elapsedMs = connections.now() - sentAt;
-  const outcome = kind === "read" ? findReadOutcome(result, elapsedMs >= leftMs) : undefined;
-  if (outcome !== undefined)
-    connections.recordRead({
-      group: context.group.name,
-      gateway: vm,
-      outcome,
-      elapsedMs,
-      givenMs: leftMs,
-    });
   switch (result.type) {
     case "answered":
       connections.recordAnswer(vm);
@@ -84,6 +73,26 @@
   return result;
 }
 
+/**
+ * Sends a read that either gateway of a data centre could be sent, and records how it ended and in what time. Reads
+ * that were sent to the primary's gateway wait for the primary, and say nothing of how fast it answers others.
+ */
+export async function sendMeasuredRead(
+  connections: GatewayConnections,
+  vm: string,
+  group: string,
+  givenMs: number,
+  send: () => Promise<ForwardResult>,
+): Promise<ForwardResult> {
+  const sentAt = connections.now();
+  const result = await send();
+  const elapsedMs = connections.now() - sentAt;
+  const outcome = findReadOutcome(result, elapsedMs >= givenMs);
+  if (outcome !== undefined)
+    connections.recordRead({ group, gateway: vm, outcome, elapsedMs, givenMs });
+  return result;
+}
+
 /** How a read ended at a gateway; undefined when the gateway did not get or did not try it. */
 function findReadOutcome(result: ForwardResult, isTimeOver: boolean): ReadOutcome | undefined {
   switch (result.type) {
--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -22,10 +22,17 @@
   /** It was redirected with too little time left to be sent again. */
   | { readonly type: "outOfTime" };
 
+/** How a read is sent to a destination. */
+export interface ReadTerms {
+  readonly acceptsRedirect: boolean;
+  /** Whether it was sent to the near gateways, between which reads are divided. */
+  readonly isNear: boolean;
+}
+
 /** Tries a read at one destination; undefined means that another destination may be tried. */
 export type TryRead<T> = (
   destination: Destination,
-  acceptsRedirect: boolean,
+  terms: ReadTerms,
 ) => Promise<ReadEnd<T> | undefined>;
 
 /** The order in which gateways are tried. */
@@ -84,7 +91,7 @@
     try {
       const source = this.router.createDestinationSource(group.name, false);
       const end = await tryDestinations(context, source, deadlineAt, (destination) =>
-        tryRead(destination, true),
+        tryRead(destination, { acceptsRedirect: true, isNear: true }),
       );
       if (end === undefined) return { type: "notAccepted" };
       if (end.type === "ended") {
@@ -145,14 +152,16 @@
   /** Sends a read that no destination may redirect. */
   private async sendOnce<T>(
     context: SessionContext,
-    { needsPrimary, leftDataCentre }: SendOrder,
+    order: SendOrder,
     deadlineAt: number,
     tryRead: TryRead<T>,
   ): Promise<SendResult<T>> {
     const { name } = context.group;
+    const { needsPrimary, leftDataCentre } = order;
+    const terms = { acceptsRedirect: false, isNear: order === toNear };
     const source = this.router.createDestinationSource(name, needsPrimary, leftDataCentre);
     const end = await tryDestinations(context, source, deadlineAt, (destination) =>
-      tryRead(destination, false),
+      tryRead(destination, terms),
     );
     return end?.type === "ended" ? end : { type: "notAccepted" };
   }
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -11,17 +11,21 @@
 import { encodeRun, noTransaction } from "./codec.js";
 import type { ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
-import { findLocalRedirect, RedirectingSender, type ReadEnd } from "./redirect.js";
+import { findLocalRedirect, RedirectingSender, type ReadEnd, type ReadTerms } from "./redirect.js";
 import type { GatewayRouter, Destination } from "./router.js";
 import { RoutedTransaction } from "./transaction.js";
 import {
   countRemainingMs,
   minForwardMs,
   forwardStep,
+  sendMeasuredRead,
   tooLargeReason,
   tryDestinations,
 } from "./forward.js";
 
+/** Of statements that neither may be redirected nor are divided between gateways. */
+const fixedTerms: ReadTerms = { acceptsRedirect: false, isNear: false };
+
 /** Runs statements locally when this process holds the group's connections, else at a gateway. */
 export class RoutedRunner implements WorkRunner {
   private readonly sender: RedirectingSender;
@@ -47,7 +51,7 @@
     );
     const end = await tryDestinations(context, source, deadlineAt, async (destination) => {
       if (destination.type === "local") return directRunner.runAutocommit(context, work, arrivedAt);
-      const result = await this.tryGateway(destination, context, work, deadlineAt, false);
+      const result = await this.tryGateway(destination, context, work, deadlineAt, fixedTerms);
       return result === undefined ? undefined : interpretResult(result, findEffect(work));
     });
     return end ?? { reply: refuseWithoutGateway(context, work.id, "idle") };
@@ -63,9 +67,10 @@
     arrivedAt: number,
   ): Promise<StatementResult> {
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
-    const sent = await this.sender.send(context, deadlineAt, async (destination, accepts) => {
+    const sent = await this.sender.send(context, deadlineAt, async (destination, terms) => {
+      const accepts = terms.acceptsRedirect;
       if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
-      const result = await this.tryGateway(destination, context, work, deadlineAt, accepts);
+      const result = await this.tryGateway(destination, context, work, deadlineAt, terms);
       if (accepts && result?.type === "redirected")
         return {
           type: "redirected",
@@ -102,22 +107,19 @@
     context: SessionContext,
     work: Work,
     deadlineAt: number,
-    acceptsRedirect: boolean,
+    { acceptsRedirect, isNear }: ReadTerms,
   ): Promise<ForwardResult | undefined> {
     const leftMs = countRemainingMs(context, deadlineAt, gateway.dataCentre);
     const connection = this.connections.open(gateway);
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
     const step = encodeRun(context, work, leftMs, noTransaction, acceptsRedirect);
-    return forwardStep(
-      this.connections,
-      connection,
-      gateway.vm,
-      context,
-      step,
-      leftMs,
-      findEffect(work),
-    );
+    const { vm } = gateway;
+    const effect = findEffect(work);
+    const send = () => forwardStep(this.connections, connection, vm, context, step, leftMs, effect);
+    return isNear
+      ? sendMeasuredRead(this.connections, vm, context.group.name, leftMs, send)
+      : send();
   }
 }
 
--- a/src/gateway/transaction.ts
+++ b/src/gateway/transaction.ts
@@ -131,18 +131,23 @@
     arrivedAt: number,
   ): Promise<Reply> {
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
-    const sent = await this.sender.send(context, deadlineAt, async (destination, accepts) => {
-      if (destination.type === "local") return this.openLocally(context, work, arrivedAt, accepts);
-      const build: BuildStep = (leftMs, part) => encodeRun(context, work, leftMs, part, accepts);
-      const result = await this.openAtGateway(destination, context, build, deadlineAt);
-      if (result === undefined) return undefined;
-      if (result.type === "redirected") {
-        const { leavesRegion } = result;
-        const { dataCentre } = destination.gateway;
-        return accepts ? { type: "redirected", leavesRegion, dataCentre } : undefined;
-      }
-      return toReadEnd(this.handleResult(context, work, result));
-    });
+    const sent = await this.sender.send(
+      context,
+      deadlineAt,
+      async (destination, { acceptsRedirect: accepts }) => {
+        if (destination.type === "local")
+          return this.openLocally(context, work, arrivedAt, accepts);
+        const build: BuildStep = (leftMs, part) => encodeRun(context, work, leftMs, part, accepts);
+        const result = await this.openAtGateway(destination, context, build, deadlineAt);
+        if (result === undefined) return undefined;
+        if (result.type === "redirected") {
+          const { leavesRegion } = result;
+          const { dataCentre } = destination.gateway;
+          return accepts ? { type: "redirected", leavesRegion, dataCentre } : undefined;
+        }
+        return toReadEnd(this.handleResult(context, work, result));
+      },
+    );
     if (sent.type === "ended") return sent.value;
     this.location = { type: "over" };
     return sent.type === "outOfTime"
--- a/test/gateway/divided-reads.test.ts
+++ b/test/gateway/divided-reads.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, expect, test } from "@jest/globals";
+import { afterEach, expect, jest, test } from "@jest/globals";
 import type { Reply, Statement } from "../../src/statement/index.js";
 import { waitUntil } from "../node/cluster.js";
 import { begin, findEnd, Hop, makeRead, makeWrite, type HopGateway } from "./hop.js";
@@ -38,6 +38,17 @@
   expect(await run("primary", makeRead("4"))).toBe(first);
 });
 
+// Reads of the primary wait for its slots at the first gateway alone. Measured beside reads of replicas, they would
+// make the first gateway seem slow, and reads would leave it without need.
+test("reads that have to go to the primary's gateway are not measured", async () => {
+  const { first } = await start();
+  const record = jest.spyOn(hop.shares, "record");
+  expect(await run("own", makeRead("1"))).toBe(first);
+  expect(record).toHaveBeenCalledTimes(1);
+  expect(await run("primary", makeRead("2"))).toBe(first);
+  expect(record).toHaveBeenCalledTimes(1);
+});
+
 test("a transaction that may write stays at the acting gateway", async () => {
   const { first } = await start();
   hop.draw = 0;
