Do not remember redirects by the gateway that reads are moved to

The second gateway of a data centre reads few log positions and redirects reads that the first one can answer. Each such redirect sent the entry node's reads of the route to the primary for 80 ms, and the gateway stayed unknown and got one read a second. The redirect is now followed but not remembered, counts as a refusal, and no read is moved there for 1 s.

--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -102,8 +102,9 @@
     }
     case "broken":
       return result.isSent && isTimeOver ? { type: "silent" } : undefined;
-    case "turnedAway":
     case "redirected":
+      return { type: "redirected" };
+    case "turnedAway":
     case "tooLarge":
       return undefined;
   }
--- a/src/gateway/gateway-share.ts
+++ b/src/gateway/gateway-share.ts
@@ -13,6 +13,8 @@
 export type ReadOutcome =
   | { readonly type: "complete" }
   | { readonly type: "error"; readonly code: ErrorCode }
+  /** The gateway left it to another one, and ran nothing. */
+  | { readonly type: "redirected" }
   /** The gateway did not answer in the time that it was given. */
   | { readonly type: "silent" };
 
@@ -96,8 +98,9 @@
 }
 
 /**
- * The time that a read counts with; undefined when it says nothing of its gateway. One that was refused or not
- * answered counts with all the time it had: a gateway that refuses everything at once is not a fast one.
+ * The time that a read counts with; undefined when it says nothing of its gateway. One that was refused,
+ * redirected or not answered counts with all the time it had: a gateway that refuses everything at once is not a
+ * fast one.
  */
 export function measureRead(
   outcome: ReadOutcome,
@@ -108,6 +111,7 @@
     case "complete":
       return Math.max(0, elapsedMs);
     case "silent":
+    case "redirected":
       return Math.max(0, elapsedMs, givenMs);
     case "error":
       return isRefusal(outcome.code) ? Math.max(0, elapsedMs, givenMs) : undefined;
--- a/src/gateway/gateway-shares.ts
+++ b/src/gateway/gateway-shares.ts
@@ -49,6 +49,8 @@
   readonly pair: SharePair | undefined;
   /** When a read was last sent to the other gateway while nothing was known of it. */
   readonly askedAt: number;
+  /** When the other gateway last redirected a read. */
+  readonly redirectedAt: number;
 }
 
 /** What this node knows of a group's gateways. */
@@ -64,9 +66,14 @@
 
 /**
  * An unknown gateway gets one read in this time at most, in milliseconds. One without a recent log position may
- * redirect it, which sends the node's reads of that kind to the primary for 80 ms.
+ * redirect it, and the read then takes a second hop and a slot at the primary.
  */
 const learningPauseMs = 1000;
+/**
+ * After a redirect by the other gateway no read is sent there for this long, in milliseconds. The preferred gateway
+ * shows meanwhile whether the reads need the primary.
+ */
+const redirectPauseMs = 1000;
 
 /** Divides a node's reads between the two gateways of a data centre by the response times that it measures. */
 export class GatewayShares {
@@ -92,12 +99,16 @@
     const pairing = shares?.pairing;
     if (ms === undefined || shares === undefined || pairing === undefined) return;
     if (gateway !== pairing.preferred && gateway !== pairing.other) return;
+    const isRedirected = outcome.type === "redirected";
+    // The preferred gateway redirects what needs the primary, which says nothing of how fast it is.
+    if (isRedirected && gateway === pairing.preferred) return;
     const { times } = shares;
     const now = this.ports.clock.now();
+    const redirectedAt = isRedirected ? now : pairing.redirectedAt;
     times.set(gateway, recordResponse(times.get(gateway), ms, now));
     const [preferred, other] = [times.get(pairing.preferred), times.get(pairing.other)];
     const pair = adjustPair(pairing.pair, preferred, other, now);
-    shares.pairing = this.report(group, { ...pairing, pair });
+    shares.pairing = this.report(group, { ...pairing, pair, redirectedAt });
   }
 
   /** The share of each preferred gateway: the least one of those in its groups. */
@@ -114,8 +125,9 @@
 
   private drawIsMoved(group: string, pairing: Pairing): boolean {
     const shares = this.findGroup(group);
-    const { preferred, other, pair, askedAt } = pairing;
+    const { preferred, other, pair, askedAt, redirectedAt } = pairing;
     const now = this.ports.clock.now();
+    if (now - redirectedAt < redirectPauseMs) return false;
     const otherTime = shares.times.get(other);
     const isKnown = isUsable(otherTime, now);
     if (!isKnown && now - askedAt < learningPauseMs) return false;
@@ -144,7 +156,14 @@
     if (known?.preferred === preferred && known.other === other) return known;
     for (const vm of shares.times.keys())
       if (vm !== preferred && vm !== other) shares.times.delete(vm);
-    const created = { preferred, other, isReduced: false, pair: undefined, askedAt: -Infinity };
+    const created = {
+      preferred,
+      other,
+      isReduced: false,
+      pair: undefined,
+      askedAt: -Infinity,
+      redirectedAt: -Infinity,
+    };
     shares.pairing = created;
     return created;
   }
--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -15,6 +15,8 @@
       readonly dataCentre: string | undefined;
     };
 
+type Redirected = Extract<ReadEnd<unknown>, { type: "redirected" }>;
+
 /** The result of sending a read. Except for `ended`, nothing has run. */
 export type SendResult<T> =
   | { readonly type: "ended"; readonly value: T }
@@ -88,17 +90,19 @@
       return this.sendOnce(context, this.leaveRegion(group.name), deadlineAt, tryRead);
     let answeredBy: "replica" | "any" | undefined;
     let order: SendOrder;
+    const tried = { isMoved: false };
     try {
       const source = this.router.createDestinationSource(group.name, false);
-      const end = await tryDestinations(context, source, deadlineAt, (destination) =>
-        tryRead(destination, { acceptsRedirect: true, isNear: true }),
-      );
+      const end = await tryDestinations(context, source, deadlineAt, (destination) => {
+        tried.isMoved = destination.type === "gateway" && destination.isMoved === true;
+        return tryRead(destination, { acceptsRedirect: true, isNear: true });
+      });
       if (end === undefined) return { type: "notAccepted" };
       if (end.type === "ended") {
         if (end.isComplete) answeredBy = context.trace.role === "replica" ? "replica" : "any";
         return end;
       }
-      order = this.recordRedirect(context, key, end);
+      order = tried.isMoved ? orderAfter(end) : this.recordRedirect(context, key, end);
     } finally {
       if (way === "probe") this.needs.endProbe(key, answeredBy === "replica");
       if (left === "probe") this.leftRegions.endProbe(group.name, answeredBy !== undefined);
@@ -113,20 +117,20 @@
     return { ...context, redirect: new RedirectOffer(destinations) };
   }
 
-  /** Records a redirect, and returns where the read goes. */
+  /** Records a redirect by the preferred gateway, and returns where the read goes. */
   private recordRedirect(
     { group, lastCommit, ports }: SessionContext,
     key: string,
-    { leavesRegion, dataCentre }: Extract<ReadEnd<unknown>, { type: "redirected" }>,
+    redirect: Redirected,
   ): SendOrder {
     const now = ports.clock.now();
-    if (!leavesRegion) {
+    if (!redirect.leavesRegion) {
       this.needs.recordRedirect(key, lastCommit, now);
-      return toPrimary;
+    } else {
+      this.leftRegions.recordRedirect(group.name, undefined, now);
+      this.leftDataCentres.set(group.name, redirect.dataCentre ?? "");
     }
-    this.leftRegions.recordRedirect(group.name, undefined, now);
-    this.leftDataCentres.set(group.name, dataCentre ?? "");
-    return this.leaveRegion(group.name);
+    return orderAfter(redirect);
   }
 
   private leaveRegion(group: string): SendOrder {
@@ -167,6 +171,14 @@
   }
 }
 
+/**
+ * Where a redirected read goes. A redirect by a gateway that got the read because reads are divided is followed but
+ * not recorded: that gateway reads few log positions, so that the preferred one may well have a fresh replica.
+ */
+function orderAfter({ leavesRegion, dataCentre }: Redirected): SendOrder {
+  return leavesRegion ? { needsPrimary: false, leftDataCentre: dataCentre ?? "" } : toPrimary;
+}
+
 /** Whether each gateway would find that the read needs the primary: nothing says how fresh a replica must be. */
 function isPrimaryRequired({ database, lastCommit }: SessionContext): boolean {
   const { route } = database.action;
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -12,7 +12,13 @@
 
 /** Where a statement may run: over this process's own connections, or at a gateway. */
 export type Destination =
-  { readonly type: "local" } | { readonly type: "gateway"; readonly gateway: Proxy };
+  | { readonly type: "local" }
+  | {
+      readonly type: "gateway";
+      readonly gateway: Proxy;
+      /** Whether it comes before the group's preferred gateway because reads are divided. */
+      readonly isMoved?: boolean;
+    };
 
 /** Lists a statement's destinations. */
 export interface DestinationSource {
@@ -84,9 +90,10 @@
     const isNearRead = !needsPrimary && leftDataCentre === undefined;
     const preferred = isNearRead ? (this.ports.orderReads?.(group, usable) ?? usable) : usable;
     const avoided = ordered.filter((proxy) => isAvoided(proxy.vm));
+    const isDivided = preferred[0] !== usable[0];
     const destinations = [...preferred, ...avoided]
       .slice(0, maxDestinations)
-      .map((gateway) => this.toDestination(gateway));
+      .map((gateway, place) => this.toDestination(gateway, isDivided && place === 0));
     // Without any gateway a listed process runs the statement over a connection opened for it.
     return destinations.length === 0 && this.ports.isListed() ? [localDestination] : destinations;
   }
@@ -185,9 +192,10 @@
     return this.ports.topology.measureDistance(from, dataCentre ?? "") === "remote";
   }
 
-  private toDestination(gateway: Proxy): Destination {
+  private toDestination(gateway: Proxy, isMoved: boolean): Destination {
     const isLocal = gateway.vm === this.ports.vm && this.ports.isListed();
-    return isLocal ? localDestination : { type: "gateway", gateway };
+    if (isLocal) return localDestination;
+    return isMoved ? { type: "gateway", gateway, isMoved } : { type: "gateway", gateway };
   }
 
   private findPrimaryDataCentre(group: string): string | undefined {
--- a/test/gateway/gateway-shares.test.ts
+++ b/test/gateway/gateway-shares.test.ts
@@ -10,6 +10,7 @@
 const second = makeProxy(1, "a");
 const far = makeProxy(2, "b");
 const complete: ReadOutcome = { type: "complete" };
+const redirected: ReadOutcome = { type: "redirected" };
 const refused: ReadOutcome = { type: "error", code: "busy" };
 
 function createShares(options: { readonly vm?: string; readonly isSlotPlanned?: boolean } = {}) {
@@ -57,8 +58,8 @@
   ]);
 });
 
-// The other gateway has no recent log position and redirects what it is sent. Each redirect sends the node's reads
-// of that kind to the primary for a while, so that a tenth of all reads at the other gateway would move most of them.
+// The other gateway has no recent log position and redirects what it is sent. A tenth of all reads would then take a
+// second hop and a slot at the primary.
 test("a gateway of which nothing is known gets one read a second at most", () => {
   const { stage, shares, record } = createShares();
   expect(list(shares)[0]).toBe("vm-1");
@@ -70,6 +71,31 @@
   expect([list(shares)[0], list(shares)[0]]).toEqual(["vm-1", "vm-1"]);
 });
 
+// The gateway has no replica that is fresh enough, while the preferred one has. With redirects left out it would stay
+// unknown, and get one read a second for as long.
+test("the other gateway gets no read for 1 s after a redirect, and few after that", () => {
+  const { stage, shares, record, runSeconds } = createShares();
+  list(shares);
+  runSeconds(2, 20);
+  stage.clock.time += 100;
+  record(second, 2, redirected);
+  expect(list(shares)[0]).toBe("vm-0");
+  stage.clock.time += 999;
+  expect(list(shares)[0]).toBe("vm-0");
+  stage.clock.time += 1;
+  stage.draw = 0.003;
+  expect(list(shares)[0]).toBe("vm-0");
+  stage.draw = 0.001;
+  expect(list(shares)[0]).toBe("vm-1");
+});
+
+test("redirects by the preferred gateway move no reads", () => {
+  const { shares, runSeconds } = createShares();
+  list(shares);
+  runSeconds(10, 2, redirected);
+  expect(shares.list()[0]?.share).toBeGreaterThan(0.97);
+});
+
 test("a gateway that refuses its reads at once loses them", () => {
   const { shares, runSeconds } = createShares();
   list(shares);
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -10,6 +10,7 @@
   GatewayServer,
   RoutedRunner,
 } from "../../src/gateway/index.js";
+import type { RouterPorts } from "../../src/gateway/router.js";
 import type { Proxy } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
 import { DisposableStore, type Mark } from "../../src/model/index.js";
@@ -52,6 +53,8 @@
 export interface FleetOptions {
   /** Whether the entry node is itself the near gateway. */
   readonly isEntryNear?: boolean;
+  /** Whether the data centre of the replica has a second gateway. */
+  readonly hasSecondNear?: boolean;
   readonly stage?: FixtureOptions;
   /** The regions of the data centres; one region by default. */
   readonly topology?: Topology;
@@ -72,6 +75,8 @@
   proxies: readonly Proxy[] = [];
   leader: PrimaryState = { type: "serving", target: "p" };
   readonly avoided = new Set<string>();
+  /** Whether the entry node sends reads to the second gateway of its data centre. */
+  isReadMoved = false;
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
   private readonly runner: RoutedRunner;
@@ -89,6 +94,11 @@
     const router = this.createRouter(
       { vm: entryVm, dataCentre: nearCentre, isListed, isAvoided },
       this,
+      (_group, gateways) => {
+        const [first, second, ...rest] = gateways;
+        if (first === undefined || second === undefined || !this.isReadMoved) return gateways;
+        return [second, first, ...rest];
+      },
     );
     this.runner = new RoutedRunner(router, this.connections);
   }
@@ -96,6 +106,7 @@
   static async start(options: FleetOptions = {}): Promise<RedirectFleet> {
     const fleet = new RedirectFleet(options);
     if (options.isEntryNear !== true) await fleet.addGateway("vm-near", nearCentre);
+    if (options.hasSecondNear === true) await fleet.addGateway("vm-near-2", nearCentre);
     await fleet.addGateway("vm-1", homeCentre);
     await fleet.addGateway("vm-2", homeCentre);
     const nearEntry = { ...makeProxy(99, nearCentre), vm: entryVm };
@@ -118,14 +129,19 @@
     return this.find("vm-near");
   }
 
+  /** The gateways of the replica's data centre, the preferred one first. */
+  get nearGateways(): readonly FleetGateway[] {
+    return this.listGateways(nearCentre).map(({ vm }) => this.find(vm));
+  }
+
   /** The first gateway of the primary's data centre. */
   get home(): FleetGateway {
-    return this.find(this.listHomeGateways()[0]?.vm ?? "");
+    return this.find(this.listGateways(homeCentre)[0]?.vm ?? "");
   }
 
   /** The gateway that takes over when `home` is lost. */
   get spare(): FleetGateway {
-    return this.find(this.listHomeGateways()[1]?.vm ?? "");
+    return this.find(this.listGateways(homeCentre)[1]?.vm ?? "");
   }
 
   open(database: string): DirectSession {
@@ -190,11 +206,11 @@
     return gateway;
   }
 
-  private listHomeGateways(): readonly Proxy[] {
+  private listGateways(centre: string): readonly Proxy[] {
     const announced = this.entry.ports.getServingConfig().groups.get(group);
     if (announced === undefined) throw new Error("no group");
     const { proxies } = this.gateways[0] ?? this;
-    return chooseGateways(announced, proxies).byDataCentre.get(homeCentre) ?? [];
+    return chooseGateways(announced, proxies).byDataCentre.get(centre) ?? [];
   }
 
   private async addGateway(vm: string, dataCentre: string): Promise<void> {
@@ -221,7 +237,11 @@
     this.proxies = [...this.proxies, proxy];
   }
 
-  private createRouter(self: RouterSelf, beliefs: Beliefs): GatewayRouter {
+  private createRouter(
+    self: RouterSelf,
+    beliefs: Beliefs,
+    orderReads?: RouterPorts["orderReads"],
+  ): GatewayRouter {
     const { vm, dataCentre, isListed, isAvoided } = self;
     const { groups } = this.entry.ports.getServingConfig();
     return new GatewayRouter({
@@ -234,6 +254,7 @@
       isListed: () => isListed,
       isAvoided: (name) => name !== vm && isAvoided(name),
       onNoneAccepted: () => undefined,
+      ...(orderReads === undefined ? {} : { orderReads }),
     });
   }
 }
