--- a/src/gateway/gateway-share.ts
+++ b/src/gateway/gateway-share.ts
@@ -52,10 +52,13 @@
 const learningPart = 0.1;
 /** The same while the other gateway is much slower or refuses its reads. */
 const rareProbePart = 0.002;
-/** The preferred gateway is slower, and reads move, above this multiple of the other's time and margin. */
-const slower = { factor: 1.5, marginMs: 10 } as const;
+/**
+ * The preferred gateway is slower, and reads move, above this multiple of the other's time and margin. The other one
+ * has a single slot at each target, so that it makes readers wait where the difference is less than callers notice.
+ */
+const slower = { factor: 2, marginMs: 50 } as const;
 /** It is as fast, and reads come back, below these. In between nothing moves, so that noise does not. */
-const asFast = { factor: 1.2, marginMs: 5 } as const;
+const asFast = { factor: 1.5, marginMs: 25 } as const;
 /** The other gateway is probed rarely above these. */
 const muchSlower = { factor: 2, marginMs: 10 } as const;
 /** The log-odds of the moved part change by the logarithm of the ratio of the times this often a second. */
--- a/test/gateway/gateway-share.test.ts
+++ b/test/gateway/gateway-share.test.ts
@@ -60,6 +60,29 @@
   }
 });
 
+// The other gateway is faster, but a target has a slot or two there. Reads that leave the preferred gateway for less
+// than their callers notice would wait for that slot.
+test("reads do not wait at a gateway with a single slot for a small gain", () => {
+  for (const [nodes, rate, seed] of fleets) {
+    const fleet = new ShareFleet(nodes, rate, seed);
+    fleet.preferred.delayMs = 60;
+    fleet.other.perSecond = (nodes * rate) / 10;
+    fleet.run(20);
+    const settled = fleet.run(60);
+    expect(meanOf(settled.map(({ meanMs }) => meanMs))).toBeLessThan(60);
+    expect(Math.max(...settled.map(({ meanMs }) => meanMs))).toBeLessThan(75);
+  }
+});
+
+test("the preferred gateway keeps nearly all reads while it is twice as slow, but fast", () => {
+  for (const [nodes, rate, seed] of fleets) {
+    const fleet = new ShareFleet(nodes, rate, seed);
+    fleet.preferred.delayMs = 30;
+    fleet.run(20);
+    expect(meanPart(fleet.run(60))).toBeGreaterThan(0.95);
+  }
+});
+
 // With nodes that send a read or two in a second, single slow reads must not decide.
 test("nodes that send few reads move them as well", () => {
   const fleet = new ShareFleet(60, 1.4, 3);
