--- a/src/gateway/gateway-shares.ts
+++ b/src/gateway/gateway-shares.ts
@@ -58,6 +58,8 @@
   readonly times: Map<string, ResponseEstimate>;
   /** The pair that reads of the group were last sent to. */
   pairing: Pairing | undefined;
+  /** When a read was last divided or measured. */
+  usedAt: number;
 }
 
 /** A gateway's share counts as reduced, or as restored, when it leaves this part to the other one. */
@@ -75,6 +77,12 @@
  */
 const redirectPauseMs = 1000;
 
+/**
+ * A group without reads for this long is removed, in milliseconds. Its response times are too old to be compared by
+ * then, and its gateways or the group itself may have left.
+ */
+const maxUnusedMs = 60_000;
+
 /** Divides a node's reads between the two gateways of a data centre by the response times that it measures. */
 export class GatewayShares {
   private readonly groups = new Map<string, GroupShares>();
@@ -104,6 +112,7 @@
     if (isRedirected && gateway === pairing.preferred) return;
     const { times } = shares;
     const now = this.ports.clock.now();
+    shares.usedAt = now;
     const redirectedAt = isRedirected ? now : pairing.redirectedAt;
     times.set(gateway, recordResponse(times.get(gateway), ms, now));
     const [preferred, other] = [times.get(pairing.preferred), times.get(pairing.other)];
@@ -115,6 +124,7 @@
   list(): readonly GatewayShareSample[] {
     const shares = new Map<string, number>();
     if (!this.ports.isSlotPlanned()) return [];
+    this.removeUnused();
     for (const { pairing } of this.groups.values()) {
       if (pairing === undefined) continue;
       const share = 1 - (pairing.pair?.movedPart ?? 0);
@@ -143,12 +153,22 @@
 
   private findGroup(group: string): GroupShares {
     const known = this.groups.get(group);
-    if (known !== undefined) return known;
-    const created: GroupShares = { times: new Map(), pairing: undefined };
+    const usedAt = this.ports.clock.now();
+    if (known !== undefined) {
+      known.usedAt = usedAt;
+      return known;
+    }
+    this.removeUnused();
+    const created: GroupShares = { times: new Map(), pairing: undefined, usedAt };
     this.groups.set(group, created);
     return created;
   }
 
+  private removeUnused(): void {
+    const oldest = this.ports.clock.now() - maxUnusedMs;
+    for (const [group, { usedAt }] of this.groups) if (usedAt < oldest) this.groups.delete(group);
+  }
+
   /** The state of a pair, which starts anew when the gateways of the group have changed. */
   private findPairing(group: string, preferred: string, other: string): Pairing {
     const shares = this.findGroup(group);
--- a/test/gateway/gateway-shares.test.ts
+++ b/test/gateway/gateway-shares.test.ts
@@ -131,6 +131,20 @@
   expect(shares.list()).toEqual([{ gateway: "vm-0", share: 1 }]);
 });
 
+// The data centre has a single gateway left, so that its reads are not divided any more. The metric would name the
+// lost gateway, and its reduced share, for as long as the process runs.
+test("a group that is not divided any more is forgotten after a minute", () => {
+  const { stage, shares, runSeconds } = createShares();
+  list(shares);
+  runSeconds(10, 200);
+  for (let i = 0; i < 61; i += 1) {
+    expect(shares.list()).toHaveLength(1);
+    stage.clock.time += 1000;
+    list(shares, [second, far]);
+  }
+  expect(shares.list()).toEqual([]);
+});
+
 // A read of before the change is answered after it, by a gateway that is in no pair any more.
 test("an answer of a gateway that is no longer used is ignored", () => {
   const { shares, record } = createShares();
