Leave read-only transactions to the first gateway of a data centre

The second gateway may have a single connection to a target. A transaction that was moved there held it between its statements, and the reads that were moved waited for it. The test of the router now also requires that statements which are not divided keep their order.

--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -27,7 +27,7 @@
 /** How a read is sent to a destination. */
 export interface ReadTerms {
   readonly acceptsRedirect: boolean;
-  /** Whether it was sent to the near gateways, between which reads are divided. */
+  /** Whether it was sent to the near gateways as one of the reads that are divided between them. */
   readonly isNear: boolean;
 }
 
@@ -42,10 +42,11 @@
   readonly needsPrimary: boolean;
   /** The data centre whose region the read leaves. */
   readonly leftDataCentre: string | undefined;
+  /** Whether the second gateway of the data centre may come first. */
+  readonly isDivided: boolean;
 }
 
-const toNear: SendOrder = { needsPrimary: false, leftDataCentre: undefined };
-const toPrimary: SendOrder = { needsPrimary: true, leftDataCentre: undefined };
+const toPrimary: SendOrder = { needsPrimary: true, leftDataCentre: undefined, isDivided: false };
 
 /**
  * Sends reads to the near gateway and, when that redirects them, to the primary's gateways or to another region.
@@ -66,13 +67,18 @@
     return ports.isSlotPlanned() && findEffect(work) === "read" && route.type !== "primary";
   }
 
-  /** Sends a redirectable read that must be answered by `deadlineAt`. */
+  /**
+   * Sends a redirectable read that must be answered by `deadlineAt`. The first one of a transaction is not divided
+   * between gateways: the second gateway may have a single connection, which the transaction would hold.
+   */
   async send<T>(
     context: SessionContext,
     deadlineAt: number,
     tryRead: TryRead<T>,
+    isDivided: boolean,
   ): Promise<SendResult<T>> {
     const { group, lastCommit } = context;
+    const toNear = { needsPrimary: false, leftDataCentre: undefined, isDivided };
     if (isPrimaryRequired(context)) return this.sendOnce(context, toPrimary, deadlineAt, tryRead);
     const { hasPrimaryGateway, hasRemoteGateway } = this.router.findRedirectDestinations(
       group.name,
@@ -92,10 +98,10 @@
     let order: SendOrder;
     const tried = { isMoved: false };
     try {
-      const source = this.router.createDestinationSource(group.name, false);
+      const source = this.router.createDestinationSource(group.name, false, undefined, isDivided);
       const end = await tryDestinations(context, source, deadlineAt, (destination) => {
         tried.isMoved = destination.type === "gateway" && destination.isMoved === true;
-        return tryRead(destination, { acceptsRedirect: true, isNear: true });
+        return tryRead(destination, { acceptsRedirect: true, isNear: isDivided });
       });
       if (end === undefined) return { type: "notAccepted" };
       if (end.type === "ended") {
@@ -134,7 +140,8 @@
   }
 
   private leaveRegion(group: string): SendOrder {
-    return { needsPrimary: false, leftDataCentre: this.leftDataCentres.get(group) };
+    const leftDataCentre = this.leftDataCentres.get(group);
+    return { needsPrimary: false, leftDataCentre, isDivided: false };
   }
 
   /** Whether a redirected read can still be answered by one of its destinations. */
@@ -161,9 +168,14 @@
     tryRead: TryRead<T>,
   ): Promise<SendResult<T>> {
     const { name } = context.group;
-    const { needsPrimary, leftDataCentre } = order;
-    const terms = { acceptsRedirect: false, isNear: order === toNear };
-    const source = this.router.createDestinationSource(name, needsPrimary, leftDataCentre);
+    const { needsPrimary, leftDataCentre, isDivided } = order;
+    const terms = { acceptsRedirect: false, isNear: order.isDivided };
+    const source = this.router.createDestinationSource(
+      name,
+      needsPrimary,
+      leftDataCentre,
+      isDivided,
+    );
     const end = await tryDestinations(context, source, deadlineAt, (destination) =>
       tryRead(destination, terms),
     );
@@ -176,7 +188,8 @@
  * not recorded: that gateway reads few log positions, so that the preferred one may well have a fresh replica.
  */
 function orderAfter({ leavesRegion, dataCentre }: Redirected): SendOrder {
-  return leavesRegion ? { needsPrimary: false, leftDataCentre: dataCentre ?? "" } : toPrimary;
+  if (!leavesRegion) return toPrimary;
+  return { needsPrimary: false, leftDataCentre: dataCentre ?? "", isDivided: false };
 }
 
 /** Whether each gateway would find that the read needs the primary: nothing says how fresh a replica must be. */
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -70,12 +70,14 @@
 
   /**
    * A statement's destinations, the preferred one first; empty when no proxy is listed. With `leftDataCentre`
-   * only those in other regions than that data centre, unless there is none.
+   * only those in other regions than that data centre, unless there is none. With `isDivided` a part of the
+   * statements that stay near goes to the second gateway first.
    */
   listDestinations(
     group: string,
     needsPrimary: boolean,
     leftDataCentre?: string,
+    isDivided = false,
   ): readonly Destination[] {
     const { vm, dataCentre, topology, isAvoided } = this.ports;
     const plan = this.findPlan(group);
@@ -87,13 +89,13 @@
     const remote = all.filter((proxy) => this.isRemote(leftDataCentre, proxy));
     const ordered = remote.length > 0 ? remote : all;
     const usable = ordered.filter((proxy) => !isAvoided(proxy.vm));
-    const isNearRead = !needsPrimary && leftDataCentre === undefined;
+    const isNearRead = isDivided && !needsPrimary && leftDataCentre === undefined;
     const preferred = isNearRead ? (this.ports.orderReads?.(group, usable) ?? usable) : usable;
     const avoided = ordered.filter((proxy) => isAvoided(proxy.vm));
-    const isDivided = preferred[0] !== usable[0];
+    const isMoved = preferred[0] !== usable[0];
     const destinations = [...preferred, ...avoided]
       .slice(0, maxDestinations)
-      .map((gateway, place) => this.toDestination(gateway, isDivided && place === 0));
+      .map((gateway, place) => this.toDestination(gateway, isMoved && place === 0));
     // Without any gateway a listed process runs the statement over a connection opened for it.
     return destinations.length === 0 && this.ports.isListed() ? [localDestination] : destinations;
   }
@@ -103,10 +105,11 @@
     group: string,
     needsPrimary: boolean,
     leftDataCentre?: string,
+    isDivided = false,
   ): DestinationSource {
     const { onNoneAccepted } = this.ports;
     return {
-      listDestinations: () => this.listDestinations(group, needsPrimary, leftDataCentre),
+      listDestinations: () => this.listDestinations(group, needsPrimary, leftDataCentre, isDivided),
       onNoneAccepted,
     };
   }
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -67,19 +67,24 @@
     arrivedAt: number,
   ): Promise<StatementResult> {
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
-    const sent = await this.sender.send(context, deadlineAt, async (destination, terms) => {
-      const accepts = terms.acceptsRedirect;
-      if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
-      const result = await this.tryGateway(destination, context, work, deadlineAt, terms);
-      if (accepts && result?.type === "redirected")
-        return {
-          type: "redirected",
-          leavesRegion: result.leavesRegion,
-          dataCentre: destination.gateway.dataCentre,
-        };
-      const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
-      return end === undefined ? undefined : toReadEnd(end);
-    });
+    const sent = await this.sender.send(
+      context,
+      deadlineAt,
+      async (destination, terms) => {
+        const accepts = terms.acceptsRedirect;
+        if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
+        const result = await this.tryGateway(destination, context, work, deadlineAt, terms);
+        if (accepts && result?.type === "redirected")
+          return {
+            type: "redirected",
+            leavesRegion: result.leavesRegion,
+            dataCentre: destination.gateway.dataCentre,
+          };
+        const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
+        return end === undefined ? undefined : toReadEnd(end);
+      },
+      true,
+    );
     switch (sent.type) {
       case "ended":
         return sent.value;
--- a/src/gateway/transaction.ts
+++ b/src/gateway/transaction.ts
@@ -147,6 +147,7 @@
         }
         return toReadEnd(this.handleResult(context, work, result));
       },
+      false,
     );
     if (sent.type === "ended") return sent.value;
     this.location = { type: "over" };
--- a/test/gateway/divided-reads.test.ts
+++ b/test/gateway/divided-reads.test.ts
@@ -61,6 +61,20 @@
   await reply;
 });
 
+// The other gateway may have a single connection to each target. A transaction that holds it between its statements
+// would make the reads there wait.
+test("a read-only transaction stays at the first gateway", async () => {
+  const { first } = await start();
+  hop.draw = 0;
+  const session = hop.open("own");
+  await session.run({ type: "begin", id: "1", isReadOnly: true });
+  const reply = session.run(makeRead("2"));
+  await waitUntil(() => hop.gateways.some(wasSent));
+  expect(hop.gateways.filter(wasSent)).toEqual([first]);
+  first.stage.sent.find(({ command }) => command.type === "work")?.answer();
+  await reply;
+});
+
 test("where slots are not planned all reads go to the first gateway", async () => {
   const { first } = await start(false);
   hop.draw = 0;
--- a/test/gateway/gateway-shares.test.ts
+++ b/test/gateway/gateway-shares.test.ts
@@ -175,12 +175,13 @@
     },
     onNoneAccepted: () => undefined,
   });
-  const listCentres = (needsPrimary: boolean, left?: string) =>
+  const listCentres = (needsPrimary: boolean, left?: string, isDivided = true) =>
     router
-      .listDestinations("ledger", needsPrimary, left)
+      .listDestinations("ledger", needsPrimary, left, isDivided)
       .map((found) => (found.type === "gateway" ? found.gateway.dataCentre : "local"));
   expect(listCentres(true)).toEqual(["b", "b", "a"]);
   expect(listCentres(false, "b")).toEqual(["a", "a", "b"]);
+  expect(listCentres(false, undefined, false)).toEqual(["a", "a", "b"]);
   expect(ordered).toEqual([]);
   expect(listCentres(false)).toEqual(["b", "b", "a"]);
   expect(ordered).toEqual([["ledger", "a", "a", "b", "b"]]);
