--- a/bench/load-feedback/world.ts
+++ b/bench/load-feedback/world.ts
@@ -139,7 +139,7 @@
     const { needsPrimary, shape } = job.arrival;
     job.triesLeft -= 1;
     const router = this.nodes[job.node]?.router;
-    const source = router?.createDestinationSource(group, needsPrimary, undefined, shape.level);
+    const source = router?.createDestinationSource(group, { needsPrimary, level: shape.level });
     if (source === undefined) throw new Error("the entry node is unknown");
     const destinations = source.listDestinations();
     const refusal = source.findRefusal(destinations);
--- a/src/gateway/gateway-share.ts
+++ b/src/gateway/gateway-share.ts
@@ -13,6 +13,8 @@
 export type ReadOutcome =
   | { readonly type: "complete" }
   | { readonly type: "error"; readonly code: ErrorCode }
+  /** The gateway left it to another one, and ran nothing. */
+  | { readonly type: "redirected" }
   /** The gateway did not answer in the time that it was given. */
   | { readonly type: "silent" };
 
@@ -50,10 +52,13 @@
 const learningPart = 0.1;
 /** The same while the other gateway is much slower or refuses its reads. */
 const rareProbePart = 0.002;
-/** The preferred gateway is slower, and reads move, above this multiple of the other's time and margin. */
-const slower = { factor: 1.5, marginMs: 10 } as const;
+/**
+ * The preferred gateway is slower, and reads move, above this multiple of the other's time and margin. The other one
+ * has a single slot at each target, so that it makes readers wait where the difference is less than callers notice.
+ */
+const slower = { factor: 2, marginMs: 50 } as const;
 /** It is as fast, and reads come back, below these. In between nothing moves, so that noise does not. */
-const asFast = { factor: 1.2, marginMs: 5 } as const;
+const asFast = { factor: 1.5, marginMs: 25 } as const;
 /** The other gateway is probed rarely above these. */
 const muchSlower = { factor: 2, marginMs: 10 } as const;
 /** The log-odds of the moved part change by the logarithm of the ratio of the times this often a second. */
@@ -96,8 +101,9 @@
 }
 
 /**
- * The time that a read counts with; undefined when it says nothing of its gateway. One that was refused or not
- * answered counts with all the time it had: a gateway that refuses everything at once is not a fast one.
+ * The time that a read counts with; undefined when it says nothing of its gateway. One that was refused,
+ * redirected or not answered counts with all the time it had: a gateway that refuses everything at once is not a
+ * fast one.
  */
 export function measureRead(
   outcome: ReadOutcome,
@@ -108,6 +114,7 @@
     case "complete":
       return Math.max(0, elapsedMs);
     case "silent":
+    case "redirected":
       return Math.max(0, elapsedMs, givenMs);
     case "error":
       return isRefusal(outcome.code) ? Math.max(0, elapsedMs, givenMs) : undefined;
--- a/src/gateway/gateway-shares.ts
+++ b/src/gateway/gateway-shares.ts
@@ -49,6 +49,8 @@
   readonly pair: SharePair | undefined;
   /** When a read was last sent to the other gateway while nothing was known of it. */
   readonly askedAt: number;
+  /** When the other gateway last redirected a read. */
+  readonly redirectedAt: number;
 }
 
 /** What this node knows of a group's gateways. */
@@ -56,6 +58,8 @@
   readonly times: Map<string, ResponseEstimate>;
   /** The pair that reads of the group were last sent to. */
   pairing: Pairing | undefined;
+  /** When a read was last divided or measured. */
+  usedAt: number;
 }
 
 /** A gateway's share counts as reduced, or as restored, when it leaves this part to the other one. */
@@ -64,9 +68,20 @@
 
 /**
  * An unknown gateway gets one read in this time at most, in milliseconds. One without a recent log position may
- * redirect it, which sends the node's reads of that kind to the primary for 80 ms.
+ * redirect it, and the read then takes a second hop and a slot at the primary.
  */
 const learningPauseMs = 1000;
+/**
+ * After a redirect by the other gateway no read is sent there for this long, in milliseconds. The preferred gateway
+ * shows meanwhile whether the reads need the primary.
+ */
+const redirectPauseMs = 1000;
+
+/**
+ * A group without reads for this long is removed, in milliseconds. Its response times are too old to be compared by
+ * then, and its gateways or the group itself may have left.
+ */
+const maxUnusedMs = 60_000;
 
 /** Divides a node's reads between the two gateways of a data centre by the response times that it measures. */
 export class GatewayShares {
@@ -92,18 +107,24 @@
     const pairing = shares?.pairing;
     if (ms === undefined || shares === undefined || pairing === undefined) return;
     if (gateway !== pairing.preferred && gateway !== pairing.other) return;
+    const isRedirected = outcome.type === "redirected";
+    // The preferred gateway redirects what needs the primary, which says nothing of how fast it is.
+    if (isRedirected && gateway === pairing.preferred) return;
     const { times } = shares;
     const now = this.ports.clock.now();
+    shares.usedAt = now;
+    const redirectedAt = isRedirected ? now : pairing.redirectedAt;
     times.set(gateway, recordResponse(times.get(gateway), ms, now));
     const [preferred, other] = [times.get(pairing.preferred), times.get(pairing.other)];
     const pair = adjustPair(pairing.pair, preferred, other, now);
-    shares.pairing = this.report(group, { ...pairing, pair });
+    shares.pairing = this.report(group, { ...pairing, pair, redirectedAt });
   }
 
   /** The share of each preferred gateway: the least one of those in its groups. */
   list(): readonly GatewayShareSample[] {
     const shares = new Map<string, number>();
     if (!this.ports.isSlotPlanned()) return [];
+    this.removeUnused();
     for (const { pairing } of this.groups.values()) {
       if (pairing === undefined) continue;
       const share = 1 - (pairing.pair?.movedPart ?? 0);
@@ -114,8 +135,9 @@
 
   private drawIsMoved(group: string, pairing: Pairing): boolean {
     const shares = this.findGroup(group);
-    const { preferred, other, pair, askedAt } = pairing;
+    const { preferred, other, pair, askedAt, redirectedAt } = pairing;
     const now = this.ports.clock.now();
+    if (now - redirectedAt < redirectPauseMs) return false;
     const otherTime = shares.times.get(other);
     const isKnown = isUsable(otherTime, now);
     if (!isKnown && now - askedAt < learningPauseMs) return false;
@@ -131,12 +153,22 @@
 
   private findGroup(group: string): GroupShares {
     const known = this.groups.get(group);
-    if (known !== undefined) return known;
-    const created: GroupShares = { times: new Map(), pairing: undefined };
+    const usedAt = this.ports.clock.now();
+    if (known !== undefined) {
+      known.usedAt = usedAt;
+      return known;
+    }
+    this.removeUnused();
+    const created: GroupShares = { times: new Map(), pairing: undefined, usedAt };
     this.groups.set(group, created);
     return created;
   }
 
+  private removeUnused(): void {
+    const oldest = this.ports.clock.now() - maxUnusedMs;
+    for (const [group, { usedAt }] of this.groups) if (usedAt < oldest) this.groups.delete(group);
+  }
+
   /** The state of a pair, which starts anew when the gateways of the group have changed. */
   private findPairing(group: string, preferred: string, other: string): Pairing {
     const shares = this.findGroup(group);
@@ -144,7 +176,14 @@
     if (known?.preferred === preferred && known.other === other) return known;
     for (const vm of shares.times.keys())
       if (vm !== preferred && vm !== other) shares.times.delete(vm);
-    const created = { preferred, other, isReduced: false, pair: undefined, askedAt: -Infinity };
+    const created = {
+      preferred,
+      other,
+      isReduced: false,
+      pair: undefined,
+      askedAt: -Infinity,
+      redirectedAt: -Infinity,
+    };
     shares.pairing = created;
     return created;
   }
--- a/src/gateway/load-choice.ts
+++ b/src/gateway/load-choice.ts
@@ -27,8 +27,8 @@
 /**
  * Orders a statement's gateways by their load, the preferred one first. The first gives way to another of its rank
  * with a shorter wait, for a part of the statements: nodes with the same reports would otherwise all move their
- * statements at once, and back with the next reports. Gateways that refuse the level follow those that may admit
- * it. `draw` gives a number of [0, 1); `isProbeDue` tells whether a gateway without a report gets a statement.
+ * statements at once, and back with the next reports. Gateways that refuse the level follow those of their
+ * region that may admit it. `draw` gives a number of [0, 1); `isProbeDue` tells whether a gateway without a report gets a statement.
  */
 export function orderByLoad<T extends LoadCandidate>(
   candidates: readonly T[],
@@ -39,10 +39,16 @@
   const front = findFront(candidates, draw, isProbeDue);
   const ordered =
     front === undefined ? candidates : [front, ...candidates.filter((c) => c !== front)];
-  const isBehind = (c: T) => !c.isAvoided && isClosedFor(c, level);
   const avoided = ordered.filter((c) => c.isAvoided);
   const usable = ordered.filter((c) => !c.isAvoided);
-  return [...usable.filter((c) => !isBehind(c)), ...usable.filter(isBehind), ...avoided];
+  // Within a region only: all statements of a closed level would otherwise cross the link between regions.
+  const distances = [...new Set(usable.map(({ distanceMs }) => distanceMs))];
+  const byDistance = distances.flatMap((distanceMs) => {
+    const atDistance = usable.filter((c) => c.distanceMs === distanceMs);
+    const open = atDistance.filter((c) => !isClosedFor(c, level));
+    return [...open, ...atDistance.filter((c) => isClosedFor(c, level))];
+  });
+  return [...byDistance, ...avoided];
 }
 
 /** The gateway that goes before the first one; undefined when that stays. */
--- a/src/gateway/redirect.ts
+++ b/src/gateway/redirect.ts
@@ -3,7 +3,7 @@
 import { findEffect, type Work } from "../statement/index.js";
 import { countRemainingMs, tryDestinations } from "./forward.js";
 import { PrimaryNeeds } from "./primary-need.js";
-import type { Destination, GatewayRouter } from "./router.js";
+import type { Destination, DestinationSource, GatewayRouter } from "./router.js";
 
 /** The result of trying a read at one destination. */
 export type ReadEnd<T> =
@@ -16,6 +16,8 @@
       readonly dataCentre: string | undefined;
     };
 
+type Redirected = Extract<ReadEnd<unknown>, { type: "redirected" }>;
+
 /** The result of sending a read. Except for `ended`, nothing has run. */
 export type SendResult<T> =
   | { readonly type: "ended"; readonly value: T }
@@ -25,10 +27,17 @@
   /** It was redirected with too little time left to be sent again. */
   | { readonly type: "outOfTime" };
 
+/** How a read is sent to a destination. */
+export interface ReadTerms {
+  readonly acceptsRedirect: boolean;
+  /** Whether it was sent to the near gateways as one of the reads that are divided between them. */
+  readonly isNear: boolean;
+}
+
 /** Tries a read at one destination; undefined means that another destination may be tried. */
 export type TryRead<T> = (
   destination: Destination,
-  acceptsRedirect: boolean,
+  terms: ReadTerms,
 ) => Promise<ReadEnd<T> | undefined>;
 
 /** The order in which gateways are tried. */
@@ -36,10 +45,11 @@
   readonly needsPrimary: boolean;
   /** The data centre whose region the read leaves. */
   readonly leftDataCentre: string | undefined;
+  /** Whether the second gateway of the data centre may come first. */
+  readonly isDivided: boolean;
 }
 
-const toNear: SendOrder = { needsPrimary: false, leftDataCentre: undefined };
-const toPrimary: SendOrder = { needsPrimary: true, leftDataCentre: undefined };
+const toPrimary: SendOrder = { needsPrimary: true, leftDataCentre: undefined, isDivided: false };
 
 /**
  * Sends reads to the near gateway and, when that redirects them, to the primary's gateways or to another region.
@@ -60,13 +70,18 @@
     return ports.isSlotPlanned() && findEffect(work) === "read" && route.type !== "primary";
   }
 
-  /** Sends a redirectable read that must be answered by `deadlineAt`. */
+  /**
+   * Sends a redirectable read that must be answered by `deadlineAt`. The first one of a transaction is not divided
+   * between gateways: the second gateway may have a single connection, which the transaction would hold.
+   */
   async send<T>(
     context: SessionContext,
     deadlineAt: number,
     tryRead: TryRead<T>,
+    isDivided: boolean,
   ): Promise<SendResult<T>> {
     const { group, lastCommit } = context;
+    const toNear = { needsPrimary: false, leftDataCentre: undefined, isDivided };
     if (isPrimaryRequired(context)) return this.sendOnce(context, toPrimary, deadlineAt, tryRead);
     const { hasPrimaryGateway, hasRemoteGateway } = this.router.findRedirectDestinations(
       group.name,
@@ -84,19 +99,20 @@
       return this.sendOnce(context, this.leaveRegion(group.name), deadlineAt, tryRead);
     let answeredBy: "replica" | "any" | undefined;
     let order: SendOrder;
+    const tried = { isMoved: false };
     try {
-      const { level } = context.database.action;
-      const source = this.router.createDestinationSource(group.name, false, undefined, level);
-      const sent = await tryDestinations(context, source, deadlineAt, (destination) =>
-        tryRead(destination, true),
-      );
+      const source = this.createSource(context, toNear);
+      const sent = await tryDestinations(context, source, deadlineAt, (destination) => {
+        tried.isMoved = destination.type === "gateway" && destination.isMoved === true;
+        return tryRead(destination, { acceptsRedirect: true, isNear: isDivided });
+      });
       if (sent.type !== "accepted") return sent;
       const end = sent.value;
       if (end.type === "ended") {
         if (end.isComplete) answeredBy = context.trace.role === "replica" ? "replica" : "any";
         return end;
       }
-      order = this.recordRedirect(context, key, end);
+      order = tried.isMoved ? orderAfter(end) : this.recordRedirect(context, key, end);
     } finally {
       if (way === "probe") this.needs.endProbe(key, answeredBy === "replica");
       if (left === "probe") this.leftRegions.endProbe(group.name, answeredBy !== undefined);
@@ -111,24 +127,25 @@
     return { ...context, redirect: new RedirectOffer(destinations) };
   }
 
-  /** Records a redirect, and returns where the read goes. */
+  /** Records a redirect by the preferred gateway, and returns where the read goes. */
   private recordRedirect(
     { group, lastCommit, ports }: SessionContext,
     key: string,
-    { leavesRegion, dataCentre }: Extract<ReadEnd<unknown>, { type: "redirected" }>,
+    redirect: Redirected,
   ): SendOrder {
     const now = ports.clock.now();
-    if (!leavesRegion) {
+    if (!redirect.leavesRegion) {
       this.needs.recordRedirect(key, lastCommit, now);
-      return toPrimary;
+    } else {
+      this.leftRegions.recordRedirect(group.name, undefined, now);
+      this.leftDataCentres.set(group.name, redirect.dataCentre ?? "");
     }
-    this.leftRegions.recordRedirect(group.name, undefined, now);
-    this.leftDataCentres.set(group.name, dataCentre ?? "");
-    return this.leaveRegion(group.name);
+    return orderAfter(redirect);
   }
 
   private leaveRegion(group: string): SendOrder {
-    return { needsPrimary: false, leftDataCentre: this.leftDataCentres.get(group) };
+    const leftDataCentre = this.leftDataCentres.get(group);
+    return { needsPrimary: false, leftDataCentre, isDivided: false };
   }
 
   /** Whether a redirected read can still be answered by one of its destinations. */
@@ -150,19 +167,32 @@
   /** Sends a read that no destination may redirect. */
   private async sendOnce<T>(
     context: SessionContext,
-    { needsPrimary, leftDataCentre }: SendOrder,
+    order: SendOrder,
     deadlineAt: number,
     tryRead: TryRead<T>,
   ): Promise<SendResult<T>> {
-    const { name } = context.group;
-    const { level } = context.database.action;
-    const source = this.router.createDestinationSource(name, needsPrimary, leftDataCentre, level);
+    const terms = { acceptsRedirect: false, isNear: order.isDivided };
+    const source = this.createSource(context, order);
     const sent = await tryDestinations(context, source, deadlineAt, (destination) =>
-      tryRead(destination, false),
+      tryRead(destination, terms),
     );
     if (sent.type !== "accepted") return sent;
     return sent.value.type === "ended" ? sent.value : { type: "notAccepted" };
   }
+
+  private createSource({ group, database }: SessionContext, order: SendOrder): DestinationSource {
+    const { level } = database.action;
+    return this.router.createDestinationSource(group.name, { ...order, level });
+  }
+}
+
+/**
+ * Where a redirected read goes. A redirect by a gateway that got the read because reads are divided is followed but
+ * not recorded: that gateway reads few log positions, so that the preferred one may well have a fresh replica.
+ */
+function orderAfter({ leavesRegion, dataCentre }: Redirected): SendOrder {
+  if (!leavesRegion) return toPrimary;
+  return { needsPrimary: false, leftDataCentre: dataCentre ?? "", isDivided: false };
 }
 
 /** Whether each gateway would find that the read needs the primary: nothing says how fresh a replica must be. */
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -14,7 +14,24 @@
 
 /** Where a statement may run: over this process's own connections, or at a gateway. */
 export type Destination =
-  { readonly type: "local" } | { readonly type: "gateway"; readonly gateway: Proxy };
+  | { readonly type: "local" }
+  | {
+      readonly type: "gateway";
+      readonly gateway: Proxy;
+      /** Whether it comes before the group's preferred gateway, which is slower or has a longer queue. */
+      readonly isMoved?: boolean;
+    };
+
+/** What a statement's destinations depend on. */
+export interface DestinationQuery {
+  readonly needsPrimary: boolean;
+  /** Only gateways in other regions than that data centre, unless there is none. */
+  readonly leftDataCentre?: string | undefined;
+  /** Whether slow gateways leave part of such reads to others. */
+  readonly isDivided?: boolean;
+  /** The statement's level of importance. */
+  readonly level?: number | undefined;
+}
 
 /** Lists a statement's destinations. */
 export interface DestinationSource {
@@ -70,12 +87,14 @@
 
   /**
    * A statement's destinations, the preferred one first; empty when no proxy is listed. With `leftDataCentre`
-   * only those in other regions than that data centre, unless there is none.
+   * only those in other regions than that data centre, unless there is none. With `isDivided` a part of the
+   * statements that stay near goes to the second gateway first.
    */
   listDestinations(
     group: string,
     needsPrimary: boolean,
     leftDataCentre?: string,
+    isDivided = false,
   ): readonly Destination[] {
     const { vm, isAvoided } = this.ports;
     const plan = this.findPlan(group);
@@ -85,12 +104,13 @@
     const remote = all.filter((proxy) => this.isRemote(leftDataCentre, proxy));
     const ordered = remote.length > 0 ? remote : all;
     const usable = ordered.filter((proxy) => !isAvoided(proxy.vm));
-    const isNearRead = !needsPrimary && leftDataCentre === undefined;
+    const isNearRead = isDivided && !needsPrimary && leftDataCentre === undefined;
     const preferred = isNearRead ? (this.ports.orderReads?.(group, usable) ?? usable) : usable;
     const avoided = ordered.filter((proxy) => isAvoided(proxy.vm));
+    const isMoved = preferred[0] !== usable[0];
     const destinations = [...preferred, ...avoided]
       .slice(0, maxDestinations)
-      .map((gateway) => this.toDestination(gateway));
+      .map((gateway, place) => this.toDestination(gateway, isMoved && place === 0));
     // Without any gateway a listed process runs the statement over a connection opened for it.
     return destinations.length === 0 && this.ports.isListed() ? [localDestination] : destinations;
   }
@@ -101,19 +121,20 @@
    */
   createDestinationSource(
     group: string,
-    needsPrimary: boolean,
-    leftDataCentre?: string,
-    level?: number,
+    { needsPrimary, leftDataCentre, isDivided, level }: DestinationQuery,
   ): DestinationSource {
     const { onNoneAccepted, loads } = this.ports;
-    const list = () => this.listDestinations(group, needsPrimary, leftDataCentre);
+    const list = () => this.listDestinations(group, needsPrimary, leftDataCentre, isDivided);
     if (loads?.isActive !== true)
       return { listDestinations: list, findRefusal: () => undefined, onNoneAccepted };
     const statement = { group, role: needsPrimary ? "primary" : "replica", level } as const;
     const describe = (destination: Destination) =>
       this.describeDestination(destination, this.createQuery(group, needsPrimary));
     return {
-      listDestinations: () => loads.order(statement, list(), describe),
+      listDestinations: () => {
+        const destinations = list();
+        return markMoved(destinations[0], loads.order(statement, destinations, describe));
+      },
       findRefusal: (destinations) => loads.findRefusal(statement, destinations.map(describe)),
       onNoneAccepted,
     };
@@ -227,9 +248,10 @@
     };
   }
 
-  private toDestination(gateway: Proxy): Destination {
+  private toDestination(gateway: Proxy, isMoved: boolean): Destination {
     const isLocal = gateway.vm === this.ports.vm && this.ports.isListed();
-    return isLocal ? localDestination : { type: "gateway", gateway };
+    if (isLocal) return localDestination;
+    return isMoved ? { type: "gateway", gateway, isMoved } : { type: "gateway", gateway };
   }
 
   private findPrimaryDataCentre(group: string): string | undefined {
@@ -255,3 +277,13 @@
 }
 
 const localDestination: Destination = { type: "local" };
+
+/** Marks a gateway that goes before `preferred`, which comes first without load reports. */
+function markMoved(
+  preferred: Destination | undefined,
+  ordered: readonly Destination[],
+): readonly Destination[] {
+  const [first, ...rest] = ordered;
+  if (first === undefined || first === preferred || first.type === "local") return ordered;
+  return [{ ...first, isMoved: true }, ...rest];
+}
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -11,17 +11,21 @@
 import { encodeRun, noTransaction } from "./codec.js";
 import type { ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
-import { findLocalRedirect, RedirectingSender, type ReadEnd } from "./redirect.js";
+import { findLocalRedirect, RedirectingSender, type ReadEnd, type ReadTerms } from "./redirect.js";
 import type { GatewayRouter, Destination } from "./router.js";
 import { RoutedTransaction } from "./transaction.js";
 import {
   countRemainingMs,
   minForwardMs,
   forwardStep,
+  sendMeasuredRead,
   tooLargeReason,
   tryDestinations,
 } from "./forward.js";
 
+/** Of statements that neither may be redirected nor are divided between gateways. */
+const fixedTerms: ReadTerms = { acceptsRedirect: false, isNear: false };
+
 /** Runs statements locally when this process holds the group's connections, else at a gateway. */
 export class RoutedRunner implements WorkRunner {
   private readonly sender: RedirectingSender;
@@ -41,15 +45,13 @@
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
     if (this.sender.isRedirectable(context, work))
       return this.runRedirectable(context, work, arrivedAt);
-    const source = this.router.createDestinationSource(
-      context.group.name,
-      needsPrimary(context, work),
-      undefined,
-      context.database.action.level,
-    );
+    const source = this.router.createDestinationSource(context.group.name, {
+      needsPrimary: needsPrimary(context, work),
+      level: context.database.action.level,
+    });
     const end = await tryDestinations(context, source, deadlineAt, async (destination) => {
       if (destination.type === "local") return directRunner.runAutocommit(context, work, arrivedAt);
-      const result = await this.tryGateway(destination, context, work, deadlineAt, false);
+      const result = await this.tryGateway(destination, context, work, deadlineAt, fixedTerms);
       return result === undefined ? undefined : interpretResult(result, findEffect(work));
     });
     switch (end.type) {
@@ -72,18 +74,24 @@
     arrivedAt: number,
   ): Promise<StatementResult> {
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
-    const sent = await this.sender.send(context, deadlineAt, async (destination, accepts) => {
-      if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
-      const result = await this.tryGateway(destination, context, work, deadlineAt, accepts);
-      if (accepts && result?.type === "redirected")
-        return {
-          type: "redirected",
-          leavesRegion: result.leavesRegion,
-          dataCentre: destination.gateway.dataCentre,
-        };
-      const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
-      return end === undefined ? undefined : toReadEnd(end);
-    });
+    const sent = await this.sender.send(
+      context,
+      deadlineAt,
+      async (destination, terms) => {
+        const accepts = terms.acceptsRedirect;
+        if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
+        const result = await this.tryGateway(destination, context, work, deadlineAt, terms);
+        if (accepts && result?.type === "redirected")
+          return {
+            type: "redirected",
+            leavesRegion: result.leavesRegion,
+            dataCentre: destination.gateway.dataCentre,
+          };
+        const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
+        return end === undefined ? undefined : toReadEnd(end);
+      },
+      true,
+    );
     switch (sent.type) {
       case "ended":
         return sent.value;
@@ -113,22 +121,19 @@
     context: SessionContext,
     work: Work,
     deadlineAt: number,
-    acceptsRedirect: boolean,
+    { acceptsRedirect, isNear }: ReadTerms,
   ): Promise<ForwardResult | undefined> {
     const leftMs = countRemainingMs(context, deadlineAt, gateway.dataCentre);
     const connection = this.connections.open(gateway);
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
     const step = encodeRun(context, work, leftMs, noTransaction, acceptsRedirect);
-    return forwardStep(
-      this.connections,
-      connection,
-      gateway.vm,
-      context,
-      step,
-      leftMs,
-      findEffect(work),
-    );
+    const { vm } = gateway;
+    const effect = findEffect(work);
+    const send = () => forwardStep(this.connections, connection, vm, context, step, leftMs, effect);
+    return isNear
+      ? sendMeasuredRead(this.connections, vm, context.group.name, leftMs, send)
+      : send();
   }
 }
 
--- a/test/gateway/gateway-shares.test.ts
+++ b/test/gateway/gateway-shares.test.ts
@@ -10,6 +10,7 @@
 const second = makeProxy(1, "a");
 const far = makeProxy(2, "b");
 const complete: ReadOutcome = { type: "complete" };
+const redirected: ReadOutcome = { type: "redirected" };
 const refused: ReadOutcome = { type: "error", code: "busy" };
 
 function createShares(options: { readonly vm?: string; readonly isSlotPlanned?: boolean } = {}) {
@@ -57,8 +58,8 @@
   ]);
 });
 
-// The other gateway has no recent log position and redirects what it is sent. Each redirect sends the node's reads
-// of that kind to the primary for a while, so that a tenth of all reads at the other gateway would move most of them.
+// The other gateway has no recent log position and redirects what it is sent. A tenth of all reads would then take a
+// second hop and a slot at the primary.
 test("a gateway of which nothing is known gets one read a second at most", () => {
   const { stage, shares, record } = createShares();
   expect(list(shares)[0]).toBe("vm-1");
@@ -70,6 +71,31 @@
   expect([list(shares)[0], list(shares)[0]]).toEqual(["vm-1", "vm-1"]);
 });
 
+// The gateway has no replica that is fresh enough, while the preferred one has. With redirects left out it would stay
+// unknown, and get one read a second for as long.
+test("the other gateway gets no read for 1 s after a redirect, and few after that", () => {
+  const { stage, shares, record, runSeconds } = createShares();
+  list(shares);
+  runSeconds(2, 20);
+  stage.clock.time += 100;
+  record(second, 2, redirected);
+  expect(list(shares)[0]).toBe("vm-0");
+  stage.clock.time += 999;
+  expect(list(shares)[0]).toBe("vm-0");
+  stage.clock.time += 1;
+  stage.draw = 0.003;
+  expect(list(shares)[0]).toBe("vm-0");
+  stage.draw = 0.001;
+  expect(list(shares)[0]).toBe("vm-1");
+});
+
+test("redirects by the preferred gateway move no reads", () => {
+  const { shares, runSeconds } = createShares();
+  list(shares);
+  runSeconds(10, 2, redirected);
+  expect(shares.list()[0]?.share).toBeGreaterThan(0.97);
+});
+
 test("a gateway that refuses its reads at once loses them", () => {
   const { shares, runSeconds } = createShares();
   list(shares);
@@ -105,6 +131,20 @@
   expect(shares.list()).toEqual([{ gateway: "vm-0", share: 1 }]);
 });
 
+// The data centre has a single gateway left, so that its reads are not divided any more. The metric would name the
+// lost gateway, and its reduced share, for as long as the process runs.
+test("a group that is not divided any more is forgotten after a minute", () => {
+  const { stage, shares, runSeconds } = createShares();
+  list(shares);
+  runSeconds(10, 200);
+  for (let i = 0; i < 61; i += 1) {
+    expect(shares.list()).toHaveLength(1);
+    stage.clock.time += 1000;
+    list(shares, [second, far]);
+  }
+  expect(shares.list()).toEqual([]);
+});
+
 // A read of before the change is answered after it, by a gateway that is in no pair any more.
 test("an answer of a gateway that is no longer used is ignored", () => {
   const { shares, record } = createShares();
@@ -135,12 +175,13 @@
     },
     onNoneAccepted: () => undefined,
   });
-  const listCentres = (needsPrimary: boolean, left?: string) =>
+  const listCentres = (needsPrimary: boolean, left?: string, isDivided = true) =>
     router
-      .listDestinations("ledger", needsPrimary, left)
+      .listDestinations("ledger", needsPrimary, left, isDivided)
       .map((found) => (found.type === "gateway" ? found.gateway.dataCentre : "local"));
   expect(listCentres(true)).toEqual(["b", "b", "a"]);
   expect(listCentres(false, "b")).toEqual(["a", "a", "b"]);
+  expect(listCentres(false, undefined, false)).toEqual(["a", "a", "b"]);
   expect(ordered).toEqual([]);
   expect(listCentres(false)).toEqual(["b", "b", "a"]);
   expect(ordered).toEqual([["ledger", "a", "a", "b", "b"]]);
