Do not record a primary's position requested before a suspension

The clock may have stood still during the suspension, so the date of the request appears younger than it is, and a stale replica would count as fresh. This applies everywhere, also where slots are not planned.

--- a/src/direct/group-positions.ts
+++ b/src/direct/group-positions.ts
@@ -88,6 +88,8 @@
       target,
       mark: reported === undefined ? mark : pickLaterMark(reported, mark),
     };
+    // After a suspension, during which the clock may have stood still, an earlier date appears younger than it is.
+    if (askedAt < this.forgottenAt) return;
     this.noteOwnEnd({ target, mark, askedAt });
     this.observe(mark, askedAt);
   }
@@ -222,9 +224,8 @@
     this.reportedEnd = undefined;
   }
 
-  /** Keeps what may be told to others, unless it was asked for before the process was suspended. */
+  /** Keeps what may be told to others. */
   private noteOwnEnd(end: OwnEnd): void {
-    if (end.askedAt < this.forgottenAt) return;
     const { ownEnd } = this;
     const order = ownEnd?.target === end.target ? compareMarkOrder(end.mark, ownEnd.mark) : 1;
     if (ownEnd !== undefined && (order < 0 || end.askedAt < ownEnd.askedAt)) return;
--- a/test/direct/position-sharing.test.ts
+++ b/test/direct/position-sharing.test.ts
@@ -145,6 +145,19 @@
   expect(sharePositions(home.group).primary?.mark).toEqual(makeMark(11));
 });
 
+// Guards against an answer from before a suspension that arrives once the permit is confirmed again: the clock stood
+// still, so its date would make a stale replica count as fresh.
+test("an answer of the primary to a command from before a suspension is not dated by it", () => {
+  const { near } = startPair();
+  const askedAt = near.clock.now();
+  near.clock.jumpAhead(5);
+  near.group.forgetMarks();
+  near.group.notePrimaryMark("p", makeMark(9), askedAt);
+  expect(near.group.findMarkSince(0)).toBeUndefined();
+  near.group.notePrimaryMark("p", makeMark(11), near.clock.now());
+  expect(near.group.findMarkSince(0)).toEqual(makeMark(11));
+});
+
 // Guards against positions that pass from gateway to gateway: only the first one knew that the target was primary.
 test("a position that came from another gateway is not told on", () => {
   const { home, near } = startPair();
