Keep the turn of writes after a lacking read apart for each level

A start of a more important level used up the turn. The writes of a level that only gets its guaranteed share then waited for all of its reads that lack a replica.

--- a/src/controller/admission/slots.ts
+++ b/src/controller/admission/slots.ts
@@ -27,7 +27,7 @@
     runningBackground: 0,
     runningResumed: 0,
     isResumedLast: false,
-    isLackingLast: false,
+    lackingLast: [],
     held: 0,
     connections: Infinity,
     serviceMs,
--- a/src/controller/admission/start.ts
+++ b/src/controller/admission/start.ts
@@ -10,6 +10,7 @@
 import type {
   Admission,
   AdmissionEffect,
+  ClassName,
   RunningRequest,
   TargetSlots,
   WaitingRequest,
@@ -57,13 +58,14 @@
     () => `request ${waiting.id} started on target ${name}, which has no free slot`,
   );
   const isBackground = isBackgroundWork(waiting);
-  const isLackingLast = waiting.lacksReplica === true;
+  const className = findClassName(waiting);
+  const lackingLast = recordLacking(target.lackingLast, className, waiting.lacksReplica === true);
   const isQueued = getEntry(admission.waiting, waiting.id) !== undefined;
   const running: RunningRequest = {
     id: waiting.id,
     target: name,
     team: waiting.team,
-    className: findClassName(waiting),
+    className,
     isBackground,
     startedAt: at,
     chargedMs: isQueued ? target.serviceMs : 0,
@@ -73,11 +75,21 @@
   const next = {
     ...dequeued,
     running: putEntry(dequeued.running, running.id, running),
-    targets: { ...dequeued.targets, [name]: { ...takeSlot(target, isBackground), isLackingLast } },
+    targets: { ...dequeued.targets, [name]: { ...takeSlot(target, isBackground), lackingLast } },
   };
   return succeed(next, [{ type: "start", id: waiting.id, target: name }]);
 }
 
+/** Records by class, so that starts of other classes do not use up the turn of a class's writes. */
+function recordLacking(
+  lackingLast: readonly ClassName[],
+  className: ClassName,
+  isLacking: boolean,
+): readonly ClassName[] {
+  if (lackingLast.includes(className) === isLacking) return lackingLast;
+  return isLacking ? [...lackingLast, className] : lackingLast.filter((c) => c !== className);
+}
+
 /**
  * Picks the next request for a target: from a class with a full credit of its guaranteed share if
  * there is one, else from the most important class. Within a class the start after one of a read that lacks a replica
@@ -101,7 +113,7 @@
   const withCredit = admission.order.filter((c) => getClass(admission, c).credit >= 1);
   for (const className of [...withCredit, ...admission.order]) {
     const queue = getClass(admission, className);
-    const other = target.isLackingLast
+    const other = target.lackingLast.includes(className)
       ? findNextRequest(queue, { ...rules, isLackingAllowed: false })
       : undefined;
     const waiting = other ?? findNextRequest(queue, rules);
--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -218,8 +218,8 @@
   readonly runningResumed: number;
   /** Whether the last request that was started had been held. */
   readonly isResumedLast: boolean;
-  /** Whether the last waiting request that was started was a read that lacks a replica. */
-  readonly isLackingLast: boolean;
+  /** The classes of which the request started last was a read that lacks a replica. */
+  readonly lackingLast: readonly ClassName[];
   /** Requests that hold a connection but no slot. */
   readonly held: number;
   /** The most connections. A request is started only if one is left for it. */
--- a/test/admission/lacking.test.ts
+++ b/test/admission/lacking.test.ts
@@ -56,6 +56,17 @@
   expect(countOf(harness.serve(20), "write")).toBeLessThanOrEqual(3);
 });
 
+// Guards against starts of a more important level that use up the turn of the writes: each start of the less important
+// level then follows one of these, and its writes would wait for all its reads.
+test("the half holds for a level that gets only its guaranteed share", () => {
+  const harness = startBurst(40);
+  for (let i = 0; i < 20; i++) harness.arrive(`write${i}`, { level: 2 });
+  for (let i = 0; i < 400; i++) harness.arrive(`urgent${i}`, { level: 0 });
+  const order = harness.serve(300).filter((id) => !id.startsWith("urgent"));
+  expect(order.length).toBeGreaterThanOrEqual(6);
+  expect(countOf(order, "write")).toBeGreaterThanOrEqual(Math.floor(order.length / 2));
+});
+
 // Guards against a slot that stays free, and against reads that starve.
 test("reads that lack a replica start whenever nothing else waits, and get the other half", () => {
   const harness = startBurst(10);
