--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -125,7 +125,11 @@
   const primaryName = primary.type === "serving" ? primary.target : undefined;
   const replicas = candidates.filter((v) => v.name !== primaryName && !v.isLeaving && v.slots > 0);
   if (replicas.length === 0) return onPrimary;
-  return chooseFallbackReplica(replicas, constraints, now, random);
+  const choice = chooseFallbackReplica(replicas, constraints, now, random);
+  // A replica may be expected to lag for longer than the primary is unavailable, or than the statement has left.
+  const isEstimated = replicas.some((v) => v.readiness !== undefined);
+  if (choice.type !== "wait" || onPrimary.type !== "wait" || !isEstimated) return choice;
+  return { ...choice, readyInMs: Math.min(choice.readyInMs, onPrimary.readyInMs) };
 }
 
 /**
--- a/test/direct/replica-wait.test.ts
+++ b/test/direct/replica-wait.test.ts
@@ -57,6 +57,14 @@
   });
 });
 
+// Guards against a read that is refused because all replicas are expected to lag beyond its deadline, although the
+// primary can be used before.
+test("a read waits no longer for replicas than for the primary", () => {
+  const failing = { ...view("p"), health: { ...healthyTarget, failures: 1, avoidUntil: now + 50 } };
+  const views = [failing, view("a", stalled), view("b", makeReadiness({ readyInMs: 300 }))];
+  expect(choose(views)).toMatchObject({ type: "wait", readyInMs: 50 });
+});
+
 // Guards against reads that a replica refuses before they go to the primary.
 test("a read counts as load of the primary before a replica has refused it", () => {
   const views = [view("p"), view("a", stalled), view("b", makeReadiness({ readyInMs: 500 }))];
