Ignore the log position of a target promoted while a connection to it opens

The position is dated by the start of the opening, when the target was a replica and may have lacked commits that its predecessor had acknowledged. Replicas at that position would count as fresh. This applies everywhere, also where slots are not planned.

--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -320,9 +320,12 @@
     const { dialer, primaries, clock } = this.ports;
     const askedAt = clock.now();
     const reported = this.positions.findReportedEnd(target.name);
+    const wasPrimary = this.isPrimary(target);
     try {
       const link = await dialer.open(this.name, target, timeoutMs, team || undefined);
-      if (this.isPrimary(target)) this.checkOpenedLog(target, link, reported, askedAt);
+      // The log of a target that was promoted meanwhile may have lacked commits that its predecessor acknowledged.
+      const datedAt = wasPrimary ? askedAt : undefined;
+      if (this.isPrimary(target)) this.checkOpenedLog(target, link, reported, datedAt);
       else if (this.isSlotPlanned && link.openedAt !== undefined)
         this.positions.noteReplicaMark(target.name, link.openedAt, askedAt);
       return new TrackedLink(link);
@@ -338,7 +341,7 @@
   /**
    * Records the end of the primary's log that it reported when a connection was opened. It is as good as an
    * answer, so that reads right after a start need not all go to the primary first. `reported` is the newest
-   * end that the primary had reported when the opening began.
+   * end that the primary had reported when the opening began. The position is recorded only with `askedAt`.
    *
    * A primary that restarted under the same name may have lost commits that it had acknowledged. It would
    * still answer plain reads, and callers would miss their own commits. Checking each new connection suffices,
@@ -350,7 +353,7 @@
     { name }: Target,
     link: TargetLink,
     reported: Mark | undefined,
-    askedAt: number,
+    askedAt: number | undefined,
   ): void {
     const { openedAt } = link;
     if (hasLostLog(reported, openedAt)) {
@@ -362,7 +365,8 @@
       // It stays the primary because no other target runs, so its log is tracked from this position.
       this.positions.restart();
     }
-    if (openedAt !== undefined) this.notePrimaryMark(name, openedAt, askedAt);
+    if (openedAt !== undefined && askedAt !== undefined)
+      this.notePrimaryMark(name, openedAt, askedAt);
   }
 
   private isPrimary({ name }: Pick<Target, "name">): boolean {
--- a/test/direct/position-sharing.test.ts
+++ b/test/direct/position-sharing.test.ts
@@ -180,6 +180,26 @@
   expect(home.group.findMarkSince(0)).toEqual(makeMark(9));
 });
 
+// Guards against the log of a replica that counts as the primary's: it may have lacked commits that the predecessor
+// had acknowledged when the opening of the connection began, by which the position is dated.
+test("a target that is promoted while a connection to it is opened gives no position of the primary", async () => {
+  const { home } = startPair();
+  const { fixture } = home;
+  fixture.openedAtOf.set("q", makeMark(5));
+  const { dialer } = fixture.ports;
+  const open = dialer.open.bind(dialer);
+  dialer.open = async (...args) => {
+    const link = await open(...args);
+    fixture.primary = { type: "serving", target: "q" };
+    return link;
+  };
+  const limits = { deadlineAt: home.clock.now() + 500, signal: new AbortController().signal };
+  await home.group.takeConnection("q", "", limits);
+  expect(fixture.primary).toEqual({ type: "serving", target: "q" });
+  expect(home.group.findMarkSince(0)).toBeUndefined();
+  expect(sharePositions(home.group).primary).toBeUndefined();
+});
+
 interface Step {
   readonly kind: "own" | "shared";
   /** From the request to the reading of the log, and from there to the answer's arrival, in milliseconds. */
