--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -160,7 +160,8 @@
 ): void {
   if (mark === undefined) return;
   if (placement.role === "replica") {
-    if (placement.group.isSlotPlanned)
+    // A target may have been removed since; its record would never be discarded.
+    if (placement.group.isSlotPlanned && placement.group.hasTarget(placement.target))
       placement.group.positions.noteReplicaMark(placement.target, mark, askedAt);
     return;
   }
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -326,7 +326,7 @@
       // The log of a target that was promoted meanwhile may have lacked commits that its predecessor acknowledged.
       const datedAt = wasPrimary ? askedAt : undefined;
       if (this.isPrimary(target)) this.checkOpenedLog(target, link, reported, datedAt);
-      else if (this.isSlotPlanned && link.openedAt !== undefined)
+      else if (this.isSlotPlanned && this.hasTarget(target.name) && link.openedAt !== undefined)
         this.positions.noteReplicaMark(target.name, link.openedAt, askedAt);
       return new TrackedLink(link);
     } catch (error) {
--- a/test/direct/replica-wait.test.ts
+++ b/test/direct/replica-wait.test.ts
@@ -190,6 +190,25 @@
   expect(countReads(started, "p")).toBe(0);
 });
 
+// Guards against a record that is never discarded: the answer comes after its target has been removed.
+test("an answer of a removed replica leaves no record", async () => {
+  const started = await startBehind(true);
+  const directGroup = started.groups.find(group);
+  directGroup?.positions.beginProbe("q")();
+  const { end } = await writeAndRead(started);
+  await started.advance(70);
+  expect(countReads(started, "q")).toBe(1);
+  const config = started.ports.getServingConfig();
+  const groups = [...config.groups].map(([name, known]) => {
+    const targets = known.targets.filter((target) => target.name !== "q");
+    return [name, { ...known, targets }] as const;
+  });
+  started.groups.update({ ...config, groups: new Map(groups) });
+  await answerNext(started, "q", answered("idle", makeMark(13)));
+  expect((await end).end.type).toBe("complete");
+  expect(directGroup?.positions.share("p").replicas).toEqual([]);
+});
+
 // Guards against a change of what deployments do whose configuration does not call for this part.
 test("where slots are not planned, positions of replicas decide nothing", async () => {
   const started = await startBehind(false);
