Judge a gateway's answers to positions only by requests sent after its greeting

A request that waited for the greeting counted as unanswered if the greeting came just before its time-out. The gateway was then not asked again on that connection.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -195,11 +195,13 @@
    */
   requestPositions(group: string, timeoutMs: number): Promise<GatewayPositions | undefined> {
     if (!this.isOpen || !this.answersPositions) return Promise.resolve(undefined);
+    // One that waits for the greeting is sent later, or never.
+    const { isGreeted } = this;
     const id = this.nextCall;
     this.nextCall += 1;
     return new Promise((resolve) => {
       const stopTimer = startStallTolerantTimer(timeoutMs, () => {
-        this.answersPositions = !this.isGreeted;
+        if (isGreeted) this.answersPositions = false;
         this.positionRequests.get(id)?.();
       });
       this.positionRequests.set(id, (answer) => {
--- a/test/gateway/position-watch.test.ts
+++ b/test/gateway/position-watch.test.ts
@@ -101,6 +101,30 @@
   expect(connection?.isOpen).toBe(true);
 });
 
+// Guards against a gateway that is never asked since its greeting came shortly before the end of the first request.
+test("a request that waited for the greeting does not show that a gateway does not answer", async () => {
+  const address = await findAddress();
+  let received = 0;
+  let greet: (() => void) | undefined;
+  server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.on("data", ({ length }) => (received += length));
+    const greeting = create(GatewayResponseSchema, { outcome: { case: "pong", value: true } });
+    greet = () => socket.write(sizeDelimitedEncode(GatewayResponseSchema, greeting));
+  });
+  await new Promise<void>((resolve) => server?.listen({ ...address }, resolve));
+  await start();
+  const connection = connections.open({ ...makeProxy(1, "b"), gateway: address });
+  const first = connection?.requestPositions(group, 300);
+  await waitUntil(() => greet !== undefined);
+  greet?.();
+  await first;
+  expect(received).toBeGreaterThan(0);
+  const before = received;
+  await connection?.requestPositions(group, 50);
+  expect(received).toBeGreaterThan(before);
+});
+
 // Guards against reads that fail, or wait, since the gateway with the positions is gone.
 test("when the gateway is lost halfway, known positions stay and nothing else is known", async () => {
   const { watch, near } = await start();
