--- a/src/controller/admission/queue.ts
+++ b/src/controller/admission/queue.ts
@@ -61,7 +61,11 @@
     ...queue,
     size: queue.size + 1,
     teams: putEntry(queue.teams, team.team, grownTeam),
-    candidateSets: putEntry(queue.candidateSets, key, { candidates, count }),
+    candidateSets: putEntry(queue.candidateSets, key, {
+      candidates,
+      lacksReplica: grownLane.lacksReplica,
+      count,
+    }),
   };
 }
 
--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -153,9 +153,10 @@
   readonly lanes: Tree<string, Lane>;
 }
 
-/** The number of waiting requests of a class with the same candidates. */
+/** The number of waiting requests of a class with the same candidates, apart for reads that lack a replica. */
 export interface CandidateSetCount {
   readonly candidates: readonly string[];
+  readonly lacksReplica: boolean;
   readonly count: number;
 }
 
--- a/src/controller/admission/wait.ts
+++ b/src/controller/admission/wait.ts
@@ -6,7 +6,7 @@
 import { canRunBackground, hasFreeSlot } from "./slots.js";
 import { getEntry, listValues } from "./tree.js";
 import { computeOverlap, predictServiceOrder } from "./order.js";
-import type { Admission } from "./types.js";
+import type { Admission, ClassQueue } from "./types.js";
 
 /** The attributes of a request that determine how long it would wait. */
 export interface RequestProfile {
@@ -16,6 +16,7 @@
   readonly level?: number;
   readonly objectiveAt?: number;
   readonly deadlineAt?: number;
+  readonly lacksReplica?: boolean;
   readonly candidates: readonly string[];
 }
 
@@ -89,6 +90,7 @@
   const queue = getClass(admission, findClassName(request));
   const inTimeFrom = makeTimeKey(at + capacity.serviceMs);
   const order = predictServiceOrder(queue, request.candidates, capacity.serviceMs);
+  const maxOwnClassCount = limitOwnClassCount(queue, request);
   const higherClassCount = countHigherClassRequests(admission, request);
   const estimate = (team: string, position: number): WaitEstimate => {
     const { slotsExpectedInMs, serviceMs } = capacity;
@@ -100,7 +102,7 @@
         serviceMs,
       };
     }
-    const ownClassCount = order.countServedUntil(team, position);
+    const ownClassCount = Math.min(order.countServedUntil(team, position), maxOwnClassCount);
     return pickShorterWait(
       estimateResidualWait(capacity, higherClassCount + ownClassCount),
       estimateGuaranteedWait(capacity, ownClassCount),
@@ -128,6 +130,19 @@
   };
 }
 
+/**
+ * The most requests of its class that are served up to and including a request, while reads that lack a replica wait:
+ * other work gets every second start. Without this a write behind many such reads would be refused for a long wait.
+ */
+function limitOwnClassCount(queue: ClassQueue, request: RequestProfile): number {
+  const sets = [...listValues(queue.candidateSets)];
+  if (request.lacksReplica === true || !sets.some((set) => set.lacksReplica)) return Infinity;
+  const others = sets
+    .filter((set) => !set.lacksReplica)
+    .reduce((sum, set) => sum + set.count * computeOverlap(set.candidates, request.candidates), 0);
+  return 2 * (others + 1);
+}
+
 /** The least assumed share, so that a wait stays finite. */
 const minLateShare = 0.001;
 
--- a/test/admission/lacking.test.ts
+++ b/test/admission/lacking.test.ts
@@ -67,6 +67,21 @@
   expect(countOf(order, "write")).toBeGreaterThanOrEqual(Math.floor(order.length / 2));
 });
 
+// Guards against a write that is refused for the wait behind reads of which it goes before all but one.
+test.each([2, undefined])(
+  "a write is not refused for reads that lack a replica, level %s",
+  (level) => {
+    const harness = new AdmissionHarness();
+    const common = level === undefined ? {} : { level, objectiveAt: 400 };
+    harness.arrive("running", common);
+    for (let i = 0; i < 100; i++) harness.arrive(`read${i}`, { ...common, lacksReplica: true });
+    expect(harness.arrive("write", { ...common, maxQueueMs: 400, deadlineAt: 800 })).toEqual([]);
+    expect(harness.serve(2)).toContain("write");
+    const read = harness.arrive("late", { ...common, maxQueueMs: 400, lacksReplica: true });
+    expect(read).toMatchObject([{ type: "refuse", reason: "queueFull" }]);
+  },
+);
+
 // Guards against a slot that stays free, and against reads that starve.
 test("reads that lack a replica start whenever nothing else waits, and get the other half", () => {
   const harness = startBurst(10);
