--- a/src/controller/admission/types.ts
+++ b/src/controller/admission/types.ts
@@ -153,9 +153,10 @@
   readonly lanes: Tree<string, Lane>;
 }
 
-/** The number of waiting requests of a class with the same candidates. */
+/** The number of waiting requests of a class with the same candidates, apart for reads that lack a replica. */
 export interface CandidateSetCount {
   readonly candidates: readonly string[];
+  readonly lacksReplica: boolean;
   readonly count: number;
 }
 
@@ -218,8 +219,8 @@
   readonly runningResumed: number;
   /** Whether the last request that was started had been held. */
   readonly isResumedLast: boolean;
-  /** Whether the last waiting request that was started was a read that lacks a replica. */
-  readonly isLackingLast: boolean;
+  /** The classes of which the request started last was a read that lacks a replica. */
+  readonly lackingLast: readonly ClassName[];
   /** Requests that hold a connection but no slot. */
   readonly held: number;
   /** The most connections. A request is started only if one is left for it. */
--- a/test/direct/position-sharing.test.ts
+++ b/test/direct/position-sharing.test.ts
@@ -145,6 +145,19 @@
   expect(sharePositions(home.group).primary?.mark).toEqual(makeMark(11));
 });
 
+// Guards against an answer from before a suspension that arrives once the permit is confirmed again: the clock stood
+// still, so its date would make a stale replica count as fresh.
+test("an answer of the primary to a command from before a suspension is not dated by it", () => {
+  const { near } = startPair();
+  const askedAt = near.clock.now();
+  near.clock.jumpAhead(5);
+  near.group.forgetMarks();
+  near.group.notePrimaryMark("p", makeMark(9), askedAt);
+  expect(near.group.findMarkSince(0)).toBeUndefined();
+  near.group.notePrimaryMark("p", makeMark(11), near.clock.now());
+  expect(near.group.findMarkSince(0)).toEqual(makeMark(11));
+});
+
 // Guards against positions that pass from gateway to gateway: only the first one knew that the target was primary.
 test("a position that came from another gateway is not told on", () => {
   const { home, near } = startPair();
@@ -167,6 +180,26 @@
   expect(home.group.findMarkSince(0)).toEqual(makeMark(9));
 });
 
+// Guards against the log of a replica that counts as the primary's: it may have lacked commits that the predecessor
+// had acknowledged when the opening of the connection began, by which the position is dated.
+test("a target that is promoted while a connection to it is opened gives no position of the primary", async () => {
+  const { home } = startPair();
+  const { fixture } = home;
+  fixture.openedAtOf.set("q", makeMark(5));
+  const { dialer } = fixture.ports;
+  const open = dialer.open.bind(dialer);
+  dialer.open = async (...args) => {
+    const link = await open(...args);
+    fixture.primary = { type: "serving", target: "q" };
+    return link;
+  };
+  const limits = { deadlineAt: home.clock.now() + 500, signal: new AbortController().signal };
+  await home.group.takeConnection("q", "", limits);
+  expect(fixture.primary).toEqual({ type: "serving", target: "q" });
+  expect(home.group.findMarkSince(0)).toBeUndefined();
+  expect(sharePositions(home.group).primary).toBeUndefined();
+});
+
 interface Step {
   readonly kind: "own" | "shared";
   /** From the request to the reading of the log, and from there to the answer's arrival, in milliseconds. */
