--- a/test/gateway/load-choice.test.ts
+++ b/test/gateway/load-choice.test.ts
@@ -130,3 +130,12 @@
   expect(getHint([closedA], 0.5)).toBe(120);
   expect(getHint([closedA, closedB], 0)).toBe(50);
 });
+
+// All near gateways refuse the level under a burst. If its statements went to the other region instead, all of them
+// would cross the narrow link between the regions.
+test("statements of a closed level stay in their region", () => {
+  const near = make("a", { waitMs: 5, lowestLevel: 0 });
+  const far = make("b", { waitMs: 5, distanceMs: 60, rank: 1 });
+  expect(order([near, far])).toBe("ab");
+  expect(order([near, far, make("c", { waitMs: 5 })])).toBe("cab");
+});
