Soak nodes of two regions with a link that can be cut

Cause: the soak of the platform's side knew one region, so that nothing showed what nodes do over a slow and narrow link, or without it.

Change: a site may name the regions of its zones and the delay and the bandwidth between them. Connections between regions go through relays of the stand-in process, which share one link for each direction; a module loaded into each node sends them there. The fault regionCut silences the link. Reads within their staleness bound have to be served in both regions from a second after the cut began. The report has the shares by region and the bytes that crossed.

--- a/standin/direct/group.ts
+++ b/standin/direct/group.ts
@@ -25,6 +25,8 @@
   readonly rolledBack = new Set<string>();
   /** How long after a commit the replicas receive it, in milliseconds. */
   lagMs = 0;
+  /** Whether a replica receives what a primary commits now. */
+  isLinked: (primary: StandinMember, replica: StandinMember) => boolean = () => true;
 
   add(id: string, role: "primary" | "replica"): StandinMember {
     const member: StandinMember = {
@@ -61,6 +63,7 @@
     if (primary !== this.findPrimary()) return;
     for (const member of this.members.values()) {
       if (member === primary || member.role === "primary" || !member.isReceiving) continue;
+      if (!this.isLinked(primary, member)) continue;
       if (member.term === primary.term && member.log.length > log.length) continue;
       member.log = log;
       member.term = primary.term;
--- a/standin/processes/children.ts
+++ b/standin/processes/children.ts
@@ -195,7 +195,7 @@
 }
 
 /** Returns the path of a built program. Tests run from the sources, but start the programs in `dist`. */
-function resolveBuiltPath(script: string): string {
+export function resolveBuiltPath(script: string): string {
   const ownFolder = new URL(".", import.meta.url).href;
   const isBuilt = ownFolder.endsWith("/dist/standin/processes/");
   const base = isBuilt ? ownFolder : new URL("../../dist/standin/processes/", ownFolder).href;
--- a/standin/processes/index.ts
+++ b/standin/processes/index.ts
@@ -1,4 +1,4 @@
-export { Child, Children, type LogLine } from "./children.js";
+export { Child, Children, resolveBuiltPath, type LogLine } from "./children.js";
 export { findFreePort } from "./port.js";
 export {
   startSystem,
--- a/standin/soak/nodes/backend-main.ts
+++ b/standin/soak/nodes/backend-main.ts
@@ -17,11 +17,18 @@
       backends = new Backends(request.site);
       send({ type: "started", stores: await backends.start(request.nodes) });
       return;
+    case "openRelays":
+      send({ type: "relays", detours: (await backends?.openRelays(request.addresses)) ?? {} });
+      return;
     case "apply":
       await backends?.apply(request.command);
       return;
     case "listWrites":
-      send({ type: "writes", writes: backends?.collectWrites() ?? { kept: [], rolledBack: [] } });
+      send({
+        type: "writes",
+        writes: backends?.collectWrites() ?? { kept: [], rolledBack: [] },
+        sentBytes: backends?.listSentBytes() ?? {},
+      });
   }
 }
 
--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -3,7 +3,8 @@
 import { StandinLineTarget, StandinLog, StandinMetadata } from "../../direct/index.js";
 import { FaultyLink } from "../../link.js";
 import type { BackendCommand, StoredWrites } from "./commands.js";
-import { formatDatabase, formatGroup, formatKey, type SoakSite } from "./site.js";
+import { RegionNetwork, type Detours, type RegionAddress } from "./region-network.js";
+import { findRegion, formatDatabase, formatGroup, formatKey, type SoakSite } from "./site.js";
 
 interface BackendGroup {
   readonly name: string;
@@ -33,7 +34,11 @@
   private sequence = 0;
   private readonly droppedTeams = new Set<string>();
 
-  constructor(private readonly site: SoakSite) {}
+  private readonly network: RegionNetwork;
+
+  constructor(private readonly site: SoakSite) {
+    this.network = this.owned.add(new RegionNetwork(site));
+  }
 
   /** Starts everything; returns one address of the store for each node, so that each can be cut off alone. */
   async start(nodes: number): Promise<readonly Address[]> {
@@ -52,6 +57,23 @@
     return this.storeLinks.map((link) => link.address);
   }
 
+  /** Opens relays to the store, which is in the first zone's region, to the targets and to these addresses. */
+  openRelays(addresses: readonly RegionAddress[]): Promise<Readonly<Record<string, Detours>>> {
+    const storeRegion = findRegion(this.site, this.site.zones[0] ?? "");
+    const stores = this.storeLinks.map(({ address }) => ({ region: storeRegion, address }));
+    const targets = this.groups.flatMap((group) =>
+      group.targets.map(({ zone, link }) => ({
+        region: findRegion(this.site, zone),
+        address: link.address,
+      })),
+    );
+    return this.network.openRelays([...addresses, ...stores, ...targets]);
+  }
+
+  listSentBytes(): Readonly<Record<string, number>> {
+    return this.network.listSentBytes();
+  }
+
   dispose(): Promise<void> {
     return this.owned.dispose();
   }
@@ -85,6 +107,8 @@
         return this.losePrimaryAnswers(command.group, command.forMs);
       case "stopReplica":
         return this.stopReplica(command.group, command.forMs);
+      case "cutRegions":
+        return this.cutRegions(command.regions, command.forMs);
       case "changeConfiguration":
         this.writeConfiguration();
         return;
@@ -112,6 +136,10 @@
     log.lagMs = site.lagMs;
     const name = formatGroup(index);
     const targets: BackendTarget[] = [];
+    const zones = site.targetZones ?? site.zones;
+    const getRegion = (id: string) =>
+      findRegion(site, targets.find(({ target }) => target.id === id)?.zone ?? "");
+    log.isLinked = (from, to) => !this.network.isCut(getRegion(from.id), getRegion(to.id));
     for (let i = 0; i < site.targetsPerGroup; i += 1) {
       const target = new StandinLineTarget(
         `i-${index}-${i}`,
@@ -128,7 +156,7 @@
       );
       await target.start();
       this.owned.add(target);
-      const zone = site.zones[i % site.zones.length] ?? "";
+      const zone = zones[i % zones.length] ?? "";
       targets.push({ target, link: await this.openLink(target), zone, isRunning: true });
     }
     this.groups.push({ name, log, targets });
@@ -250,6 +278,13 @@
     primary.target.faults.loseAnswer = undefined;
   }
 
+  private async cutRegions(regions: readonly [string, string], forMs: number): Promise<void> {
+    this.network.cut(regions);
+    await sleep(forMs);
+    this.network.heal(regions);
+    for (const { log } of this.groups) log.copy();
+  }
+
   private async stopReplica(index: number, forMs: number): Promise<void> {
     const group = this.groups[index % this.groups.length];
     const replica = group?.targets.find(({ target }) => target.member.role === "replica");
--- a/standin/soak/nodes/balancer.ts
+++ b/standin/soak/nodes/balancer.ts
@@ -21,7 +21,11 @@
   private readonly misses: number[];
   private readonly timer: NodeJS.Timeout;
 
-  constructor(private readonly nodes: readonly BalancedNode[]) {
+  constructor(
+    private readonly nodes: readonly BalancedNode[],
+    /** Whether callers of a zone can reach nodes of another one now. */
+    private readonly isReachable: (from: string, to: string) => boolean = () => true,
+  ) {
     this.misses = nodes.map(() => maxMisses);
     this.timer = setInterval(() => this.probeAll(), probeIntervalMs);
     this.probeAll();
@@ -44,13 +48,14 @@
     const own = this.listNodes((node) => node.zone === zone);
     const ready = own.filter((node) => this.isReady(node));
     const usable = 2 * ready.length >= own.length ? ready : own;
-    const fallback = ready.length > 0 ? usable : this.listReadyElsewhere();
+    const fallback = ready.length > 0 ? usable : this.listReadyElsewhere(zone);
     const candidates = fallback.length > 0 ? fallback : own;
     return candidates[(hash(caller) + attempt) % candidates.length] ?? 0;
   }
 
-  private listReadyElsewhere(): readonly number[] {
-    return this.listNodes(() => true).filter((node) => this.isReady(node));
+  private listReadyElsewhere(from: string): readonly number[] {
+    const reachable = this.listNodes(({ zone }) => this.isReachable(from, zone));
+    return reachable.filter((node) => this.isReady(node));
   }
 
   private listNodes(matches: (node: BalancedNode) => boolean): readonly number[] {
--- a/standin/soak/nodes/commands.ts
+++ b/standin/soak/nodes/commands.ts
@@ -1,4 +1,5 @@
 import type { Address } from "../../../src/model/index.js";
+import type { Detours, RegionAddress } from "./region-network.js";
 import type { SoakSite } from "./site.js";
 
 /** A fault or a change that the process with the store and the targets carries out. Times are in milliseconds. */
@@ -15,6 +16,12 @@
   | { readonly type: "silencePrimary"; readonly group: number; readonly forMs: number }
   | { readonly type: "losePrimaryAnswers"; readonly group: number; readonly forMs: number }
   | { readonly type: "stopReplica"; readonly group: number; readonly forMs: number }
+  /** The links between two regions pass nothing, and no replica follows a primary over them. */
+  | {
+      readonly type: "cutRegions";
+      readonly regions: readonly [string, string];
+      readonly forMs: number;
+    }
   | { readonly type: "changeConfiguration" }
   | { readonly type: "setTeam"; readonly team: string; readonly isHolding: boolean };
 
@@ -27,10 +34,17 @@
 /** What the run sends to the process with the store and the targets. */
 export type BackendRequest =
   | { readonly type: "start"; readonly site: SoakSite; readonly nodes: number }
+  /** Asks for relays between the regions to these addresses and to those of the store and the targets. */
+  | { readonly type: "openRelays"; readonly addresses: readonly RegionAddress[] }
   | { readonly type: "apply"; readonly command: BackendCommand }
   | { readonly type: "listWrites" };
 
-/** What that process answers. `started` has one address of the store for each node. */
+/** What that process answers. `started` has one address of the store for each node, `relays` the detours by region. */
 export type BackendAnswer =
   | { readonly type: "started"; readonly stores: readonly Address[] }
-  | { readonly type: "writes"; readonly writes: StoredWrites };
+  | { readonly type: "relays"; readonly detours: Readonly<Record<string, Detours>> }
+  | {
+      readonly type: "writes";
+      readonly writes: StoredWrites;
+      readonly sentBytes: Readonly<Record<string, number>>;
+    };
--- a/standin/soak/nodes/faults.ts
+++ b/standin/soak/nodes/faults.ts
@@ -1,6 +1,6 @@
 import { createRandomStream, type RandomStream } from "../random.js";
 import type { BackendCommand } from "./commands.js";
-import type { SoakSite } from "./site.js";
+import { listRegions, type SoakSite } from "./site.js";
 
 /** A fault of the nodes' processes or of the machine. Nodes are indexes; times are in milliseconds. */
 export type NodeFault =
@@ -22,6 +22,12 @@
     }
   /** Other processes compete for the processor. */
   | { readonly type: "busyProcessor"; readonly processes: number; readonly forMs: number }
+  /** The links between two regions are silent. */
+  | {
+      readonly type: "cutRegions";
+      readonly regions: readonly [string, string];
+      readonly forMs: number;
+    }
   /** A fault of the store or the targets; `thenMs` later `end` ends it. */
   | { readonly type: "backend"; readonly command: BackendCommand }
   | {
@@ -57,11 +63,18 @@
   "lostAnswers",
   "deafReplica",
   "config",
+  "regionCut",
 ] as const;
 
 /** The name of a fault that can be selected for a run. */
 export type NodeFaultName = (typeof nodeFaultNames)[number];
 
+/** The names of the faults that a site can have: only one with several regions has links between them. */
+export function listFaultNames(site: SoakSite): readonly NodeFaultName[] {
+  const hasRegions = listRegions(site).length > 1;
+  return nodeFaultNames.filter((name) => name !== "regionCut" || hasRegions);
+}
+
 const firstFaultMs = 3000;
 /** No fault starts in the last part of a run, so that its end shows whether everything recovered. */
 const calmEndMs = 10_000;
@@ -157,6 +170,8 @@
       return { type: "backend", command: { type: "stopReplica", group, forMs } };
     case "config":
       return { type: "backend", command: { type: "changeConfiguration" } };
+    case "regionCut":
+      return { type: "cutRegions", regions: pickRegions(random, site), forMs };
   }
 }
 
@@ -173,6 +188,12 @@
   ).flat();
 }
 
+function pickRegions(random: RandomStream, site: SoakSite): readonly [string, string] {
+  const regions = listRegions(site);
+  const first = random.pick(regions);
+  return [first, random.pick(regions.filter((region) => region !== first))];
+}
+
 function listNodes(site: SoakSite): readonly number[] {
   const count = site.nodesPerZone.reduce((sum, nodes) => sum + nodes, 0);
   return Array.from({ length: count }, (_, index) => index);
--- a/standin/soak/nodes/load.ts
+++ b/standin/soak/nodes/load.ts
@@ -4,7 +4,7 @@
 import { LineClient, type OpenFailure } from "./line-client.js";
 import { TeamAllowances } from "./allowances.js";
 import { runOperation, type ToldWrite } from "./operation.js";
-import { formatDatabase, formatKey, type SoakKind, type SoakSite } from "./site.js";
+import { findRegion, formatDatabase, formatKey, type SoakKind, type SoakSite } from "./site.js";
 import type { OperationResult } from "./tally.js";
 
 /** Dependencies of a `Load`. */
@@ -141,7 +141,8 @@
     own?.close();
     if (session !== undefined) session.isBusy = false;
     const { outcome, reason } = end;
-    this.results.push({ kind: kind.name, zone, team, atMs, isOwed, outcome, reason });
+    const region = findRegion(site, zone);
+    this.results.push({ kind: kind.name, zone, region, team, atMs, isOwed, outcome, reason });
     this.writes.push(...end.writes);
     this.pending -= 1;
   }
--- a/standin/soak/nodes/node-process.ts
+++ b/standin/soak/nodes/node-process.ts
@@ -1,9 +1,16 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { pathToFileURL } from "node:url";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Address } from "../../../src/model/index.js";
-import type { Child, Children, LogLine } from "../../processes/index.js";
-import type { SoakSite } from "./site.js";
+import {
+  resolveBuiltPath,
+  type Child,
+  type Children,
+  type LogLine,
+} from "../../processes/index.js";
+import type { Detours } from "./region-network.js";
+import { findRegion, type SoakSite } from "./site.js";
 
 /** The addresses and the data centre of a node. */
 export interface NodePlan {
@@ -14,6 +21,8 @@
   readonly peers: Address;
   readonly gateway: Address;
   readonly store: Address;
+  /** The relays to other regions that the node connects to; none in a site of one region. */
+  readonly detours: Detours;
 }
 
 /** The command that starts a node, as the deploy file gives it. */
@@ -53,7 +62,10 @@
 
   start(): void {
     const { program, args, onLine } = this.command;
-    const environment = { RADISHWALK_SETTINGS: this.settingsPath };
+    const environment = {
+      RADISHWALK_SETTINGS: this.settingsPath,
+      ...formatDetours(this.plan.detours),
+    };
     const child = this.children.startProgram(this.plan.name, program, args, environment);
     child.onLine((line) => onLine(this.plan.name, line));
     this.child = child;
@@ -111,13 +123,19 @@
   }
 }
 
+function formatDetours(detours: Detours): Readonly<Record<string, string>> {
+  if (Object.keys(detours).length === 0) return {};
+  const preload = pathToFileURL(resolveBuiltPath("../soak/nodes/detour.js"));
+  return { NODE_OPTIONS: `--import ${preload.href}`, SOAK_DETOURS: JSON.stringify(detours) };
+}
+
 function formatSettings(plan: NodePlan, site: SoakSite, others: readonly NodePlan[]): string {
   const fields = {
     "node-name": plan.name,
     role: "proxy",
     ip: plan.callers.host,
     zone: plan.zone,
-    ...Object.fromEntries(site.zones.map((zone) => [`zones.${zone}`, "region"])),
+    ...Object.fromEntries(site.zones.map((zone) => [`zones.${zone}`, findRegion(site, zone)])),
     "listen.frontend": formatAddress(plan.callers),
     "listen.readiness": formatAddress(plan.readiness),
     "listen.admin": formatAddress(plan.peers),
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -6,12 +6,13 @@
 import { Children, findFreePort, type Child, type LogLine } from "../../processes/index.js";
 import { createRandomStream } from "../random.js";
 import { Balancer } from "./balancer.js";
+import { checkCutReads } from "./cut-reads.js";
 import type { BackendAnswer, BackendCommand, BackendRequest, StoredWrites } from "./commands.js";
 import { describeTimedFault, type NodeFault, type TimedFault } from "./faults.js";
 import { Load } from "./load.js";
 import { NodeProcess, type NodeCommand, type NodePlan } from "./node-process.js";
 import type { ToldWrite } from "./operation.js";
-import type { SoakSite } from "./site.js";
+import { findRegion, type SoakSite } from "./site.js";
 import { summariseServed, type ServedReport } from "./tally.js";
 
 /** Options of a run. Times are in milliseconds. */
@@ -36,6 +37,10 @@
   readonly served: ServedReport;
   /** Promises of the pages that were broken, each described in a line. */
   readonly breaches: readonly string[];
+  /** How many reads were served in each region while the link between regions was cut. */
+  readonly cutReads: readonly string[];
+  /** The bytes sent from each region to each other one. */
+  readonly sentBytes: Readonly<Record<string, number>>;
   /** How often processes of nodes ended without being told to. */
   readonly unexpectedEnds: number;
   /** When each node was first ready after the start, in milliseconds. */
@@ -66,6 +71,7 @@
   private readonly folder: string;
   private readonly backend: Child;
   private nodes: readonly NodeProcess[] = [];
+  private readonly cuts = new Set<readonly [string, string]>();
 
   constructor(
     private readonly options: NodeSoakOptions,
@@ -85,7 +91,7 @@
     const { site, scale, seed } = options;
     this.nodes = await this.createNodes();
     const plans = this.nodes.map(({ plan }) => plan);
-    const balancer = this.owned.add(new Balancer(plans));
+    const balancer = this.owned.add(new Balancer(plans, (from, to) => this.isReachable(from, to)));
     const random = createRandomStream(seed, 1);
     const load = this.owned.add(new Load({ site, nodes: plans, balancer, random, scale }));
     const startedAt = performance.now();
@@ -102,10 +108,13 @@
     await Promise.all(faults);
     await load.finish();
     await sleep(settleMs);
-    const stored = await this.listWrites();
+    const { writes, sentBytes } = await this.listWrites();
+    const cutReads = checkCutReads(site, options.faults, load.results);
     return {
       served: summariseServed(load.results),
-      breaches: listBreaches(load.writes, stored),
+      breaches: [...listBreaches(load.writes, writes), ...cutReads.breaches],
+      cutReads: cutReads.lines,
+      sentBytes,
       unexpectedEnds: this.nodes.reduce((sum, node) => sum + node.unexpectedEnds, 0),
       readyAfterMs,
     };
@@ -117,25 +126,36 @@
       Array.from({ length: site.nodesPerZone[index] ?? 0 }, () => zone),
     );
     const stores = await this.startBackends(zones.length);
-    const plans: NodePlan[] = [];
+    const allocated: NodePlan[] = [];
     for (const [index, zone] of zones.entries()) {
-      plans.push(await allocateNode(index, zone, stores[index] ?? { host, port: 0 }));
+      allocated.push(await allocateNode(index, zone, stores[index] ?? { host, port: 0 }));
     }
+    const plans = await this.addDetours(allocated);
     const command = readCommand(repository, (node, line) => this.recordLine(node, line));
     return plans.map(
       (plan) => new NodeProcess(plan, this.children, command, this.folder, site, plans),
     );
   }
 
+  private async addDetours(plans: readonly NodePlan[]): Promise<readonly NodePlan[]> {
+    const getRegion = ({ zone }: NodePlan) => findRegion(this.options.site, zone);
+    const addresses = plans.flatMap((plan) =>
+      [plan.peers, plan.gateway].map((address) => ({ region: getRegion(plan), address })),
+    );
+    const answer = await this.ask({ type: "openRelays", addresses });
+    const detours = answer.type === "relays" ? answer.detours : {};
+    return plans.map((plan) => ({ ...plan, detours: detours[getRegion(plan)] ?? {} }));
+  }
+
   private async startBackends(nodes: number): Promise<readonly Address[]> {
     const answer = await this.ask({ type: "start", site: this.options.site, nodes });
     return answer.type === "started" ? answer.stores : [];
   }
 
-  private async listWrites(): Promise<StoredWrites> {
+  private async listWrites(): Promise<Extract<BackendAnswer, { readonly type: "writes" }>> {
     const answer = await this.ask({ type: "listWrites" });
     if (answer.type !== "writes") throw new Error(`unexpected answer ${answer.type}`);
-    return answer.writes;
+    return answer;
   }
 
   private ask(request: BackendRequest): Promise<BackendAnswer> {
@@ -197,6 +217,12 @@
           this.children.start(`busy-${i}`, "../soak/nodes/busy.js", [String(fault.forMs)]);
         }
         return;
+      case "cutRegions":
+        this.apply(fault);
+        this.cuts.add(fault.regions);
+        await sleep(fault.forMs);
+        this.cuts.delete(fault.regions);
+        return;
       case "backend":
         this.apply(fault.command);
         return;
@@ -207,6 +233,13 @@
     }
   }
 
+  private isReachable(fromZone: string, toZone: string): boolean {
+    const ends = [fromZone, toZone].map((zone) => findRegion(this.options.site, zone));
+    return (
+      ends[0] === ends[1] || ![...this.cuts].some((cut) => ends.every((end) => cut.includes(end)))
+    );
+  }
+
   private async restartInTurn(
     nodes: readonly NodeProcess[],
     gapMs: number,
@@ -240,6 +273,7 @@
     peers: await allocate(),
     gateway: await allocate(),
     store,
+    detours: {},
   };
 }
 
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -1,5 +1,5 @@
 import { UsageError } from "../usage.js";
-import { nodeFaultNames, planFaults, type NodeFaultName } from "./faults.js";
+import { listFaultNames, planFaults, type NodeFaultName } from "./faults.js";
 import { runNodeSoak } from "./run.js";
 import { defaultSite, readSite } from "./site.js";
 import { computeAnsweredShare, formatServed } from "./tally.js";
@@ -26,7 +26,8 @@
 ): Promise<void> {
   const site = flags.site === undefined ? defaultSite : readSite(flags.site);
   const durationMs = flags.minutes * msPerMinute;
-  const names = flags.faults === undefined ? nodeFaultNames : parseFaultNames(flags.faults);
+  const known = listFaultNames(site);
+  const names = flags.faults === undefined ? known : parseFaultNames(flags.faults, known);
   const faults = planFaults(flags.seed, site, durationMs, names, flags.count);
   const report = await runNodeSoak({
     site,
@@ -40,16 +41,18 @@
     ...(flags.log === undefined ? {} : { logPath: flags.log }),
   });
   print(formatServed(report.served));
+  for (const line of report.cutReads) print(line);
   for (const breach of report.breaches) print(`seed ${flags.seed}: ${breach}`);
   const share = computeAnsweredShare(report.served.total);
-  print(JSON.stringify({ seed: flags.seed, share, unexpectedEnds: report.unexpectedEnds }));
+  const { unexpectedEnds, sentBytes } = report;
+  print(JSON.stringify({ seed: flags.seed, share, unexpectedEnds, sentBytes }));
   process.exit(report.breaches.length === 0 && report.unexpectedEnds === 0 ? 0 : 1);
 }
 
-/** Parses names separated by commas; `none` gives none. */
-function parseFaultNames(text: string): readonly NodeFaultName[] {
+/** Parses names of faults that the site can have, separated by commas; `none` gives none. */
+function parseFaultNames(text: string, known: readonly NodeFaultName[]): readonly NodeFaultName[] {
   const wanted = text === "none" ? [] : text.split(",");
-  const unknown = wanted.filter((name) => !nodeFaultNames.some((known) => known === name));
+  const unknown = wanted.filter((name) => !known.some((one) => one === name));
   if (unknown.length > 0) throw new UsageError(`--faults: unknown: ${unknown.join(", ")}`);
-  return nodeFaultNames.filter((name) => wanted.includes(name));
+  return known.filter((name) => wanted.includes(name));
 }
--- a/standin/soak/nodes/site.ts
+++ b/standin/soak/nodes/site.ts
@@ -28,8 +28,16 @@
 const siteSchema = z.object({
   name: z.string(),
   zones: z.array(z.string()).min(1),
+  /** The region of each zone; all zones that are not named share one. */
+  regions: z.record(z.string(), z.string()).default({}),
+  /** What lies between two regions: the delay of each direction and the bandwidth that all its traffic shares. */
+  crossing: z
+    .object({ delayMs: z.number().nonnegative(), mbitPerSecond: z.number().positive() })
+    .default({ delayMs: 30, mbitPerSecond: 42 }),
   nodesPerZone: z.array(z.number().int().positive()).min(1),
   groups: z.number().int().positive(),
+  /** The zones of a group's targets, the first primary's first; by default all zones in turn. */
+  targetZones: z.array(z.string()).min(1).optional(),
   targetsPerGroup: z.number().int().positive().default(3),
   slots: z.number().int().positive(),
   connections: z.number().int().positive(),
@@ -105,6 +113,18 @@
   return siteSchema.parse(parse(readFileSync(path, "utf8")));
 }
 
+const onlyRegion = "region";
+
+/** The region of a zone. */
+export function findRegion({ regions }: Pick<SoakSite, "regions">, zone: string): string {
+  return regions[zone] ?? onlyRegion;
+}
+
+/** The regions of a site, that of the store first. */
+export function listRegions(site: Pick<SoakSite, "zones" | "regions">): readonly string[] {
+  return [...new Set(site.zones.map((zone) => findRegion(site, zone)))];
+}
+
 /** Formats the name of the database of a kind in a group. */
 export function formatDatabase(kind: string, group: number): string {
   return `${kind}-${group}`;
--- a/standin/soak/nodes/tally.ts
+++ b/standin/soak/nodes/tally.ts
@@ -5,6 +5,7 @@
 export interface OperationResult {
   readonly kind: string;
   readonly zone: string;
+  readonly region: string;
   readonly team: string;
   /** When it was asked for, in milliseconds since traffic started. */
   readonly atMs: number;
@@ -15,7 +16,7 @@
   readonly reason: string;
 }
 
-/** The operations of one kind, zone, team or second. */
+/** The operations of one kind, zone, region, team or second. */
 export interface ServedShare {
   readonly name: string;
   readonly asked: number;
@@ -29,6 +30,9 @@
   readonly total: ServedShare;
   readonly kinds: readonly ServedShare[];
   readonly zones: readonly ServedShare[];
+  readonly regions: readonly ServedShare[];
+  /** Each kind in each region, with names such as `browse@east`. */
+  readonly kindsByRegion: readonly ServedShare[];
   readonly teams: readonly ServedShare[];
   readonly seconds: readonly ServedShare[];
   /** Errors of operations that were not served, by frequency. */
@@ -45,6 +49,8 @@
     total: summariseGroup("all", results),
     kinds: summariseBy(results, ({ kind }) => kind),
     zones: summariseBy(results, ({ zone }) => zone),
+    regions: summariseBy(results, ({ region }) => region),
+    kindsByRegion: summariseBy(results, ({ kind, region }) => `${kind}@${region}`),
     teams: summariseBy(results, ({ team }) => team),
     seconds: [...bySecond].sort((a, b) => Number(a.name) - Number(b.name)),
     reasons: countReasons(results),
@@ -62,6 +68,8 @@
     ["all", [report.total]],
     ["kind", report.kinds],
     ["zone", report.zones],
+    ["region", report.regions],
+    ["", report.regions.length > 1 ? report.kindsByRegion : []],
     ["team", listWorst(report.teams)],
     ["second", report.seconds],
   ] as const;
--- a/test/soak/nodes.test.ts
+++ b/test/soak/nodes.test.ts
@@ -77,7 +77,14 @@
 });
 
 test("operations beyond a team's rate are not owed, and refused ones within it are counted", () => {
-  const common = { kind: "reserve", zone: "a", team: "cello", atMs: 10, reason: "" };
+  const common = {
+    kind: "reserve",
+    zone: "a",
+    region: "region",
+    team: "cello",
+    atMs: 10,
+    reason: "",
+  };
   const { total } = summariseServed([
     { ...common, isOwed: true, outcome: "served" },
     { ...common, isOwed: true, outcome: "refused" },
