Give the kinds of a soak's site their levels

Cause: all routes of the soak had two priorities, so that no run had levels in force.

Change: a kind may name its level, which becomes the priority of its routes; the site of two regions has three. Without a level the priorities are as before. The report's shares by kind, region and second have a test.

--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -178,7 +178,7 @@
         host: formatDatabase(kind.name, group),
         service: formatGroup(group),
         type: kind.type,
-        priority: kind.type === "primary" ? 1 : 2,
+        priority: kind.level ?? (kind.type === "primary" ? 1 : 2),
         public: false,
         "timeout-ms": kind.timeoutMs,
         "target-latency-ms": kind.objectiveMs,
--- a/standin/soak/nodes/site.ts
+++ b/standin/soak/nodes/site.ts
@@ -5,6 +5,8 @@
 const kindSchema = z.object({
   name: z.string(),
   type: z.enum(["primary", "bounded_staleness", "read_your_writes"]),
+  /** The level of its routes, 0 being the most important; by default 1 for primary and 2 for other kinds. */
+  level: z.number().int().nonnegative().optional(),
   /** Operations per second over all zones. */
   perSecond: z.number().positive(),
   workMs: z.number().nonnegative(),
--- a/test/soak/regions.test.ts
+++ b/test/soak/regions.test.ts
@@ -10,6 +10,7 @@
   readSite,
   RegionLink,
   RegionRelay,
+  summariseServed,
 } from "../../standin/soak/nodes/index.js";
 
 const site = readSite("config/soak-two-regions.yaml");
@@ -139,6 +140,37 @@
   expect(output.trim().split(" ").sort()).toEqual(["near", "relay", "relay"]);
 });
 
+// With fewer than three levels the routes of the site would leave the scheduler by levels unused.
+test("the site of two regions has three levels, and objectives within the timeouts of their routes", () => {
+  expect(new Set(site.kinds.map(({ level }) => level))).toEqual(new Set([0, 1, 2]));
+  for (const { objectiveMs, timeoutMs } of site.kinds) {
+    expect(objectiveMs).toBeLessThanOrEqual(timeoutMs);
+  }
+});
+
+test("the report has the share in time by kind, region and second", () => {
+  const read = { kind: "browse", zone: "west-1", region: "west", team: "t", reason: "" };
+  const served = summariseServed([
+    { ...read, isOwed: true, atMs: 10, outcome: "served" },
+    { ...read, isOwed: true, atMs: 20, outcome: "late" },
+    { ...read, isOwed: true, atMs: 1500, outcome: "refused", region: "east" },
+    { ...read, isOwed: true, atMs: 1600, outcome: "served", kind: "reserve", region: "east" },
+  ]);
+  const share = (name: string, asked: number, answered: number, inTime: number) => {
+    return { name, asked, answered, inTime };
+  };
+  expect(served).toMatchObject({
+    kinds: [share("browse", 3, 2, 1), share("reserve", 1, 1, 1)],
+    regions: [share("west", 2, 2, 1), share("east", 2, 1, 1)],
+    kindsByRegion: [
+      share("browse@west", 2, 2, 1),
+      share("browse@east", 1, 0, 0),
+      share("reserve@east", 1, 1, 1),
+    ],
+    seconds: [share("0", 2, 2, 1), share("1", 2, 1, 1)],
+  });
+});
+
 test("a cut between regions is planned only for sites that have several", () => {
   expect(listFaultNames(defaultSite)).not.toContain("regionCut");
   expect(listFaultNames(site)).toContain("regionCut");
