Remove what stands twice in the soak

Cause: faults of the store were ended by a second command each, names of faults were parsed in two places, and each breach repeated the default subject.

Change: the process with the store ends the faults that it starts, as it did with those of the targets; one function parses names of faults; reportBreach has a default subject. setTeam, which nothing sent, is gone. Plans draw the same numbers as before.

--- a/standin/soak/context.ts
+++ b/standin/soak/context.ts
@@ -12,5 +12,6 @@
   readonly counts: Counts;
   /** Proxies that are draining or have drained, without those that were killed. */
   readonly drained: Set<Proxy>;
-  readonly reportBreach: (breach: Breach) => void;
+  /** Records a breach; its subjects select the lines of the trace that are printed, `check` by default. */
+  readonly reportBreach: (description: string, subjects?: Breach["subjects"]) => void;
 }
--- a/standin/soak/main.ts
+++ b/standin/soak/main.ts
@@ -1,9 +1,9 @@
 import { cac } from "cac";
 import { formatCounts } from "./counts.js";
 import { runNodesSide, type NodesSideFlags } from "./nodes/side.js";
-import { faultTypes, type Fault } from "./plan.js";
+import { faultTypes } from "./plan.js";
 import { runSoak } from "./run.js";
-import { UsageError } from "./usage.js";
+import { parseFaultNames, UsageError } from "./usage.js";
 
 interface Flags extends NodesSideFlags {
   readonly side: string;
@@ -78,7 +78,7 @@
     onRound,
     logs,
     ...(groups === undefined ? {} : { groups }),
-    ...(flags.faults === undefined ? {} : { faults: parseFaults(flags.faults) }),
+    ...(flags.faults === undefined ? {} : { faults: parseFaultNames(flags.faults, faultTypes) }),
   });
   if (!json) print(formatCounts(report.counts));
   if (report.trace !== "") print(report.trace);
@@ -89,13 +89,6 @@
   process.exit(report.breaches.length === 0 && trace === "" ? 0 : 1);
 }
 
-function parseFaults(text: string): readonly Fault["type"][] {
-  const wanted = text.split(",");
-  const unknown = wanted.filter((name) => !faultTypes.some((type) => type === name));
-  if (unknown.length > 0) throw new UsageError(`--faults: unknown: ${unknown.join(", ")}`);
-  return faultTypes.filter((type) => wanted.includes(type));
-}
-
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
 }
--- a/standin/soak/nodes/allowances.ts
+++ b/standin/soak/nodes/allowances.ts
@@ -11,21 +11,14 @@
 
 /** Which operations lie within their team's rate: those beyond it may be refused. */
 export class TeamAllowances {
-  private readonly byTeam: ReadonlyMap<string, Allowance>;
+  private readonly byTeam = new Map<string, Allowance>();
 
   constructor(teams: readonly SoakTeam[]) {
-    this.byTeam = new Map(
-      teams.flatMap(({ name, ratePerSecond, burst }) =>
-        ratePerSecond === undefined
-          ? []
-          : [
-              [
-                name,
-                { ratePerMs: ratePerSecond / msPerSecond, burst, tokens: burst, updatedAtMs: 0 },
-              ],
-            ],
-      ),
-    );
+    for (const { name, ratePerSecond, burst } of teams) {
+      if (ratePerSecond === undefined) continue;
+      const ratePerMs = ratePerSecond / msPerSecond;
+      this.byTeam.set(name, { ratePerMs, burst, tokens: burst, updatedAtMs: 0 });
+    }
   }
 
   /** Counts an operation; false if it is beyond the rate and the burst of its team. */
--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -32,7 +32,6 @@
   private readonly storeLinks: FaultyLink[] = [];
   private version = 0;
   private sequence = 0;
-  private readonly droppedTeams = new Set<string>();
 
   private readonly network: RegionNetwork;
 
@@ -82,23 +81,22 @@
     const { store } = this;
     switch (command.type) {
       case "storeBusy":
-        store.isBusy = command.isBusy;
+        store.isBusy = true;
+        await sleep(command.forMs);
+        store.isBusy = false;
         return;
       case "storeSlow":
         store.answerMs = this.site.storeMs + command.ms;
+        await sleep(command.forMs);
+        store.answerMs = this.site.storeMs;
         return;
       case "loseStoreAnswers":
         store.loseAnswers = command.count;
         return;
       case "cutStore":
-        for (const node of command.nodes) this.storeLinks[node]?.setFlow("hold", "hold");
-        return;
+        return this.disturbStore(command, (link) => link.setFlow("hold", "hold"));
       case "resetStore":
-        for (const node of command.nodes) this.storeLinks[node]?.setRefusing(true);
-        return;
-      case "healStore":
-        for (const link of this.storeLinks) link.clearFaults();
-        return;
+        return this.disturbStore(command, (link) => link.setRefusing(true));
       case "crashPrimary":
         return this.crashPrimary(command.group, command.forMs);
       case "silencePrimary":
@@ -111,11 +109,6 @@
         return this.cutRegions(command.regions, command.forMs);
       case "changeConfiguration":
         this.writeConfiguration();
-        return;
-      case "setTeam":
-        if (command.isHolding) this.droppedTeams.delete(command.team);
-        else this.droppedTeams.add(command.team);
-        this.writeConfiguration();
     }
   }
 
@@ -193,7 +186,7 @@
     const limits = { "tx-idle-ms": 3000, "header-timeout-ms": 3000 };
     const tenants = site.teams.map(({ name, ratePerSecond, burst }) => ({
       name,
-      "api-keys": this.droppedTeams.has(name) ? [] : [formatKey(name)],
+      "api-keys": [formatKey(name)],
       ...(ratePerSecond === undefined ? {} : { "rate-per-s": ratePerSecond, burst }),
     }));
     const teams = tenants.length === 0 ? {} : { tenants };
@@ -241,6 +234,16 @@
     return true;
   }
 
+  private async disturbStore(
+    { nodes, forMs }: { readonly nodes: readonly number[]; readonly forMs: number },
+    disturb: (link: FaultyLink) => void,
+  ): Promise<void> {
+    const links = nodes.flatMap((node) => this.storeLinks[node] ?? []);
+    links.forEach(disturb);
+    await sleep(forMs);
+    for (const link of links) link.clearFaults();
+  }
+
   private findPrimary(index: number): BackendTarget | undefined {
     const group = this.groups[index % this.groups.length];
     const id = group?.log.findPrimary()?.id;
--- a/standin/soak/nodes/commands.ts
+++ b/standin/soak/nodes/commands.ts
@@ -4,14 +4,13 @@
 
 /** A fault or a change that the process with the store and the targets carries out. Times are in milliseconds. */
 export type BackendCommand =
-  | { readonly type: "storeBusy"; readonly isBusy: boolean }
-  | { readonly type: "storeSlow"; readonly ms: number }
+  | { readonly type: "storeBusy"; readonly forMs: number }
+  | { readonly type: "storeSlow"; readonly ms: number; readonly forMs: number }
   | { readonly type: "loseStoreAnswers"; readonly count: number }
   /** The store's links of these nodes stay open and pass nothing. */
-  | { readonly type: "cutStore"; readonly nodes: readonly number[] }
+  | { readonly type: "cutStore"; readonly nodes: readonly number[]; readonly forMs: number }
   /** The store resets the connections of these nodes and refuses new ones. */
-  | { readonly type: "resetStore"; readonly nodes: readonly number[] }
-  | { readonly type: "healStore" }
+  | { readonly type: "resetStore"; readonly nodes: readonly number[]; readonly forMs: number }
   | { readonly type: "crashPrimary"; readonly group: number; readonly forMs: number }
   | { readonly type: "silencePrimary"; readonly group: number; readonly forMs: number }
   | { readonly type: "losePrimaryAnswers"; readonly group: number; readonly forMs: number }
@@ -22,8 +21,7 @@
       readonly regions: readonly [string, string];
       readonly forMs: number;
     }
-  | { readonly type: "changeConfiguration" }
-  | { readonly type: "setTeam"; readonly team: string; readonly isHolding: boolean };
+  | { readonly type: "changeConfiguration" };
 
 /** The ids of the writes in the logs of all primaries, and of those that promotions rolled back. */
 export interface StoredWrites {
--- a/standin/soak/nodes/faults.ts
+++ b/standin/soak/nodes/faults.ts
@@ -28,14 +28,8 @@
       readonly regions: readonly [string, string];
       readonly forMs: number;
     }
-  /** A fault of the store or the targets; `thenMs` later `end` ends it. */
-  | { readonly type: "backend"; readonly command: BackendCommand }
-  | {
-      readonly type: "backendFor";
-      readonly command: BackendCommand;
-      readonly forMs: number;
-      readonly end: BackendCommand;
-    };
+  /** A fault of the store or the targets, which ends by itself. */
+  | { readonly type: "backend"; readonly command: BackendCommand };
 
 /** A fault and when it starts, in milliseconds since traffic started. */
 export interface TimedFault {
@@ -132,51 +126,32 @@
     case "busy":
       return { type: "busyProcessor", processes: random.nextInteger(4, 16), forMs };
     case "storeBusy":
-      return createEnding(
-        { type: "storeBusy", isBusy: true },
-        { type: "storeBusy", isBusy: false },
-        forMs,
-      );
+      return createBackendFault({ type: "storeBusy", forMs });
     case "storeSlow":
-      return createEnding(
-        { type: "storeSlow", ms: random.nextInteger(40, 400) },
-        { type: "storeSlow", ms: 0 },
-        forMs,
-      );
+      return createBackendFault({ type: "storeSlow", ms: random.nextInteger(40, 400), forMs });
     case "storeLost":
-      return {
-        type: "backend",
-        command: { type: "loseStoreAnswers", count: random.nextInteger(1, 20) },
-      };
+      return createBackendFault({ type: "loseStoreAnswers", count: random.nextInteger(1, 20) });
     case "storeCut":
-      return createEnding(
-        { type: "cutStore", nodes: pick(thirdOfNodes) },
-        { type: "healStore" },
-        forMs,
-      );
+      return createBackendFault({ type: "cutStore", nodes: pick(thirdOfNodes), forMs });
     case "storeReset":
-      return createEnding(
-        { type: "resetStore", nodes: pick(thirdOfNodes) },
-        { type: "healStore" },
-        forMs,
-      );
+      return createBackendFault({ type: "resetStore", nodes: pick(thirdOfNodes), forMs });
     case "crash":
-      return { type: "backend", command: { type: "crashPrimary", group, forMs } };
+      return createBackendFault({ type: "crashPrimary", group, forMs });
     case "silence":
-      return { type: "backend", command: { type: "silencePrimary", group, forMs } };
+      return createBackendFault({ type: "silencePrimary", group, forMs });
     case "lostAnswers":
-      return { type: "backend", command: { type: "losePrimaryAnswers", group, forMs } };
+      return createBackendFault({ type: "losePrimaryAnswers", group, forMs });
     case "deafReplica":
-      return { type: "backend", command: { type: "stopReplica", group, forMs } };
+      return createBackendFault({ type: "stopReplica", group, forMs });
     case "config":
-      return { type: "backend", command: { type: "changeConfiguration" } };
+      return createBackendFault({ type: "changeConfiguration" });
     case "regionCut":
       return { type: "cutRegions", regions: pickRegions(random, site), forMs };
   }
 }
 
-function createEnding(command: BackendCommand, end: BackendCommand, forMs: number): NodeFault {
-  return { type: "backendFor", command, forMs, end };
+function createBackendFault(command: BackendCommand): NodeFault {
+  return { type: "backend", command };
 }
 
 /** Picks a share of the nodes, or one if the share is 1 or would be none. */
--- a/standin/soak/nodes/load.ts
+++ b/standin/soak/nodes/load.ts
@@ -78,19 +78,11 @@
   private addSessions(zone: string): void {
     const { site, random } = this.options;
     for (let i = 0; i < site.sessionsPerZone; i += 1) {
-      const { name } = random.pick(site.kinds);
+      const { name: kind } = random.pick(site.kinds);
       const group = random.nextInteger(0, site.groups - 1);
       const caller = this.sessions.length;
       const team = this.pickTeam();
-      this.sessions.push({
-        caller,
-        zone,
-        kind: name,
-        group,
-        team,
-        client: undefined,
-        isBusy: false,
-      });
+      this.sessions.push({ caller, zone, kind, group, team, client: undefined, isBusy: false });
     }
   }
 
@@ -123,13 +115,8 @@
       createId: () => this.createId(),
       open: async (attempt) => {
         if (session?.client?.isUsable === true && attempt === 0) return session.client;
-        const opened = await this.open(
-          zone,
-          caller,
-          attempt,
-          formatDatabase(kind.name, group),
-          team,
-        );
+        const node = this.options.balancer.choose(zone, caller, attempt);
+        const opened = await this.open(node, formatDatabase(kind.name, group), team);
         if ("reason" in opened) return opened;
         if (session === undefined) own?.close();
         else session.client?.close();
@@ -147,16 +134,8 @@
     this.pending -= 1;
   }
 
-  private open(
-    zone: string,
-    caller: number,
-    attempt: number,
-    database: string,
-    team: string,
-  ): Promise<LineClient | OpenFailure> {
-    const { balancer, nodes } = this.options;
-    const node = balancer.choose(zone, caller, attempt);
-    const address = nodes[node]?.callers;
+  private open(node: number, database: string, team: string): Promise<LineClient | OpenFailure> {
+    const address = this.options.nodes[node]?.callers;
     if (address === undefined) return Promise.resolve({ reason: "no node" });
     return LineClient.open(node, address, database, formatKey(team), openTimeoutMs);
   }
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -225,11 +225,6 @@
         return;
       case "backend":
         this.apply(fault.command);
-        return;
-      case "backendFor":
-        this.apply(fault.command);
-        await sleep(fault.forMs);
-        this.apply(fault.end);
     }
   }
 
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -1,5 +1,5 @@
-import { UsageError } from "../usage.js";
-import { listFaultNames, planFaults, type NodeFaultName } from "./faults.js";
+import { parseFaultNames } from "../usage.js";
+import { listFaultNames, planFaults } from "./faults.js";
 import { runNodeSoak } from "./run.js";
 import { defaultSite, readSite } from "./site.js";
 import { computeAnsweredShare, formatServed } from "./tally.js";
@@ -27,7 +27,8 @@
   const site = flags.site === undefined ? defaultSite : readSite(flags.site);
   const durationMs = flags.minutes * msPerMinute;
   const known = listFaultNames(site);
-  const names = flags.faults === undefined ? known : parseFaultNames(flags.faults, known);
+  const { faults: wanted = known.join(",") } = flags;
+  const names = wanted === "none" ? [] : parseFaultNames(wanted, known);
   const faults = planFaults(flags.seed, site, durationMs, names, flags.count);
   const report = await runNodeSoak({
     site,
@@ -48,11 +49,3 @@
   print(JSON.stringify({ seed: flags.seed, share, unexpectedEnds, sentBytes }));
   process.exit(report.breaches.length === 0 && report.unexpectedEnds === 0 ? 0 : 1);
 }
-
-/** Parses names of faults that the site can have, separated by commas; `none` gives none. */
-function parseFaultNames(text: string, known: readonly NodeFaultName[]): readonly NodeFaultName[] {
-  const wanted = text === "none" ? [] : text.split(",");
-  const unknown = wanted.filter((name) => !known.some((one) => one === name));
-  if (unknown.length > 0) throw new UsageError(`--faults: unknown: ${unknown.join(", ")}`);
-  return known.filter((name) => wanted.includes(name));
-}
--- a/standin/soak/operators.ts
+++ b/standin/soak/operators.ts
@@ -122,7 +122,7 @@
   }
 
   private reportBreach(description: string): void {
-    this.context.reportBreach({ description, subjects: [...operatorNames, "check"] });
+    this.context.reportBreach(description, [...operatorNames, "check"]);
   }
 }
 
--- a/standin/soak/run.ts
+++ b/standin/soak/run.ts
@@ -105,11 +105,11 @@
     trace: Trace,
   ) {
     const [ledger, counts] = [new Ledger(), new Counts()];
-    const breach = (found: Breach) => {
-      this.breaches.push(found);
-      trace.record("check", found.description);
+    const reportBreach: SoakContext["reportBreach"] = (description, subjects = ["check"]) => {
+      this.breaches.push({ description, subjects });
+      trace.record("check", description);
     };
-    this.context = { fleet, ledger, trace, counts, drained: this.drained, reportBreach: breach };
+    this.context = { fleet, ledger, trace, counts, drained: this.drained, reportBreach };
     this.operators = new Operators(this.context);
     this.sessions = Array.from({ length: sessionCount }, (_, i) => {
       const random = createRandomStream(options.seed, i + 1);
@@ -198,10 +198,7 @@
   private async createTable(group: string, table: string): Promise<void> {
     const text = `CREATE TABLE IF NOT EXISTS ${table} (id text, session text, confirmed int)`;
     if (await this.repeat(group, text, setupTries)) return;
-    this.context.reportBreach({
-      description: `no table could be created in ${group} without faults`,
-      subjects: ["check"],
-    });
+    this.context.reportBreach(`no table could be created in ${group} without faults`);
   }
 
   /** Checks that after the faults a write succeeds in each group within `progressTries` tries. */
@@ -209,10 +206,7 @@
     for (const group of this.groups) {
       const text = `UPDATE ${table} SET confirmed = confirmed WHERE id = 'none'`;
       if (await this.repeat(group, text, progressTries)) continue;
-      this.context.reportBreach({
-        description: `no write succeeds in ${group} after the faults ended`,
-        subjects: ["check"],
-      });
+      this.context.reportBreach(`no write succeeds in ${group} after the faults ended`);
     }
   }
 
@@ -257,10 +251,7 @@
       }
     }
     for (const violation of this.fleet.violations) {
-      this.context.reportBreach({
-        description: `violated invariant: ${violation}`,
-        subjects: ["check"],
-      });
+      this.context.reportBreach(`violated invariant: ${violation}`);
     }
   }
 
--- a/standin/soak/session.ts
+++ b/standin/soak/session.ts
@@ -112,12 +112,9 @@
   }
 
   private checkDrain(statement: Statement, reason: string): void {
-    const { drained, reportBreach: breach } = this.context;
+    const { drained, reportBreach } = this.context;
     if (this.proxy === undefined || !drained.has(this.proxy)) return;
-    breach({
-      description: `a drain interrupted: ${statement.text} (${reason})`,
-      subjects: [this.options.name],
-    });
+    reportBreach(`a drain interrupted: ${statement.text} (${reason})`, [this.options.name]);
   }
 
   private describeProxy(): string {
--- a/standin/soak/verify.ts
+++ b/standin/soak/verify.ts
@@ -20,10 +20,7 @@
     await sleep(convergePauseMs);
   }
   for (const { member } of targets) context.trace.record("check", JSON.stringify(member.status));
-  context.reportBreach({
-    description: `the targets of ${name} do not converge after the faults ended`,
-    subjects: ["check"],
-  });
+  context.reportBreach(`the targets of ${name} do not converge after the faults ended`);
   return findPrimary(targets) ?? fail(`group ${name} has no primary`);
 }
 
@@ -39,7 +36,7 @@
   context.counts.add("checked", "rows", bookings.length);
   for (const breach of checkStored(bookings, stored)) {
     context.trace.record("check", `${breach.description} at ${primary.name}`);
-    context.reportBreach({ ...breach, description: `${group}: ${breach.description}` });
+    context.reportBreach(`${group}: ${breach.description}`, breach.subjects);
   }
 }
 
--- a/standin/soak/work.ts
+++ b/standin/soak/work.ts
@@ -100,10 +100,7 @@
       await sleep(keyedPauseMs);
     }
     const description = `keyed write of row ${booking.id} was not acknowledged in ${keyedTries} tries`;
-    this.context.reportBreach({
-      description,
-      subjects: [booking.id, this.session.options.name],
-    });
+    this.context.reportBreach(description, [booking.id, this.session.options.name]);
   }
 
   private async reservePrepared(): Promise<void> {
@@ -183,10 +180,7 @@
     const mustSeeTable = known.length > 0 || (operation === "readOwn" && !hasToken);
     if (mustSeeTable && result.type === "failed" && result.code === undefinedTable) {
       const description = `${operation}: a read misses a table that was created before`;
-      this.context.reportBreach({
-        description,
-        subjects: [known[0]?.id ?? name, name],
-      });
+      this.context.reportBreach(description, [known[0]?.id ?? name, name]);
     }
     if (result.type !== "answered") return;
     this.checkNonces(nonce, result.rows);
@@ -194,7 +188,7 @@
     const read = result.rows.map((r) => ({ id: String(r.id), confirmed: Number(r.confirmed) }));
     for (const breach of checkOwnRead(known, isAbsent, read)) {
       const description = `${operation}: ${breach.description}`;
-      this.context.reportBreach({ description, subjects: [...breach.subjects, name] });
+      this.context.reportBreach(description, [...breach.subjects, name]);
     }
   }
 
@@ -265,11 +259,8 @@
   }
 
   private reportWrongAnswer(nonce: string): void {
-    const parts = [this.session.options.name];
-    this.context.reportBreach({
-      description: `the answer to ${nonce} is incomplete or belongs to another statement`,
-      subjects: parts,
-    });
+    const description = `the answer to ${nonce} is incomplete or belongs to another statement`;
+    this.context.reportBreach(description, [this.session.options.name]);
   }
 }
 
