Let replicas of the soak lag by seconds

Cause: the soak's only fault of replication was one replica that receives nothing, always the same sort.

The stand-in log sends to each replica after a lag of its own. deafReplica is the same command without a lag. Lines of the report without shares are left out.

--- a/standin/direct/group.ts
+++ b/standin/direct/group.ts
@@ -14,6 +14,8 @@
   heldTerm: number;
   log: readonly StandinCommit[];
   isReceiving: boolean;
+  /** How much later than others it receives a commit, in milliseconds. */
+  extraLagMs: number;
 }
 
 /** The replicated log of a group. Replication is a method call and uses no network. */
@@ -36,6 +38,7 @@
       heldTerm: 1,
       log: [],
       isReceiving: true,
+      extraLagMs: 0,
     };
     this.members.set(id, member);
     return member;
@@ -47,27 +50,36 @@
     const commit = { term: member.term, number: member.log.length + 1, writes };
     const log = [...member.log, commit];
     member.log = log;
-    if (!this.isCopying) return;
-    if (this.lagMs === 0) this.copy();
-    else setTimeout(() => this.copyLog(member, log), this.lagMs).unref();
+    if (this.isCopying) this.replicate();
+  }
+
+  /** Sends the log of the primary to all replicas, which receive it after their lags. */
+  replicate(): void {
+    const primary = this.findPrimary();
+    if (primary === undefined) return;
+    const { log } = primary;
+    for (const replica of this.members.values()) {
+      const delayMs = this.lagMs + replica.extraLagMs;
+      if (delayMs === 0) this.copyLog(primary, log, replica);
+      else setTimeout(() => this.copyLog(primary, log, replica), delayMs).unref();
+    }
   }
 
   /** Replaces the log of every receiving replica by that of the primary of the newest term. */
   copy(): void {
     const primary = this.findPrimary();
-    if (primary !== undefined) this.copyLog(primary, primary.log);
+    if (primary === undefined) return;
+    for (const replica of this.members.values()) this.copyLog(primary, primary.log, replica);
   }
 
-  /** Replaces the log of every receiving replica by one of the primary, unless another has been promoted since. */
-  private copyLog(primary: StandinMember, log: StandinMember["log"]): void {
+  /** Replaces the log of a receiving replica by one of the primary, unless another has been promoted since. */
+  private copyLog(primary: StandinMember, log: StandinMember["log"], replica: StandinMember): void {
     if (primary !== this.findPrimary()) return;
-    for (const member of this.members.values()) {
-      if (member === primary || member.role === "primary" || !member.isReceiving) continue;
-      if (!this.isLinked(primary, member)) continue;
-      if (member.term === primary.term && member.log.length > log.length) continue;
-      member.log = log;
-      member.term = primary.term;
-    }
+    if (replica === primary || replica.role === "primary" || !replica.isReceiving) return;
+    if (!this.isLinked(primary, replica)) return;
+    if (replica.term === primary.term && replica.log.length > log.length) return;
+    replica.log = log;
+    replica.term = primary.term;
   }
 
   /** Returns the primary of the newest term, or undefined when no member is primary. */
--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -103,8 +103,8 @@
         return this.silencePrimary(command.group, command.forMs);
       case "losePrimaryAnswers":
         return this.losePrimaryAnswers(command.group, command.forMs);
-      case "stopReplica":
-        return this.stopReplica(command.group, command.forMs);
+      case "lagReplicas":
+        return this.lagReplicas(command);
       case "cutRegions":
         return this.cutRegions(command.regions, command.forMs);
       case "changeConfiguration":
@@ -285,17 +285,27 @@
     this.network.cut(regions);
     await sleep(forMs);
     this.network.heal(regions);
-    for (const { log } of this.groups) log.copy();
+    for (const { log } of this.groups) log.replicate();
   }
 
-  private async stopReplica(index: number, forMs: number): Promise<void> {
-    const group = this.groups[index % this.groups.length];
-    const replica = group?.targets.find(({ target }) => target.member.role === "replica");
-    if (group === undefined || replica === undefined) return;
-    replica.target.member.isReceiving = false;
-    await sleep(forMs);
-    replica.target.member.isReceiving = true;
-    group.log.copy();
+  private async lagReplicas(
+    command: Extract<BackendCommand, { readonly type: "lagReplicas" }>,
+  ): Promise<void> {
+    const { lagMs } = command;
+    const group = this.groups[command.group % this.groups.length];
+    const members = group?.targets.map(({ target }) => target.member) ?? [];
+    const replicas = members.filter(({ role }) => role === "replica");
+    const affected = command.isAll ? replicas : replicas.slice(0, 1);
+    for (const member of affected) {
+      if (lagMs === undefined) member.isReceiving = false;
+      else member.extraLagMs = lagMs;
+    }
+    await sleep(command.forMs);
+    for (const member of affected) {
+      if (lagMs === undefined) member.isReceiving = true;
+      else member.extraLagMs = 0;
+    }
+    group?.log.replicate();
   }
 }
 
--- a/standin/soak/nodes/commands.ts
+++ b/standin/soak/nodes/commands.ts
@@ -14,7 +14,14 @@
   | { readonly type: "crashPrimary"; readonly group: number; readonly forMs: number }
   | { readonly type: "silencePrimary"; readonly group: number; readonly forMs: number }
   | { readonly type: "losePrimaryAnswers"; readonly group: number; readonly forMs: number }
-  | { readonly type: "stopReplica"; readonly group: number; readonly forMs: number }
+  /** The first replica of a group, or all, fall behind by `lagMs`; without it they receive nothing. */
+  | {
+      readonly type: "lagReplicas";
+      readonly group: number;
+      readonly isAll: boolean;
+      readonly lagMs?: number;
+      readonly forMs: number;
+    }
   /** The links between two regions pass nothing, and no replica follows a primary over them. */
   | {
       readonly type: "cutRegions";
--- a/standin/soak/nodes/faults.ts
+++ b/standin/soak/nodes/faults.ts
@@ -58,6 +58,7 @@
   "deafReplica",
   "config",
   "regionCut",
+  "replicasLag",
 ] as const;
 
 /** The name of a fault that can be selected for a run. */
@@ -75,6 +76,8 @@
 const oneNode = 1;
 const thirdOfNodes = 1 / 3;
 const mostNodes = 0.55;
+const allReplicasProbability = 0.5;
+const silentProbability = 0.25;
 const longLossMs = 15_000;
 
 /** Plans the faults of a run: equal arguments give equal plans. They may overlap. */
@@ -142,9 +145,14 @@
     case "lostAnswers":
       return createBackendFault({ type: "losePrimaryAnswers", group, forMs });
     case "deafReplica":
-      return createBackendFault({ type: "stopReplica", group, forMs });
+      return createBackendFault({ type: "lagReplicas", group, isAll: false, forMs });
     case "config":
       return createBackendFault({ type: "changeConfiguration" });
+    case "replicasLag": {
+      const isAll = random.chance(allReplicasProbability);
+      const lag = random.chance(silentProbability) ? {} : { lagMs: random.nextInteger(1000, 4000) };
+      return createBackendFault({ type: "lagReplicas", group, isAll, ...lag, forMs });
+    }
     case "regionCut":
       return { type: "cutRegions", regions: pickRegions(random, site), forMs };
   }
--- a/standin/soak/nodes/tally.ts
+++ b/standin/soak/nodes/tally.ts
@@ -73,8 +73,8 @@
     ["team", listWorst(report.teams)],
     ["second", report.seconds],
   ] as const;
-  const lines = dimensions.map(
-    ([name, shares]) => `${name.padEnd(7)}${shares.map(formatShare).join("  ")}`,
+  const lines = dimensions.flatMap(([name, shares]) =>
+    shares.length === 0 ? [] : [`${name.padEnd(7)}${shares.map(formatShare).join("  ")}`],
   );
   const reasons = report.reasons.slice(0, maxReasons).map(([text, n]) => `${n} x ${text}`);
   return [...lines, ...reasons].join("\n");
--- a/test/soak/regions.test.ts
+++ b/test/soak/regions.test.ts
@@ -1,7 +1,8 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { connect, createServer, type AddressInfo, type Socket } from "node:net";
-import { afterEach, expect, test } from "@jest/globals";
+import { afterEach, expect, jest, test } from "@jest/globals";
+import { StandinLog } from "../../standin/direct/index.js";
 import {
   checkCutReads,
   defaultSite,
@@ -182,6 +183,39 @@
   }
 });
 
+test("lagging replicas are planned one or all of a group, behind by seconds or receiving nothing", () => {
+  const plan = planFaults(5, site, 60_000, ["replicasLag"], 40);
+  const commands = plan.flatMap(({ fault }) => (fault.type === "backend" ? [fault.command] : []));
+  const sorts = commands.map((command) => {
+    if (command.type !== "lagReplicas") throw new Error(`unexpected command ${command.type}`);
+    return `${command.isAll ? "all" : "one"} ${command.lagMs === undefined ? "silent" : "late"}`;
+  });
+  expect([...new Set(sorts)].sort()).toEqual(["all late", "all silent", "one late", "one silent"]);
+});
+
+// A replica that lags must get all commits in the end, and one that does not lag must not wait for it.
+test("a stand-in replica that lags receives commits later than the others", () => {
+  jest.useFakeTimers();
+  cleanups.push(() => jest.useRealTimers());
+  const log = new StandinLog();
+  log.lagMs = 100;
+  const [primary, late, prompt] = [
+    log.add("a", "primary"),
+    log.add("b", "replica"),
+    log.add("c", "replica"),
+  ];
+  late.extraLagMs = 3000;
+  for (const id of ["1", "2"]) log.commit(primary, [{ id, item: "i", data: id }]);
+  jest.advanceTimersByTime(100);
+  expect([late.log.length, prompt.log.length]).toEqual([0, 2]);
+  late.extraLagMs = 0;
+  log.commit(primary, [{ id: "3", item: "i", data: "3" }]);
+  jest.advanceTimersByTime(100);
+  expect([late.log.length, prompt.log.length]).toEqual([3, 3]);
+  jest.advanceTimersByTime(3000);
+  expect(late.log).toEqual(primary.log);
+});
+
 // The checker itself: a region whose reads fail during a cut must not pass because of the other one, or of later reads.
 test.each([
   ["reads that one region refuses", 6000, "refused", "west", 1],
