--- a/standin/soak/nodes/cut-reads.ts
+++ b/standin/soak/nodes/cut-reads.ts
@@ -1,5 +1,5 @@
 import type { NodeFault, TimedFault } from "./faults.js";
-import { listRegions, type SoakKind, type SoakSite } from "./site.js";
+import type { SoakSite } from "./site.js";
 import type { OperationResult } from "./tally.js";
 
 /** Nodes may take this long to notice that the link between regions is cut. */
@@ -35,13 +35,21 @@
       lines.push(`cut at ${cut.atMs} ms: not checked, other faults overlap with it`);
       continue;
     }
-    for (const kind of site.kinds) {
-      for (const region of listRegions(site).filter((name) => cut.regions.includes(name))) {
-        const { asked, served } = countReads(site.lagMs, cut, kind, region, results);
-        if (asked === 0) continue;
-        const line = `cut at ${cut.atMs} ms: ${served} of ${asked} reads of ${kind.name} within their bound were served in ${region}`;
+    const kinds = site.kinds.filter(
+      ({ type, writes }) => type === "bounded_staleness" && writes === 0,
+    );
+    for (const { name, maxAgeMs } of kinds) {
+      const endsAtMs = cut.atMs + Math.min(cut.forMs, maxAgeMs - site.lagMs);
+      const reads = results.filter(
+        ({ isOwed, kind, atMs }) =>
+          isOwed && kind === name && atMs >= cut.atMs + noticeMs && atMs < endsAtMs,
+      );
+      for (const region of cut.regions) {
+        const asked = reads.filter((read) => read.region === region);
+        const served = asked.filter(({ outcome }) => outcome === "served").length;
+        const line = `cut at ${cut.atMs} ms: ${served} of ${asked.length} reads of ${name} within their bound were served in ${region}`;
         lines.push(line);
-        if (served < asked * minServedShare) breaches.push(line);
+        if (served < asked.length * minServedShare) breaches.push(line);
       }
     }
   }
@@ -60,25 +68,3 @@
   );
   return overlapping.length > 1;
 }
-
-function countReads(
-  lagMs: number,
-  { atMs, forMs }: Cut,
-  kind: SoakKind,
-  region: string,
-  results: readonly OperationResult[],
-): { readonly asked: number; readonly served: number } {
-  const isRead = kind.type === "bounded_staleness" && kind.writes === 0;
-  const endsAtMs = atMs + Math.min(forMs, kind.maxAgeMs - lagMs);
-  const reads = results.filter(
-    (result) =>
-      isRead &&
-      result.isOwed &&
-      result.kind === kind.name &&
-      result.region === region &&
-      result.atMs >= atMs + noticeMs &&
-      result.atMs < endsAtMs,
-  );
-  const served = reads.filter(({ outcome }) => outcome === "served").length;
-  return { asked: reads.length, served };
-}
--- a/standin/soak/nodes/faults.ts
+++ b/standin/soak/nodes/faults.ts
@@ -1,5 +1,6 @@
 import { createRandomStream, type RandomStream } from "../random.js";
 import type { BackendCommand } from "./commands.js";
+import type { Burst } from "./load.js";
 import { listRegions, type SoakSite } from "./site.js";
 
 /** A fault of the nodes' processes or of the machine. Nodes are indexes; times are in milliseconds. */
@@ -23,11 +24,9 @@
   /** Other processes compete for the processor. */
   | { readonly type: "busyProcessor"; readonly processes: number; readonly forMs: number }
   /** The links between two regions are silent. */
-  | {
-      readonly type: "cutRegions";
-      readonly regions: readonly [string, string];
-      readonly forMs: number;
-    }
+  | Extract<BackendCommand, { readonly type: "cutRegions" }>
+  /** One kind of operation is asked for more often. */
+  | ({ readonly type: "burstKind" } & Burst)
   /** A fault of the store or the targets, which ends by itself. */
   | { readonly type: "backend"; readonly command: BackendCommand };
 
@@ -59,6 +58,7 @@
   "config",
   "regionCut",
   "replicasLag",
+  "kindBurst",
 ] as const;
 
 /** The name of a fault that can be selected for a run. */
@@ -78,6 +78,7 @@
 const mostNodes = 0.55;
 const allReplicasProbability = 0.5;
 const silentProbability = 0.25;
+const maxBurstFactor = 6;
 const longLossMs = 15_000;
 
 /** Plans the faults of a run: equal arguments give equal plans. They may overlap. */
@@ -153,6 +154,10 @@
       const lag = random.chance(silentProbability) ? {} : { lagMs: random.nextInteger(1000, 4000) };
       return createBackendFault({ type: "lagReplicas", group, isAll, ...lag, forMs });
     }
+    case "kindBurst": {
+      const { name: kind } = random.pick(site.kinds);
+      return { type: "burstKind", kind, factor: random.nextInteger(2, maxBurstFactor), forMs };
+    }
     case "regionCut":
       return { type: "cutRegions", regions: pickRegions(random, site), forMs };
   }
--- a/standin/soak/nodes/index.ts
+++ b/standin/soak/nodes/index.ts
@@ -6,6 +6,8 @@
   planFaults,
   type NodeFaultName,
 } from "./faults.js";
+export { Balancer } from "./balancer.js";
+export { Load } from "./load.js";
 export { RegionLink } from "./region-link.js";
 export { RegionRelay } from "./region-relay.js";
 export { listBreaches, runNodeSoak, type NodeSoakOptions, type NodeSoakReport } from "./run.js";
--- a/standin/soak/nodes/load.ts
+++ b/standin/soak/nodes/load.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Disposable } from "../../../src/model/index.js";
 import type { RandomStream } from "../random.js";
 import type { Balancer, BalancedNode } from "./balancer.js";
@@ -17,6 +18,13 @@
   readonly scale: number;
 }
 
+/** A time in which a kind of operation is asked for more often. */
+export interface Burst {
+  readonly kind: string;
+  readonly factor: number;
+  readonly forMs: number;
+}
+
 /** A session that stands open and is used for one operation after another. */
 interface StandingSession {
   readonly caller: number;
@@ -46,6 +54,7 @@
   private nextId = 0;
   private pending = 0;
   private readonly due: number[];
+  private readonly bursts = new Set<Burst>();
   private readonly allowances: TeamAllowances;
 
   constructor(private readonly options: LoadOptions) {
@@ -64,10 +73,17 @@
     }, tickMs);
   }
 
+  /** Multiplies the rate of a kind for a while; the factors of bursts that overlap are multiplied. */
+  async burst(burst: Burst): Promise<void> {
+    this.bursts.add(burst);
+    await sleep(burst.forMs);
+    this.bursts.delete(burst);
+  }
+
   /** Starts no more operations, and waits for those that run. */
   async finish(): Promise<void> {
     clearInterval(this.timer);
-    while (this.pending > 0) await new Promise((resolve) => setTimeout(resolve, tickMs));
+    while (this.pending > 0) await sleep(tickMs);
   }
 
   dispose(): void {
@@ -89,13 +105,18 @@
   private startDue(seconds: number): void {
     const { site, random, scale } = this.options;
     for (const [index, kind] of site.kinds.entries()) {
-      const due = (this.due[index] ?? 0) + kind.perSecond * scale * seconds;
+      const due = (this.due[index] ?? 0) + this.computeRate(kind) * scale * seconds;
       const whole = Math.floor(due);
       this.due[index] = due - whole;
       for (let i = 0; i < whole; i += 1) void this.run(kind, random.pick(site.zones));
     }
   }
 
+  private computeRate({ name, perSecond }: SoakKind): number {
+    const bursts = [...this.bursts].filter(({ kind }) => kind === name);
+    return bursts.reduce((rate, { factor }) => rate * factor, perSecond);
+  }
+
   private async run(kind: SoakKind, zone: string): Promise<void> {
     this.pending += 1;
     const { site, random } = this.options;
--- a/standin/soak/nodes/region-network.ts
+++ b/standin/soak/nodes/region-network.ts
@@ -34,8 +34,17 @@
   async openRelays(
     destinations: readonly RegionAddress[],
   ): Promise<Readonly<Record<string, Detours>>> {
-    const detours: Record<string, Detours> = {};
-    for (const region of this.regions) detours[region] = await this.openFrom(region, destinations);
+    const detours: Record<string, Record<string, number>> = {};
+    for (const from of this.regions) {
+      const own: Record<string, number> = (detours[from] = {});
+      for (const { region, address } of destinations) {
+        const [there, back] = [formatPair(from, region), formatPair(region, from)].map((pair) =>
+          this.links.get(pair),
+        );
+        if (there === undefined || back === undefined) continue;
+        own[address.port] = await this.owned.add(new RegionRelay(address, there, back)).start();
+      }
+    }
     return detours;
   }
 
@@ -64,17 +73,6 @@
   private listBetween([a, b]: readonly [string, string]): readonly RegionLink[] {
     return [formatPair(a, b), formatPair(b, a)].flatMap((pair) => this.links.get(pair) ?? []);
   }
-
-  private async openFrom(from: string, destinations: readonly RegionAddress[]): Promise<Detours> {
-    const detours: Record<string, number> = {};
-    for (const { region, address } of destinations) {
-      const there = this.links.get(formatPair(from, region));
-      const back = this.links.get(formatPair(region, from));
-      if (there === undefined || back === undefined) continue;
-      detours[address.port] = await this.owned.add(new RegionRelay(address, there, back)).start();
-    }
-    return detours;
-  }
 }
 
 function formatPair(from: string, to: string): string {
--- a/standin/soak/nodes/region-relay.ts
+++ b/standin/soak/nodes/region-relay.ts
@@ -61,10 +61,6 @@
 
 function forward(from: Socket, to: Socket, link: RegionLink): void {
   let transitBytes = 0;
-  const handleArrival = (chunk: Buffer) => {
-    transitBytes -= chunk.length;
-    if (transitBytes <= windowBytes) from.resume();
-  };
   const end = () => {
     link.send(packetOverheadBytes, () => {
       to.destroySoon();
@@ -80,7 +76,8 @@
     if (transitBytes > windowBytes) from.pause();
     link.send(chunk.length + packetOverheadBytes, () => {
       to.write(chunk, () => {
-        handleArrival(chunk);
+        transitBytes -= chunk.length;
+        if (transitBytes <= windowBytes) from.resume();
       });
     });
   });
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -71,6 +71,7 @@
   private readonly folder: string;
   private readonly backend: Child;
   private nodes: readonly NodeProcess[] = [];
+  private load: Load | undefined;
   private readonly cuts = new Set<readonly [string, string]>();
 
   constructor(
@@ -94,6 +95,7 @@
     const balancer = this.owned.add(new Balancer(plans, (from, to) => this.isReachable(from, to)));
     const random = createRandomStream(seed, 1);
     const load = this.owned.add(new Load({ site, nodes: plans, balancer, random, scale }));
+    this.load = load;
     const startedAt = performance.now();
     for (const node of this.nodes) node.start();
     this.owned.defer(() => {
@@ -223,6 +225,9 @@
         await sleep(fault.forMs);
         this.cuts.delete(fault.regions);
         return;
+      case "burstKind":
+        await this.load?.burst(fault);
+        return;
       case "backend":
         this.apply(fault.command);
     }
--- a/test/soak/regions.test.ts
+++ b/test/soak/regions.test.ts
@@ -4,15 +4,18 @@
 import { afterEach, expect, jest, test } from "@jest/globals";
 import { StandinLog } from "../../standin/direct/index.js";
 import {
+  Balancer,
   checkCutReads,
   defaultSite,
   listFaultNames,
+  Load,
   planFaults,
   readSite,
   RegionLink,
   RegionRelay,
   summariseServed,
 } from "../../standin/soak/nodes/index.js";
+import { createRandomStream } from "../../standin/soak/random.js";
 
 const site = readSite("config/soak-two-regions.yaml");
 const host = "127.0.0.1";
@@ -216,6 +219,37 @@
   expect(late.log).toEqual(primary.log);
 });
 
+// A burst that no caller makes, or that does not end, would make the shares of its kind meaningless.
+test("a burst multiplies the rate of one kind, and ends", async () => {
+  const burst = { kind: "browse", factor: 3, forMs: 50 };
+  const random = createRandomStream(1, 1);
+  const balancer = new Balancer([]);
+  cleanups.push(() => balancer.dispose());
+  const load = new Load({ site: { ...site, retries: 0 }, nodes: [], balancer, random, scale: 1 });
+  jest.useFakeTimers();
+  cleanups.push(() => jest.useRealTimers());
+  load.start();
+  // Bursts end by a timer that is not faked, so that this one lasts for the whole fake second.
+  const ended = load.burst(burst);
+  jest.advanceTimersByTime(1000);
+  await ended;
+  jest.advanceTimersByTime(1000);
+  jest.useRealTimers();
+  await load.finish();
+  const count = (name: string) => load.results.filter(({ kind }) => kind === name).length;
+  expect([count("reserve"), count("confirm")]).toEqual([80, 200]);
+  // The fractions of operations that are due are summed, which rounds.
+  expect(Math.abs(count("browse") - (60 * 3 + 60))).toBeLessThanOrEqual(1);
+});
+
+test("a burst is planned for a kind of the site", () => {
+  for (const { fault } of planFaults(5, site, 60_000, ["kindBurst"], 10)) {
+    if (fault.type !== "burstKind") throw new Error(`unexpected fault ${fault.type}`);
+    expect(site.kinds.map(({ name }) => name)).toContain(fault.kind);
+    expect(fault.factor).toBeGreaterThan(1);
+  }
+});
+
 // The checker itself: a region whose reads fail during a cut must not pass because of the other one, or of later reads.
 test.each([
   ["reads that one region refuses", 6000, "refused", "west", 1],
