--- a/standin/soak/nodes/faults.ts
+++ b/standin/soak/nodes/faults.ts
@@ -1,6 +1,7 @@
 import { createRandomStream, type RandomStream } from "../random.js";
 import type { BackendCommand } from "./commands.js";
-import type { SoakSite } from "./site.js";
+import type { Burst } from "./load.js";
+import { listRegions, type SoakSite } from "./site.js";
 
 /** A fault of the nodes' processes or of the machine. Nodes are indexes; times are in milliseconds. */
 export type NodeFault =
@@ -22,14 +23,12 @@
     }
   /** Other processes compete for the processor. */
   | { readonly type: "busyProcessor"; readonly processes: number; readonly forMs: number }
-  /** A fault of the store or the targets; `thenMs` later `end` ends it. */
-  | { readonly type: "backend"; readonly command: BackendCommand }
-  | {
-      readonly type: "backendFor";
-      readonly command: BackendCommand;
-      readonly forMs: number;
-      readonly end: BackendCommand;
-    };
+  /** The links between two regions are silent. */
+  | Extract<BackendCommand, { readonly type: "cutRegions" }>
+  /** One kind of operation is asked for more often. */
+  | ({ readonly type: "burstKind" } & Burst)
+  /** A fault of the store or the targets, which ends by itself. */
+  | { readonly type: "backend"; readonly command: BackendCommand };
 
 /** A fault and when it starts, in milliseconds since traffic started. */
 export interface TimedFault {
@@ -57,17 +56,29 @@
   "lostAnswers",
   "deafReplica",
   "config",
+  "regionCut",
+  "replicasLag",
+  "kindBurst",
 ] as const;
 
 /** The name of a fault that can be selected for a run. */
 export type NodeFaultName = (typeof nodeFaultNames)[number];
 
+/** The names of the faults that a site can have: only one with several regions has links between them. */
+export function listFaultNames(site: SoakSite): readonly NodeFaultName[] {
+  const hasRegions = listRegions(site).length > 1;
+  return nodeFaultNames.filter((name) => name !== "regionCut" || hasRegions);
+}
+
 const firstFaultMs = 3000;
 /** No fault starts in the last part of a run, so that its end shows whether everything recovered. */
 const calmEndMs = 10_000;
 const oneNode = 1;
 const thirdOfNodes = 1 / 3;
 const mostNodes = 0.55;
+const allReplicasProbability = 0.5;
+const silentProbability = 0.25;
+const maxBurstFactor = 6;
 const longLossMs = 15_000;
 
 /** Plans the faults of a run: equal arguments give equal plans. They may overlap. */
@@ -119,49 +130,41 @@
     case "busy":
       return { type: "busyProcessor", processes: random.nextInteger(4, 16), forMs };
     case "storeBusy":
-      return createEnding(
-        { type: "storeBusy", isBusy: true },
-        { type: "storeBusy", isBusy: false },
-        forMs,
-      );
+      return createBackendFault({ type: "storeBusy", forMs });
     case "storeSlow":
-      return createEnding(
-        { type: "storeSlow", ms: random.nextInteger(40, 400) },
-        { type: "storeSlow", ms: 0 },
-        forMs,
-      );
+      return createBackendFault({ type: "storeSlow", ms: random.nextInteger(40, 400), forMs });
     case "storeLost":
-      return {
-        type: "backend",
-        command: { type: "loseStoreAnswers", count: random.nextInteger(1, 20) },
-      };
+      return createBackendFault({ type: "loseStoreAnswers", count: random.nextInteger(1, 20) });
     case "storeCut":
-      return createEnding(
-        { type: "cutStore", nodes: pick(thirdOfNodes) },
-        { type: "healStore" },
-        forMs,
-      );
+      return createBackendFault({ type: "cutStore", nodes: pick(thirdOfNodes), forMs });
     case "storeReset":
-      return createEnding(
-        { type: "resetStore", nodes: pick(thirdOfNodes) },
-        { type: "healStore" },
-        forMs,
-      );
+      return createBackendFault({ type: "resetStore", nodes: pick(thirdOfNodes), forMs });
     case "crash":
-      return { type: "backend", command: { type: "crashPrimary", group, forMs } };
+      return createBackendFault({ type: "crashPrimary", group, forMs });
     case "silence":
-      return { type: "backend", command: { type: "silencePrimary", group, forMs } };
+      return createBackendFault({ type: "silencePrimary", group, forMs });
     case "lostAnswers":
-      return { type: "backend", command: { type: "losePrimaryAnswers", group, forMs } };
+      return createBackendFault({ type: "losePrimaryAnswers", group, forMs });
     case "deafReplica":
-      return { type: "backend", command: { type: "stopReplica", group, forMs } };
+      return createBackendFault({ type: "lagReplicas", group, isAll: false, forMs });
     case "config":
-      return { type: "backend", command: { type: "changeConfiguration" } };
+      return createBackendFault({ type: "changeConfiguration" });
+    case "replicasLag": {
+      const isAll = random.chance(allReplicasProbability);
+      const lag = random.chance(silentProbability) ? {} : { lagMs: random.nextInteger(1000, 4000) };
+      return createBackendFault({ type: "lagReplicas", group, isAll, ...lag, forMs });
+    }
+    case "kindBurst": {
+      const { name: kind } = random.pick(site.kinds);
+      return { type: "burstKind", kind, factor: random.nextInteger(2, maxBurstFactor), forMs };
+    }
+    case "regionCut":
+      return { type: "cutRegions", regions: pickRegions(random, site), forMs };
   }
 }
 
-function createEnding(command: BackendCommand, end: BackendCommand, forMs: number): NodeFault {
-  return { type: "backendFor", command, forMs, end };
+function createBackendFault(command: BackendCommand): NodeFault {
+  return { type: "backend", command };
 }
 
 /** Picks a share of the nodes, or one if the share is 1 or would be none. */
@@ -173,6 +176,12 @@
   ).flat();
 }
 
+function pickRegions(random: RandomStream, site: SoakSite): readonly [string, string] {
+  const regions = listRegions(site);
+  const first = random.pick(regions);
+  return [first, random.pick(regions.filter((region) => region !== first))];
+}
+
 function listNodes(site: SoakSite): readonly number[] {
   const count = site.nodesPerZone.reduce((sum, nodes) => sum + nodes, 0);
   return Array.from({ length: count }, (_, index) => index);
