--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -3,7 +3,6 @@
   GroupDirectory,
   type DirectPorts,
   type ServingConfig,
-  type StatementSample,
 } from "../direct/index.js";
 import { DirectPeerClient, DirectPeerServer } from "../directpeer/index.js";
 import { DrainRunner } from "../fleet/drain.js";
@@ -31,6 +30,7 @@
 import { RegionCheck } from "./region-check.js";
 import { NodeRates } from "./rates.js";
 import type { NodeSettings } from "./settings.js";
+import { recordStatement } from "./statement-metrics.js";
 
 /** The settings and dependencies of a node. */
 export interface NodeOptions {
@@ -276,7 +276,7 @@
       findShareRule: (group, dataCentre) => this.forwarding.findShareRule(group, dataCentre),
       rates: this.rates.limiter,
       onCrossing: (kind) => this.metrics.recordCrossing(kind),
-      onStatement: (sample) => this.recordStatement(sample),
+      onStatement: (sample) => recordStatement(this.metrics, sample),
       onRedirect: (group) => this.metrics.recordRedirect(group),
       onExpectedWrong: (group) => this.metrics.replicas.recordExpectedWrong(group),
       onSlotWait: (group, wait) => this.metrics.levels.recordAdmission({ group, ...wait }),
@@ -292,16 +292,6 @@
     if (this.forwarding.isEnabled) this.proxyLiveness.checkProxies(registry.list(), isPollingStore);
   }
 
-  private recordStatement(sample: StatementSample): void {
-    const { outcome, effect, role, group, ms, level, isObjectiveMissed } = sample;
-    this.metrics.recordStatement(outcome, ms / 1000);
-    if (level !== undefined && isObjectiveMissed === true)
-      this.metrics.levels.recordObjectiveMissed(group, level);
-    if (outcome === "answered" && effect === "read" && role !== "none") {
-      this.metrics.recordRead(group, role);
-    }
-  }
-
   private async listenHealth(address: Address): Promise<void> {
     const health = this.owned.add(
       new HealthServer({
