Suspect a primary that is found silent for a peer

Callers of a group whose primary had crashed were refused for 3 s instead of 1.7 s: with planned slots, redirects and shared positions nearly all statements at a primary run at one gateway. Where the store is slow for that gateway, nobody else saw a failure and began the change.

A process that a peer asks about a silent primary now counts that as its own failure, where slots are planned.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -21,6 +21,7 @@
 import { DisposableStore, type Address, type Clock, type Random } from "../model/index.js";
 import { StoreFollower } from "./follower.js";
 import { Forwarding } from "./forwarding.js";
+import { PeerQuestions } from "./peer-questions.js";
 import type { NodeAdapter } from "./ports.js";
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
@@ -64,6 +65,7 @@
   private readonly regionCheck: RegionCheck;
   private readonly readiness: ReadinessMonitor;
   private readonly peerServer: DirectPeerServer | undefined;
+  private readonly peerQuestions: PeerQuestions;
   private readonly server: LineServer;
   private readonly drainer: DrainRunner;
   private readonly drainPlan: DrainPlan;
@@ -96,6 +98,13 @@
       listTargets: (group) => this.listTargets(group),
       hasReached: (group, target, since) => this.tracker.hasReached(group, target, since),
     });
+    this.peerQuestions = new PeerQuestions({
+      clock,
+      targetStatus: this.targetStatus,
+      tracker: this.tracker,
+      isSlotPlanned: () => this.directPorts.isSlotPlanned(),
+      onSilentPrimary: () => this.schedulePrimaryCheck(),
+    });
     const remote = createRemotePeers(settings, this.metrics);
     const peers = new DirectPeerClient(settings.vm, logger, clock, remote);
     this.follower = new StoreFollower({
@@ -311,7 +320,7 @@
     if (peers === undefined) return undefined;
     return new DirectPeerServer(peers, {
       receiveLeadership: (from, update) => this.applyUpdate(from, update),
-      askTarget: (question) => this.targetStatus.ask(question, peerQuestionTimeoutMs),
+      askTarget: (question) => this.peerQuestions.answer(question),
       encodeScene: () => this.follower.encodeServingConfig(),
       grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
     });
@@ -390,5 +399,3 @@
 const gatewayRefreshIntervalMs = 200;
 /** In milliseconds; slightly longer than a primary must have been failing to be suspected. */
 const primaryCheckDelayMs = 270;
-/** Timeout of a peer's request about a target, in milliseconds: the same as for this process's own. */
-const peerQuestionTimeoutMs = 200;
