Tell callers that waited for a failing primary to return after a change

With planned slots, a statement that has waited 0.6 s for a primary that does not answer is told to return after 1 to 1.5 s, spread at random, rather than for the next probe of the primary (0.4 s at most): a change takes a second or more, and callers have few retries. Elsewhere the hint is as before.

--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -16,6 +16,7 @@
 import { makeAdmissionLevel } from "./levels.js";
 import type { DirectPorts } from "./ports.js";
 import type { PrimaryState } from "./primary.js";
+import { choosePrimaryRetryMs, unknownPrimaryRetryMs } from "./primary-retry.js";
 import { makePlacedConnection } from "./placed-connection.js";
 import { minRedirectMs, type RedirectCause, type RedirectOffer } from "./redirect.js";
 import type { Expectation, RequiredMark } from "./replica-positions.js";
@@ -86,8 +87,6 @@
 /** The longest wait for a usable primary, in milliseconds. */
 const maxPrimaryWaitMs = 600;
 const primaryPollMs = 20;
-/** The retry hint when it is unknown when a group will serve again: the usual time of a change of primary. */
-const unknownPrimaryRetryMs = 1000;
 
 /**
  * The wait for a connection after which a slot is given back to transactions, in milliseconds: several times
@@ -280,13 +279,13 @@
       return { type: "refused", reason, retryAfterMs: unknownPrimaryRetryMs, waitedFor: [] };
     }
     const isLong = now + choice.readyInMs > request.deadlineAt || request.signal.aborted;
-    if (isLong || now - startedAt > maxPrimaryWaitMs) {
-      return {
-        type: "refused",
-        reason: choice.reason,
-        retryAfterMs: Math.ceil(choice.readyInMs),
-        waitedFor: [],
-      };
+    const isWaitOver = now - startedAt > maxPrimaryWaitMs;
+    if (isLong || isWaitOver) {
+      const { readyInMs, reason } = choice;
+      const isFailing = primary.type === "serving";
+      const wait = { readyInMs, isFailing, isWaitOver, isSlotPlanned: group.isSlotPlanned };
+      const retryAfterMs = choosePrimaryRetryMs(wait, () => random.draw());
+      return { type: "refused", reason, retryAfterMs, waitedFor: [] };
     }
     await clock.sleep(primaryPollMs);
   }
