Serve reads within their bound on the side of a cut link without the primary

Callers of the region without the primary were refused all reads while the link between the regions was cut: gateways without a valid permit to use primaries refused every forwarded statement, also reads that a replica of their region could answer within their staleness bound.

Where there are regions, a gateway serves such reads without a permit. They use a replica that has a position which the primary reported while the permit was valid; without a permit no newer position is recorded, so that they end as their bound passes. Writes, reads of the primary and transactions are refused as before, and without regions nothing changes.

--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -32,6 +32,7 @@
 import { LivenessMonitor } from "./liveness.js";
 import { encodePositions } from "./position-codec.js";
 import type { LoadRole } from "./load-figures.js";
+import { findRole } from "./statement-role.js";
 import { LoadReporter, type LoadSource } from "./load-source.js";
 
 /** The environment of a `ServedConnection`. */
@@ -40,6 +41,8 @@
   readonly groups: GroupDirectory;
   /** Why this process does not serve a group now; undefined while it does. */
   readonly findRefusal: (group: string) => string | undefined;
+  /** The same for a read that replicas may answer. */
+  readonly findReadRefusal: (group: string) => string | undefined;
   readonly nextId: () => string;
   /** Transfers tokens of a team to the node that asks. */
   readonly grantTokens: (team: string, wanted: number) => TokenGrant;
@@ -166,7 +169,9 @@
       this.refuse(call, "the message contains no statement");
       return;
     }
-    const admitted = this.admit(call, step.session, step.transaction !== 0 && !step.opens);
+    const isHeld = step.transaction !== 0 && !step.opens;
+    const isRead = step.transaction === 0 && findEffect(work) === "read";
+    const admitted = this.admit(call, step.session, isHeld, isRead);
     if (admitted === undefined) return;
     const redirect = this.createRedirectOffer(step, work);
     const context = redirect === undefined ? admitted : { ...admitted, redirect };
@@ -209,6 +214,7 @@
     call: number,
     part: SessionPart | undefined,
     isHeld: boolean,
+    isRead = false,
   ): SessionContext | undefined {
     const session = decodeSession(part);
     if (session === undefined) {
@@ -217,7 +223,9 @@
     }
     const name = session.database.group;
     const group = this.ports.groups.find(name);
-    const refusal = isHeld ? undefined : this.ports.findRefusal(name);
+    const mayUseReplica = isRead && session.database.action.route.type !== "primary";
+    const { findRefusal, findReadRefusal } = this.ports;
+    const refusal = isHeld ? undefined : (mayUseReplica ? findReadRefusal : findRefusal)(name);
     if (group === undefined || refusal !== undefined) {
       this.refuse(call, refusal ?? `the group ${name} is unknown to this gateway`, part);
       return undefined;
@@ -379,18 +387,6 @@
   held?.stopIdleTimer?.();
 }
 
-/** The targets that a statement's node takes it to need. */
-function findRole(
-  { database, lastCommit }: SessionContext,
-  work: Work,
-  isReadOnly: boolean,
-): LoadRole {
-  const { route } = database.action;
-  const isFresh = route.type === "replica" && route.maxAgeMs === undefined && !lastCommit;
-  const needsPrimary = !isReadOnly || findEffect(work) === "write" || route.type === "primary";
-  return needsPrimary || isFresh ? "primary" : "replica";
-}
-
 function createLostReply(state: "idle" | "failed"): Reply {
   return failLocally("aborted", "the transaction has already ended at its gateway", state);
 }
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -152,6 +152,7 @@
       direct,
       groups,
       findRefusal: () => this.findRefusal(),
+      findReadRefusal: () => this.findRefusal(!this.ports.settings.topology.hasRegions),
       nextId: () => `h${nextCall++}`,
       grantTokens: this.ports.grantTokens,
       findRedirectDestinations: (group) => this.router.findRedirectDestinations(group),
@@ -211,10 +212,16 @@
   }
 
   /** Why this node can't run statements over its own connections now; undefined while it can. */
-  private findRefusal(): string | undefined {
+  /**
+   * Why this node does not serve. Where there are regions, reads within their staleness bound need no permit: they use
+   * a replica with a log position that the primary reported while the permit was valid. Without a permit no newer
+   * position is recorded, so that such reads end as their bound passes.
+   */
+  private findRefusal(needsPermit = true): string | undefined {
     const { isLeaving, isListed, isPermitted } = this.ports;
     if (isLeaving()) return "this node is leaving";
     if (!isListed()) return "this node is not listed";
+    if (!needsPermit) return undefined;
     return isPermitted() ? undefined : "this node has no valid permit to use primaries";
   }
 }
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -29,6 +29,8 @@
   readonly server: GatewayServer;
   /** Why it refuses statements; undefined while it serves. */
   refusal: string | undefined;
+  /** Whether reads that replicas may answer are served in spite of it. */
+  servesReads?: boolean;
 }
 
 /** A node without connections to targets, and gateways that have some, with links in between that can fail. */
@@ -172,6 +174,7 @@
       direct: stage.ports,
       groups: stage.groups,
       findRefusal: () => gateway.refusal,
+      findReadRefusal: () => (gateway.servesReads === true ? undefined : gateway.refusal),
       nextId: () => `h${nextCall++}`,
       grantTokens: () => ({ tokens: 2, lifeMs: 1000 }),
       findRedirectDestinations: () => ({
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -241,6 +241,7 @@
       direct: stage.ports,
       groups: stage.groups,
       findRefusal: () => undefined,
+      findReadRefusal: () => undefined,
       nextId: () => `h${nextCall++}`,
       grantTokens: () => ({ tokens: 0, lifeMs: 0 }),
       findRedirectDestinations: (name) => router.findRedirectDestinations(name),
