Query the permit before a read is served without it

A gateway that had been suspended could serve a stale read: without the query of the permit, the suspension was detected only after the position that the read requires had been computed. Where the monotonic clock stands still during a suspension, that position appears younger than it is, and the replica may lack commits older than the staleness bound. The query now comes first, in both cases.

Without a permit, a gateway also accepted reads that need the primary, because no position within their bound was known or the route has none. They are turned away at once as before, so that their node tries another gateway.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -38,7 +38,10 @@
  * only if its log contains a mark that the primary reported within the allowed age. If no such mark is
  * known, the read goes to the primary, whose answer provides one.
  */
-export function findReadRequirement(context: SessionContext, arrivedAt: number): ReadRequirement {
+export function findReadRequirement(
+  context: Pick<SessionContext, "database" | "group" | "lastCommit">,
+  arrivedAt: number,
+): ReadRequirement {
   const { route } = context.database.action;
   if (route.type === "primary") return { type: "primary" };
   if (route.maxAgeMs === undefined) {
--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -1,5 +1,5 @@
 export { type CallerCodec, type CallerMessage, CallerRegistry } from "./callers.js";
-export { type SessionContext } from "./context.js";
+export { findReadRequirement, type SessionContext } from "./context.js";
 export { type AgedPosition, type SharedPositions } from "./group-positions.js";
 export { applySharedPositions, sharePositions } from "./position-sharing.js";
 export { type CandidateTarget } from "./candidates.js";
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -3,11 +3,13 @@
 import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
 import {
   directRunner,
+  findReadRequirement,
   type RedirectDestinations,
   RedirectOffer,
   sharePositions,
   StatementTrace,
   watchTransactionIdle,
+  type DirectGroup,
   type DirectPorts,
   type GroupDirectory,
   type OpenTransaction,
@@ -223,9 +225,7 @@
     }
     const name = session.database.group;
     const group = this.ports.groups.find(name);
-    const mayUseReplica = isRead && session.database.action.route.type !== "primary";
-    const { findRefusal, findReadRefusal } = this.ports;
-    const refusal = isHeld ? undefined : (mayUseReplica ? findReadRefusal : findRefusal)(name);
+    const refusal = isHeld ? undefined : this.findRefusal(session, group, isRead);
     if (group === undefined || refusal !== undefined) {
       this.refuse(call, refusal ?? `the group ${name} is unknown to this gateway`, part);
       return undefined;
@@ -246,6 +246,23 @@
     return { ...session, team, ports, group, disconnectSignal: abort.signal, trace, nextId };
   }
 
+  /**
+   * Why a step is refused; undefined while it is served. A read for which a replica with a known log position suffices
+   * may be served without a permit. Any other read would wait here for the permit, while another gateway can run it.
+   */
+  private findRefusal(
+    session: Pick<SessionContext, "database" | "lastCommit">,
+    group: DirectGroup | undefined,
+    isRead: boolean,
+  ): string | undefined {
+    const { direct, findRefusal, findReadRefusal } = this.ports;
+    // Queried before the required position is computed: a process that was suspended discards its positions by it.
+    const refusal = findRefusal(session.database.group);
+    if (refusal === undefined || group === undefined || !isRead) return refusal;
+    const requirement = findReadRequirement({ ...session, group }, direct.clock.now());
+    return requirement.type === "replica" ? findReadRefusal(session.database.group) : refusal;
+  }
+
   /**
    * Finds the team in this process's configuration. The forwarding node has already checked the caller's key;
    * the team's limits are applied here, where its statements are sent to targets.
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -211,11 +211,11 @@
     return this.owned.dispose();
   }
 
-  /** Why this node can't run statements over its own connections now; undefined while it can. */
   /**
-   * Why this node does not serve. Where there are regions, reads within their staleness bound need no permit: they use
-   * a replica with a log position that the primary reported while the permit was valid. Without a permit no newer
-   * position is recorded, so that such reads end as their bound passes.
+   * Why this node can't run statements over its own connections now; undefined while it can. Where there are regions,
+   * reads within their staleness bound need no permit: they use a replica with a log position that the primary
+   * reported while the permit was valid. Without a permit no newer position is recorded, so that such reads end as
+   * their bound passes.
    */
   private findRefusal(needsPermit = true): string | undefined {
     const { isLeaving, isListed, isPermitted } = this.ports;
--- a/test/gateway/no-permit.test.ts
+++ b/test/gateway/no-permit.test.ts
@@ -36,3 +36,35 @@
   expect(findEnd(await hop.open("own").run(makeRead("1")))).toBe("busy");
   expect(stage.list("q", "work")).toHaveLength(0);
 });
+
+// The process of a gateway was suspended, and its clock stood still: what it knows of the primary's log appears younger
+// than it is. A read would be answered by a replica that lacks commits older than the staleness bound if its position
+// were determined before the suspension is detected, which the query of the permit does.
+test("a gateway that was suspended does not serve a read by a position from before", async () => {
+  const gateway = await startWithoutPermit(true);
+  const { stage } = gateway;
+  Object.defineProperty(gateway, "refusal", {
+    get: () => {
+      stage.groups.forgetMarks();
+      return "this node has no valid permit to use primaries";
+    },
+  });
+  expect(findEnd(await hop.open("own").run(makeRead("1")))).toBe("busy");
+  expect(stage.list("q", "work")).toHaveLength(0);
+});
+
+// No position of the primary is known at a gateway without a permit. If it kept the read, the read would wait there
+// for the permit and be refused, although another gateway can use the primary.
+test("a read that needs the primary goes on to a gateway with a permit", async () => {
+  hop = await Hop.start(2);
+  const { first, second } = await hop.findFirst();
+  first.refusal = "this node has no valid permit to use primaries";
+  first.servesReads = true;
+  first.stage.groups.forgetMarks();
+  second.stage.groups.forgetMarks();
+  const reply = hop.open("own").run(makeRead("1"));
+  await waitUntil(() => [first, second].some(({ stage }) => stage.list("p", "work").length > 0));
+  expect(first.stage.list("p", "work")).toHaveLength(0);
+  second.stage.list("p", "work")[0]?.answer();
+  expect(findEnd(await reply)).toBe("complete");
+});
