End the suspicion of a primary that answers again

Where slots are planned, a process that a peer asks about a silent primary suspects it too. Only an answered statement ended that, and most processes send no statements to the primary: after one lost answer they suspected a healthy primary without end, asked it and at least three peers every 1.6 s, and each of these samples could replace it.

A suspicion that began with a peer's question now also ends with an answer of the running primary to this process, asked for itself or for a peer.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -170,7 +170,7 @@
           write: (document, version) => adapter.store.writeLeadership(document, version),
         },
         peers,
-        askTarget: (question, timeoutMs) => this.targetStatus.ask(question, timeoutMs),
+        askTarget: (question, timeoutMs) => this.peerQuestions.ask(question, timeoutMs),
         promote: adapter.promote,
         clock,
         random,
--- a/test/node/peer-questions.test.ts
+++ b/test/node/peer-questions.test.ts
@@ -50,3 +50,33 @@
   expect(noted).toEqual([]);
   expect(checks).toBe(0);
 });
+
+// A healthy primary was silent once for a process that sends it no statements. Without an end of the suspicion, that
+// process would ask its peers every 1.6 s for ever, and each of its samples could replace the primary.
+test.each(["for this process", "for a peer"])(
+  "an answer given %s ends the suspicion",
+  async (by) => {
+    const answers: TargetAnswer[] = [{ type: "silent" }, { type: "silent" }, { type: "alive" }];
+    const noted: boolean[] = [];
+    const questions = new PeerQuestions({
+      clock: { now: () => 70 },
+      targetStatus: { ask: () => Promise.resolve(answers.shift() ?? { type: "alive" }) },
+      tracker: {
+        findKnownPrimary: () => "p",
+        noteProbeResult: (_group, _target, _since, isReached) => noted.push(isReached),
+      },
+      isSlotPlanned: () => true,
+      onSilentPrimary: () => undefined,
+    });
+    const question = { group: "ledger", target: "p", demoteRound: undefined };
+    const again = () =>
+      by === "for a peer" ? questions.answer(question) : questions.ask(question, 200);
+    await questions.answer(question);
+    await questions.ask(question, 200);
+    expect(noted).toEqual([false]);
+    await again();
+    expect(noted).toEqual([false, true]);
+    await again();
+    expect(noted).toEqual([false, true]);
+  },
+);
