Uncount only granted requests of the current window

An answer with tokens may arrive after the window of its request has ended. It then reduced the count of the new window, so that up to six requests of each team that bring no tokens went uncounted in it.

--- a/src/rates/request-budget.ts
+++ b/src/rates/request-budget.ts
@@ -35,9 +35,13 @@
     this.byTeam.set(team, (this.byTeam.get(team) ?? 0) + 1);
   }
 
-  /** Stops counting a request of the current window that brought tokens. */
-  recordGrant(team: string, now: number): void {
+  /**
+   * Stops counting a request that brought tokens. One sent at `requestedAt` in an earlier window is not counted any
+   * more; a request of the current window would lose its count instead.
+   */
+  recordGrant(team: string, requestedAt: number, now: number): void {
     this.startWindow(now);
+    if (requestedAt < this.windowStart) return;
     const ofTeam = this.byTeam.get(team) ?? 0;
     if (ofTeam === 0) return;
     this.total -= 1;
--- a/src/rates/token-limiter.ts
+++ b/src/rates/token-limiter.ts
@@ -284,7 +284,7 @@
       outcome.empty += 1;
       return;
     }
-    this.budget.recordGrant(team.name, clock.now());
+    this.budget.recordGrant(team.name, requestedAt, clock.now());
     // The life is counted from the request, since the time that the answer took is not known. After a
     // suspension, which the clock may not show, the tokens may have expired.
     if (hasStalledSince(requestedAt)) return;
