Detect a suspension before a read's position is chosen

A process that runs a read at its own targets looked up the primary, which detects that the process was suspended, only after it had chosen the position that the read requires. If its monotonic clock stood still during the suspension, the position was too old, and a replica answered that may lack commits older than the staleness bound. The primary is now looked up first. Reads that another node forwards are covered by the query of the permit.

The new test fails without the change. With it, it and the tests of transactions and lagging replicas pass, and hop, redirect and no-permit of test/gateway.

--- a/src/direct/context.ts
+++ b/src/direct/context.ts
@@ -49,6 +49,8 @@
       ? { type: "primary" }
       : { type: "replica", atLeast: context.lastCommit };
   }
+  // A process that was suspended, during which its clock may have stood still, discards its positions by this query.
+  context.group.findPrimary();
   const known = context.group.findMarkSince(arrivedAt - route.maxAgeMs + ageMarginMs);
   if (known === undefined) return { type: "primary" };
   const atLeast =
