--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -5,6 +5,8 @@
 import {
   GatewayRequestSchema,
   GatewayResponseSchema,
+  type GatewayPositions,
+  type GatewayLoad,
   type GatewayResponse,
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
 import type { TokenGrant } from "../rates/index.js";
@@ -65,6 +67,8 @@
 export interface GatewayConnectionHandlers {
   /** The gateway has not greeted in time; the connection may still come about. */
   readonly onSlow: (reason: string) => void;
+  /** An answer reports the gateway's load. */
+  readonly onLoad: (load: GatewayLoad) => void;
   /** The connection has ended. */
   readonly onEnd: (reason: string) => void;
 }
@@ -78,6 +82,7 @@
   private readonly channel: FrameChannel;
   private readonly calls = new Map<number, Call>();
   private readonly tokenRequests = new Map<number, (result: TokenResult) => void>();
+  private readonly positionRequests = new Map<number, (answer?: GatewayPositions) => void>();
   private readonly liveness: LivenessMonitor;
   private readonly openedAt = performance.now();
   private readonly stopConnectTimer: () => void;
@@ -86,6 +91,7 @@
   private nextTransaction = 1;
   private isGreeted = false;
   private grantsTokens = false;
+  private answersPositions = true;
   private dataCount = 0;
   private isGatewayServing = true;
   private queued: readonly QueuedMessage[] = [];
@@ -186,6 +192,30 @@
     });
   }
 
+  /**
+   * Asks the gateway for the positions of a group's targets; undefined if it does not answer. A gateway that once
+   * has not answered is not asked again on this connection, as its build does not know the request.
+   */
+  requestPositions(group: string, timeoutMs: number): Promise<GatewayPositions | undefined> {
+    if (!this.isOpen || !this.answersPositions) return Promise.resolve(undefined);
+    // One that waits for the greeting is sent later, or never.
+    const { isGreeted } = this;
+    const id = this.nextCall;
+    this.nextCall += 1;
+    return new Promise((resolve) => {
+      const stopTimer = startStallTolerantTimer(timeoutMs, () => {
+        if (isGreeted) this.answersPositions = false;
+        this.positionRequests.get(id)?.();
+      });
+      this.positionRequests.set(id, (answer) => {
+        stopTimer();
+        this.positionRequests.delete(id);
+        resolve(answer);
+      });
+      this.write({ call: id, bytes: encodeRequest({ case: "positions", value: { group } }, id) });
+    });
+  }
+
   /** The number of times that data arrived. */
   get receivedCount(): number {
     return this.dataCount;
@@ -235,8 +265,9 @@
     this.channel.close("closed by this process");
   }
 
-  private handle({ call, outcome, grantsTokens }: GatewayResponse): void {
+  private handle({ call, outcome, grantsTokens, load }: GatewayResponse): void {
     this.handleGreeting(grantsTokens);
+    if (load !== undefined) this.handlers.onLoad(load);
     switch (outcome.case) {
       case "reply":
         this.calls.get(call)?.settle({ type: "answered", answer: decodeAnswer(outcome.value) });
@@ -257,6 +288,9 @@
       case "tokens":
         this.tokenRequests.get(call)?.({ type: "granted", grant: outcome.value });
         return;
+      case "positions":
+        this.positionRequests.get(call)?.(outcome.value);
+        return;
       case "pong":
         this.isGatewayServing = outcome.value;
         return;
@@ -292,6 +326,7 @@
     const isSent = this.isGreeted;
     for (const { settle } of [...this.calls.values()]) settle({ type: "broken", isSent, reason });
     this.endTokenRequests({ type: "silent" });
+    for (const settle of [...this.positionRequests.values()]) settle();
     this.liveness.stop();
     this.handlers.onEnd(reason);
   }
--- a/src/gateway/connections.ts
+++ b/src/gateway/connections.ts
@@ -3,13 +3,19 @@
 import type { Logger } from "../log/index.js";
 import type { Clock, Disposable } from "../model/index.js";
 import { ResponseTimes } from "../system/index.js";
+import type { SentRead } from "./gateway-shares.js";
 import { recordGatewayFailure, type GatewayHealth } from "./health.js";
 import { GatewayConnection } from "./connection.js";
+import type { EntryLoads } from "./entry-loads.js";
 
 /** The environment of `GatewayConnections`. */
 export interface GatewayConnectionsPorts {
   readonly clock: Pick<Clock, "now">;
   readonly logger: Logger;
+  /** Keeps the gateways' load reports. Absent: they are ignored. */
+  readonly loads?: Pick<EntryLoads, "record" | "forget">;
+  /** Called with the end of each read that was sent to a gateway. */
+  readonly onRead?: (read: SentRead) => void;
 }
 
 /** This process's connections to gateways, one to each that is in use, with its recent failures. */
@@ -36,6 +42,7 @@
     if (known?.isOpen === true) return known;
     const connection: GatewayConnection = new GatewayConnection(gateway, this.responseTimes, {
       onSlow: (reason) => this.recordFailure(vm, reason),
+      onLoad: (load) => this.ports.loads?.record(vm, load),
       onEnd: (reason) => {
         if (this.connections.get(key) === connection) this.connections.delete(key);
         this.recordFailure(vm, reason);
@@ -53,6 +60,7 @@
   /** Records that a gateway failed or refused a statement; others are preferred for a while. */
   recordFailure(vm: string, reason: string): void {
     this.ports.logger.write(gatewayEvents.avoided, { gateway: vm, reason });
+    this.ports.loads?.forget(vm);
     this.health.set(vm, recordGatewayFailure(this.health.get(vm), this.ports.clock.now()));
   }
 
@@ -61,6 +69,16 @@
     this.health.delete(vm);
   }
 
+  /** The time by which response times of gateways are measured, in milliseconds. */
+  now(): number {
+    return this.ports.clock.now();
+  }
+
+  /** Records how a read that was sent to a gateway ended, and in what time. */
+  recordRead(read: SentRead): void {
+    this.ports.onRead?.(read);
+  }
+
   /** Whether other gateways are preferred to this one. */
   isAvoided(vm: string): boolean {
     const until = this.health.get(vm)?.avoidUntil;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,6 +1,9 @@
+export { PositionWatch } from "./position-watch.js";
 export { type GatewayPlan } from "./choose.js";
 export { type TokenResult } from "./connection.js";
 export { GatewayConnections } from "./connections.js";
+export { EntryLoads } from "./entry-loads.js";
+export { GatewayShares, type GatewayShareSample } from "./gateway-shares.js";
 export { GatewayRouter } from "./router.js";
 export { RoutedRunner } from "./runner.js";
 export { countListedProxyQuota } from "./quota.js";
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -6,17 +6,38 @@
 } from "../direct/index.js";
 import type { Proxy } from "../leadership/index.js";
 import { chooseGateways, isGateway, listGateways, type GatewayPlan } from "./choose.js";
-import { orderGateways } from "./route.js";
+import type { EntryLoads, EntryRefusal } from "./entry-loads.js";
+import type { LoadCandidate } from "./load-choice.js";
+import { orderGateways, rankGateway, type RouteQuery } from "./route.js";
 import { listWatchedGateways, orderSlotGateways } from "./slot-order.js";
-import type { Topology } from "../topology/index.js";
+import { assumedCrossingMs, type Topology } from "../topology/index.js";
 
 /** Where a statement may run: over this process's own connections, or at a gateway. */
 export type Destination =
-  { readonly type: "local" } | { readonly type: "gateway"; readonly gateway: Proxy };
+  | { readonly type: "local" }
+  | {
+      readonly type: "gateway";
+      readonly gateway: Proxy;
+      /** Whether it comes before the group's preferred gateway, which is slower or has a longer queue. */
+      readonly isMoved?: boolean;
+    };
+
+/** What a statement's destinations depend on. */
+export interface DestinationQuery {
+  readonly needsPrimary: boolean;
+  /** Only gateways in other regions than that data centre, unless there is none. */
+  readonly leftDataCentre?: string | undefined;
+  /** Whether slow gateways leave part of such reads to others. */
+  readonly isDivided?: boolean;
+  /** The statement's level of importance. */
+  readonly level?: number | undefined;
+}
 
 /** Lists a statement's destinations. */
 export interface DestinationSource {
   readonly listDestinations: () => readonly Destination[];
+  /** Why the statement is refused without being sent; undefined where it is to be sent. */
+  readonly findRefusal: (destinations: readonly Destination[]) => EntryRefusal | undefined;
   /** Called when no destination accepted the statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -39,6 +60,10 @@
   readonly isLost?: (vm: string) => boolean;
   /** Whether one gateway plans the slots of a target for the whole fleet. Absent: false. */
   readonly isSlotPlanned?: () => boolean;
+  /** Decides by the gateways' load reports. Absent: these play no part. */
+  readonly loads?: Pick<EntryLoads, "isActive" | "order" | "findRefusal">;
+  /** Divides the reads of a group between its usable gateways, given in order. Absent: the order stays. */
+  readonly orderReads?: (group: string, gateways: readonly Proxy[]) => readonly Proxy[];
   /** Called when none of the gateways that this process knows accepted a statement. */
   readonly onNoneAccepted: () => void;
 }
@@ -62,40 +87,55 @@
 
   /**
    * A statement's destinations, the preferred one first; empty when no proxy is listed. With `leftDataCentre`
-   * only those in other regions than that data centre, unless there is none.
+   * only those in other regions than that data centre, unless there is none. With `isDivided` a part of the
+   * statements that stay near goes to the second gateway first.
    */
   listDestinations(
     group: string,
     needsPrimary: boolean,
     leftDataCentre?: string,
+    isDivided = false,
   ): readonly Destination[] {
-    const { vm, dataCentre, topology, isAvoided } = this.ports;
+    const { vm, isAvoided } = this.ports;
     const plan = this.findPlan(group);
     const canServe = this.ports.isListed() && !isAvoided(vm);
     if (plan.isEveryProxyGateway && canServe) return [localDestination];
-    const primaryDataCentre = this.findPrimaryDataCentre(group);
-    const query = { group, needsPrimary, primaryDataCentre, vm, dataCentre, topology };
-    const all = orderGateways(plan, query);
+    const all = orderGateways(plan, this.createQuery(group, needsPrimary));
     const remote = all.filter((proxy) => this.isRemote(leftDataCentre, proxy));
     const ordered = remote.length > 0 ? remote : all;
-    const preferred = ordered.filter((proxy) => !isAvoided(proxy.vm));
+    const usable = ordered.filter((proxy) => !isAvoided(proxy.vm));
+    const isNearRead = isDivided && !needsPrimary && leftDataCentre === undefined;
+    const preferred = isNearRead ? (this.ports.orderReads?.(group, usable) ?? usable) : usable;
     const avoided = ordered.filter((proxy) => isAvoided(proxy.vm));
+    const isMoved = preferred[0] !== usable[0];
     const destinations = [...preferred, ...avoided]
       .slice(0, maxDestinations)
-      .map((gateway) => this.toDestination(gateway));
+      .map((gateway, place) => this.toDestination(gateway, isMoved && place === 0));
     // Without any gateway a listed process runs the statement over a connection opened for it.
     return destinations.length === 0 && this.ports.isListed() ? [localDestination] : destinations;
   }
 
-  /** The destinations of one statement, computed again for each round of attempts. */
+  /**
+   * The destinations of one statement, computed again for each round of attempts. `level` is the statement's, by
+   * which the load of its gateways decides.
+   */
   createDestinationSource(
     group: string,
-    needsPrimary: boolean,
-    leftDataCentre?: string,
+    { needsPrimary, leftDataCentre, isDivided, level }: DestinationQuery,
   ): DestinationSource {
-    const { onNoneAccepted } = this.ports;
+    const { onNoneAccepted, loads } = this.ports;
+    const list = () => this.listDestinations(group, needsPrimary, leftDataCentre, isDivided);
+    if (loads?.isActive !== true)
+      return { listDestinations: list, findRefusal: () => undefined, onNoneAccepted };
+    const statement = { group, role: needsPrimary ? "primary" : "replica", level } as const;
+    const describe = (destination: Destination) =>
+      this.describeDestination(destination, this.createQuery(group, needsPrimary));
     return {
-      listDestinations: () => this.listDestinations(group, needsPrimary, leftDataCentre),
+      listDestinations: () => {
+        const destinations = list();
+        return markMoved(destinations[0], loads.order(statement, destinations, describe));
+      },
+      findRefusal: (destinations) => loads.findRefusal(statement, destinations.map(describe)),
       onNoneAccepted,
     };
   }
@@ -105,12 +145,17 @@
    * primary's data centre. False where the primary's data centre is unknown or has no usable gateway.
    */
   canRedirect(group: string): boolean {
+    return this.findPrimaryGateway(group) !== undefined;
+  }
+
+  /** The first usable gateway of the primary's data centre; undefined if there is none or it is this process. */
+  findPrimaryGateway(group: string): Proxy | undefined {
     const plan = this.findPlan(group);
     const centre = this.findPrimaryDataCentre(group);
-    if (plan.isEveryProxyGateway || centre === undefined) return false;
+    if (plan.isEveryProxyGateway || centre === undefined) return undefined;
     const gateways = plan.byDataCentre.get(centre) ?? [];
     const first = gateways.find(({ vm }) => !this.ports.isAvoided(vm));
-    return first !== undefined && first.vm !== this.ports.vm;
+    return first?.vm === this.ports.vm ? undefined : first;
   }
 
   /** The processes that may run a read of a group instead of this one. */
@@ -176,14 +221,37 @@
     return isLost === undefined ? isAvoided(vm) : isLost(vm);
   }
 
-  private isRemote(from: string | undefined, { dataCentre }: Proxy): boolean {
+  private isRemote(from: string | undefined, { dataCentre }: Pick<Proxy, "dataCentre">): boolean {
     if (from === undefined) return false;
     return this.ports.topology.measureDistance(from, dataCentre ?? "") === "remote";
   }
 
-  private toDestination(gateway: Proxy): Destination {
+  private createQuery(group: string, needsPrimary: boolean): RouteQuery {
+    const { vm, dataCentre, topology } = this.ports;
+    const primaryDataCentre = this.findPrimaryDataCentre(group);
+    return { group, needsPrimary, primaryDataCentre, vm, dataCentre, topology };
+  }
+
+  private describeDestination(
+    destination: Destination,
+    query: RouteQuery,
+  ): Omit<LoadCandidate, "load"> {
+    const { vm, dataCentre, isAvoided } = this.ports;
+    const isLocal = destination.type === "local";
+    const gateway = isLocal ? { vm, dataCentre } : destination.gateway;
+    return {
+      vm: gateway.vm,
+      rank: rankGateway(gateway, query),
+      distanceMs: this.isRemote(dataCentre, gateway) ? assumedCrossingMs : 0,
+      isAvoided: isAvoided(gateway.vm),
+      isLocal,
+    };
+  }
+
+  private toDestination(gateway: Proxy, isMoved: boolean): Destination {
     const isLocal = gateway.vm === this.ports.vm && this.ports.isListed();
-    return isLocal ? localDestination : { type: "gateway", gateway };
+    if (isLocal) return localDestination;
+    return isMoved ? { type: "gateway", gateway, isMoved } : { type: "gateway", gateway };
   }
 
   private findPrimaryDataCentre(group: string): string | undefined {
@@ -209,3 +277,13 @@
 }
 
 const localDestination: Destination = { type: "local" };
+
+/** Marks a gateway that goes before `preferred`, which comes first without load reports. */
+function markMoved(
+  preferred: Destination | undefined,
+  ordered: readonly Destination[],
+): readonly Destination[] {
+  const [first, ...rest] = ordered;
+  if (first === undefined || first === preferred || first.type === "local") return ordered;
+  return [{ ...first, isMoved: true }, ...rest];
+}
--- a/src/gateway/runner.ts
+++ b/src/gateway/runner.ts
@@ -7,21 +7,25 @@
 } from "../direct/index.js";
 import type { Effect } from "../model/index.js";
 import { failLocally, findEffect, type Work } from "../statement/index.js";
-import { refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
+import { refuseByLoad, refuseOutOfTime, refuseWithoutGateway, toStatementEnd } from "./answers.js";
 import { encodeRun, noTransaction } from "./codec.js";
 import type { ForwardResult } from "./connection.js";
 import type { GatewayConnections } from "./connections.js";
-import { findLocalRedirect, RedirectingSender, type ReadEnd } from "./redirect.js";
+import { findLocalRedirect, RedirectingSender, type ReadEnd, type ReadTerms } from "./redirect.js";
 import type { GatewayRouter, Destination } from "./router.js";
 import { RoutedTransaction } from "./transaction.js";
 import {
   countRemainingMs,
   minForwardMs,
   forwardStep,
+  sendMeasuredRead,
   tooLargeReason,
   tryDestinations,
 } from "./forward.js";
 
+/** Of statements that neither may be redirected nor are divided between gateways. */
+const fixedTerms: ReadTerms = { acceptsRedirect: false, isNear: false };
+
 /** Runs statements locally when this process holds the group's connections, else at a gateway. */
 export class RoutedRunner implements WorkRunner {
   private readonly sender: RedirectingSender;
@@ -41,16 +45,23 @@
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
     if (this.sender.isRedirectable(context, work))
       return this.runRedirectable(context, work, arrivedAt);
-    const source = this.router.createDestinationSource(
-      context.group.name,
-      needsPrimary(context, work),
-    );
+    const source = this.router.createDestinationSource(context.group.name, {
+      needsPrimary: needsPrimary(context, work),
+      level: context.database.action.level,
+    });
     const end = await tryDestinations(context, source, deadlineAt, async (destination) => {
       if (destination.type === "local") return directRunner.runAutocommit(context, work, arrivedAt);
-      const result = await this.tryGateway(destination, context, work, deadlineAt, false);
+      const result = await this.tryGateway(destination, context, work, deadlineAt, fixedTerms);
       return result === undefined ? undefined : interpretResult(result, findEffect(work));
     });
-    return end ?? { reply: refuseWithoutGateway(context, work.id, "idle") };
+    switch (end.type) {
+      case "accepted":
+        return end.value;
+      case "notAccepted":
+        return { reply: refuseWithoutGateway(context, work.id, "idle") };
+      case "refused":
+        return { reply: refuseByLoad(context, work.id, end.refusal, "idle") };
+    }
   }
 
   openTransaction(isReadOnly: boolean): OpenTransaction {
@@ -63,23 +74,31 @@
     arrivedAt: number,
   ): Promise<StatementResult> {
     const deadlineAt = arrivedAt + context.database.action.deadlineMs;
-    const sent = await this.sender.send(context, deadlineAt, async (destination, accepts) => {
-      if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
-      const result = await this.tryGateway(destination, context, work, deadlineAt, accepts);
-      if (accepts && result?.type === "redirected")
-        return {
-          type: "redirected",
-          leavesRegion: result.leavesRegion,
-          dataCentre: destination.gateway.dataCentre,
-        };
-      const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
-      return end === undefined ? undefined : toReadEnd(end);
-    });
+    const sent = await this.sender.send(
+      context,
+      deadlineAt,
+      async (destination, terms) => {
+        const accepts = terms.acceptsRedirect;
+        if (destination.type === "local") return this.runLocally(context, work, arrivedAt, accepts);
+        const result = await this.tryGateway(destination, context, work, deadlineAt, terms);
+        if (accepts && result?.type === "redirected")
+          return {
+            type: "redirected",
+            leavesRegion: result.leavesRegion,
+            dataCentre: destination.gateway.dataCentre,
+          };
+        const end = result === undefined ? undefined : interpretResult(result, findEffect(work));
+        return end === undefined ? undefined : toReadEnd(end);
+      },
+      true,
+    );
     switch (sent.type) {
       case "ended":
         return sent.value;
       case "notAccepted":
         return { reply: refuseWithoutGateway(context, work.id, "idle") };
+      case "refused":
+        return { reply: refuseByLoad(context, work.id, sent.refusal, "idle") };
       case "outOfTime":
         return { reply: refuseOutOfTime(context, work.id, "idle") };
     }
@@ -102,22 +121,19 @@
     context: SessionContext,
     work: Work,
     deadlineAt: number,
-    acceptsRedirect: boolean,
+    { acceptsRedirect, isNear }: ReadTerms,
   ): Promise<ForwardResult | undefined> {
     const leftMs = countRemainingMs(context, deadlineAt, gateway.dataCentre);
     const connection = this.connections.open(gateway);
     if (connection === undefined || leftMs < minForwardMs || context.disconnectSignal.aborted)
       return undefined;
     const step = encodeRun(context, work, leftMs, noTransaction, acceptsRedirect);
-    return forwardStep(
-      this.connections,
-      connection,
-      gateway.vm,
-      context,
-      step,
-      leftMs,
-      findEffect(work),
-    );
+    const { vm } = gateway;
+    const effect = findEffect(work);
+    const send = () => forwardStep(this.connections, connection, vm, context, step, leftMs, effect);
+    return isNear
+      ? sendMeasuredRead(this.connections, vm, context.group.name, leftMs, send)
+      : send();
   }
 }
 
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -3,10 +3,13 @@
 import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
 import {
   directRunner,
+  findReadRequirement,
   type RedirectDestinations,
   RedirectOffer,
+  sharePositions,
   StatementTrace,
   watchTransactionIdle,
+  type DirectGroup,
   type DirectPorts,
   type GroupDirectory,
   type OpenTransaction,
@@ -29,6 +32,10 @@
 import { decodeSession, decodeWork, encodeAnswer, type TransactionPart } from "./codec.js";
 import { FrameChannel } from "./channel.js";
 import { LivenessMonitor } from "./liveness.js";
+import { encodePositions } from "./position-codec.js";
+import type { LoadRole } from "./load-figures.js";
+import { findRole } from "./statement-role.js";
+import { LoadReporter, type LoadSource } from "./load-source.js";
 
 /** The environment of a `ServedConnection`. */
 export interface ServedConnectionPorts {
@@ -36,6 +43,8 @@
   readonly groups: GroupDirectory;
   /** Why this process does not serve a group now; undefined while it does. */
   readonly findRefusal: (group: string) => string | undefined;
+  /** The same for a read that replicas may answer. */
+  readonly findReadRefusal: (group: string) => string | undefined;
   readonly nextId: () => string;
   /** Transfers tokens of a team to the node that asks. */
   readonly grantTokens: (team: string, wanted: number) => TokenGrant;
@@ -69,12 +78,15 @@
   private readonly transactions = new Map<number, ServedTransaction>();
   private readonly channel: FrameChannel;
   private readonly liveness: LivenessMonitor;
+  private readonly reporter: LoadReporter;
 
   constructor(
     socket: Socket,
     private readonly ports: ServedConnectionPorts,
+    loads: LoadSource,
     private readonly onEnd: () => void,
   ) {
+    this.reporter = new LoadReporter(loads);
     this.channel = new FrameChannel(socket, {
       onData: () => this.liveness.recordData(),
       onFrame: (frame) => this.handle(fromBinary(GatewayRequestSchema, frame)),
@@ -130,6 +142,12 @@
         this.send(call, { case: "tokens", value: { tokens, lifeMs, batches: [...batches] } });
         return;
       }
+      case "positions": {
+        const group = this.ports.groups.find(step.value.group);
+        const positions = group === undefined ? {} : encodePositions(sharePositions(group));
+        this.send(call, { case: "positions", value: positions });
+        return;
+      }
       case "pong":
       case undefined:
         return;
@@ -153,18 +171,20 @@
       this.refuse(call, "the message contains no statement");
       return;
     }
-    const admitted = this.admit(call, step.session, step.transaction !== 0 && !step.opens);
+    const isHeld = step.transaction !== 0 && !step.opens;
+    const isRead = step.transaction === 0 && findEffect(work) === "read";
+    const admitted = this.admit(call, step.session, isHeld, isRead);
     if (admitted === undefined) return;
     const redirect = this.createRedirectOffer(step, work);
     const context = redirect === undefined ? admitted : { ...admitted, redirect };
     if (step.transaction === 0) {
-      await this.answer(call, context, () =>
+      await this.answer(call, context, findRole(context, work, true), () =>
         directRunner.runAutocommit(context, work, context.ports.clock.now()),
       );
       return;
     }
     const held = this.findTransaction(step, context);
-    await this.answer(call, context, async () => ({
+    await this.answer(call, context, findRole(context, work, step.isReadOnly), async () => ({
       reply:
         held === undefined
           ? createLostReply("failed")
@@ -178,7 +198,7 @@
     const context = this.admit(call, session, !step.opens);
     if (context === undefined) return;
     const held = this.findTransaction(step, context);
-    await this.answer(call, context, async () =>
+    await this.answer(call, context, "primary", async () =>
       held === undefined
         ? { reply: createLostReply("idle") }
         : held.body.commit(context, id, text, context.ports.clock.now()),
@@ -196,6 +216,7 @@
     call: number,
     part: SessionPart | undefined,
     isHeld: boolean,
+    isRead = false,
   ): SessionContext | undefined {
     const session = decodeSession(part);
     if (session === undefined) {
@@ -204,7 +225,7 @@
     }
     const name = session.database.group;
     const group = this.ports.groups.find(name);
-    const refusal = isHeld ? undefined : this.ports.findRefusal(name);
+    const refusal = isHeld ? undefined : this.findRefusal(session, group, isRead);
     if (group === undefined || refusal !== undefined) {
       this.refuse(call, refusal ?? `the group ${name} is unknown to this gateway`, part);
       return undefined;
@@ -225,6 +246,23 @@
     return { ...session, team, ports, group, disconnectSignal: abort.signal, trace, nextId };
   }
 
+  /**
+   * Why a step is refused; undefined while it is served. A read for which a replica with a known log position suffices
+   * may be served without a permit. Any other read would wait here for the permit, while another gateway can run it.
+   */
+  private findRefusal(
+    session: Pick<SessionContext, "database" | "lastCommit">,
+    group: DirectGroup | undefined,
+    isRead: boolean,
+  ): string | undefined {
+    const { direct, findRefusal, findReadRefusal } = this.ports;
+    // Queried before the required position is computed: a process that was suspended discards its positions by it.
+    const refusal = findRefusal(session.database.group);
+    if (refusal === undefined || group === undefined || !isRead) return refusal;
+    const requirement = findReadRequirement({ ...session, group }, direct.clock.now());
+    return requirement.type === "replica" ? findReadRefusal(session.database.group) : refusal;
+  }
+
   /**
    * Finds the team in this process's configuration. The forwarding node has already checked the caller's key;
    * the team's limits are applied here, where its statements are sent to targets.
@@ -264,18 +302,25 @@
   /** Runs a step and sends its answer, which the node ignores if it has cancelled the call. */
   private async answer(
     call: number,
-    { trace, redirect }: SessionContext,
+    { trace, redirect, group }: SessionContext,
+    concerned: LoadRole,
     run: () => Promise<StatementResult>,
   ): Promise<void> {
     try {
       const { reply, commitMark: written } = await run();
       if (redirect?.cause !== undefined) {
-        this.send(call, { case: "redirect", value: redirect.cause });
+        const load = this.reporter.findReport(group.name, concerned, false);
+        const value = redirect.cause;
+        this.write({ call, outcome: { case: "redirect", value }, ...(load && { load }) });
         return;
       }
       const { target, role, attemptCount: tries } = trace;
       const answer = { reply, isWritten: written !== undefined, target, role, tries };
-      this.send(call, { case: "reply", value: encodeAnswer(answer) });
+      const isRefusal = reply.end.type === "error" && reply.end.code === "busy";
+      const ranAt = role === "none" ? concerned : role;
+      const load = this.reporter.findReport(group.name, ranAt, isRefusal);
+      const value = encodeAnswer(answer);
+      this.write({ call, outcome: { case: "reply", value }, ...(load && { load }) });
     } finally {
       this.calls.delete(call);
     }
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -8,9 +8,13 @@
 } from "../direct/index.js";
 import { directRunner, hasLevels, type AnnouncedGroup } from "../direct/index.js";
 import {
+  EntryLoads,
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
+  PositionWatch,
+  GatewayShares,
+  type GatewayShareSample,
   RoutedRunner,
   SlotTakeover,
   type TokenResult,
@@ -18,7 +22,7 @@
 import type { TokenRequest } from "../directpeer/index.js";
 import type { Proxy } from "../leadership/index.js";
 import type { Logger } from "../log/index.js";
-import { DisposableStore, type Clock, type Disposable } from "../model/index.js";
+import { DisposableStore, type Clock, type Disposable, type Random } from "../model/index.js";
 import type { TokenGrant } from "../rates/index.js";
 import type { NodeSettings } from "./settings.js";
 
@@ -26,6 +30,7 @@
 export interface ForwardingPorts {
   readonly settings: Pick<NodeSettings, "vm" | "dataCentre" | "topology" | "gateway">;
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
   readonly listProxies: () => readonly Proxy[];
   readonly isListed: () => boolean;
@@ -40,23 +45,40 @@
   readonly onNoneAccepted: () => void;
   /** Transfers tokens of a team to another node. */
   readonly grantTokens: (team: string, wanted: number) => TokenGrant;
+  /** Called for each statement that is refused by the gateways' load reports. */
+  readonly onEntryRefused: (group: string, level: number) => void;
 }
 
 /** Forwards this node's statements to gateways, and runs statements as a gateway of other nodes. */
 export class Forwarding implements Disposable {
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
+  private readonly shares: GatewayShares;
   private readonly router: GatewayRouter;
   private readonly takeover: SlotTakeover;
+  private readonly positions: PositionWatch;
   private server: GatewayServer | undefined;
   private planned: { readonly config: ServingConfig; readonly isPlanned: boolean } | undefined;
   private groups: GroupDirectory | undefined;
 
   constructor(private readonly ports: ForwardingPorts) {
-    const { settings, clock, logger, listProxies, findGroup, findLeader, isListed } = ports;
+    const { settings, clock, random, logger, listProxies, findGroup, findLeader, isListed } = ports;
     const { onNoneAccepted } = ports;
+    const isSlotPlanned = () => this.isSlotPlanned(ports.getServingConfig());
+    const loads = new EntryLoads({
+      clock,
+      random,
+      logger,
+      isSlotPlanned,
+      getServingConfig: ports.getServingConfig,
+      isGateway: (group, name) =>
+        this.router.listGroupGateways(group).some((proxy) => proxy.vm === name),
+      onRefused: ports.onEntryRefused,
+    });
     const { vm, dataCentre, topology } = settings;
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger }));
+    this.shares = new GatewayShares({ vm, clock, random, logger, isSlotPlanned });
+    const onRead = this.shares.record.bind(this.shares);
+    this.connections = this.owned.add(new GatewayConnections({ clock, logger, loads, onRead }));
     this.takeover = this.owned.add(
       new SlotTakeover({
         connections: this.connections,
@@ -65,6 +87,15 @@
         onChecked: () => this.groups?.refreshShares(),
       }),
     );
+    this.positions = this.owned.add(
+      new PositionWatch({
+        connections: this.connections,
+        getRouter: () => this.router,
+        listGroups: ports.listGroups,
+        getGroups: () => this.groups,
+        logger,
+      }),
+    );
     this.router = new GatewayRouter({
       vm,
       dataCentre,
@@ -73,7 +104,9 @@
       findGroup,
       findLeader,
       isListed,
-      isSlotPlanned: () => this.isSlotPlanned(ports.getServingConfig()),
+      isSlotPlanned,
+      loads,
+      orderReads: (group, gateways) => this.shares.order(group, gateways),
       onNoneAccepted,
       isAvoided: (name) =>
         name === vm ? this.findRefusal() !== undefined : this.connections.isAvoided(name),
@@ -99,7 +132,9 @@
 
   /** Watches the gateways before this one while slots are planned, to take over theirs. */
   updateSlotPlan(config: ServingConfig): void {
-    this.takeover.setRunning(this.isSlotPlanned(config));
+    const isPlanned = this.isSlotPlanned(config);
+    this.takeover.setRunning(isPlanned);
+    this.positions.setRunning(isPlanned);
   }
 
   /** Creates the runner of callers' statements: forwarding where that is enabled, direct otherwise. */
@@ -117,6 +152,7 @@
       direct,
       groups,
       findRefusal: () => this.findRefusal(),
+      findReadRefusal: () => this.findRefusal(!this.ports.settings.topology.hasRegions),
       nextId: () => `h${nextCall++}`,
       grantTokens: this.ports.grantTokens,
       findRedirectDestinations: (group) => this.router.findRedirectDestinations(group),
@@ -139,6 +175,11 @@
     return connection.requestTokens(team, wanted, timeoutMs);
   }
 
+  /** The shares of gateways in this node's reads, for metrics. */
+  listGatewayShares(): readonly GatewayShareSample[] {
+    return this.shares.list();
+  }
+
   /** Counts the statements and transactions in progress for other nodes. */
   countActive(): number {
     return this.server?.countActive() ?? 0;
@@ -170,11 +211,17 @@
     return this.owned.dispose();
   }
 
-  /** Why this node can't run statements over its own connections now; undefined while it can. */
-  private findRefusal(): string | undefined {
+  /**
+   * Why this node can't run statements over its own connections now; undefined while it can. Where there are regions,
+   * reads within their staleness bound need no permit: they use a replica with a log position that the primary
+   * reported while the permit was valid. Without a permit no newer position is recorded, so that such reads end as
+   * their bound passes.
+   */
+  private findRefusal(needsPermit = true): string | undefined {
     const { isLeaving, isListed, isPermitted } = this.ports;
     if (isLeaving()) return "this node is leaving";
     if (!isListed()) return "this node is not listed";
+    if (!needsPermit) return undefined;
     return isPermitted() ? undefined : "this node has no valid permit to use primaries";
   }
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -3,7 +3,6 @@
   GroupDirectory,
   type DirectPorts,
   type ServingConfig,
-  type StatementSample,
 } from "../direct/index.js";
 import { DirectPeerClient, DirectPeerServer } from "../directpeer/index.js";
 import { DrainRunner } from "../fleet/drain.js";
@@ -22,6 +21,7 @@
 import { DisposableStore, type Address, type Clock, type Random } from "../model/index.js";
 import { StoreFollower } from "./follower.js";
 import { Forwarding } from "./forwarding.js";
+import { PeerQuestions } from "./peer-questions.js";
 import type { NodeAdapter } from "./ports.js";
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
@@ -31,6 +31,7 @@
 import { RegionCheck } from "./region-check.js";
 import { NodeRates } from "./rates.js";
 import type { NodeSettings } from "./settings.js";
+import { recordStatement } from "./statement-metrics.js";
 
 /** The settings and dependencies of a node. */
 export interface NodeOptions {
@@ -64,6 +65,7 @@
   private readonly regionCheck: RegionCheck;
   private readonly readiness: ReadinessMonitor;
   private readonly peerServer: DirectPeerServer | undefined;
+  private readonly peerQuestions: PeerQuestions;
   private readonly server: LineServer;
   private readonly drainer: DrainRunner;
   private readonly drainPlan: DrainPlan;
@@ -96,6 +98,13 @@
       listTargets: (group) => this.listTargets(group),
       hasReached: (group, target, since) => this.tracker.hasReached(group, target, since),
     });
+    this.peerQuestions = new PeerQuestions({
+      clock,
+      targetStatus: this.targetStatus,
+      tracker: this.tracker,
+      isSlotPlanned: () => this.directPorts.isSlotPlanned(),
+      onSilentPrimary: () => this.schedulePrimaryCheck(),
+    });
     const remote = createRemotePeers(settings, this.metrics);
     const peers = new DirectPeerClient(settings.vm, logger, clock, remote);
     this.follower = new StoreFollower({
@@ -122,6 +131,7 @@
       new Forwarding({
         settings,
         clock,
+        random,
         logger,
         listProxies: () => this.follower.registry.list(),
         isListed: () => this.follower.registry.isRegistered(),
@@ -133,6 +143,7 @@
         findLeader: (group) => this.tracker.findLeader(group),
         onNoneAccepted: () => this.refreshGateways(),
         grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
+        onEntryRefused: (group, level) => this.metrics.levels.recordEntryRefusal(group, level),
       }),
     );
     this.rates = this.owned.add(
@@ -159,7 +170,7 @@
           write: (document, version) => adapter.store.writeLeadership(document, version),
         },
         peers,
-        askTarget: (question, timeoutMs) => this.targetStatus.ask(question, timeoutMs),
+        askTarget: (question, timeoutMs) => this.peerQuestions.ask(question, timeoutMs),
         promote: adapter.promote,
         clock,
         random,
@@ -177,6 +188,8 @@
     this.directPorts = this.createDirectPorts();
     this.groups = this.owned.add(new GroupDirectory(this.directPorts));
     this.metrics.observeSlots(() => this.groups.listSlots());
+    this.metrics.replicas.observe(() => this.groups.listReplicaDelays());
+    this.metrics.observeGatewayShares(() => this.forwarding.listGatewayShares());
     this.callers = new CallerRegistry(
       adapter.callerCodec,
       this.directPorts,
@@ -226,6 +239,8 @@
     await this.server.listen();
     logger.write(processEvents.started, { vm: settings.vm, dataCentre: settings.dataCentre });
     this.regionCheck.check([settings.dataCentre, ...settings.topology.listWithoutRegion()]);
+    for (const { field, value } of settings.invalidCapacities ?? [])
+      logger.write(nodeEvents.capacityInvalid, { proxy: settings.vm, field, value });
     void this.follower.run();
   }
 
@@ -270,8 +285,9 @@
       findShareRule: (group, dataCentre) => this.forwarding.findShareRule(group, dataCentre),
       rates: this.rates.limiter,
       onCrossing: (kind) => this.metrics.recordCrossing(kind),
-      onStatement: (sample) => this.recordStatement(sample),
+      onStatement: (sample) => recordStatement(this.metrics, sample),
       onRedirect: (group) => this.metrics.recordRedirect(group),
+      onExpectedWrong: (group) => this.metrics.replicas.recordExpectedWrong(group),
       onSlotWait: (group, wait) => this.metrics.levels.recordAdmission({ group, ...wait }),
     };
   }
@@ -285,16 +301,6 @@
     if (this.forwarding.isEnabled) this.proxyLiveness.checkProxies(registry.list(), isPollingStore);
   }
 
-  private recordStatement(sample: StatementSample): void {
-    const { outcome, effect, role, group, ms, level, isObjectiveMissed } = sample;
-    this.metrics.recordStatement(outcome, ms / 1000);
-    if (level !== undefined && isObjectiveMissed === true)
-      this.metrics.levels.recordObjectiveMissed(group, level);
-    if (outcome === "answered" && effect === "read" && role !== "none") {
-      this.metrics.recordRead(group, role);
-    }
-  }
-
   private async listenHealth(address: Address): Promise<void> {
     const health = this.owned.add(
       new HealthServer({
@@ -314,7 +320,7 @@
     if (peers === undefined) return undefined;
     return new DirectPeerServer(peers, {
       receiveLeadership: (from, update) => this.applyUpdate(from, update),
-      askTarget: (question) => this.targetStatus.ask(question, peerQuestionTimeoutMs),
+      askTarget: (question) => this.peerQuestions.answer(question),
       encodeScene: () => this.follower.encodeServingConfig(),
       grantTokens: (team, wanted) => this.rates.grantTokens(team, wanted),
     });
@@ -393,5 +399,3 @@
 const gatewayRefreshIntervalMs = 200;
 /** In milliseconds; slightly longer than a primary must have been failing to be suspected. */
 const primaryCheckDelayMs = 270;
-/** Timeout of a peer's request about a target, in milliseconds: the same as for this process's own. */
-const peerQuestionTimeoutMs = 200;
--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -3,7 +3,8 @@
 import { StandinLineTarget, StandinLog, StandinMetadata } from "../../direct/index.js";
 import { FaultyLink } from "../../link.js";
 import type { BackendCommand, StoredWrites } from "./commands.js";
-import { formatDatabase, formatGroup, formatKey, type SoakSite } from "./site.js";
+import { RegionNetwork, type Detours, type RegionAddress } from "./region-network.js";
+import { findRegion, formatDatabase, formatGroup, formatKey, type SoakSite } from "./site.js";
 
 interface BackendGroup {
   readonly name: string;
@@ -31,9 +32,12 @@
   private readonly storeLinks: FaultyLink[] = [];
   private version = 0;
   private sequence = 0;
-  private readonly droppedTeams = new Set<string>();
 
-  constructor(private readonly site: SoakSite) {}
+  private readonly network: RegionNetwork;
+
+  constructor(private readonly site: SoakSite) {
+    this.network = this.owned.add(new RegionNetwork(site));
+  }
 
   /** Starts everything; returns one address of the store for each node, so that each can be cut off alone. */
   async start(nodes: number): Promise<readonly Address[]> {
@@ -52,6 +56,23 @@
     return this.storeLinks.map((link) => link.address);
   }
 
+  /** Opens relays to the store, which is in the first zone's region, to the targets and to these addresses. */
+  openRelays(addresses: readonly RegionAddress[]): Promise<Readonly<Record<string, Detours>>> {
+    const storeRegion = findRegion(this.site, this.site.zones[0] ?? "");
+    const stores = this.storeLinks.map(({ address }) => ({ region: storeRegion, address }));
+    const targets = this.groups.flatMap((group) =>
+      group.targets.map(({ zone, link }) => ({
+        region: findRegion(this.site, zone),
+        address: link.address,
+      })),
+    );
+    return this.network.openRelays([...addresses, ...stores, ...targets]);
+  }
+
+  listSentBytes(): Readonly<Record<string, number>> {
+    return this.network.listSentBytes();
+  }
+
   dispose(): Promise<void> {
     return this.owned.dispose();
   }
@@ -60,38 +81,34 @@
     const { store } = this;
     switch (command.type) {
       case "storeBusy":
-        store.isBusy = command.isBusy;
+        store.isBusy = true;
+        await sleep(command.forMs);
+        store.isBusy = false;
         return;
       case "storeSlow":
         store.answerMs = this.site.storeMs + command.ms;
+        await sleep(command.forMs);
+        store.answerMs = this.site.storeMs;
         return;
       case "loseStoreAnswers":
         store.loseAnswers = command.count;
         return;
       case "cutStore":
-        for (const node of command.nodes) this.storeLinks[node]?.setFlow("hold", "hold");
-        return;
+        return this.disturbStore(command, (link) => link.setFlow("hold", "hold"));
       case "resetStore":
-        for (const node of command.nodes) this.storeLinks[node]?.setRefusing(true);
-        return;
-      case "healStore":
-        for (const link of this.storeLinks) link.clearFaults();
-        return;
+        return this.disturbStore(command, (link) => link.setRefusing(true));
       case "crashPrimary":
         return this.crashPrimary(command.group, command.forMs);
       case "silencePrimary":
         return this.silencePrimary(command.group, command.forMs);
       case "losePrimaryAnswers":
         return this.losePrimaryAnswers(command.group, command.forMs);
-      case "stopReplica":
-        return this.stopReplica(command.group, command.forMs);
+      case "lagReplicas":
+        return this.lagReplicas(command);
+      case "cutRegions":
+        return this.cutRegions(command.regions, command.forMs);
       case "changeConfiguration":
         this.writeConfiguration();
-        return;
-      case "setTeam":
-        if (command.isHolding) this.droppedTeams.delete(command.team);
-        else this.droppedTeams.add(command.team);
-        this.writeConfiguration();
     }
   }
 
@@ -112,6 +129,10 @@
     log.lagMs = site.lagMs;
     const name = formatGroup(index);
     const targets: BackendTarget[] = [];
+    const zones = site.targetZones ?? site.zones;
+    const getRegion = (id: string) =>
+      findRegion(site, targets.find(({ target }) => target.id === id)?.zone ?? "");
+    log.isLinked = (from, to) => !this.network.isCut(getRegion(from.id), getRegion(to.id));
     for (let i = 0; i < site.targetsPerGroup; i += 1) {
       const target = new StandinLineTarget(
         `i-${index}-${i}`,
@@ -128,7 +149,7 @@
       );
       await target.start();
       this.owned.add(target);
-      const zone = site.zones[i % site.zones.length] ?? "";
+      const zone = zones[i % zones.length] ?? "";
       targets.push({ target, link: await this.openLink(target), zone, isRunning: true });
     }
     this.groups.push({ name, log, targets });
@@ -150,7 +171,7 @@
         host: formatDatabase(kind.name, group),
         service: formatGroup(group),
         type: kind.type,
-        priority: kind.type === "primary" ? 1 : 2,
+        priority: kind.level ?? (kind.type === "primary" ? 1 : 2),
         public: false,
         "timeout-ms": kind.timeoutMs,
         "target-latency-ms": kind.objectiveMs,
@@ -165,7 +186,7 @@
     const limits = { "tx-idle-ms": 3000, "header-timeout-ms": 3000 };
     const tenants = site.teams.map(({ name, ratePerSecond, burst }) => ({
       name,
-      "api-keys": this.droppedTeams.has(name) ? [] : [formatKey(name)],
+      "api-keys": [formatKey(name)],
       ...(ratePerSecond === undefined ? {} : { "rate-per-s": ratePerSecond, burst }),
     }));
     const teams = tenants.length === 0 ? {} : { tenants };
@@ -213,6 +234,16 @@
     return true;
   }
 
+  private async disturbStore(
+    { nodes, forMs }: { readonly nodes: readonly number[]; readonly forMs: number },
+    disturb: (link: FaultyLink) => void,
+  ): Promise<void> {
+    const links = nodes.flatMap((node) => this.storeLinks[node] ?? []);
+    links.forEach(disturb);
+    await sleep(forMs);
+    for (const link of links) link.clearFaults();
+  }
+
   private findPrimary(index: number): BackendTarget | undefined {
     const group = this.groups[index % this.groups.length];
     const id = group?.log.findPrimary()?.id;
@@ -250,14 +281,31 @@
     primary.target.faults.loseAnswer = undefined;
   }
 
-  private async stopReplica(index: number, forMs: number): Promise<void> {
-    const group = this.groups[index % this.groups.length];
-    const replica = group?.targets.find(({ target }) => target.member.role === "replica");
-    if (group === undefined || replica === undefined) return;
-    replica.target.member.isReceiving = false;
+  private async cutRegions(regions: readonly [string, string], forMs: number): Promise<void> {
+    this.network.cut(regions);
     await sleep(forMs);
-    replica.target.member.isReceiving = true;
-    group.log.copy();
+    this.network.heal(regions);
+    for (const { log } of this.groups) log.replicate();
+  }
+
+  private async lagReplicas(
+    command: Extract<BackendCommand, { readonly type: "lagReplicas" }>,
+  ): Promise<void> {
+    const { lagMs } = command;
+    const group = this.groups[command.group % this.groups.length];
+    const members = group?.targets.map(({ target }) => target.member) ?? [];
+    const replicas = members.filter(({ role }) => role === "replica");
+    const affected = command.isAll ? replicas : replicas.slice(0, 1);
+    for (const member of affected) {
+      if (lagMs === undefined) member.isReceiving = false;
+      else member.extraLagMs = lagMs;
+    }
+    await sleep(command.forMs);
+    for (const member of affected) {
+      if (lagMs === undefined) member.isReceiving = true;
+      else member.extraLagMs = 0;
+    }
+    group?.log.replicate();
   }
 }
 
--- a/standin/soak/nodes/load.ts
+++ b/standin/soak/nodes/load.ts
@@ -1,10 +1,11 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Disposable } from "../../../src/model/index.js";
 import type { RandomStream } from "../random.js";
 import type { Balancer, BalancedNode } from "./balancer.js";
 import { LineClient, type OpenFailure } from "./line-client.js";
 import { TeamAllowances } from "./allowances.js";
 import { runOperation, type ToldWrite } from "./operation.js";
-import { formatDatabase, formatKey, type SoakKind, type SoakSite } from "./site.js";
+import { findRegion, formatDatabase, formatKey, type SoakKind, type SoakSite } from "./site.js";
 import type { OperationResult } from "./tally.js";
 
 /** Dependencies of a `Load`. */
@@ -17,6 +18,13 @@
   readonly scale: number;
 }
 
+/** A time in which a kind of operation is asked for more often. */
+export interface Burst {
+  readonly kind: string;
+  readonly factor: number;
+  readonly forMs: number;
+}
+
 /** A session that stands open and is used for one operation after another. */
 interface StandingSession {
   readonly caller: number;
@@ -46,6 +54,7 @@
   private nextId = 0;
   private pending = 0;
   private readonly due: number[];
+  private readonly bursts = new Set<Burst>();
   private readonly allowances: TeamAllowances;
 
   constructor(private readonly options: LoadOptions) {
@@ -64,10 +73,17 @@
     }, tickMs);
   }
 
+  /** Multiplies the rate of a kind for a while; the factors of bursts that overlap are multiplied. */
+  async burst(burst: Burst): Promise<void> {
+    this.bursts.add(burst);
+    await sleep(burst.forMs);
+    this.bursts.delete(burst);
+  }
+
   /** Starts no more operations, and waits for those that run. */
   async finish(): Promise<void> {
     clearInterval(this.timer);
-    while (this.pending > 0) await new Promise((resolve) => setTimeout(resolve, tickMs));
+    while (this.pending > 0) await sleep(tickMs);
   }
 
   dispose(): void {
@@ -78,32 +94,29 @@
   private addSessions(zone: string): void {
     const { site, random } = this.options;
     for (let i = 0; i < site.sessionsPerZone; i += 1) {
-      const { name } = random.pick(site.kinds);
+      const { name: kind } = random.pick(site.kinds);
       const group = random.nextInteger(0, site.groups - 1);
       const caller = this.sessions.length;
       const team = this.pickTeam();
-      this.sessions.push({
-        caller,
-        zone,
-        kind: name,
-        group,
-        team,
-        client: undefined,
-        isBusy: false,
-      });
+      this.sessions.push({ caller, zone, kind, group, team, client: undefined, isBusy: false });
     }
   }
 
   private startDue(seconds: number): void {
     const { site, random, scale } = this.options;
     for (const [index, kind] of site.kinds.entries()) {
-      const due = (this.due[index] ?? 0) + kind.perSecond * scale * seconds;
+      const due = (this.due[index] ?? 0) + this.computeRate(kind) * scale * seconds;
       const whole = Math.floor(due);
       this.due[index] = due - whole;
       for (let i = 0; i < whole; i += 1) void this.run(kind, random.pick(site.zones));
     }
   }
 
+  private computeRate({ name, perSecond }: SoakKind): number {
+    const bursts = [...this.bursts].filter(({ kind }) => kind === name);
+    return bursts.reduce((rate, { factor }) => rate * factor, perSecond);
+  }
+
   private async run(kind: SoakKind, zone: string): Promise<void> {
     this.pending += 1;
     const { site, random } = this.options;
@@ -123,13 +136,8 @@
       createId: () => this.createId(),
       open: async (attempt) => {
         if (session?.client?.isUsable === true && attempt === 0) return session.client;
-        const opened = await this.open(
-          zone,
-          caller,
-          attempt,
-          formatDatabase(kind.name, group),
-          team,
-        );
+        const node = this.options.balancer.choose(zone, caller, attempt);
+        const opened = await this.open(node, formatDatabase(kind.name, group), team);
         if ("reason" in opened) return opened;
         if (session === undefined) own?.close();
         else session.client?.close();
@@ -141,21 +149,14 @@
     own?.close();
     if (session !== undefined) session.isBusy = false;
     const { outcome, reason } = end;
-    this.results.push({ kind: kind.name, zone, team, atMs, isOwed, outcome, reason });
+    const region = findRegion(site, zone);
+    this.results.push({ kind: kind.name, zone, region, team, atMs, isOwed, outcome, reason });
     this.writes.push(...end.writes);
     this.pending -= 1;
   }
 
-  private open(
-    zone: string,
-    caller: number,
-    attempt: number,
-    database: string,
-    team: string,
-  ): Promise<LineClient | OpenFailure> {
-    const { balancer, nodes } = this.options;
-    const node = balancer.choose(zone, caller, attempt);
-    const address = nodes[node]?.callers;
+  private open(node: number, database: string, team: string): Promise<LineClient | OpenFailure> {
+    const address = this.options.nodes[node]?.callers;
     if (address === undefined) return Promise.resolve({ reason: "no node" });
     return LineClient.open(node, address, database, formatKey(team), openTimeoutMs);
   }
--- a/test/gateway/hop.ts
+++ b/test/gateway/hop.ts
@@ -2,9 +2,11 @@
 import { FaultyLink } from "../../standin/link.js";
 import { DirectSession } from "../../src/direct/session.js";
 import {
+  EntryLoads,
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
+  GatewayShares,
   RoutedRunner,
   type TokenResult,
 } from "../../src/gateway/index.js";
@@ -14,6 +16,7 @@
 import type { Reply, Statement } from "../../src/statement/index.js";
 import { createSystemClock } from "../../src/system/index.js";
 import { group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
+import { FakeClock, makeRandom } from "../fleet/fakes.js";
 import { findAddress, waitUntil } from "../node/cluster.js";
 import { DelayedLink } from "../node/delayed-link.js";
 
@@ -26,6 +29,8 @@
   readonly server: GatewayServer;
   /** Why it refuses statements; undefined while it serves. */
   refusal: string | undefined;
+  /** Whether reads that replicas may answer are served in spite of it. */
+  servesReads?: boolean;
 }
 
 /** A node without connections to targets, and gateways that have some, with links in between that can fail. */
@@ -33,17 +38,51 @@
   readonly gateways: HopGateway[] = [];
   readonly node: ProxyFixture;
   private readonly owned = new DisposableStore();
+  /** The clock by which load reports grow old; it stands still unless a test advances it. */
+  readonly loadClock = new FakeClock();
+  /** The node's load reports, which play no part unless the node's slots are planned. */
+  readonly loads: EntryLoads;
+  /** The levels of the statements that the node refused by load reports. */
+  readonly refusedLevels: number[] = [];
   private readonly connections: GatewayConnections;
   private readonly runner: RoutedRunner;
   private proxies: readonly Proxy[] = [];
   private nextSession = 1;
+  readonly shares: GatewayShares;
+  /** What the node draws to choose between the gateways of a read where slots are planned; 1 keeps the order. */
+  draw = 1;
   /** How often none of the gateways that the node knows accepted a statement. */
   notAcceptedCount = 0;
 
   private constructor(options: FixtureOptions) {
     this.node = new ProxyFixture(options);
     const clock = createSystemClock();
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
+    const isSlotPlanned = () => this.node.isSlotPlanned;
+    this.loads = new EntryLoads({
+      clock: this.loadClock,
+      random: makeRandom(1),
+      logger: silentLogger,
+      isSlotPlanned,
+      getServingConfig: this.node.ports.getServingConfig,
+      isGateway: () => true,
+      onRefused: (_group, level) => this.refusedLevels.push(level),
+    });
+    this.shares = new GatewayShares({
+      vm: "vm-entry",
+      clock,
+      random: { draw: () => this.draw },
+      logger: silentLogger,
+      isSlotPlanned: () => options.isSlotPlanned === true,
+    });
+    const { loads } = this;
+    this.connections = this.owned.add(
+      new GatewayConnections({
+        clock,
+        logger: silentLogger,
+        loads,
+        onRead: (read) => this.shares.record(read),
+      }),
+    );
     const router = new GatewayRouter({
       vm: "vm-entry",
       dataCentre: "a",
@@ -54,6 +93,8 @@
       isListed: () => false,
       onNoneAccepted: () => (this.notAcceptedCount += 1),
       isAvoided: (vm) => this.connections.isAvoided(vm),
+      loads,
+      orderReads: (name, gateways) => this.shares.order(name, gateways),
     });
     this.runner = new RoutedRunner(router, this.connections);
   }
@@ -133,6 +174,7 @@
       direct: stage.ports,
       groups: stage.groups,
       findRefusal: () => gateway.refusal,
+      findReadRefusal: () => (gateway.servesReads === true ? undefined : gateway.refusal),
       nextId: () => `h${nextCall++}`,
       grantTokens: () => ({ tokens: 2, lifeMs: 1000 }),
       findRedirectDestinations: () => ({
--- a/test/gateway/redirect-fleet.ts
+++ b/test/gateway/redirect-fleet.ts
@@ -5,15 +5,22 @@
 import { encodeRun, type TransactionPart } from "../../src/gateway/codec.js";
 import type { ForwardResult } from "../../src/gateway/connection.js";
 import {
+  EntryLoads,
   GatewayConnections,
   GatewayRouter,
   GatewayServer,
   RoutedRunner,
 } from "../../src/gateway/index.js";
+import type { RouterPorts } from "../../src/gateway/router.js";
 import type { Proxy } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
 import { DisposableStore, type Mark } from "../../src/model/index.js";
-import { failLocally, type CommandResult, type Work } from "../../src/statement/index.js";
+import {
+  failLocally,
+  type CommandResult,
+  type Statement,
+  type Work,
+} from "../../src/statement/index.js";
 import { singleRegion, type Topology } from "../../src/topology/index.js";
 import { answered, group, ProxyFixture, type FixtureOptions } from "../direct/fixture.js";
 import { findAddress } from "../node/cluster.js";
@@ -47,6 +54,8 @@
 export interface FleetOptions {
   /** Whether the entry node is itself the near gateway. */
   readonly isEntryNear?: boolean;
+  /** Whether the data centre of the replica has a second gateway. */
+  readonly hasSecondNear?: boolean;
   readonly stage?: FixtureOptions;
   /** The regions of the data centres; one region by default. */
   readonly topology?: Topology;
@@ -67,6 +76,10 @@
   proxies: readonly Proxy[] = [];
   leader: PrimaryState = { type: "serving", target: "p" };
   readonly avoided = new Set<string>();
+  /** The entry node's load reports. */
+  readonly loads: EntryLoads;
+  /** Whether the entry node sends reads to the second gateway of its data centre. */
+  isReadMoved = false;
   private readonly owned = new DisposableStore();
   private readonly connections: GatewayConnections;
   private readonly runner: RoutedRunner;
@@ -78,12 +91,29 @@
     const stage = options.stage ?? {};
     this.entry = createStage(nearCentre, topology === undefined ? stage : { ...stage, topology });
     const { clock } = this.entry;
-    this.connections = this.owned.add(new GatewayConnections({ clock, logger: silentLogger }));
+    this.loads = new EntryLoads({
+      clock,
+      random: this.entry.ports.random,
+      logger: silentLogger,
+      isSlotPlanned: () => this.entry.isSlotPlanned,
+      getServingConfig: this.entry.ports.getServingConfig,
+      isGateway: () => true,
+      onRefused: () => undefined,
+    });
+    const { loads } = this;
+    this.connections = this.owned.add(
+      new GatewayConnections({ clock, logger: silentLogger, loads }),
+    );
     const isListed = options.isEntryNear === true;
     const isAvoided = (vm: string) => this.connections.isAvoided(vm);
     const router = this.createRouter(
-      { vm: entryVm, dataCentre: nearCentre, isListed, isAvoided },
+      { vm: entryVm, dataCentre: nearCentre, isListed, isAvoided, loads },
       this,
+      (_group, gateways) => {
+        const [first, second, ...rest] = gateways;
+        if (first === undefined || second === undefined || !this.isReadMoved) return gateways;
+        return [second, first, ...rest];
+      },
     );
     this.runner = new RoutedRunner(router, this.connections);
   }
@@ -91,6 +121,7 @@
   static async start(options: FleetOptions = {}): Promise<RedirectFleet> {
     const fleet = new RedirectFleet(options);
     if (options.isEntryNear !== true) await fleet.addGateway("vm-near", nearCentre);
+    if (options.hasSecondNear === true) await fleet.addGateway("vm-near-2", nearCentre);
     await fleet.addGateway("vm-1", homeCentre);
     await fleet.addGateway("vm-2", homeCentre);
     const nearEntry = { ...makeProxy(99, nearCentre), vm: entryVm };
@@ -99,18 +130,33 @@
     return fleet;
   }
 
+  /** Starts a fleet whose near gateway finds its replica behind, and whose gateways at home answer. */
+  static async startLagging(options: FleetOptions = {}): Promise<RedirectFleet> {
+    const fleet = await RedirectFleet.start(options);
+    for (const { stage } of [fleet.home, fleet.spare]) fleet.answerAll(stage, lagging);
+    const stage = options.isEntryNear === true ? fleet.entry : fleet.near.stage;
+    learnMark(stage);
+    fleet.answerAll(stage, lagging);
+    return fleet;
+  }
+
   get near(): FleetGateway {
     return this.find("vm-near");
   }
 
+  /** The gateways of the replica's data centre, the preferred one first. */
+  get nearGateways(): readonly FleetGateway[] {
+    return this.listGateways(nearCentre).map(({ vm }) => this.find(vm));
+  }
+
   /** The first gateway of the primary's data centre. */
   get home(): FleetGateway {
-    return this.find(this.listHomeGateways()[0]?.vm ?? "");
+    return this.find(this.listGateways(homeCentre)[0]?.vm ?? "");
   }
 
   /** The gateway that takes over when `home` is lost. */
   get spare(): FleetGateway {
-    return this.find(this.listHomeGateways()[1]?.vm ?? "");
+    return this.find(this.listGateways(homeCentre)[1]?.vm ?? "");
   }
 
   open(database: string): DirectSession {
@@ -175,11 +221,11 @@
     return gateway;
   }
 
-  private listHomeGateways(): readonly Proxy[] {
+  private listGateways(centre: string): readonly Proxy[] {
     const announced = this.entry.ports.getServingConfig().groups.get(group);
     if (announced === undefined) throw new Error("no group");
     const { proxies } = this.gateways[0] ?? this;
-    return chooseGateways(announced, proxies).byDataCentre.get(homeCentre) ?? [];
+    return chooseGateways(announced, proxies).byDataCentre.get(centre) ?? [];
   }
 
   private async addGateway(vm: string, dataCentre: string): Promise<void> {
@@ -195,6 +241,7 @@
       direct: stage.ports,
       groups: stage.groups,
       findRefusal: () => undefined,
+      findReadRefusal: () => undefined,
       nextId: () => `h${nextCall++}`,
       grantTokens: () => ({ tokens: 0, lifeMs: 0 }),
       findRedirectDestinations: (name) => router.findRedirectDestinations(name),
@@ -206,7 +253,11 @@
     this.proxies = [...this.proxies, proxy];
   }
 
-  private createRouter(self: RouterSelf, beliefs: Beliefs): GatewayRouter {
+  private createRouter(
+    self: RouterSelf,
+    beliefs: Beliefs,
+    orderReads?: RouterPorts["orderReads"],
+  ): GatewayRouter {
     const { vm, dataCentre, isListed, isAvoided } = self;
     const { groups } = this.entry.ports.getServingConfig();
     return new GatewayRouter({
@@ -219,6 +270,8 @@
       isListed: () => isListed,
       isAvoided: (name) => name !== vm && isAvoided(name),
       onNoneAccepted: () => undefined,
+      ...(self.loads === undefined ? {} : { loads: self.loads }),
+      ...(orderReads === undefined ? {} : { orderReads }),
     });
   }
 }
@@ -229,6 +282,7 @@
   readonly dataCentre: string;
   readonly isListed: boolean;
   readonly isAvoided: (vm: string) => boolean;
+  readonly loads?: EntryLoads;
 }
 
 /** The fake targets of one process, which has one place at each unless it is in the primary's data centre. */
@@ -269,3 +323,14 @@
   stage.openedAt = mark;
   stage.groups.find(group)?.notePrimaryMark("p", mark, stage.clock.now());
 }
+
+/** Counts the statements that a gateway sent to a target. */
+export const countWork = ({ stage }: { readonly stage: ProxyFixture }, target: string): number =>
+  stage.list(target, "work").length;
+
+/** Tells whether a gateway has sent a statement to a target. */
+export const hasWork = (gateway: FleetGateway, target: string) => (): boolean =>
+  countWork(gateway, target) > 0;
+
+/** Begins a read-only transaction. */
+export const beginReading: Statement = { type: "begin", id: "b", isReadOnly: true };
