--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -4,14 +4,11 @@
 import {
   directRunner,
   findReadRequirement,
-  type RedirectDestinations,
   RedirectOffer,
   sharePositions,
   StatementTrace,
   watchTransactionIdle,
   type DirectGroup,
-  type DirectPorts,
-  type GroupDirectory,
   type OpenTransaction,
   type SessionContext,
   type StatementResult,
@@ -27,31 +24,16 @@
   type SessionPart,
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
 import type { Team } from "../model/index.js";
-import type { TokenGrant } from "../rates/index.js";
 import { failLocally, findEffect, type Reply, type Work } from "../statement/index.js";
 import { decodeSession, decodeWork, encodeAnswer, type TransactionPart } from "./codec.js";
 import { FrameChannel } from "./channel.js";
 import { LivenessMonitor } from "./liveness.js";
 import { encodePositions } from "./position-codec.js";
 import type { LoadRole } from "./load-figures.js";
+import type { ServedConnectionPorts } from "./served-ports.js";
 import { findRole } from "./statement-role.js";
 import { LoadReporter, type LoadSource } from "./load-source.js";
 
-/** The environment of a `ServedConnection`. */
-export interface ServedConnectionPorts {
-  readonly direct: DirectPorts;
-  readonly groups: GroupDirectory;
-  /** Why this process does not serve a group now; undefined while it does. */
-  readonly findRefusal: (group: string) => string | undefined;
-  /** The same for a read that replicas may answer. */
-  readonly findReadRefusal: (group: string) => string | undefined;
-  readonly nextId: () => string;
-  /** Transfers tokens of a team to the node that asks. */
-  readonly grantTokens: (team: string, wanted: number) => TokenGrant;
-  /** The processes that may run a read of a group instead of this one. */
-  readonly findRedirectDestinations: (group: string) => RedirectDestinations;
-}
-
 type ResponseOutcome = NonNullable<MessageInitShape<typeof GatewayResponseSchema>["outcome"]>;
 
 /** A node with an open transaction is probed when nothing arrived from it for this long. */
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,7 +1,8 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { Address, Disposable } from "../model/index.js";
 import { LoadSource } from "./load-source.js";
-import { ServedConnection, type ServedConnectionPorts } from "./served.js";
+import { ServedConnection } from "./served.js";
+import type { ServedConnectionPorts } from "./served-ports.js";
 
 /** Connections that may wait to be accepted: after a loss of power all nodes connect within a second. */
 const backlog = 1024;
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,3 +1,4 @@
-export { Node, type NodeOptions } from "./node.js";
+export { Node } from "./node.js";
+export { type NodeOptions } from "./options.js";
 export { type NodeAdapter, type NodeStore, type StoreStatus } from "./ports.js";
 export { type NodeSettings } from "./settings.js";
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -16,13 +16,12 @@
 import { LineServer } from "../lines/index.js";
 import { nodeEvents } from "../log/events/node.js";
 import { processEvents } from "../log/events/process.js";
-import type { Logger } from "../log/index.js";
 import { createMetrics, HealthServer, type Metrics } from "../metric/index.js";
-import { DisposableStore, type Address, type Clock, type Random } from "../model/index.js";
+import { DisposableStore, type Address } from "../model/index.js";
 import { StoreFollower } from "./follower.js";
 import { Forwarding } from "./forwarding.js";
+import type { NodeOptions } from "./options.js";
 import { PeerQuestions } from "./peer-questions.js";
-import type { NodeAdapter } from "./ports.js";
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
 import { planDrain, type DrainPlan } from "./drain.js";
@@ -33,21 +32,6 @@
 import type { NodeSettings } from "./settings.js";
 import { recordStatement } from "./statement-metrics.js";
 
-/** The settings and dependencies of a node. */
-export interface NodeOptions {
-  readonly settings: NodeSettings;
-  readonly adapter: NodeAdapter;
-  readonly clock: Clock;
-  readonly random: Random;
-  /** The wall clock, in milliseconds, to compare with the monotonic clock. */
-  readonly wallClock: () => number;
-  readonly logger: Logger;
-  /** Distinguishes this process from earlier ones on the same VM. */
-  readonly incarnation: string;
-  /** Where metrics are served in addition to the readiness address. */
-  readonly metrics?: Address;
-}
-
 /** A node that serves callers over direct connections to targets. */
 export class Node {
   private readonly owned = new DisposableStore();
