Correct what is said of reads without a permit and of ended proxies

The text of event 3116 said that a change never waits for ended proxies, while it does as long as another one is silent.

--- a/src/log/events/leadership.ts
+++ b/src/log/events/leadership.ts
@@ -66,7 +66,7 @@
     id: 3116,
     name: "proxiesEnded",
     level: "info",
-    text: "The machines of listed proxies refused a connection, so their processes have ended; a change of primary does not wait for their permits.",
+    text: "The machines of listed proxies refused a connection, so their processes have ended; a change of primary waits for their permits only while another proxy is silent.",
   },
   demoted: {
     id: 3109,
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -213,9 +213,9 @@
 
   /**
    * Why this node can't run statements over its own connections now; undefined while it can. Where there are regions,
-   * reads within their staleness bound need no permit: they use a replica with a log position that the primary
-   * reported while the permit was valid. Without a permit no newer position is recorded, so that such reads end as
-   * their bound passes.
+   * reads that a replica may answer need no permit: they use one with a log position that the primary reported while
+   * the permit was valid. Without a permit no newer position is recorded, so that bounded reads end as their bound
+   * passes. An unbounded read after a commit of its session only needs that commit, and may be served for longer.
    */
   private findRefusal(needsPermit = true): string | undefined {
     const { isLeaving, isListed, isPermitted } = this.ports;
