Bundle the node before the soak of the platform's side

Only the test of the soak bundled. The command bundles itself now, through the function that the test uses, so a run also never starts an older bundle.

--- a/standin/soak/nodes/index.ts
+++ b/standin/soak/nodes/index.ts
@@ -1,3 +1,4 @@
+export { buildBundle } from "./bundle.js";
 export { checkCutReads, type CutReads } from "./cut-reads.js";
 export {
   describeTimedFault,
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -1,4 +1,5 @@
 import { parseFaultNames } from "../usage.js";
+import { buildBundle } from "./bundle.js";
 import { listFaultNames, planFaults } from "./faults.js";
 import { runNodeSoak } from "./run.js";
 import { defaultSite, readSite } from "./site.js";
@@ -30,6 +31,7 @@
   const { faults: wanted = known.join(",") } = flags;
   const names = wanted === "none" ? [] : parseFaultNames(wanted, known);
   const faults = planFaults(flags.seed, site, durationMs, names, flags.count);
+  buildBundle(process.cwd());
   const report = await runNodeSoak({
     site,
     seed: flags.seed,
--- a/test/soak/nodes.test.ts
+++ b/test/soak/nodes.test.ts
@@ -1,6 +1,6 @@
-import { spawnSync } from "node:child_process";
 import { beforeAll, expect, test } from "@jest/globals";
 import {
+  buildBundle,
   computeAnsweredShare,
   defaultSite,
   listBreaches,
@@ -17,8 +17,7 @@
 const runTimeoutMs = 180_000;
 
 beforeAll(() => {
-  const bundling = spawnSync(process.execPath, ["scripts/bundle.mjs"], { encoding: "utf8" });
-  expect(bundling.stderr).toBe("");
+  buildBundle(process.cwd());
 });
 
 // Processes are killed and restarted while others keep the processor busy: callers must not stay refused.
