Say in the log what prevented a change of primary

An edit of the leadership document ends as written, ruled out or failed with a reason now, and the line names the holder, the round or the store's failure.

--- a/src/leadership/lease.ts
+++ b/src/leadership/lease.ts
@@ -1,8 +1,8 @@
 import { leadershipEvents } from "../log/events/leadership.js";
-import type { GroupLeadership, VersionedLeadership } from "./document.js";
+import type { GroupLeadership, LeadershipDocument } from "./document.js";
 import type { LeadershipTracker } from "./tracker.js";
 import type { LeadershipPorts } from "./ports.js";
-import { editLeadership, type DocumentEdit } from "./writer.js";
+import { editLeadership, type DocumentEdit, type EditOutcome } from "./writer.js";
 
 /**
  * Another proxy may take the lease if its holder has not written for this long. This is more than twice the time
@@ -88,27 +88,23 @@
    */
   async beginChange(group: string, from: string, seenRound: number): Promise<number | undefined> {
     const { vm, incarnation, logger } = this.ports;
-    let round = 0;
+    const round = seenRound + 1;
     let kept: number | undefined;
-    const written = await this.write((document) => {
+    let barrier: string | undefined;
+    const outcome = await this.write((document) => {
       const { holder } = document;
       kept = holder !== undefined && this.isOwnHolder(holder) ? this.token : undefined;
-      if (holder !== undefined && !this.isOwnHolder(holder) && !this.canTakeOver())
-        return undefined;
-      const known = document.groups[group];
-      if ((known?.round ?? 0) !== seenRound || !this.canChangeGroup(group)) return undefined;
-      round = seenRound + 1;
+      barrier = this.findBarrier(document, group, seenRound);
+      if (barrier !== undefined) return undefined;
       const groups = { ...document.groups, [group]: { type: "changing", round, from } as const };
       return { holder: { vm, incarnation }, groups };
     });
-    if (written === undefined) {
-      logger.write(leadershipEvents.changePrevented, {
-        group,
-        reason: "another proxy holds the lease or has changed the group",
-      });
+    if (outcome.type !== "written") {
+      const reason = outcome.type === "failed" ? `the store: ${outcome.reason}` : barrier;
+      logger.write(leadershipEvents.changePrevented, { group, reason });
       return undefined;
     }
-    const token = kept ?? written.version;
+    const token = kept ?? outcome.leadership.version;
     this.token = token;
     logger.write(leadershipEvents.changeStarted, { group, from, round, token });
     return round;
@@ -122,19 +118,19 @@
     const isUnbroken = !this.tracker.hasStalledSince(this.lastWriteAt);
     if (isFresh && isUnbroken && !this.isLost()) return this.token;
     // The counter makes the document differ: writing an equal one would not change its version.
-    const written = await this.write((document) => {
+    const outcome = await this.write((document) => {
       const { holder } = document;
       if (holder === undefined || !this.isOwnHolder(holder)) return undefined;
       const renewals = (document.renewals ?? 0) + 1;
       return { ...document, renewals };
     });
-    if (written === undefined) this.token = undefined;
+    if (outcome.type !== "written") this.token = undefined;
     return this.token;
   }
 
   /** Records the target as primary. Releases the lease unless another group is still being changed. */
   async endChange(group: string, round: number, target: string): Promise<void> {
-    const written = await this.write((document) => {
+    const outcome = await this.write((document) => {
       const { holder } = document;
       if (holder === undefined || !this.isOwnHolder(holder)) return undefined;
       if (document.groups[group]?.round !== round) return undefined;
@@ -143,7 +139,8 @@
       const isOver = Object.values(groups).every((g) => g.type === "serving");
       return { holder: isOver ? undefined : holder, groups };
     });
-    if (written?.document.holder === undefined) this.token = undefined;
+    const isKept = outcome.type === "written" && outcome.leadership.document.holder !== undefined;
+    if (!isKept) this.token = undefined;
   }
 
   private isLost(): boolean {
@@ -155,12 +152,25 @@
     return holder.vm === this.ports.vm && holder.incarnation === this.ports.incarnation;
   }
 
-  private async write(edit: DocumentEdit): Promise<VersionedLeadership | undefined> {
-    const written = await editLeadership(this.ports, this.tracker, edit, () =>
+  /** What rules out that this proxy begins to change a group, for the log; `undefined` if nothing does. */
+  private findBarrier(
+    { holder, groups }: LeadershipDocument,
+    group: string,
+    seenRound: number,
+  ): string | undefined {
+    if (holder !== undefined && !this.isOwnHolder(holder) && !this.canTakeOver()) {
+      return `${holder.vm} holds the lease`;
+    }
+    const round = groups[group]?.round ?? 0;
+    if (round !== seenRound) return `the group is in round ${round}, not ${seenRound}`;
+    return this.canChangeGroup(group) ? undefined : "another proxy has just replaced the primary";
+  }
+
+  private async write(edit: DocumentEdit): Promise<EditOutcome> {
+    const outcome = await editLeadership(this.ports, this.tracker, edit, () =>
       this.observeDocument(),
     );
-    if (written === undefined) return undefined;
-    this.lastWriteAt = written.sentAt;
-    return written.leadership;
+    if (outcome.type === "written") this.lastWriteAt = outcome.sentAt;
+    return outcome;
   }
 }
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -13,6 +13,7 @@
   type VersionedLeadership,
 } from "../../src/leadership/index.js";
 import type { LogEvent, LogFields } from "../../src/log/index.js";
+import type { StoreRead, StoreWrite } from "../../src/model/index.js";
 import { singleRegion } from "../../src/topology/index.js";
 import { FakeClock, makeRandom } from "../fleet/fakes.js";
 
@@ -25,6 +26,8 @@
   targetAnswer: TargetAnswer = { type: "silent" };
   /** A replica's answer to every status request; undefined if the group has no replica. */
   replicaAnswer: TargetAnswer | undefined;
+  /** Whether the store answers; otherwise no call to it has an effect. */
+  isStoreAvailable = true;
   promotionCount = 0;
   /** The promoted targets, in order. */
   readonly promoted: string[] = [];
@@ -61,10 +64,7 @@
       onSilence: () => undefined,
     });
     const store: LeadershipPorts["store"] = {
-      read: () =>
-        Promise.resolve(
-          this.stored === undefined ? { type: "absent" } : { type: "found", value: this.stored },
-        ),
+      read: () => Promise.resolve(this.readDocument()),
       write: (document) => Promise.resolve(this.writeDocument(document)),
     };
     const ports: LeadershipPorts = {
@@ -127,11 +127,17 @@
     return [...listed, ...this.otherTargets.map((change) => ({ ...replica, ...change }))];
   }
 
-  private writeDocument(document: LeadershipDocument) {
+  private readDocument(): StoreRead<VersionedLeadership> {
+    if (!this.isStoreAvailable) return { type: "unavailable", reason: "no answer in time" };
+    return this.stored === undefined ? { type: "absent" } : { type: "found", value: this.stored };
+  }
+
+  private writeDocument(document: LeadershipDocument): StoreWrite {
+    if (!this.isStoreAvailable) return { type: "unavailable", reason: "no answer in time" };
     this.version += 1;
     this.stored = { version: this.version, document };
     const object = { kind: "leadership", name: "current", version: this.version, value: null };
-    return { type: "written", object } as const;
+    return { type: "written", object };
   }
 }
 
--- a/test/leadership/lease.test.ts
+++ b/test/leadership/lease.test.ts
@@ -73,3 +73,24 @@
   expect(b.canChangeGroup("ledger")).toBe(true);
   expect(await b.beginChange("ledger", "i-1", first)).toBe(first + 1);
 });
+
+// In an incident all refusals to begin a change named another proxy, while in truth the store did not answer.
+test("the log tells a store that does not answer from another proxy's lease", async () => {
+  const fixture = new LeadershipFixture();
+  const { lease: a } = fixture.makeProxy("a");
+  const { lease: b } = fixture.makeProxy("b");
+  const listReasons = () => fixture.logLines.flatMap(({ fields }) => fields.reason ?? []);
+  fixture.isStoreAvailable = false;
+  const begun = a.beginChange("ledger", "i-0", 0);
+  await fixture.clock.advance(2000);
+  expect(await begun).toBeUndefined();
+  fixture.isStoreAvailable = true;
+  await a.beginChange("ledger", "i-0", 0);
+  await b.beginChange("ledger", "i-0", 0);
+  await a.beginChange("ledger", "i-0", 0);
+  expect(listReasons()).toEqual([
+    "the store: no answer in time",
+    "a holds the lease",
+    "the group is in round 1, not 0",
+  ]);
+});
