Serve a promoted target although the answer to its order was lost

Cause: a change of primary went by the answer to its order alone. Orders whose answers were lost were repeated twelve times, then the change was given up, and the next attempt demoted the target that led. Orders that the platform rejected at once were all sent within 0.2 s. While the store failed the lease could not be renewed, and nothing looked at the target again until the store was back.

Change: after an order without an answer the target itself is asked; it leads if it reports a newer round than before the order (one that called itself primary before may be an old one that was cut off). Orders are repeated for 6 s with growing pauses. A change that is resumed asks the target of its last order first. The new primary is recorded again while the store fails, and announced meanwhile. Choosing and promoting a target move to a module of their own, without other changes.

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -1,25 +1,18 @@
 import { leadershipEvents } from "../log/events/leadership.js";
-import { compareMarkOrder } from "../model/index.js";
 import type { TargetReport } from "../statement/index.js";
-import { chooseCandidate, decideChange, type Candidate, type Reachability } from "./decide.js";
+import { decideChange, type Reachability } from "./decide.js";
 import { ChangeLease } from "./lease.js";
 import { TargetInquirer } from "./inquirer.js";
 import type { LeadershipTracker } from "./tracker.js";
 import type { LeadershipPorts } from "./ports.js";
+import { formatReport, PrimaryPromoter } from "./promotion.js";
 import { findSuspicion, type Suspicion } from "./suspicion.js";
 import { notifyProxies, waitForPermitExpiry, type NotificationResult } from "./notification.js";
 
 /** How long a planned change lets statements in flight end before it demotes the old primary. */
 const statementDrainMs = 60;
-/** A replica receives the rest of the old primary's log within a few times its lag of 60 to 150 ms. */
-const catchUpTimeoutMs = 1500;
-const catchUpPollMs = 25;
-/** The platform needs some hundred milliseconds for a promotion, sometimes a second. */
-const promoteTimeoutMs = 1500;
-const servingTimeoutMs = 4000;
-const servingPollMs = 25;
-/** How many chosen targets may turn out not to run before a change is given up. */
-const maxPromotionCandidates = 3;
+/** Delay until the record of a new primary is written again after the store failed, in milliseconds. */
+const recordRetryMs = 400;
 /** Delay until a group is checked again after its primary was kept, replaced or could not be replaced. */
 const recheckDelayMs = 400;
 /** The longest such pause after a primary has been kept several times in a row, in milliseconds. */
@@ -43,6 +36,7 @@
   private readonly nextCheckAt = new Map<string, number>();
   private readonly lease: ChangeLease;
   private readonly inquirer: TargetInquirer;
+  private readonly promoter: PrimaryPromoter;
   private readonly leaderlessSince = new Map<string, number>();
   /** By group: where its primary was when last listed; the entry of one that is replaced is often gone. */
   private readonly lastPrimaries = new Map<string, ListedPrimary>();
@@ -54,6 +48,7 @@
   ) {
     this.lease = new ChangeLease(ports, tracker);
     this.inquirer = new TargetInquirer(ports);
+    this.promoter = new PrimaryPromoter(ports, tracker, this.lease, this.inquirer);
   }
 
   /** Checks every group; changes run in the background. */
@@ -157,6 +152,7 @@
     logger.write(leadershipEvents.suspected, { group, target: oldTarget, reason: suspicion.type });
     await clock.sleep(random.draw() * maxStartDelayMs);
     const isResumed = seen?.type === "changing";
+    if (isResumed && (await this.resumePromoted(group, seen.round))) return;
     const reach = isResumed
       ? undefined
       : await this.measureReachability(group, oldTarget, suspicion);
@@ -174,13 +170,21 @@
     this.kept.delete(group);
     const round = await this.lease.beginChange(group, oldTarget, seen?.round ?? 0);
     if (round === undefined) return;
-    const target = await this.executeChange(group, oldTarget, suspicion);
+    const target = await this.executeChange(group, round, oldTarget, suspicion);
     if (target === undefined) return;
     await this.finishChange(group, round, target);
     const ms = Math.round(clock.now() - startedAt);
     logger.write(leadershipEvents.changeDone, { group, target, ms });
   }
 
+  /** Finishes a change of this process whose order took effect after all; false if it did not. */
+  private async resumePromoted(group: string, round: number): Promise<boolean> {
+    const target = await this.promoter.findPromoted(group, round);
+    if (target === undefined) return false;
+    await this.finishChange(group, round, target);
+    return true;
+  }
+
   /**
    * Whether this proxy can judge an unreachable primary: another target of the group must answer it. While
    * processors are busy, the answers of all targets come late. Replacing every primary then would interrupt all
@@ -211,6 +215,7 @@
   /** Carries out a change; resolves to the new primary, or to `undefined` if the change was given up. */
   private async executeChange(
     group: string,
+    round: number,
     oldTarget: string,
     suspicion: Suspicion,
   ): Promise<string | undefined> {
@@ -222,34 +227,15 @@
     if (suspicion.type === "leaving") await this.ports.clock.sleep(statementDrainMs);
     const oldReport = await this.demoteOldPrimary(group, oldTarget);
     await waitForPermitExpiry(this.ports, this.tracker, changeStartedAt, notified, isListed);
-    return this.promoteBestCandidate(group, oldTarget, oldReport);
-  }
-
-  /** Promotes the best running target and resolves to it, or to `undefined` if none became primary. */
-  private async promoteBestCandidate(
-    group: string,
-    oldTarget: string,
-    oldReport: TargetReport | undefined,
-  ): Promise<string | undefined> {
-    let reason = "no target could be promoted";
-    for (let attempt = 0; attempt < maxPromotionCandidates; attempt += 1) {
-      const target = await this.chooseTarget(group, oldTarget, oldReport);
-      if (target === undefined) {
-        reason = "no target answers";
-        break;
-      }
-      if (await this.promote(group, target)) {
-        if (await this.waitUntilServing(group, target)) return target;
-        reason = "the promoted target does not report itself as primary";
-        break;
-      }
-      if (!this.lease.isHeld) {
-        reason = "the lease was lost to another proxy";
-        break;
-      }
-    }
-    this.ports.logger.write(leadershipEvents.changePrevented, { group, reason });
-    return undefined;
+    const last = this.lastPrimaries.get(group);
+    const oldDataCentre = last?.target === oldTarget ? last.dataCentre : undefined;
+    return this.promoter.promoteBestCandidate({
+      group,
+      round,
+      oldTarget,
+      oldDataCentre,
+      oldReport,
+    });
   }
 
   /** Sends the leadership state to all other proxies, so that they stop using an old primary. */
@@ -291,99 +277,29 @@
     return report;
   }
 
-  /** Chooses a target, after waiting until one has the old primary's whole log, if the end of that log is known. */
-  private async chooseTarget(
-    group: string,
-    oldTarget: string,
-    oldReport: TargetReport | undefined,
-  ): Promise<string | undefined> {
-    const { clock, logger } = this.ports;
-    const until = clock.now() + catchUpTimeoutMs;
-    for (;;) {
-      const silent = oldReport === undefined ? oldTarget : undefined;
-      const candidates = await this.listCandidates(group, oldTarget, silent);
-      const chosen = chooseCandidate(candidates, oldTarget);
-      const isWhole =
-        oldReport === undefined ||
-        (chosen !== undefined && compareMarkOrder(chosen.report.received, oldReport.received) >= 0);
-      if (isWhole || clock.now() >= until) {
-        const positions = candidates.map((c) => `${c.target} ${formatReport(c.report)}`);
-        logger.write(leadershipEvents.candidateChosen, {
-          group,
-          target: chosen?.target ?? null,
-          positions,
-        });
-        return chosen?.target;
-      }
-      await clock.sleep(catchUpPollMs);
-    }
-  }
-
-  /** Asks the targets that may become primary. `silent` is an old primary that no proxy reached; it is skipped. */
-  private async listCandidates(
-    group: string,
-    oldTarget: string,
-    silent?: string,
-  ): Promise<readonly Candidate[]> {
-    const last = this.lastPrimaries.get(group);
-    const oldDataCentre = last?.target === oldTarget ? last.dataCentre : undefined;
-    const isRemote = (dataCentre: string) =>
-      oldDataCentre !== undefined &&
-      this.ports.topology.measureDistance(oldDataCentre, dataCentre) === "remote";
-    const targets = this.ports.listTargets(group).filter(({ name }) => name !== silent);
-    const asked = targets.map(async ({ name, isLeaving, dataCentre }) => {
-      const report = await this.inquirer.askWithFallback({
-        group,
-        target: name,
-        demoteRound: undefined,
-      });
-      if (report === undefined) return [];
-      const candidate = { target: name, isLeaving: isLeaving === true, report };
-      return [{ ...candidate, isRemote: isRemote(dataCentre) }];
-    });
-    return (await Promise.all(asked)).flat();
-  }
-
-  /** Orders the promotion, and repeats the order if its answer is lost; a promotion is idempotent. */
-  private async promote(group: string, target: string): Promise<boolean> {
-    for (let attempt = 0; attempt < 4; attempt += 1) {
-      const token = await this.lease.renew();
-      if (token === undefined) return false;
-      const order = { group, target, holder: this.ports.vm, token };
-      const result = await this.ports.promote(order, promoteTimeoutMs);
-      this.ports.logger.write(leadershipEvents.promoteAnswered, { ...order, result });
-      if (result.type === "accepted") return true;
-      if (result.type === "refused") return false;
-    }
-    return false;
-  }
-
-  /** Waits until the target reports itself as primary. */
-  private async waitUntilServing(group: string, target: string): Promise<boolean> {
-    const { clock } = this.ports;
-    const until = clock.now() + servingTimeoutMs;
-    while (clock.now() < until) {
-      const report = await this.inquirer.askWithFallback({ group, target, demoteRound: undefined });
-      if (report?.role === "primary") return true;
-      await clock.sleep(servingPollMs);
-    }
-    return false;
-  }
-
   /** Announces the new primary before the store records it, so that the other proxies can serve callers sooner. */
   private async finishChange(group: string, round: number, target: string): Promise<void> {
     const { leadership } = this.tracker;
     this.tracker.adopt({ leadership, promoted: [{ group, round, target }] });
     const notified = this.notifyOthers();
-    await this.lease.endChange(group, round, target);
+    await this.recordPrimary(group, round, target);
     await notified;
     const { unanswered, ended } = await this.notifyOthers();
     // Without the mark, every later change would wait for a proxy that has terminated.
     const missed = [...unanswered, ...ended.map(({ proxy }) => proxy)];
     await Promise.all(missed.map((proxy) => this.ports.markMissed(proxy)));
   }
-}
 
-function formatReport({ role, received, round }: TargetReport): string {
-  return `${role} ${received.term.round}.${received.offset} of ${round}`;
+  /**
+   * Writes the new primary to the store, again while the store fails: the lease is held until then, and other proxies
+   * would resume the change and demote the target that serves. Those that missed the announcement hear it meanwhile.
+   */
+  private async recordPrimary(group: string, round: number, target: string): Promise<void> {
+    for (;;) {
+      const { type } = await this.lease.endChange(group, round, target);
+      if (type !== "failed" || this.isStopped) return;
+      await this.notifyOthers();
+      await this.ports.clock.sleep(recordRetryMs);
+    }
+  }
 }
--- a/src/leadership/lease.ts
+++ b/src/leadership/lease.ts
@@ -129,7 +129,7 @@
   }
 
   /** Records the target as primary. Releases the lease unless another group is still being changed. */
-  async endChange(group: string, round: number, target: string): Promise<void> {
+  async endChange(group: string, round: number, target: string): Promise<EditOutcome> {
     const outcome = await this.write((document) => {
       const { holder } = document;
       if (holder === undefined || !this.isOwnHolder(holder)) return undefined;
@@ -141,6 +141,7 @@
     });
     const isKept = outcome.type === "written" && outcome.leadership.document.holder !== undefined;
     if (!isKept) this.token = undefined;
+    return outcome;
   }
 
   private isLost(): boolean {
--- /dev/null
+++ b/src/leadership/promotion.ts
@@ -0,0 +1,207 @@
+import { leadershipEvents } from "../log/events/leadership.js";
+import { compareMarkOrder } from "../model/index.js";
+import type { TargetReport } from "../statement/index.js";
+import { chooseCandidate, type Candidate } from "./decide.js";
+import type { TargetInquirer } from "./inquirer.js";
+import type { ChangeLease } from "./lease.js";
+import type { LeadershipPorts, PromoteResult } from "./ports.js";
+import type { LeadershipTracker } from "./tracker.js";
+
+/** A replica receives the rest of the old primary's log within a few times its lag of 60 to 150 ms. */
+const catchUpTimeoutMs = 1500;
+const catchUpPollMs = 25;
+/** The platform needs some hundred milliseconds for a promotion, sometimes a second. */
+const promoteTimeoutMs = 1500;
+/** How long orders to promote one target are repeated while it is unclear whether they take effect. */
+const orderBudgetMs = 6000;
+/** Bounds of the pause between two such orders; each pause is twice as long as the one before. */
+const minOrderPauseMs = 100;
+const maxOrderPauseMs = 400;
+const servingTimeoutMs = 4000;
+const servingPollMs = 25;
+/** How many chosen targets may turn out not to run before a change is given up. */
+const maxCandidates = 3;
+
+/** The change that a promotion belongs to. */
+export interface ChangeUnderWay {
+  readonly group: string;
+  readonly round: number;
+  readonly oldTarget: string;
+  /** The data centre of the old primary, if it is known. */
+  readonly oldDataCentre: string | undefined;
+  /** The old primary's report when it was demoted; `undefined` if no proxy reached it. */
+  readonly oldReport: TargetReport | undefined;
+}
+
+/** The end of the orders to promote one target. */
+type PromotionOutcome =
+  | { readonly type: "leading" }
+  /** The target can't become primary; another one may. */
+  | { readonly type: "refused" }
+  | { readonly type: "givenUp"; readonly reason: string };
+
+/** An order that may have taken effect or may still do so. */
+interface UnansweredOrder {
+  readonly round: number;
+  readonly candidate: Candidate;
+}
+
+type PrimaryPromoterPorts = Pick<
+  LeadershipPorts,
+  "vm" | "topology" | "promote" | "clock" | "logger" | "listTargets"
+>;
+
+/** Chooses the target that becomes primary, has the platform promote it, and finds out whether that took effect. */
+export class PrimaryPromoter {
+  /** By group: the last order without an answer. */
+  private readonly unanswered = new Map<string, UnansweredOrder>();
+
+  constructor(
+    private readonly ports: PrimaryPromoterPorts,
+    private readonly tracker: LeadershipTracker,
+    private readonly lease: ChangeLease,
+    private readonly inquirer: TargetInquirer,
+  ) {}
+
+  /** Promotes the best running target and resolves to it, or to `undefined` if none became primary. */
+  async promoteBestCandidate(change: ChangeUnderWay): Promise<string | undefined> {
+    let reason = "no target could be promoted";
+    for (let attempt = 0; attempt < maxCandidates; attempt += 1) {
+      const candidate = await this.chooseTarget(change);
+      if (candidate === undefined) {
+        reason = "no target answers";
+        break;
+      }
+      const outcome = await this.promote(change, candidate);
+      if (outcome.type === "leading") return candidate.target;
+      if (outcome.type === "refused") continue;
+      reason = outcome.reason;
+      break;
+    }
+    this.ports.logger.write(leadershipEvents.changePrevented, { group: change.group, reason });
+    return undefined;
+  }
+
+  /** Finds the target whose promotion in this round took effect although its order was not answered. */
+  async findPromoted(group: string, round: number): Promise<string | undefined> {
+    const order = this.unanswered.get(group);
+    if (order?.round !== round) return undefined;
+    return (await this.hasTakenEffect(group, order.candidate)) ? order.candidate.target : undefined;
+  }
+
+  /**
+   * Orders the promotion, and repeats the order while its effect is unclear; a promotion is idempotent. An answer may
+   * be lost although the order took effect, so the target itself is asked too: otherwise its group is refused for
+   * as long as answers are lost.
+   */
+  private async promote(change: ChangeUnderWay, candidate: Candidate): Promise<PromotionOutcome> {
+    const { clock } = this.ports;
+    const { group, round } = change;
+    const until = clock.now() + orderBudgetMs;
+    let pauseMs = minOrderPauseMs;
+    while (clock.now() < until) {
+      const result = await this.sendOrder(group, candidate.target);
+      if (result?.type === "accepted") return this.waitUntilServing(group, candidate.target);
+      if (result?.type === "refused") return { type: "refused" };
+      if (result?.type === "unknown") this.unanswered.set(group, { round, candidate });
+      if (await this.waitForEffect(group, candidate, pauseMs)) return { type: "leading" };
+      if (!this.lease.isHeld) return { type: "givenUp", reason: "the lease is no longer held" };
+      pauseMs = Math.min(2 * pauseMs, maxOrderPauseMs);
+    }
+    return { type: "givenUp", reason: "the platform did not confirm the promotion" };
+  }
+
+  /** Sends one order; `undefined` if the lease could not be renewed for it. */
+  private async sendOrder(group: string, target: string): Promise<PromoteResult | undefined> {
+    const token = await this.lease.renew();
+    if (token === undefined) return undefined;
+    const order = { group, target, holder: this.ports.vm, token };
+    const result = await this.ports.promote(order, promoteTimeoutMs);
+    this.ports.logger.write(leadershipEvents.promoteAnswered, { ...order, result });
+    return result;
+  }
+
+  /** Waits for a while until the target reports itself as primary; false if it does not. */
+  private async waitForEffect(
+    group: string,
+    candidate: Candidate,
+    forMs: number,
+  ): Promise<boolean> {
+    const { clock } = this.ports;
+    const until = clock.now() + forMs;
+    for (;;) {
+      if (await this.hasTakenEffect(group, candidate)) return true;
+      if (clock.now() >= until) return false;
+      await clock.sleep(servingPollMs);
+    }
+  }
+
+  /**
+   * Whether the target leads a newer round than before the order. One that called itself primary before may be an
+   * older primary that was cut off, so that its role alone proves nothing.
+   */
+  private async hasTakenEffect(group: string, { target, report }: Candidate): Promise<boolean> {
+    const now = await this.askTarget(group, target);
+    return now?.role === "primary" && now.round > report.round;
+  }
+
+  private async waitUntilServing(group: string, target: string): Promise<PromotionOutcome> {
+    const { clock } = this.ports;
+    const until = clock.now() + servingTimeoutMs;
+    while (clock.now() < until) {
+      const report = await this.askTarget(group, target);
+      if (report?.role === "primary") return { type: "leading" };
+      await clock.sleep(servingPollMs);
+    }
+    return { type: "givenUp", reason: "the promoted target does not report itself as primary" };
+  }
+
+  /** Chooses a target, after waiting until one has the old primary's whole log, if the end of that log is known. */
+  private async chooseTarget(change: ChangeUnderWay): Promise<Candidate | undefined> {
+    const { clock, logger } = this.ports;
+    const { group, oldTarget, oldReport } = change;
+    const until = clock.now() + catchUpTimeoutMs;
+    for (;;) {
+      const candidates = await this.listCandidates(change);
+      const chosen = chooseCandidate(candidates, oldTarget);
+      const isWhole =
+        oldReport === undefined ||
+        (chosen !== undefined && compareMarkOrder(chosen.report.received, oldReport.received) >= 0);
+      if (isWhole || clock.now() >= until) {
+        const positions = candidates.map((c) => `${c.target} ${formatReport(c.report)}`);
+        const target = chosen?.target ?? null;
+        logger.write(leadershipEvents.candidateChosen, { group, target, positions });
+        return chosen;
+      }
+      await clock.sleep(catchUpPollMs);
+    }
+  }
+
+  /** Asks the targets that may become primary. An old primary that no proxy reached is skipped. */
+  private async listCandidates(change: ChangeUnderWay): Promise<readonly Candidate[]> {
+    const { group, oldTarget, oldReport } = change;
+    const silent = oldReport === undefined ? oldTarget : undefined;
+    const targets = this.ports.listTargets(group).filter(({ name }) => name !== silent);
+    const asked = targets.map(async ({ name, isLeaving, dataCentre }) => {
+      const report = await this.askTarget(group, name);
+      if (report === undefined) return [];
+      const isRemote = this.isRemote(change, dataCentre);
+      return [{ target: name, isLeaving: isLeaving === true, report, isRemote }];
+    });
+    return (await Promise.all(asked)).flat();
+  }
+
+  private isRemote({ oldDataCentre }: ChangeUnderWay, dataCentre: string): boolean {
+    if (oldDataCentre === undefined) return false;
+    return this.ports.topology.measureDistance(oldDataCentre, dataCentre) === "remote";
+  }
+
+  private askTarget(group: string, target: string): Promise<TargetReport | undefined> {
+    return this.inquirer.askWithFallback({ group, target, demoteRound: undefined });
+  }
+}
+
+/** Formats a report's role, position and round for the log. */
+export function formatReport({ role, received, round }: TargetReport): string {
+  return `${role} ${received.term.round}.${received.offset} of ${round}`;
+}
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -8,6 +8,7 @@
   type LeadershipPorts,
   type LeadershipUpdate,
   type PeerResult,
+  type PromoteResult,
   type Proxy,
   type TargetAnswer,
   type VersionedLeadership,
@@ -28,6 +29,8 @@
   replicaAnswer: TargetAnswer | undefined;
   /** Whether the store answers; otherwise no call to it has an effect. */
   isStoreAvailable = true;
+  /** How the platform answers an order. */
+  promote: () => Promise<PromoteResult> = () => Promise.resolve({ type: "accepted" });
   promotionCount = 0;
   /** The promoted targets, in order. */
   readonly promoted: string[] = [];
@@ -81,7 +84,7 @@
       promote: ({ target }) => {
         this.promotionCount += 1;
         this.promoted.push(target);
-        return Promise.resolve({ type: "accepted" });
+        return this.promote();
       },
       clock,
       random: makeRandom(1),
--- /dev/null
+++ b/test/leadership/promotion.test.ts
@@ -0,0 +1,96 @@
+import { expect, test } from "@jest/globals";
+import type { PromoteResult, TargetAnswer } from "../../src/leadership/index.js";
+import { LeadershipFixture } from "./fixture.js";
+
+const lost: PromoteResult = { type: "unknown", reason: "socket hang up" };
+const promoteMs = 300;
+const orderMs = 5;
+
+function createReport(role: "primary" | "replica", round: number): TargetAnswer {
+  const received = { term: { round: 1, vm: "" }, offset: 4 };
+  return { type: "report", report: { role, received, round, lagMs: 0 } };
+}
+
+/** A group whose primary is silent, and a replica that becomes primary some time after an order to promote it. */
+function createGroup(): LeadershipFixture {
+  const fixture = new LeadershipFixture();
+  fixture.replicaAnswer = createReport("replica", 1);
+  return fixture;
+}
+
+/** Lets a proxy suspect the primary and act for a while; returns how the group is served then. */
+async function replacePrimary(fixture: LeadershipFixture, forMs: number) {
+  const { changer, tracker } = fixture.makeProxy("a");
+  tracker.noteProbeResult("ledger", "i-0", 0, false);
+  fixture.clock.time = 400;
+  const endsAt = fixture.clock.time + forMs;
+  while (fixture.clock.time < endsAt) {
+    changer.checkGroups();
+    await fixture.clock.advance(100);
+  }
+  return tracker.findLeader("ledger");
+}
+
+// The platform carries the order out and its answer is lost, each time: the target leads its group and the group was
+// refused until an order was answered, since nothing but the answer counted.
+test("a target that reports itself as primary after an unanswered order is served", async () => {
+  const fixture = createGroup();
+  fixture.promote = async () => {
+    await fixture.clock.sleep(promoteMs);
+    fixture.replicaAnswer = createReport("primary", 2);
+    return lost;
+  };
+  expect(await replacePrimary(fixture, 2000)).toEqual({ type: "serving", target: "i-1" });
+  expect(fixture.promotionCount).toBe(1);
+});
+
+// The same order is answered before it has taken effect, so the target is asked too early at first.
+test("a promotion that takes effect after its lost answer is noticed", async () => {
+  const fixture = createGroup();
+  fixture.promote = () => {
+    void fixture.clock.sleep(promoteMs).then(() => {
+      fixture.replicaAnswer = createReport("primary", 2);
+    });
+    return Promise.resolve(lost);
+  };
+  expect(await replacePrimary(fixture, 2000)).toEqual({ type: "serving", target: "i-1" });
+});
+
+// A platform that refuses at once for a second used up all orders within a fifth of it, and the change was given up.
+test("orders that the platform rejects at once are repeated until it takes them again", async () => {
+  const fixture = createGroup();
+  fixture.promote = async () => {
+    await fixture.clock.sleep(orderMs);
+    if (fixture.clock.time < 3000) return { type: "unknown", reason: "status 503" };
+    fixture.replicaAnswer = createReport("primary", 2);
+    return { type: "accepted" };
+  };
+  expect(await replacePrimary(fixture, 3500)).toEqual({ type: "serving", target: "i-1" });
+  expect(fixture.promotionCount).toBeLessThan(20);
+});
+
+// The store fails after the order was sent, so its holder can't renew the lease. It used to end with the group refused
+// until the store was back, and to demote the target then.
+test("a promotion that took effect is served while the store is unavailable", async () => {
+  const fixture = createGroup();
+  fixture.promote = () => {
+    fixture.isStoreAvailable = false;
+    void fixture.clock.sleep(2500).then(() => {
+      fixture.replicaAnswer = createReport("primary", 2);
+    });
+    return Promise.resolve(lost);
+  };
+  expect(await replacePrimary(fixture, 6000)).toEqual({ type: "serving", target: "i-1" });
+  fixture.isStoreAvailable = true;
+  await fixture.clock.advance(1500);
+  const entry = fixture.stored?.document.groups.ledger;
+  expect(entry).toMatchObject({ type: "serving", target: "i-1" });
+});
+
+// A target that called itself primary before any order may be an older primary that was cut off for a while.
+test("a target that called itself primary before the order is not taken for the new one", async () => {
+  const fixture = createGroup();
+  fixture.replicaAnswer = createReport("primary", 1);
+  fixture.promote = () => Promise.resolve(lost);
+  expect(await replacePrimary(fixture, 4000)).toMatchObject({ type: "changing" });
+});
