--- a/standin/direct/store.ts
+++ b/standin/direct/store.ts
@@ -22,6 +22,14 @@
   readonly writes: number;
 }
 
+/** How the store treats the writes of a while. */
+export interface StandinWriteLoss {
+  /** The share of the writes that are not answered. */
+  readonly share: number;
+  /** Such a write takes effect after this long at most, if its condition still holds then; 0 for at once. */
+  readonly maxDelayMs: number;
+}
+
 /**
  * An in-process metadata store and platform API for promotions. Both listen on one address and
  * differ by path.
@@ -29,13 +37,18 @@
 export class StandinMetadata implements Disposable {
   private readonly entriesByKind = new Map<string, Map<string, Entry>>();
   private revision = 1;
-  private server: Server | undefined;
+  private readonly servers: Server[] = [];
   private readonly sockets = new Set<Socket>();
   readonly orders: StandinOrder[] = [];
   /** While true, answers every request with 503. */
   isBusy = false;
   /** The number of further writes that are applied but whose connection is closed without a response. */
   loseAnswers = 0;
+  /** By entrance: the status with which it answers every request. */
+  readonly refusals = new Map<number, number>();
+  /** The entrance at which the last conditional write that took effect arrived. */
+  lastWriter: number | undefined;
+  writeLoss: StandinWriteLoss = { share: 0, maxDelayMs: 0 };
   /** The delay of each answer, in milliseconds. */
   answerMs = 0;
   /** The calls that are answered per second; further ones get 429. */
@@ -49,24 +62,31 @@
   address: Address = { host: "127.0.0.1", port: 0 };
 
   async start(): Promise<void> {
-    const server = createServer((request, response) => void this.handle(request, response));
+    this.address = await this.openEntrance(0, this.address.port);
+  }
+
+  /** Listens on one more address, whose requests can be told apart by its number. */
+  async openEntrance(entrance: number, wantedPort = 0): Promise<Address> {
+    const server = createServer((request, response) => {
+      void this.handle(request, response, entrance);
+    });
     server.on("connection", (socket: Socket) => {
       this.sockets.add(socket);
       socket.on("close", () => this.sockets.delete(socket));
     });
-    await new Promise<void>((resolve) => server.listen(this.address.port, "127.0.0.1", resolve));
-    const boundAddress = server.address();
-    if (boundAddress !== null && typeof boundAddress === "object") {
-      this.address = { host: "127.0.0.1", port: boundAddress.port };
-    }
-    this.server = server;
+    await new Promise<void>((resolve) => server.listen(wantedPort, this.address.host, resolve));
+    this.servers.push(server);
+    const bound = server.address();
+    const port = typeof bound === "object" && bound !== null ? bound.port : 0;
+    return { host: this.address.host, port };
   }
 
   async dispose(): Promise<void> {
-    const { server } = this;
-    this.server = undefined;
     for (const socket of this.sockets) socket.destroy();
-    if (server !== undefined) await new Promise((resolve) => server.close(resolve));
+    const closed = this.servers
+      .splice(0)
+      .map((server) => new Promise((resolve) => server.close(resolve)));
+    await Promise.all(closed);
   }
 
   /** Writes an entry directly, as an operator or a target would. */
@@ -90,20 +110,33 @@
     return existing;
   }
 
-  private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    entrance: number,
+  ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const text = Buffer.concat(chunks).toString();
     const body = text === "" ? {} : (JSON.parse(text) as Record<string, unknown>);
-    if (this.isBusy) {
-      response.writeHead(503).end();
+    const refusal = this.isBusy ? 503 : this.refusals.get(entrance);
+    if (refusal !== undefined) {
+      response.writeHead(refusal).end();
       return;
     }
     if (!this.countCall(request.method === "GET" ? "reads" : "writes")) {
       response.writeHead(429).end();
       return;
     }
+    const isStoreWrite = request.method !== "GET" && request.url !== "/failover";
+    if (isStoreWrite && Math.random() < this.writeLoss.share) {
+      if (this.writeLoss.maxDelayMs > 0) await sleep(Math.random() * this.writeLoss.maxDelayMs);
+      await this.route(request, body);
+      response.destroy();
+      return;
+    }
     const [status, answer] = await this.route(request, body);
+    if (isStoreWrite && status === 200) this.lastWriter = entrance;
     if (this.answerMs > 0) await sleep(this.answerMs);
     if (request.method !== "GET" && this.loseAnswers > 0) {
       this.loseAnswers -= 1;
--- a/standin/direct/target.ts
+++ b/standin/direct/target.ts
@@ -20,8 +20,10 @@
   readonly service: string;
   /** Default 16. */
   readonly maxConnections?: number;
-  /** Concurrent statements; further ones are refused as busy. Default 2. */
+  /** Concurrent statements; further ones wait in the queue. Default 2. */
   readonly slots?: number;
+  /** How many statements may wait for a slot; further ones are refused as busy. Default 0. */
+  readonly queue?: number;
   /** How long a statement holds its slot, in milliseconds. Default 0. */
   readonly workMs?: number;
   /** Computes that time from the statement's text, in place of `workMs`. */
@@ -40,6 +42,8 @@
   busy: number;
   /** While true, no request is answered. */
   isSilent: boolean;
+  /** The factor by which statements take longer. */
+  slowness: number;
 }
 
 /** The state of one connection. */
@@ -66,11 +70,21 @@
 /** A stand-in target with a text protocol, on a log that it shares with the other members of its group. */
 export class StandinLineTarget implements Disposable {
   readonly runs: StandinRun[] = [];
-  readonly faults: StandinTargetFaults = { loseAnswer: undefined, busy: 0, isSilent: false };
+  readonly faults: StandinTargetFaults = {
+    loseAnswer: undefined,
+    busy: 0,
+    isSilent: false,
+    slowness: 1,
+  };
   readonly member: StandinMember;
   private server: Server | undefined;
   private readonly sockets = new Set<Socket>();
   private runningCount = 0;
+  private readonly waiting: (() => void)[] = [];
+  /** Connections whose other end is gone without a word, and that are still counted. */
+  private lingeringCount = 0;
+  private lingerUntil = 0;
+  private lingerMs = 0;
   /** The number of connections refused because of `maxConnections`. */
   refusedConnections = 0;
   private connections = 0;
@@ -88,8 +102,15 @@
     this.member = log.add(id, role);
   }
 
+  /** The connections that count towards `maxConnections`. */
   get openConnections(): number {
-    return this.sockets.size;
+    return this.sockets.size + this.lingeringCount;
+  }
+
+  /** Counts connections that others close in the next moment for longer, as after a loss of their machines' power. */
+  linger(closingMs: number, forMs: number): void {
+    this.lingerUntil = performance.now() + closingMs;
+    this.lingerMs = forMs;
   }
 
   async start(): Promise<void> {
@@ -141,7 +162,7 @@
       unparsed: "",
     };
     socket.on("error", () => undefined);
-    socket.on("close", () => this.sockets.delete(socket));
+    socket.on("close", () => this.handleClose(socket));
     socket.on("data", (chunk: Buffer) => {
       const lines = (session.unparsed + chunk.toString("latin1")).split("\r\n");
       session.unparsed = lines.pop() ?? "";
@@ -149,6 +170,13 @@
     });
   }
 
+  private handleClose(socket: Socket): void {
+    this.sockets.delete(socket);
+    if (this.server === undefined || performance.now() > this.lingerUntil) return;
+    this.lingeringCount += 1;
+    setTimeout(() => (this.lingeringCount -= 1), this.lingerMs).unref();
+  }
+
   private async answer(socket: Socket, session: LineSession, text: string): Promise<void> {
     if (this.faults.isSilent) return;
     const answer = session.isStarted
@@ -165,7 +193,7 @@
     if (service !== this.options.service || (id !== undefined && id !== this.id)) {
       return [`ERROR MISROUTED ${this.id}`];
     }
-    if (this.sockets.size > (this.options.maxConnections ?? 16)) {
+    if (this.openConnections > (this.options.maxConnections ?? 16)) {
       this.refusedConnections += 1;
       return ["ERROR TOOMANYCON full"];
     }
@@ -206,24 +234,41 @@
       this.faults.busy -= 1;
       return this.refuseAsBusy(session, "BUSY by order");
     }
-    if (this.runningCount >= (this.options.slots ?? 2))
-      return this.refuseAsBusy(session, "BUSY no slot");
-    this.runningCount += 1;
+    if (!(await this.acquireSlot())) return this.refuseAsBusy(session, "BUSY no slot");
     try {
       const { workMs: fixedMs = 0, getWorkMs } = this.options;
-      const workMs = getWorkMs?.(text) ?? fixedMs;
+      const workMs = (getWorkMs?.(text) ?? fixedMs) * this.faults.slowness;
       if (workMs > 0) await new Promise((resolve) => setTimeout(resolve, workMs));
       const answer = this.execute(session, id, text);
       return this.faults.loseAnswer?.test(text) === true ? undefined : answer;
     } finally {
-      this.runningCount -= 1;
+      this.releaseSlot();
     }
   }
 
+  /** Takes a slot, if need be after waiting in the queue; false if that is full. */
+  private async acquireSlot(): Promise<boolean> {
+    const { slots = 2, queue = 0 } = this.options;
+    if (this.runningCount < slots) {
+      this.runningCount += 1;
+      return true;
+    }
+    if (this.waiting.length >= queue) return false;
+    await new Promise<void>((resolve) => this.waiting.push(resolve));
+    return true;
+  }
+
+  /** Hands the slot to the next statement in the queue, or gives it up. */
+  private releaseSlot(): void {
+    const next = this.runningCount > (this.options.slots ?? 2) ? undefined : this.waiting.shift();
+    if (next === undefined) this.runningCount -= 1;
+    else next();
+  }
+
   private async holdSlot(ms: number): Promise<void> {
     this.runningCount += 1;
     await new Promise((resolve) => setTimeout(resolve, ms));
-    this.runningCount -= 1;
+    this.releaseSlot();
   }
 
   private execute(session: LineSession, id: string, text: string): Answer {
@@ -315,7 +360,7 @@
 
   private formatStatus(): string {
     const { role, term, heldTerm } = this.member;
-    return `${role} ${term} ${formatLogPosition(this.member)} ${heldTerm} 0 ${this.runningCount} ${this.sockets.size}`;
+    return `${role} ${term} ${formatLogPosition(this.member)} ${heldTerm} 0 ${this.runningCount} ${this.openConnections}`;
   }
 
   private complete(session: LineSession, signature: string, ...rows: readonly string[]): Answer {
--- a/standin/processes/children.ts
+++ b/standin/processes/children.ts
@@ -130,7 +130,7 @@
     );
   }
 
-  /** Starts a program by its path, with only these environment variables besides PATH. */
+  /** Starts a program by its path, with only these environment variables besides PATH; it can receive messages. */
   startProgram(
     name: string,
     path: string,
@@ -140,7 +140,10 @@
     const env = { PATH: process.env.PATH, ...environment };
     return this.add(
       name,
-      spawn(process.execPath, [path, ...args], { stdio: ["ignore", "pipe", "inherit"], env }),
+      spawn(process.execPath, [path, ...args], {
+        stdio: ["ignore", "pipe", "inherit", "ipc"],
+        env,
+      }),
     );
   }
 
--- a/standin/soak/main.ts
+++ b/standin/soak/main.ts
@@ -28,6 +28,10 @@
     default: 0,
   })
   .option("--count <n>", "Number of faults in a run (side platform)", { default: 4 })
+  .option("--final <fault>", "End with the loss of all nodes: kill or power (side platform)")
+  .option("--share", "Give each node the site's share of a core (side platform)", {
+    default: false,
+  })
   .option("--log <file>", "Write the lines of all nodes to a file (side platform)")
   .option("--minutes <n>", "Start new rounds for this long", { default: 1 })
   .option("--rounds <n>", "Run this number of rounds instead")
--- /dev/null
+++ b/standin/soak/nodes/backend-group.ts
@@ -0,0 +1,215 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { DisposableStore, type Address, type Disposable } from "../../../src/model/index.js";
+import { StandinLineTarget, StandinLog, type StandinMember } from "../../direct/index.js";
+import { FaultyLink } from "../../link.js";
+import type { LagCommand } from "./commands.js";
+import { formatGroup, type SoakSite } from "./site.js";
+
+/** A target of a group, as the store's entries and the nodes see it. */
+export interface BackendTarget {
+  readonly target: StandinLineTarget;
+  /** What nodes connect to, so that a target can be silent without the kernel closing its connections. */
+  readonly link: FaultyLink;
+  readonly zone: string;
+  isRunning: boolean;
+  /** Whether its heartbeats reach the store. */
+  isAnnouncing: boolean;
+  isLeaving: boolean;
+}
+
+/** How long a target that leaves still serves after it has said so, in milliseconds: its drain timeout. */
+const leaveMs = 7000;
+
+/** The targets of one group and their log, with the faults that strike them. Times are in milliseconds. */
+export class BackendGroup implements Disposable {
+  readonly name: string;
+  readonly log = new StandinLog();
+  private readonly owned = new DisposableStore();
+  private members: readonly BackendTarget[] = [];
+  private started = 0;
+  /** The ids of primaries that no replica receives from. */
+  private readonly isolated = new Set<string>();
+
+  constructor(
+    private readonly site: SoakSite,
+    private readonly index: number,
+    isLinked: (fromZone: string, toZone: string) => boolean,
+    /** Called when a target's entry has changed, or is to go because of its silence. */
+    private readonly onChange: () => void,
+  ) {
+    this.name = formatGroup(index);
+    this.log.lagMs = site.lagMs;
+    this.log.isLinked = (from, to) =>
+      !this.isolated.has(from.id) && isLinked(this.findZone(from), this.findZone(to));
+  }
+
+  async start(): Promise<void> {
+    const zones = this.site.targetZones ?? this.site.zones;
+    for (let i = 0; i < this.site.targetsPerGroup; i += 1) {
+      await this.addTarget(zones[i % zones.length] ?? "", i === 0 ? "primary" : "replica");
+    }
+  }
+
+  get targets(): readonly BackendTarget[] {
+    return this.members;
+  }
+
+  dispose(): Promise<void> {
+    return this.owned.dispose();
+  }
+
+  findPrimary(): BackendTarget | undefined {
+    const id = this.log.findPrimary()?.id;
+    return this.members.find(({ target }) => target.id === id);
+  }
+
+  /** Promotes a running target after the site's time; false if it does not run. */
+  async promote(id: string): Promise<boolean> {
+    const named = this.members.find(({ target }) => target.id === id);
+    if (named?.isRunning !== true) return false;
+    await sleep(this.site.promoteMs);
+    this.log.promote(id);
+    this.onChange();
+    return true;
+  }
+
+  /** Ends the primary as a crash does, and starts it again with its log. */
+  async crashPrimary(forMs: number): Promise<void> {
+    const primary = this.findPrimary();
+    if (primary?.isRunning !== true) return;
+    primary.isRunning = false;
+    await primary.target.crash();
+    await sleep(forMs);
+    await primary.target.restart();
+    primary.isRunning = true;
+    this.onChange();
+  }
+
+  /** Cuts the primary off from all nodes: its connections stay open. */
+  async silencePrimary(forMs: number): Promise<void> {
+    const link = this.findPrimary()?.link;
+    link?.setFlow("hold", "hold");
+    await sleep(forMs);
+    link?.clearFaults();
+  }
+
+  /** Takes the primary's power: its connections stay open, its heartbeats end and no replica receives from it. */
+  async darkenPrimary(forMs: number): Promise<void> {
+    await Promise.all([
+      this.silencePrimary(forMs),
+      this.cutPrimaryFromStore(forMs),
+      this.cutPrimaryFromReplicas(forMs),
+    ]);
+  }
+
+  async losePrimaryAnswers(forMs: number): Promise<void> {
+    const primary = this.findPrimary();
+    if (primary === undefined) return;
+    primary.target.faults.loseAnswer = /[0-7]$/;
+    await sleep(forMs);
+    primary.target.faults.loseAnswer = undefined;
+  }
+
+  async cutPrimaryFromReplicas(forMs: number): Promise<void> {
+    const id = this.findPrimary()?.target.id ?? "";
+    this.isolated.add(id);
+    await sleep(forMs);
+    this.isolated.delete(id);
+    this.log.replicate();
+  }
+
+  async cutPrimaryFromStore(forMs: number): Promise<void> {
+    const primary = this.findPrimary();
+    if (primary === undefined) return;
+    primary.isAnnouncing = false;
+    await sleep(forMs);
+    primary.isAnnouncing = true;
+    this.onChange();
+  }
+
+  async slowTargets(factor: number, forMs: number): Promise<void> {
+    const affected = this.members;
+    for (const { target } of affected) target.faults.slowness = factor;
+    await sleep(forMs);
+    for (const { target } of affected) target.faults.slowness = 1;
+  }
+
+  /** The first replica, or all, fall behind by `lagMs`; without it they receive nothing. */
+  async lagReplicas({ isAll, lagMs, forMs }: LagCommand): Promise<void> {
+    const replicas = this.members
+      .map(({ target }) => target.member)
+      .filter(({ role }) => role === "replica");
+    const affected = isAll ? replicas : replicas.slice(0, 1);
+    for (const member of affected) {
+      if (lagMs === undefined) member.isReceiving = false;
+      else member.extraLagMs = lagMs;
+    }
+    await sleep(forMs);
+    for (const member of affected) {
+      if (lagMs === undefined) member.isReceiving = true;
+      else member.extraLagMs = 0;
+    }
+    this.log.replicate();
+  }
+
+  /** Replaces the primary, or all targets one after the other: a new one starts, the old one drains and ends. */
+  async replaceTargets(isPrimaryOnly: boolean, gapMs: number): Promise<void> {
+    const primary = this.findPrimary();
+    const leaving = isPrimaryOnly ? (primary === undefined ? [] : [primary]) : this.members;
+    const replaced: Promise<void>[] = [];
+    for (const old of leaving) {
+      replaced.push(this.replaceTarget(old));
+      await sleep(gapMs);
+    }
+    await Promise.all(replaced);
+  }
+
+  private async replaceTarget(old: BackendTarget): Promise<void> {
+    await this.addTarget(old.zone, "replica");
+    this.log.replicate();
+    old.isLeaving = true;
+    this.onChange();
+    await sleep(leaveMs);
+    old.isRunning = false;
+    await old.target.crash();
+    this.members = this.members.filter((member) => member !== old);
+    this.onChange();
+  }
+
+  private async addTarget(zone: string, role: StandinMember["role"]): Promise<void> {
+    const { site, log } = this;
+    const id = `i-${this.index}-${this.started}`;
+    this.started += 1;
+    const target = new StandinLineTarget(id, role, log, {
+      service: this.name,
+      slots: site.slots,
+      queue: site.queue,
+      maxConnections: site.connections,
+      connectMs: site.connectMs,
+      getWorkMs: findWorkMs,
+      keepsRuns: false,
+    });
+    await target.start();
+    this.owned.add(target);
+    const link = this.owned.add(new FaultyLink(() => target.address));
+    await link.start();
+    const state = { isRunning: true, isAnnouncing: true, isLeaving: false };
+    this.members = [...this.members, { target, link, zone, ...state }];
+    this.onChange();
+  }
+
+  private findZone({ id }: StandinMember): string {
+    return this.members.find(({ target }) => target.id === id)?.zone ?? "";
+  }
+}
+
+/** The address at which nodes reach a target. */
+export function findTargetAddress({ link }: BackendTarget): Address {
+  return link.address;
+}
+
+/** How long a statement takes: its item is named after it, such as `30-17` for 30 ms. */
+function findWorkMs(text: string): number {
+  const item = / (\d+)-\d+/.exec(text);
+  return item === null ? 0 : Number(item[1]);
+}
--- a/standin/soak/nodes/backend-main.ts
+++ b/standin/soak/nodes/backend-main.ts
@@ -23,6 +23,13 @@
     case "apply":
       await backends?.apply(request.command);
       return;
+    case "describe":
+      send({
+        type: "described",
+        targets: backends?.listTargets() ?? [],
+        lastWriter: backends?.lastWriter,
+      });
+      return;
     case "listWrites":
       send({
         type: "writes",
--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -1,28 +1,18 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { DisposableStore, type Address, type Disposable } from "../../../src/model/index.js";
-import { StandinLineTarget, StandinLog, StandinMetadata } from "../../direct/index.js";
+import { StandinMetadata } from "../../direct/index.js";
 import { FaultyLink } from "../../link.js";
-import type { BackendCommand, StoredWrites } from "./commands.js";
+import { BackendGroup, findTargetAddress, type BackendTarget } from "./backend-group.js";
+import type { BackendCommand, ListedTarget, StoredWrites } from "./commands.js";
+import { buildConfiguration } from "./configuration.js";
 import { RegionNetwork, type Detours, type RegionAddress } from "./region-network.js";
-import { findRegion, formatDatabase, formatGroup, formatKey, type SoakSite } from "./site.js";
-
-interface BackendGroup {
-  readonly name: string;
-  readonly log: StandinLog;
-  readonly targets: readonly BackendTarget[];
-}
-
-interface BackendTarget {
-  readonly target: StandinLineTarget;
-  /** What nodes connect to, so that a target can be silent without the kernel closing its connections. */
-  readonly link: FaultyLink;
-  readonly zone: string;
-  isRunning: boolean;
-}
+import { findRegion, type SoakSite } from "./site.js";
 
 const heartbeatMs = 1200;
 /** After this long without a heartbeat a target's entry is removed, in milliseconds. */
 const entryLifetimeMs = 3 * heartbeatMs;
+/** Connections of machines that lost their power are closed within this time by the kernel of this one. */
+const closingMs = 200;
 
 /** The store and all targets of a site, in one process. */
 export class Backends implements Disposable {
@@ -30,11 +20,13 @@
   private readonly store = new StandinMetadata();
   private readonly groups: BackendGroup[] = [];
   private readonly storeLinks: FaultyLink[] = [];
+  private readonly network: RegionNetwork;
+  /** By target: when its last heartbeat reached the store. */
+  private readonly heardAt = new Map<string, number>();
   private version = 0;
+  private extraRoutes = 0;
   private sequence = 0;
 
-  private readonly network: RegionNetwork;
-
   constructor(private readonly site: SoakSite) {
     this.network = this.owned.add(new RegionNetwork(site));
   }
@@ -46,9 +38,13 @@
     store.limits = { reads: site.storeReadsPerSecond, writes: site.storeWritesPerSecond };
     await store.start();
     this.owned.add(store);
-    store.onPromote = (service, id) => this.promote(service, id);
+    store.onPromote = (service, id) =>
+      this.groups.find(({ name }) => name === service)?.promote(id) ?? false;
     for (let i = 0; i < site.groups; i += 1) await this.addGroup(i);
-    for (let i = 0; i < nodes; i += 1) this.storeLinks.push(await this.openLink(store));
+    for (let i = 0; i < nodes; i += 1) {
+      const entrance = await store.openEntrance(i);
+      this.storeLinks.push(await this.openLink(entrance));
+    }
     this.writeConfiguration();
     this.announceAll();
     const timer = setInterval(() => this.announceAll(), heartbeatMs);
@@ -61,9 +57,9 @@
     const storeRegion = findRegion(this.site, this.site.zones[0] ?? "");
     const stores = this.storeLinks.map(({ address }) => ({ region: storeRegion, address }));
     const targets = this.groups.flatMap((group) =>
-      group.targets.map(({ zone, link }) => ({
-        region: findRegion(this.site, zone),
-        address: link.address,
+      group.targets.map((target) => ({
+        region: findRegion(this.site, target.zone),
+        address: findTargetAddress(target),
       })),
     );
     return this.network.openRelays([...addresses, ...stores, ...targets]);
@@ -73,6 +69,23 @@
     return this.network.listSentBytes();
   }
 
+  /** The targets that run, with the primary of each group. */
+  listTargets(): readonly ListedTarget[] {
+    return this.groups.flatMap((group, index) => {
+      const primary = group.findPrimary();
+      return group.targets.map((target) => ({
+        group: index,
+        port: findTargetAddress(target).port,
+        isPrimary: target === primary,
+      }));
+    });
+  }
+
+  /** The node whose conditional write was the last to take effect. */
+  get lastWriter(): number | undefined {
+    return this.store.lastWriter;
+  }
+
   dispose(): Promise<void> {
     return this.owned.dispose();
   }
@@ -93,22 +106,44 @@
       case "loseStoreAnswers":
         store.loseAnswers = command.count;
         return;
+      case "loseStoreWrites":
+        store.writeLoss = command;
+        await sleep(command.forMs);
+        store.writeLoss = { share: 0, maxDelayMs: 0 };
+        return;
+      case "refuseNodes":
+        return this.refuseNodes(command.nodes, command.status, command.forMs);
       case "cutStore":
         return this.disturbStore(command, (link) => link.setFlow("hold", "hold"));
       case "resetStore":
         return this.disturbStore(command, (link) => link.setRefusing(true));
       case "crashPrimary":
-        return this.crashPrimary(command.group, command.forMs);
+        return this.findGroup(command)?.crashPrimary(command.forMs);
       case "silencePrimary":
-        return this.silencePrimary(command.group, command.forMs);
+        return this.findGroup(command)?.silencePrimary(command.forMs);
+      case "darkenPrimary":
+        return this.findGroup(command)?.darkenPrimary(command.forMs);
       case "losePrimaryAnswers":
-        return this.losePrimaryAnswers(command.group, command.forMs);
+        return this.findGroup(command)?.losePrimaryAnswers(command.forMs);
+      case "cutPrimaryFromReplicas":
+        return this.findGroup(command)?.cutPrimaryFromReplicas(command.forMs);
+      case "cutPrimaryFromStore":
+        return this.findGroup(command)?.cutPrimaryFromStore(command.forMs);
       case "lagReplicas":
-        return this.lagReplicas(command);
+        return this.findGroup(command)?.lagReplicas(command);
+      case "slowTargets":
+        return this.findGroup(command)?.slowTargets(command.factor, command.forMs);
+      case "replaceTargets":
+        return this.findGroup(command)?.replaceTargets(command.isPrimaryOnly, command.gapMs);
+      case "lingerConnections":
+        for (const { target } of this.groups.flatMap(({ targets }) => targets)) {
+          target.linger(closingMs, command.forMs);
+        }
+        return;
       case "cutRegions":
         return this.cutRegions(command.regions, command.forMs);
       case "changeConfiguration":
-        this.writeConfiguration();
+        return this.changeConfiguration(command);
     }
   }
 
@@ -125,93 +160,68 @@
 
   private async addGroup(index: number): Promise<void> {
     const { site } = this;
-    const log = new StandinLog();
-    log.lagMs = site.lagMs;
-    const name = formatGroup(index);
-    const targets: BackendTarget[] = [];
-    const zones = site.targetZones ?? site.zones;
-    const getRegion = (id: string) =>
-      findRegion(site, targets.find(({ target }) => target.id === id)?.zone ?? "");
-    log.isLinked = (from, to) => !this.network.isCut(getRegion(from.id), getRegion(to.id));
-    for (let i = 0; i < site.targetsPerGroup; i += 1) {
-      const target = new StandinLineTarget(
-        `i-${index}-${i}`,
-        i === 0 ? "primary" : "replica",
-        log,
-        {
-          service: name,
-          slots: site.slots,
-          maxConnections: site.connections,
-          connectMs: site.connectMs,
-          getWorkMs: findWorkMs,
-          keepsRuns: false,
-        },
-      );
-      await target.start();
-      this.owned.add(target);
-      const zone = zones[i % zones.length] ?? "";
-      targets.push({ target, link: await this.openLink(target), zone, isRunning: true });
-    }
-    this.groups.push({ name, log, targets });
+    const isLinked = (from: string, to: string) =>
+      !this.network.isCut(findRegion(site, from), findRegion(site, to));
+    const group = new BackendGroup(site, index, isLinked, () => this.announceAll());
+    this.owned.add(group);
+    this.groups.push(group);
+    await group.start();
+  }
+
+  private findGroup({ group }: { readonly group: number }): BackendGroup | undefined {
+    return this.groups[group % this.groups.length];
   }
 
-  private async openLink(destination: { readonly address: Address }): Promise<FaultyLink> {
-    const link = this.owned.add(new FaultyLink(() => destination.address));
+  private async openLink(address: Address): Promise<FaultyLink> {
+    const link = this.owned.add(new FaultyLink(() => address));
     await link.start();
     return link;
   }
 
+  private async changeConfiguration({
+    count = 1,
+    gapMs = 0,
+    addedRoutes = 0,
+  }: Extract<BackendCommand, { readonly type: "changeConfiguration" }>): Promise<void> {
+    this.extraRoutes += addedRoutes;
+    for (let i = 0; i < count; i += 1) {
+      if (i > 0) await sleep(gapMs);
+      this.writeConfiguration();
+    }
+  }
+
   private writeConfiguration(): void {
-    const { site } = this;
     this.version += 1 + (this.version % 3);
-    const groups = Array.from({ length: site.groups }, (_, index) => index);
-    const routes = groups.flatMap((group) =>
-      site.kinds.map((kind) => ({
-        name: `r-${kind.name}-${group}`,
-        host: formatDatabase(kind.name, group),
-        service: formatGroup(group),
-        type: kind.type,
-        priority: kind.level ?? (kind.type === "primary" ? 1 : 2),
-        public: false,
-        "timeout-ms": kind.timeoutMs,
-        "target-latency-ms": kind.objectiveMs,
-        "max-staleness-ms": kind.maxAgeMs,
-      })),
-    );
-    const services = groups.map((group) => ({
-      name: formatGroup(group),
-      "max-conns": site.connections,
-      "sync-replicas": 0,
-    }));
-    const limits = { "tx-idle-ms": 3000, "header-timeout-ms": 3000 };
-    const tenants = site.teams.map(({ name, ratePerSecond, burst }) => ({
-      name,
-      "api-keys": [formatKey(name)],
-      ...(ratePerSecond === undefined ? {} : { "rate-per-s": ratePerSecond, burst }),
-    }));
-    const teams = tenants.length === 0 ? {} : { tenants };
-    this.store.set("config", "main", { version: this.version, routes, services, limits, ...teams });
+    const configuration = buildConfiguration(this.site, this.version, this.extraRoutes);
+    this.store.set("config", "main", configuration);
   }
 
-  /** Writes the entry of each target that runs, as their heartbeats do. */
+  /** Writes the entry of each target that runs, as their heartbeats do, and removes those of silent ones. */
   private announceAll(): void {
     if (this.store.isBusy) return;
     this.sequence += 1;
     for (const { name, targets } of this.groups) {
-      for (const { target, link, zone, isRunning } of targets) {
-        if (isRunning) this.announce(name, target, link.address, zone);
+      for (const target of targets) {
+        if (target.isRunning && target.isAnnouncing) this.announce(name, target);
       }
     }
+    for (const [id, heardAt] of this.heardAt) {
+      const hasLeft = !this.groups.some(({ targets }) => targets.some((t) => t.target.id === id));
+      if (!hasLeft && performance.now() - heardAt < entryLifetimeMs) continue;
+      this.heardAt.delete(id);
+      this.store.remove("servers", id);
+    }
   }
 
-  private announce(group: string, target: StandinLineTarget, at: Address, zone: string): void {
+  private announce(group: string, { target, link, zone, isLeaving }: BackendTarget): void {
+    this.heardAt.set(target.id, performance.now());
     const entry = {
       service: group,
-      address: `${at.host}:${at.port}`,
+      address: `${link.address.host}:${link.address.port}`,
       zone,
       version: "v1",
       capacity: this.site.slots,
-      state: "ready",
+      state: isLeaving ? "draining" : "ready",
       "cold-remaining-ms": 0,
       "db-role": target.member.role,
       born: target.startedAt,
@@ -224,14 +234,14 @@
     if (!isSame) this.store.set("servers", target.id, { ...entry, sequence: this.sequence });
   }
 
-  private async promote(service: string, id: string): Promise<boolean> {
-    const group = this.groups.find(({ name }) => name === service);
-    const named = group?.targets.find(({ target }) => target.id === id);
-    if (group === undefined || named?.isRunning !== true) return false;
-    await sleep(this.site.promoteMs);
-    group.log.promote(id);
-    this.announceAll();
-    return true;
+  private async refuseNodes(
+    nodes: readonly number[],
+    status: number,
+    forMs: number,
+  ): Promise<void> {
+    for (const node of nodes) this.store.refusals.set(node, status);
+    await sleep(forMs);
+    for (const node of nodes) this.store.refusals.delete(node);
   }
 
   private async disturbStore(
@@ -244,73 +254,10 @@
     for (const link of links) link.clearFaults();
   }
 
-  private findPrimary(index: number): BackendTarget | undefined {
-    const group = this.groups[index % this.groups.length];
-    const id = group?.log.findPrimary()?.id;
-    return group?.targets.find(({ target }) => target.id === id);
-  }
-
-  /** Ends the primary as a crash does, and starts it again with its log. */
-  private async crashPrimary(group: number, forMs: number): Promise<void> {
-    const primary = this.findPrimary(group);
-    if (primary === undefined) return;
-    primary.isRunning = false;
-    const expiry = setTimeout(() => {
-      if (!primary.isRunning) this.store.remove("servers", primary.target.id);
-    }, entryLifetimeMs);
-    await primary.target.crash();
-    await sleep(forMs);
-    clearTimeout(expiry);
-    await primary.target.restart();
-    primary.isRunning = true;
-    this.announceAll();
-  }
-
-  private async silencePrimary(group: number, forMs: number): Promise<void> {
-    const primary = this.findPrimary(group);
-    primary?.link.setFlow("hold", "hold");
-    await sleep(forMs);
-    primary?.link.clearFaults();
-  }
-
-  private async losePrimaryAnswers(group: number, forMs: number): Promise<void> {
-    const primary = this.findPrimary(group);
-    if (primary === undefined) return;
-    primary.target.faults.loseAnswer = /[0-7]$/;
-    await sleep(forMs);
-    primary.target.faults.loseAnswer = undefined;
-  }
-
   private async cutRegions(regions: readonly [string, string], forMs: number): Promise<void> {
     this.network.cut(regions);
     await sleep(forMs);
     this.network.heal(regions);
     for (const { log } of this.groups) log.replicate();
   }
-
-  private async lagReplicas(
-    command: Extract<BackendCommand, { readonly type: "lagReplicas" }>,
-  ): Promise<void> {
-    const { lagMs } = command;
-    const group = this.groups[command.group % this.groups.length];
-    const members = group?.targets.map(({ target }) => target.member) ?? [];
-    const replicas = members.filter(({ role }) => role === "replica");
-    const affected = command.isAll ? replicas : replicas.slice(0, 1);
-    for (const member of affected) {
-      if (lagMs === undefined) member.isReceiving = false;
-      else member.extraLagMs = lagMs;
-    }
-    await sleep(command.forMs);
-    for (const member of affected) {
-      if (lagMs === undefined) member.isReceiving = true;
-      else member.extraLagMs = 0;
-    }
-    group?.log.replicate();
-  }
-}
-
-/** How long a statement takes: its item is named after it, such as `30-17` for 30 ms. */
-function findWorkMs(text: string): number {
-  const item = / (\d+)-\d+/.exec(text);
-  return item === null ? 0 : Number(item[1]);
 }
--- a/standin/soak/nodes/commands.ts
+++ b/standin/soak/nodes/commands.ts
@@ -2,33 +2,85 @@
 import type { Detours, RegionAddress } from "./region-network.js";
 import type { SoakSite } from "./site.js";
 
+/** Replicas of a group that fall behind by `lagMs`, or receive nothing without it. */
+export interface LagCommand {
+  readonly group: number;
+  /** Whether all replicas are affected, or only the first. */
+  readonly isAll: boolean;
+  readonly lagMs?: number;
+  readonly forMs: number;
+}
+
 /** A fault or a change that the process with the store and the targets carries out. Times are in milliseconds. */
 export type BackendCommand =
   | { readonly type: "storeBusy"; readonly forMs: number }
   | { readonly type: "storeSlow"; readonly ms: number; readonly forMs: number }
   | { readonly type: "loseStoreAnswers"; readonly count: number }
+  /** A share of the writes is not answered, and takes effect within `maxDelayMs`. */
+  | {
+      readonly type: "loseStoreWrites";
+      readonly share: number;
+      readonly maxDelayMs: number;
+      readonly forMs: number;
+    }
+  /** The store answers every request of these nodes with a status. */
+  | {
+      readonly type: "refuseNodes";
+      readonly nodes: readonly number[];
+      readonly status: number;
+      readonly forMs: number;
+    }
   /** The store's links of these nodes stay open and pass nothing. */
   | { readonly type: "cutStore"; readonly nodes: readonly number[]; readonly forMs: number }
   /** The store resets the connections of these nodes and refuses new ones. */
   | { readonly type: "resetStore"; readonly nodes: readonly number[]; readonly forMs: number }
-  | { readonly type: "crashPrimary"; readonly group: number; readonly forMs: number }
-  | { readonly type: "silencePrimary"; readonly group: number; readonly forMs: number }
-  | { readonly type: "losePrimaryAnswers"; readonly group: number; readonly forMs: number }
-  /** The first replica of a group, or all, fall behind by `lagMs`; without it they receive nothing. */
   | {
-      readonly type: "lagReplicas";
+      readonly type:
+        | "crashPrimary"
+        | "silencePrimary"
+        | "darkenPrimary"
+        | "losePrimaryAnswers"
+        | "cutPrimaryFromReplicas"
+        | "cutPrimaryFromStore";
       readonly group: number;
-      readonly isAll: boolean;
-      readonly lagMs?: number;
       readonly forMs: number;
     }
+  | ({ readonly type: "lagReplicas" } & LagCommand)
+  | {
+      readonly type: "slowTargets";
+      readonly group: number;
+      readonly factor: number;
+      readonly forMs: number;
+    }
+  /** New targets take the places of the primary, or of all targets one after the other. */
+  | {
+      readonly type: "replaceTargets";
+      readonly group: number;
+      readonly isPrimaryOnly: boolean;
+      readonly gapMs: number;
+    }
+  /** Targets go on counting the connections that are closed in the next moment. */
+  | { readonly type: "lingerConnections"; readonly forMs: number }
   /** The links between two regions pass nothing, and no replica follows a primary over them. */
   | {
       readonly type: "cutRegions";
       readonly regions: readonly [string, string];
       readonly forMs: number;
     }
-  | { readonly type: "changeConfiguration" };
+  /** Writes one configuration, or several with pauses, the first of them with more routes. */
+  | {
+      readonly type: "changeConfiguration";
+      readonly count?: number;
+      readonly gapMs?: number;
+      readonly addedRoutes?: number;
+    };
+
+/** A target with the port at which nodes reach it. */
+export interface ListedTarget {
+  readonly group: number;
+  readonly port: number;
+  readonly isPrimary: boolean;
+}
 
 /** The ids of the writes in the logs of all primaries, and of those that promotions rolled back. */
 export interface StoredWrites {
@@ -42,11 +94,18 @@
   /** Asks for relays between the regions to these addresses and to those of the store and the targets. */
   | { readonly type: "openRelays"; readonly addresses: readonly RegionAddress[] }
   | { readonly type: "apply"; readonly command: BackendCommand }
+  | { readonly type: "describe" }
   | { readonly type: "listWrites" };
 
 /** What that process answers. `started` has one address of the store for each node, `relays` the detours by region. */
 export type BackendAnswer =
   | { readonly type: "started"; readonly stores: readonly Address[] }
+  /** The targets, and the node whose conditional write was the last that took effect. */
+  | {
+      readonly type: "described";
+      readonly targets: readonly ListedTarget[];
+      readonly lastWriter: number | undefined;
+    }
   | { readonly type: "relays"; readonly detours: Readonly<Record<string, Detours>> }
   | {
       readonly type: "writes";
--- a/standin/soak/nodes/cut-reads.ts
+++ b/standin/soak/nodes/cut-reads.ts
@@ -1,4 +1,4 @@
-import type { NodeFault, TimedFault } from "./faults.js";
+import type { NodeFault, TimedFault } from "./fault.js";
 import type { SoakSite } from "./site.js";
 import type { OperationResult } from "./tally.js";
 
--- a/standin/soak/nodes/faults.ts
+++ b/standin/soak/nodes/fault-plan.ts
@@ -1,43 +1,23 @@
 import { createRandomStream, type RandomStream } from "../random.js";
-import type { BackendCommand } from "./commands.js";
-import type { Burst } from "./load.js";
+import type { NodeFault, TimedFault } from "./fault.js";
+import {
+  createBackendFault,
+  listNodes,
+  mostNodes,
+  oneNode,
+  pickNodes,
+  thirdOfNodes,
+  type FaultDraw,
+} from "./fault-draw.js";
+import {
+  createMachineFault,
+  isMachineFault,
+  machineFaultNames,
+  singleRegionFaults,
+} from "./machine-faults.js";
 import { listRegions, type SoakSite } from "./site.js";
 
-/** A fault of the nodes' processes or of the machine. Nodes are indexes; times are in milliseconds. */
-export type NodeFault =
-  | { readonly type: "killNodes"; readonly nodes: readonly number[]; readonly downMs: number }
-  | {
-      readonly type: "restartNodes";
-      readonly nodes: readonly number[];
-      readonly gapMs: number;
-      readonly downMs: number;
-    }
-  | { readonly type: "freezeNodes"; readonly nodes: readonly number[]; readonly forMs: number }
-  | { readonly type: "reloadNodes" }
-  /** Nodes are killed, and a primary crashes a moment later. */
-  | {
-      readonly type: "killNodesAndPrimary";
-      readonly nodes: readonly number[];
-      readonly group: number;
-      readonly forMs: number;
-    }
-  /** Other processes compete for the processor. */
-  | { readonly type: "busyProcessor"; readonly processes: number; readonly forMs: number }
-  /** The links between two regions are silent. */
-  | Extract<BackendCommand, { readonly type: "cutRegions" }>
-  /** One kind of operation is asked for more often. */
-  | ({ readonly type: "burstKind" } & Burst)
-  /** A fault of the store or the targets, which ends by itself. */
-  | { readonly type: "backend"; readonly command: BackendCommand };
-
-/** A fault and when it starts, in milliseconds since traffic started. */
-export interface TimedFault {
-  readonly atMs: number;
-  readonly fault: NodeFault;
-}
-
-/** Names of the faults that can be selected for a run. */
-export const nodeFaultNames = [
+const processFaultNames = [
   "kill",
   "killMany",
   "killAll",
@@ -61,21 +41,25 @@
   "kindBurst",
 ] as const;
 
+type ProcessFaultName = (typeof processFaultNames)[number];
+
+/** Names of the faults that can be selected for a run. */
+export const nodeFaultNames = [...processFaultNames, ...machineFaultNames] as const;
+
 /** The name of a fault that can be selected for a run. */
 export type NodeFaultName = (typeof nodeFaultNames)[number];
 
 /** The names of the faults that a site can have: only one with several regions has links between them. */
 export function listFaultNames(site: SoakSite): readonly NodeFaultName[] {
   const hasRegions = listRegions(site).length > 1;
-  return nodeFaultNames.filter((name) => name !== "regionCut" || hasRegions);
+  return nodeFaultNames.filter((name) =>
+    hasRegions ? !singleRegionFaults.has(name) : name !== "regionCut",
+  );
 }
 
 const firstFaultMs = 3000;
 /** No fault starts in the last part of a run, so that its end shows whether everything recovered. */
 const calmEndMs = 10_000;
-const oneNode = 1;
-const thirdOfNodes = 1 / 3;
-const mostNodes = 0.55;
 const allReplicasProbability = 0.5;
 const silentProbability = 0.25;
 const maxBurstFactor = 6;
@@ -98,15 +82,18 @@
   return planned.sort((a, b) => a.atMs - b.atMs);
 }
 
-/** Formats a planned fault for the trace. */
-export function describeTimedFault({ atMs, fault }: TimedFault): string {
-  return `${(atMs / 1000).toFixed(2)} s: ${JSON.stringify(fault)}`;
-}
-
 function createFault(name: NodeFaultName, random: RandomStream, site: SoakSite): NodeFault {
-  const pick = (share: number) => pickNodes(random, site, share);
   const forMs = random.nextInteger(2000, 7000);
   const group = random.nextInteger(0, site.groups - 1);
+  const draw = { random, site, forMs, group };
+  return isMachineFault(name) ? createMachineFault(name, draw) : createProcessFault(name, draw);
+}
+
+function createProcessFault(
+  name: ProcessFaultName,
+  { random, site, forMs, group }: FaultDraw,
+): NodeFault {
+  const pick = (share: number) => pickNodes(random, site, share);
   switch (name) {
     case "kill":
       return { type: "killNodes", nodes: pick(oneNode), downMs: random.nextInteger(300, 3500) };
@@ -163,26 +150,8 @@
   }
 }
 
-function createBackendFault(command: BackendCommand): NodeFault {
-  return { type: "backend", command };
-}
-
-/** Picks a share of the nodes, or one if the share is 1 or would be none. */
-function pickNodes(random: RandomStream, site: SoakSite, share: number): readonly number[] {
-  const all = [...listNodes(site)];
-  const count = share === oneNode ? 1 : Math.max(1, Math.round(all.length * share));
-  return Array.from({ length: Math.min(count, all.length) }, () =>
-    all.splice(random.nextInteger(0, all.length - 1), 1),
-  ).flat();
-}
-
 function pickRegions(random: RandomStream, site: SoakSite): readonly [string, string] {
   const regions = listRegions(site);
   const first = random.pick(regions);
   return [first, random.pick(regions.filter((region) => region !== first))];
 }
-
-function listNodes(site: SoakSite): readonly number[] {
-  const count = site.nodesPerZone.reduce((sum, nodes) => sum + nodes, 0);
-  return Array.from({ length: count }, (_, index) => index);
-}
--- a/standin/soak/nodes/index.ts
+++ b/standin/soak/nodes/index.ts
@@ -1,16 +1,18 @@
 export { buildBundle } from "./bundle.js";
 export { checkCutReads, type CutReads } from "./cut-reads.js";
-export {
-  describeTimedFault,
-  listFaultNames,
-  nodeFaultNames,
-  planFaults,
-  type NodeFaultName,
-} from "./faults.js";
+export { DisturbedDirection, LinkDisturbances } from "./disturbed-link.js";
+export { describeTimedFault } from "./fault.js";
+export { listFaultNames, nodeFaultNames, planFaults, type NodeFaultName } from "./fault-plan.js";
 export { Balancer } from "./balancer.js";
+export { listBelowFloor } from "./gate.js";
 export { Load } from "./load.js";
 export { RegionLink } from "./region-link.js";
 export { RegionRelay } from "./region-relay.js";
 export { listBreaches, runNodeSoak, type NodeSoakOptions, type NodeSoakReport } from "./run.js";
 export { defaultSite, readSite, type SoakSite } from "./site.js";
-export { computeAnsweredShare, formatServed, summariseServed } from "./tally.js";
+export {
+  computeAnsweredShare,
+  computeEarnedShare,
+  formatServed,
+  summariseServed,
+} from "./tally.js";
--- a/standin/soak/nodes/load.ts
+++ b/standin/soak/nodes/load.ts
@@ -25,6 +25,14 @@
   readonly forMs: number;
 }
 
+/** A time in which a share of the callers of a zone come to the nodes of another one. */
+export interface CallerShift {
+  readonly fromZone: string;
+  readonly toZone: string;
+  readonly share: number;
+  readonly forMs: number;
+}
+
 /** A session that stands open and is used for one operation after another. */
 interface StandingSession {
   readonly caller: number;
@@ -55,6 +63,7 @@
   private pending = 0;
   private readonly due: number[];
   private readonly bursts = new Set<Burst>();
+  private readonly shifts = new Set<CallerShift>();
   private readonly allowances: TeamAllowances;
 
   constructor(private readonly options: LoadOptions) {
@@ -80,6 +89,18 @@
     this.bursts.delete(burst);
   }
 
+  /** Moves callers for a while; their sessions that stand open stay where they are. */
+  async shift(shift: CallerShift): Promise<void> {
+    this.shifts.add(shift);
+    await sleep(shift.forMs);
+    this.shifts.delete(shift);
+  }
+
+  /** The time since traffic started, in milliseconds. */
+  get elapsedMs(): number {
+    return performance.now() - this.startedAt;
+  }
+
   /** Starts no more operations, and waits for those that run. */
   async finish(): Promise<void> {
     clearInterval(this.timer);
@@ -120,7 +141,7 @@
   private async run(kind: SoakKind, zone: string): Promise<void> {
     this.pending += 1;
     const { site, random } = this.options;
-    const atMs = performance.now() - this.startedAt;
+    const atMs = this.elapsedMs;
     const team = this.pickTeam();
     const isOwed = this.allowances.take(team, atMs);
     const isStanding = random.nextInteger(0, percent - 1) < standingPercent;
@@ -136,7 +157,7 @@
       createId: () => this.createId(),
       open: async (attempt) => {
         if (session?.client?.isUsable === true && attempt === 0) return session.client;
-        const node = this.options.balancer.choose(zone, caller, attempt);
+        const node = this.options.balancer.choose(this.findEntryZone(zone), caller, attempt);
         const opened = await this.open(node, formatDatabase(kind.name, group), team);
         if ("reason" in opened) return opened;
         if (session === undefined) own?.close();
@@ -150,11 +171,20 @@
     if (session !== undefined) session.isBusy = false;
     const { outcome, reason } = end;
     const region = findRegion(site, zone);
-    this.results.push({ kind: kind.name, zone, region, team, atMs, isOwed, outcome, reason });
+    const { name, worth, lateWorth } = kind;
+    const asked = { kind: name, zone, region, team, atMs, isOwed, worth, lateWorth };
+    this.results.push({ ...asked, outcome, reason });
     this.writes.push(...end.writes);
     this.pending -= 1;
   }
 
+  /** The zone whose nodes a caller of this zone comes to now. */
+  private findEntryZone(zone: string): string {
+    const { random } = this.options;
+    const shift = [...this.shifts].find(({ fromZone }) => fromZone === zone);
+    return shift !== undefined && random.chance(shift.share) ? shift.toZone : zone;
+  }
+
   private open(node: number, database: string, team: string): Promise<LineClient | OpenFailure> {
     const address = this.options.nodes[node]?.callers;
     if (address === undefined) return Promise.resolve({ reason: "no node" });
--- a/standin/soak/nodes/node-process.ts
+++ b/standin/soak/nodes/node-process.ts
@@ -9,6 +9,9 @@
   type Children,
   type LogLine,
 } from "../../processes/index.js";
+import type { BalancedNode } from "./balancer.js";
+import type { Disturbance } from "./disturbance.js";
+import type { LimitedProcess } from "./processor-share.js";
 import type { Detours } from "./region-network.js";
 import { findRegion, type SoakSite } from "./site.js";
 
@@ -35,13 +38,18 @@
 
 const maxSeeds = 3;
 
+/** Targets and the store drop a connection whose other end is unreachable after this long, in milliseconds. */
+const unreachableDropMs = 3000;
+
 /** A process that has ended is started again after this long at least, in milliseconds. */
 const minDownMs = 300;
 
 /** One node: the deployed program as a process, which is started again whenever it has ended. */
-export class NodeProcess {
+export class NodeProcess implements BalancedNode, LimitedProcess {
   private child: Child | undefined;
   private readonly settingsPath: string;
+  /** How many reasons there are for which the process is suspended. */
+  private suspensions = 0;
   private isEnding = false;
   private isStopped = false;
   private startAt = 0;
@@ -49,30 +57,62 @@
   unexpectedEnds = 0;
 
   constructor(
-    readonly plan: NodePlan,
+    private currentPlan: NodePlan,
     private readonly children: Children,
     private readonly command: NodeCommand,
     folder: string,
-    site: SoakSite,
-    others: readonly NodePlan[],
+    private readonly site: SoakSite,
+    plans: readonly NodePlan[],
   ) {
-    this.settingsPath = join(folder, `${plan.name}.conf`);
-    writeFileSync(this.settingsPath, formatSettings(plan, site, others));
+    this.settingsPath = join(folder, `${currentPlan.name}.conf`);
+    this.writeSettings(plans);
+  }
+
+  get plan(): NodePlan {
+    return this.currentPlan;
+  }
+
+  get zone(): string {
+    return this.plan.zone;
+  }
+
+  get callers(): Address {
+    return this.plan.callers;
+  }
+
+  get readiness(): Address {
+    return this.plan.readiness;
+  }
+
+  get id(): number | undefined {
+    return this.child?.isRunning === true ? this.child.id : undefined;
+  }
+
+  /** Writes the settings file, with the seeds among all nodes; a running process reads it again after a while. */
+  writeSettings(plans: readonly NodePlan[]): void {
+    writeFileSync(this.settingsPath, formatSettings(this.plan, this.site, plans));
   }
 
   start(): void {
     const { program, args, onLine } = this.command;
-    const environment = {
-      RADISHWALK_SETTINGS: this.settingsPath,
-      ...formatDetours(this.plan.detours),
-    };
-    const child = this.children.startProgram(this.plan.name, program, args, environment);
-    child.onLine((line) => onLine(this.plan.name, line));
+    const { name, detours } = this.plan;
+    const environment = { RADISHWALK_SETTINGS: this.settingsPath, ...formatPreloads(detours) };
+    const child = this.children.startProgram(name, program, args, environment);
+    child.onLine((line) => onLine(name, line));
     this.child = child;
     this.isEnding = false;
+    if (this.suspensions > 0) child.send("SIGSTOP");
     void child.ended.then(() => this.startAgain());
   }
 
+  /** Replaces the machine: its process is killed, and one with another name and addresses starts after a pause. */
+  async replace(plan: NodePlan, plans: readonly NodePlan[], afterMs: number): Promise<void> {
+    const killed = this.kill(afterMs);
+    this.currentPlan = plan;
+    this.writeSettings(plans);
+    await killed;
+  }
+
   /** Ends the process for good. */
   stop(): void {
     this.isStopped = true;
@@ -99,10 +139,36 @@
 
   /** Suspends the process for a while. */
   async freeze(forMs: number): Promise<void> {
-    const { child } = this;
-    child?.send("SIGSTOP");
+    const resume = this.suspend();
     await sleep(forMs);
-    child?.send("SIGCONT");
+    resume();
+  }
+
+  suspend(): () => void {
+    this.suspensions += 1;
+    this.child?.send("SIGSTOP");
+    return () => {
+      this.suspensions -= 1;
+      if (this.suspensions === 0) this.child?.send("SIGCONT");
+    };
+  }
+
+  /**
+   * Takes the machine's power: its connections stay open at their other ends and are silent, until these drop them or
+   * the machine is back. New connections are accepted by the kernel and are silent as well.
+   */
+  async losePower(downMs: number): Promise<void> {
+    const silentMs = Math.min(downMs, unreachableDropMs);
+    const resume = this.suspend();
+    await sleep(silentMs);
+    const killed = this.kill(downMs - silentMs);
+    resume();
+    await killed;
+  }
+
+  /** Has a running process disturb its own connections or clock. */
+  disturb(disturbance: Disturbance): void {
+    if (this.id !== undefined) this.child?.process.send(disturbance);
   }
 
   reload(): void {
@@ -123,10 +189,14 @@
   }
 }
 
-function formatDetours(detours: Detours): Readonly<Record<string, string>> {
-  if (Object.keys(detours).length === 0) return {};
-  const preload = pathToFileURL(resolveBuiltPath("../soak/nodes/detour.js"));
-  return { NODE_OPTIONS: `--import ${preload.href}`, SOAK_DETOURS: JSON.stringify(detours) };
+function formatPreloads(detours: Detours): Readonly<Record<string, string>> {
+  const hasDetours = Object.keys(detours).length > 0;
+  const preloads = ["disturbed-node.js", ...(hasDetours ? ["detour.js"] : [])];
+  const options = preloads.map((name) => {
+    const path = resolveBuiltPath(`../soak/nodes/${name}`);
+    return `--import ${pathToFileURL(path).href}`;
+  });
+  return { NODE_OPTIONS: options.join(" "), SOAK_DETOURS: JSON.stringify(detours) };
 }
 
 function formatSettings(plan: NodePlan, site: SoakSite, others: readonly NodePlan[]): string {
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -3,17 +3,24 @@
 import { join, resolve } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DisposableStore, type Address } from "../../../src/model/index.js";
-import { Children, findFreePort, type Child, type LogLine } from "../../processes/index.js";
+import { Children, findFreePort, type LogLine } from "../../processes/index.js";
 import { createRandomStream } from "../random.js";
+import { BackendClient } from "./backend-client.js";
 import { Balancer } from "./balancer.js";
 import { checkCutReads } from "./cut-reads.js";
-import type { BackendAnswer, BackendCommand, BackendRequest, StoredWrites } from "./commands.js";
-import { describeTimedFault, type NodeFault, type TimedFault } from "./faults.js";
+import type { StoredWrites } from "./commands.js";
+import type { TimedFault } from "./fault.js";
+import { FaultRunner } from "./fault-runner.js";
+import { listBelowFloor } from "./gate.js";
 import { Load } from "./load.js";
 import { NodeProcess, type NodeCommand, type NodePlan } from "./node-process.js";
 import type { ToldWrite } from "./operation.js";
+import { ProcessorShare } from "./processor-share.js";
 import { findRegion, type SoakSite } from "./site.js";
-import { summariseServed, type ServedReport } from "./tally.js";
+import { summariseServed, summariseSince, type ServedReport, type ServedShare } from "./tally.js";
+
+/** What strikes all nodes at the end, right after a configuration was written. */
+export type FinalFault = "kill" | "power";
 
 /** Options of a run. Times are in milliseconds. */
 export interface NodeSoakOptions {
@@ -25,6 +32,10 @@
   readonly scale: number;
   /** The pause between the start of the nodes and that of the traffic. */
   readonly leadMs: number;
+  /** What strikes all nodes after `durationMs`; traffic goes on until they should have recovered. */
+  readonly finalFault?: FinalFault;
+  /** Whether each node has no more than the site's share of a core. */
+  readonly isShareLimited?: boolean;
   /** The repository with the bundled node and the deploy file. */
   readonly repository: string;
   /** The file that receives the lines of all nodes; none by default. */
@@ -35,6 +46,10 @@
 /** The result of a run. */
 export interface NodeSoakReport {
   readonly served: ServedReport;
+  /** What has earned less than its floor. */
+  readonly belowFloor: readonly string[];
+  /** What was asked for when the nodes should have recovered from the last fault. */
+  readonly recovered: ServedShare;
   /** Promises of the pages that were broken, each described in a line. */
   readonly breaches: readonly string[];
   /** How many reads were served in each region while the link between regions was cut. */
@@ -48,11 +63,13 @@
 }
 
 const host = "127.0.0.1";
-const graceMs = 6000;
 const longestStartMs = 60_000;
 const pollMs = 50;
-/** How long after nodes were killed the primary crashes, in milliseconds. */
-const primaryDelayMs = 300;
+/** The users' rules: nodes have recovered this long after they are back, in milliseconds. */
+const recoveryMs = 12_000;
+/** How long traffic goes on after that, in milliseconds. */
+const recoveredMs = 5000;
+const finalDownMs = 900;
 /** Replication and lost answers have settled after this long, in milliseconds. */
 const settleMs = 1500;
 
@@ -69,10 +86,9 @@
 class NodeSoak {
   private readonly children: Children;
   private readonly folder: string;
-  private readonly backend: Child;
-  private nodes: readonly NodeProcess[] = [];
-  private load: Load | undefined;
+  private readonly backend: BackendClient;
   private readonly cuts = new Set<readonly [string, string]>();
+  private allocated = 0;
 
   constructor(
     private readonly options: NodeSoakOptions,
@@ -83,54 +99,81 @@
       rmSync(this.folder, { recursive: true });
     });
     this.children = owned.add(new Children());
-    this.backend = this.children.startWithMessages("backends", "../soak/nodes/backend-main.js");
+    this.backend = new BackendClient(
+      this.children.startWithMessages("backends", "../soak/nodes/backend-main.js"),
+    );
     owned.defer(() => this.children.killAll());
   }
 
   async run(): Promise<NodeSoakReport> {
-    const { options } = this;
+    const { options, owned } = this;
     const { site, scale, seed } = options;
-    this.nodes = await this.createNodes();
-    const plans = this.nodes.map(({ plan }) => plan);
-    const balancer = this.owned.add(new Balancer(plans, (from, to) => this.isReachable(from, to)));
+    const nodes = await this.createNodes();
+    const balancer = owned.add(new Balancer(nodes, (from, to) => this.isReachable(from, to)));
     const random = createRandomStream(seed, 1);
-    const load = this.owned.add(new Load({ site, nodes: plans, balancer, random, scale }));
-    this.load = load;
+    const load = owned.add(new Load({ site, nodes, balancer, random, scale }));
     const startedAt = performance.now();
-    for (const node of this.nodes) node.start();
-    this.owned.defer(() => {
-      for (const node of this.nodes) node.stop();
+    for (const node of nodes) node.start();
+    owned.defer(() => {
+      for (const node of nodes) node.stop();
     });
-    const readyAfterMs = await this.waitUntilReady(balancer, startedAt);
+    if (options.isShareLimited === true) owned.add(new ProcessorShare(nodes, site.power));
+    const readyAfterMs = await this.waitUntilReady(balancer, nodes.length, startedAt);
     options.onEvent(`ready after ${Math.round(readyAfterMs)} ms`);
     await sleep(Math.max(0, options.leadMs - readyAfterMs));
     load.start();
-    const faults = options.faults.map((fault) => this.runFault(fault));
-    await sleep(options.durationMs);
-    await Promise.all(faults);
+    const lastFaultMs = await this.runFaults(nodes, load);
     await load.finish();
     await sleep(settleMs);
-    const { writes, sentBytes } = await this.listWrites();
+    const { writes, sentBytes } = await this.backend.listWrites();
     const cutReads = checkCutReads(site, options.faults, load.results);
+    const served = summariseServed(load.results);
     return {
-      served: summariseServed(load.results),
+      served,
+      belowFloor: listBelowFloor(served, site),
+      recovered: summariseSince(load.results, lastFaultMs + recoveryMs),
       breaches: [...listBreaches(load.writes, writes), ...cutReads.breaches],
       cutReads: cutReads.lines,
       sentBytes,
-      unexpectedEnds: this.nodes.reduce((sum, node) => sum + node.unexpectedEnds, 0),
+      unexpectedEnds: nodes.reduce((sum, node) => sum + node.unexpectedEnds, 0),
       readyAfterMs,
     };
   }
 
+  /** Runs all faults beside the traffic; resolves at its end, to when the last fault was over. */
+  private async runFaults(nodes: readonly NodeProcess[], load: Load): Promise<number> {
+    const { options, backend, children, cuts } = this;
+    const { onEvent } = options;
+    const allocate = (node: number) => this.allocateReplacement(nodes, node);
+    const runner = new FaultRunner({ nodes, backend, load, children, cuts, allocate, onEvent });
+    let lastFaultMs = 0;
+    const faults = options.faults.map(async (fault) => {
+      await runner.run(fault);
+      lastFaultMs = load.elapsedMs;
+    });
+    await sleep(options.durationMs);
+    if (options.finalFault !== undefined) {
+      onEvent(`final fault: ${options.finalFault}`);
+      backend.apply({ type: "changeConfiguration" });
+      const all = nodes.map((_, index) => index);
+      const type = options.finalFault === "kill" ? "killNodes" : "losePower";
+      await runner.apply({ type, nodes: all, downMs: finalDownMs });
+      lastFaultMs = load.elapsedMs;
+      await sleep(recoveryMs + recoveredMs);
+    }
+    await Promise.all(faults);
+    return lastFaultMs;
+  }
+
   private async createNodes(): Promise<readonly NodeProcess[]> {
     const { site, repository } = this.options;
     const zones = site.zones.flatMap((zone, index) =>
       Array.from({ length: site.nodesPerZone[index] ?? 0 }, () => zone),
     );
-    const stores = await this.startBackends(zones.length);
+    const stores = await this.backend.start(site, zones.length);
     const allocated: NodePlan[] = [];
     for (const [index, zone] of zones.entries()) {
-      allocated.push(await allocateNode(index, zone, stores[index] ?? { host, port: 0 }));
+      allocated.push(await this.allocateNode(zone, stores[index] ?? { host, port: 0 }));
     }
     const plans = await this.addDetours(allocated);
     const command = readCommand(repository, (node, line) => this.recordLine(node, line));
@@ -144,95 +187,47 @@
     const addresses = plans.flatMap((plan) =>
       [plan.peers, plan.gateway].map((address) => ({ region: getRegion(plan), address })),
     );
-    const answer = await this.ask({ type: "openRelays", addresses });
-    const detours = answer.type === "relays" ? answer.detours : {};
+    const detours = await this.backend.openRelays(addresses);
     return plans.map((plan) => ({ ...plan, detours: detours[getRegion(plan)] ?? {} }));
   }
 
-  private async startBackends(nodes: number): Promise<readonly Address[]> {
-    const answer = await this.ask({ type: "start", site: this.options.site, nodes });
-    return answer.type === "started" ? answer.stores : [];
-  }
-
-  private async listWrites(): Promise<Extract<BackendAnswer, { readonly type: "writes" }>> {
-    const answer = await this.ask({ type: "listWrites" });
-    if (answer.type !== "writes") throw new Error(`unexpected answer ${answer.type}`);
-    return answer;
+  /** Allocates a machine with a name and addresses of its own in the zone of another one. */
+  private allocateReplacement(nodes: readonly NodeProcess[], index: number): Promise<NodePlan> {
+    const replaced = nodes[index]?.plan;
+    return this.allocateNode(replaced?.zone ?? "", replaced?.store ?? { host, port: 0 });
   }
 
-  private ask(request: BackendRequest): Promise<BackendAnswer> {
-    return new Promise((resolve_) => {
-      this.backend.process.once("message", (answer: BackendAnswer) => resolve_(answer));
-      this.tell(request);
-    });
-  }
-
-  private tell(request: BackendRequest): void {
-    this.backend.process.send(request);
-  }
-
-  private apply(command: BackendCommand): void {
-    this.tell({ type: "apply", command });
+  private async allocateNode(zone: string, store: Address): Promise<NodePlan> {
+    const allocate = async () => ({ host, port: await findFreePort() });
+    const name = `node-${this.allocated}`;
+    this.allocated += 1;
+    return {
+      name,
+      zone,
+      callers: await allocate(),
+      readiness: await allocate(),
+      peers: await allocate(),
+      gateway: await allocate(),
+      store,
+      detours: {},
+    };
   }
 
-  private async waitUntilReady(balancer: Balancer, startedAt: number): Promise<number> {
-    while (balancer.countReady() < this.nodes.length) {
+  private async waitUntilReady(
+    balancer: Balancer,
+    nodeCount: number,
+    startedAt: number,
+  ): Promise<number> {
+    while (balancer.countReady() < nodeCount) {
       const elapsedMs = performance.now() - startedAt;
       if (elapsedMs > longestStartMs) {
-        throw new Error(`${balancer.countReady()} of ${this.nodes.length} nodes are ready`);
+        throw new Error(`${balancer.countReady()} of ${nodeCount} nodes are ready`);
       }
       await sleep(pollMs);
     }
     return performance.now() - startedAt;
   }
 
-  private async runFault(planned: TimedFault): Promise<void> {
-    await sleep(planned.atMs);
-    this.options.onEvent(describeTimedFault(planned));
-    await this.applyFault(planned.fault);
-  }
-
-  private async applyFault(fault: NodeFault): Promise<void> {
-    switch (fault.type) {
-      case "killNodes":
-        await Promise.all(this.pick(fault.nodes).map((node) => node.kill(fault.downMs)));
-        return;
-      case "killNodesAndPrimary": {
-        const { nodes, group, forMs } = fault;
-        const killed = this.pick(nodes).map((node) => node.kill(forMs));
-        await sleep(primaryDelayMs);
-        this.apply({ type: "crashPrimary", group, forMs });
-        await Promise.all(killed);
-        return;
-      }
-      case "restartNodes":
-        await this.restartInTurn(this.pick(fault.nodes), fault.gapMs, fault.downMs);
-        return;
-      case "freezeNodes":
-        await Promise.all(this.pick(fault.nodes).map((node) => node.freeze(fault.forMs)));
-        return;
-      case "reloadNodes":
-        for (const node of this.nodes) node.reload();
-        return;
-      case "busyProcessor":
-        for (let i = 0; i < fault.processes; i += 1) {
-          this.children.start(`busy-${i}`, "../soak/nodes/busy.js", [String(fault.forMs)]);
-        }
-        return;
-      case "cutRegions":
-        this.apply(fault);
-        this.cuts.add(fault.regions);
-        await sleep(fault.forMs);
-        this.cuts.delete(fault.regions);
-        return;
-      case "burstKind":
-        await this.load?.burst(fault);
-        return;
-      case "backend":
-        this.apply(fault.command);
-    }
-  }
-
   private isReachable(fromZone: string, toZone: string): boolean {
     const ends = [fromZone, toZone].map((zone) => findRegion(this.options.site, zone));
     return (
@@ -240,43 +235,12 @@
     );
   }
 
-  private async restartInTurn(
-    nodes: readonly NodeProcess[],
-    gapMs: number,
-    downMs: number,
-  ): Promise<void> {
-    const restarts: Promise<void>[] = [];
-    for (const node of nodes) {
-      restarts.push(node.restart(graceMs, downMs));
-      await sleep(gapMs);
-    }
-    await Promise.all(restarts);
-  }
-
-  private pick(indexes: readonly number[]): readonly NodeProcess[] {
-    return indexes.flatMap((index) => this.nodes[index] ?? []);
-  }
-
   private recordLine(node: string, line: LogLine): void {
     const { logPath } = this.options;
     if (logPath !== undefined) appendFileSync(logPath, `${JSON.stringify({ node, ...line })}\n`);
   }
 }
 
-async function allocateNode(index: number, zone: string, store: Address): Promise<NodePlan> {
-  const allocate = async () => ({ host, port: await findFreePort() });
-  return {
-    name: `node-${index}`,
-    zone,
-    callers: await allocate(),
-    readiness: await allocate(),
-    peers: await allocate(),
-    gateway: await allocate(),
-    store,
-    detours: {},
-  };
-}
-
 /** Reads how the deploy file starts a node. Its port for metrics is the same on all machines and is left out. */
 function readCommand(repository: string, onLine: NodeCommand["onLine"]): NodeCommand {
   const text = readFileSync(join(repository, "deploy/system.toml"), "utf8");
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -1,9 +1,9 @@
-import { parseFaultNames } from "../usage.js";
+import { parseFaultNames, UsageError } from "../usage.js";
 import { buildBundle } from "./bundle.js";
-import { listFaultNames, planFaults } from "./faults.js";
-import { runNodeSoak } from "./run.js";
+import { listFaultNames, planFaults } from "./fault-plan.js";
+import { runNodeSoak, type FinalFault } from "./run.js";
 import { defaultSite, readSite } from "./site.js";
-import { computeAnsweredShare, formatServed } from "./tally.js";
+import { computeAnsweredShare, computeEarnedShare, formatServed } from "./tally.js";
 
 /** Flags of the soak of the nodes on the users' platform. */
 export interface NodesSideFlags {
@@ -15,6 +15,8 @@
   readonly lead: number;
   readonly count: number;
   readonly log?: string;
+  readonly final?: string;
+  readonly share: boolean;
 }
 
 const msPerSecond = 1000;
@@ -41,13 +43,24 @@
     leadMs: flags.lead * msPerSecond,
     repository: process.cwd(),
     onEvent: print,
+    isShareLimited: flags.share,
+    ...(flags.final === undefined ? {} : { finalFault: parseFinalFault(flags.final) }),
     ...(flags.log === undefined ? {} : { logPath: flags.log }),
   });
   print(formatServed(report.served));
   for (const line of report.cutReads) print(line);
+  for (const line of report.belowFloor) print(`below its floor: ${line}`);
   for (const breach of report.breaches) print(`seed ${flags.seed}: ${breach}`);
   const share = computeAnsweredShare(report.served.total);
-  const { unexpectedEnds, sentBytes } = report;
-  print(JSON.stringify({ seed: flags.seed, share, unexpectedEnds, sentBytes }));
-  process.exit(report.breaches.length === 0 && report.unexpectedEnds === 0 ? 0 : 1);
+  const earned = computeEarnedShare(report.served.total);
+  const recovered = computeAnsweredShare(report.recovered);
+  const { unexpectedEnds, sentBytes, belowFloor, breaches } = report;
+  const summary = { seed: flags.seed, share, earned, recovered, unexpectedEnds, sentBytes };
+  print(JSON.stringify(summary));
+  process.exit(breaches.length + belowFloor.length + unexpectedEnds === 0 ? 0 : 1);
+}
+
+function parseFinalFault(text: string): FinalFault {
+  if (text === "kill" || text === "power") return text;
+  throw new UsageError(`--final: must be kill or power: ${text}`);
 }
--- a/standin/soak/nodes/site.ts
+++ b/standin/soak/nodes/site.ts
@@ -18,6 +18,9 @@
   /** The share of statements that write, and of operations that are transactions. */
   writes: z.number().min(0).max(1).default(0),
   transactions: z.number().min(0).max(1).default(0),
+  /** What an operation is worth in time, and late. */
+  worth: z.number().positive().default(1),
+  lateWorth: z.number().nonnegative().default(0.3),
 });
 
 const teamSchema = z.object({
@@ -27,6 +30,8 @@
   burst: z.number().nonnegative().default(0),
 });
 
+const floorSchema = z.number().min(0).max(1);
+
 const siteSchema = z.object({
   name: z.string(),
   zones: z.array(z.string()).min(1),
@@ -42,6 +47,8 @@
   targetZones: z.array(z.string()).min(1).optional(),
   targetsPerGroup: z.number().int().positive().default(3),
   slots: z.number().int().positive(),
+  /** How many statements wait at a target for a slot. */
+  queue: z.number().int().nonnegative().default(0),
   connections: z.number().int().positive(),
   connectMs: z.number().nonnegative().default(12),
   lagMs: z.number().nonnegative().default(60),
@@ -53,6 +60,10 @@
   sessionsPerZone: z.number().int().positive().default(68),
   retries: z.number().int().nonnegative().default(2),
   kinds: z.array(kindSchema).min(1),
+  /** The least share of what all operations, those of each kind and those of each zone are worth that is earned. */
+  floors: z
+    .object({ total: floorSchema, kind: floorSchema, zone: floorSchema })
+    .default({ total: 0, kind: 0, zone: 0 }),
   /** Without teams callers need no keys. */
   teams: z.array(teamSchema).default([]),
 });
--- a/standin/soak/nodes/tally.ts
+++ b/standin/soak/nodes/tally.ts
@@ -11,6 +11,9 @@
   readonly atMs: number;
   /** Whether the operation lies within the rate of its team. */
   readonly isOwed: boolean;
+  /** What it is worth if it is answered in time, and if it is answered late. */
+  readonly worth: number;
+  readonly lateWorth: number;
   readonly outcome: OperationOutcome;
   /** The last error of an operation that was not served. */
   readonly reason: string;
@@ -23,6 +26,9 @@
   /** Answered with success, in time or late. */
   readonly answered: number;
   readonly inTime: number;
+  /** What all of them are worth in time, and what was earned of it. */
+  readonly owed: number;
+  readonly earned: number;
 }
 
 /** What part of the operations was served, over the whole run and by each dimension. */
@@ -62,6 +68,19 @@
   return asked === 0 ? 1 : answered / asked;
 }
 
+/** The share that was earned of what the operations are worth; 1 if none was asked for. */
+export function computeEarnedShare({ owed, earned }: ServedShare): number {
+  return owed === 0 ? 1 : earned / owed;
+}
+
+/** The operations asked for from a time on, in milliseconds since traffic started. */
+export function summariseSince(results: readonly OperationResult[], sinceMs: number): ServedShare {
+  return summariseGroup(
+    `since ${Math.round(sinceMs)} ms`,
+    results.filter(({ atMs }) => atMs >= sinceMs),
+  );
+}
+
 /** Formats the shares as text, a line for each dimension. */
 export function formatServed(report: ServedReport): string {
   const dimensions = [
@@ -91,7 +110,8 @@
 
 function formatShare(share: ServedShare): string {
   const inTime = share.asked === 0 ? 1 : share.inTime / share.asked;
-  return `${share.name}:${computeAnsweredShare(share).toFixed(3)}/${inTime.toFixed(3)}(${share.asked})`;
+  const shares = [computeAnsweredShare(share), inTime, computeEarnedShare(share)];
+  return `${share.name}:${shares.map((value) => value.toFixed(3)).join("/")}(${share.asked})`;
 }
 
 function summariseBy(
@@ -112,7 +132,14 @@
   const owed = results.filter(({ isOwed, outcome }) => isOwed && outcome !== "denied");
   const inTime = owed.filter(({ outcome }) => outcome === "served").length;
   const late = owed.filter(({ outcome }) => outcome === "late").length;
-  return { name, asked: owed.length, answered: inTime + late, inTime };
+  const worth = owed.reduce((sum, result) => sum + result.worth, 0);
+  const earned = owed.reduce((sum, result) => sum + computeEarned(result), 0);
+  return { name, asked: owed.length, answered: inTime + late, inTime, owed: worth, earned };
+}
+
+function computeEarned({ outcome, worth, lateWorth }: OperationResult): number {
+  if (outcome === "served") return worth;
+  return outcome === "late" ? lateWorth : 0;
 }
 
 function countReasons(results: readonly OperationResult[]): ServedReport["reasons"] {
--- a/test/soak/nodes.test.ts
+++ b/test/soak/nodes.test.ts
@@ -83,6 +83,8 @@
     team: "cello",
     atMs: 10,
     reason: "",
+    worth: 1,
+    lateWorth: 0.3,
   };
   const { total } = summariseServed([
     { ...common, isOwed: true, outcome: "served" },
--- a/test/soak/regions.test.ts
+++ b/test/soak/regions.test.ts
@@ -153,7 +153,15 @@
 });
 
 test("the report has the share in time by kind, region and second", () => {
-  const read = { kind: "browse", zone: "west-1", region: "west", team: "t", reason: "" };
+  const read = {
+    kind: "browse",
+    zone: "west-1",
+    region: "west",
+    team: "t",
+    reason: "",
+    worth: 1,
+    lateWorth: 0.3,
+  };
   const served = summariseServed([
     { ...read, isOwed: true, atMs: 10, outcome: "served" },
     { ...read, isOwed: true, atMs: 20, outcome: "late" },
@@ -259,7 +267,15 @@
   ["reads after the cut", 10_000, "refused", "west", 0],
 ] as const)("%s: reported or not", (_, atMs, outcome, region, breaches) => {
   const cut = { type: "cutRegions", regions: ["east", "west"], forMs: 5000 } as const;
-  const common = { kind: "browse", zone: "z", team: "t", reason: "", isOwed: true };
+  const common = {
+    kind: "browse",
+    zone: "z",
+    team: "t",
+    reason: "",
+    worth: 1,
+    lateWorth: 0.3,
+    isOwed: true,
+  };
   const read = { ...common, atMs: 6000, outcome: "served" } as const;
   const results = [
     { ...read, region: "east" },
