Take over the change of a lease holder whose process has ended

What callers saw: when the proxy that replaces a primary is gone, its group is refused until its lease is over, 5 s after its last write.

Cause: a lease holder that has ended counted as one that is silent. A process that was started again on the holder's machine waited for itself.

Change: a holder that has written nothing for 0.6 s is asked whether it runs; if its machine refuses the connection and the list of proxies is current, its change is taken over 1.5 s later, when its last order has had its effect. A process takes over the change of an earlier one on its own machine after the same time.

--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -13,6 +13,8 @@
 const statementDrainMs = 60;
 /** Delay until the record of a new primary is written again after the store failed, in milliseconds. */
 const recordRetryMs = 400;
+/** How long a lease holder is given to answer, in milliseconds. */
+const holderTimeoutMs = 150;
 /** Delay until a group is checked again after its primary was kept, replaced or could not be replaced. */
 const recheckDelayMs = 400;
 /** The longest such pause after a primary has been kept several times in a row, in milliseconds. */
@@ -40,6 +42,7 @@
   private readonly leaderlessSince = new Map<string, number>();
   /** By group: where its primary was when last listed; the entry of one that is replaced is often gone. */
   private readonly lastPrimaries = new Map<string, ListedPrimary>();
+  private nextHolderCheckAt = -Infinity;
   private isStopped = false;
 
   constructor(
@@ -86,6 +89,7 @@
     const entry = this.tracker.leadership.document.groups[group];
     if (entry?.type === "changing" && this.tracker.findLeader(group).type !== "serving") {
       if (this.lease.canTakeOver()) this.startChange(group, entry.from, { type: "unlisted" });
+      else void this.checkHolder();
       return;
     }
     const oldTarget = this.tracker.findKnownPrimary(group);
@@ -98,6 +102,24 @@
     if (suspicion !== undefined) this.startChange(group, oldTarget, suspicion);
   }
 
+  /**
+   * Finds out whether the process of a silent lease holder has ended, so that its change need not wait until the lease
+   * is over. A refused connection shows that, unless the list of proxies is outdated.
+   */
+  private async checkHolder(): Promise<void> {
+    const holder = this.lease.findSilentHolder();
+    const { clock, peers, logger } = this.ports;
+    if (holder === undefined || clock.now() < this.nextHolderCheckAt) return;
+    this.nextHolderCheckAt = clock.now() + recheckDelayMs;
+    if (!(await this.ports.refreshProxies())) return;
+    const proxy = this.ports.listProxies().find(({ vm }) => vm === holder.vm);
+    if (proxy === undefined) return;
+    const { type } = await peers.share(proxy, this.tracker.latestUpdate, holderTimeoutMs);
+    if (type !== "ended") return;
+    this.lease.recordEnd(holder);
+    logger.write(leadershipEvents.proxiesEnded, { proxies: [holder.vm] });
+  }
+
   /** Handles a group whose primary failed before this process knew it; perhaps no remaining proxy knew it. */
   private checkLeaderlessGroup(group: string): void {
     const now = this.ports.clock.now();
--- a/src/leadership/lease.ts
+++ b/src/leadership/lease.ts
@@ -1,5 +1,5 @@
 import { leadershipEvents } from "../log/events/leadership.js";
-import type { GroupLeadership, LeadershipDocument } from "./document.js";
+import type { GroupLeadership, LeadershipDocument, LeaseHolder } from "./document.js";
 import type { LeadershipTracker } from "./tracker.js";
 import type { LeadershipPorts } from "./ports.js";
 import { editLeadership, type DocumentEdit, type EditOutcome } from "./writer.js";
@@ -9,6 +9,8 @@
  * for which the holder acts without a write, to allow for slow clocks and calls.
  */
 const takeOverAfterMs = 5000;
+/** A holder that has written nothing for longer than a usual change takes is asked whether it runs. */
+const silentHolderMs = 600;
 /** A holder whose last write is older than this renews the lease before it sends an order. */
 const renewAfterMs = 1500;
 /**
@@ -17,6 +19,12 @@
  */
 const otherProxyDelayMs = 3200;
 
+/**
+ * How long an order that a process sent before its end may take to have its effect. A successor that ordered
+ * something else earlier would be overtaken by it.
+ */
+const orderSettleMs = 1500;
+
 /**
  * The lease on changes of primary: at most one proxy holds it, for all groups, by conditional updates of the
  * leadership document. Its fencing token is the store's version of the write that acquired the lease; versions
@@ -27,6 +35,9 @@
   private lastWriteAt = -Infinity;
   private seenVersion = 0;
   private seenAt = -Infinity;
+  /** The holder whose process is known to have ended, and since when. */
+  private ended: { readonly holder: LeaseHolder; readonly since: number } | undefined;
+  private readonly createdAt: number;
   /** By group: the round of the serving primary, and when this proxy first saw it. */
   private readonly servingSince = new Map<
     string,
@@ -36,7 +47,9 @@
   constructor(
     private readonly ports: LeadershipPorts,
     private readonly tracker: LeadershipTracker,
-  ) {}
+  ) {
+    this.createdAt = ports.clock.now();
+  }
 
   get isHeld(): boolean {
     return this.token !== undefined;
@@ -68,11 +81,38 @@
     return this.ports.clock.now() - since >= otherProxyDelayMs;
   }
 
-  /** Whether the lease may be acquired: it is free or own, or its holder has written nothing for `takeOverAfterMs`. */
+  /**
+   * Whether the lease may be acquired: it is free or own, its holder has ended, or its holder has written nothing for
+   * `takeOverAfterMs`.
+   */
   canTakeOver(): boolean {
     const { holder } = this.tracker.leadership.document;
     if (holder === undefined || this.isOwnHolder(holder)) return true;
-    return this.ports.clock.now() - this.seenAt > takeOverAfterMs;
+    const now = this.ports.clock.now();
+    const endedAt = this.findEnd(holder);
+    if (endedAt !== undefined && now - endedAt >= orderSettleMs) return true;
+    return now - this.seenAt > takeOverAfterMs;
+  }
+
+  /** The other proxy that holds the lease, if it has written nothing for a while and is not known to have ended. */
+  findSilentHolder(): LeaseHolder | undefined {
+    const { holder } = this.tracker.leadership.document;
+    if (holder === undefined || this.findEnd(holder) !== undefined) return undefined;
+    return this.ports.clock.now() - this.seenAt > silentHolderMs ? holder : undefined;
+  }
+
+  /** Records that a holder's process has ended. */
+  recordEnd(holder: LeaseHolder): void {
+    this.ended = { holder, since: this.ports.clock.now() };
+  }
+
+  /** Since when a holder's process has ended. One process runs on a machine, so an earlier one on this has. */
+  private findEnd(holder: LeaseHolder): number | undefined {
+    if (holder.vm === this.ports.vm) return this.createdAt;
+    const { ended } = this;
+    const isKnown =
+      ended?.holder.vm === holder.vm && ended.holder.incarnation === holder.incarnation;
+    return isKnown ? ended.since : undefined;
   }
 
   /**
@@ -149,7 +189,7 @@
     return holder === undefined || !this.isOwnHolder(holder);
   }
 
-  private isOwnHolder(holder: { readonly vm: string; readonly incarnation: string }): boolean {
+  private isOwnHolder(holder: LeaseHolder): boolean {
     return holder.vm === this.ports.vm && holder.incarnation === this.ports.incarnation;
   }
 
