--- a/test/soak/nodes.test.ts
+++ b/test/soak/nodes.test.ts
@@ -12,6 +12,8 @@
 /** The users' rules: a quarter is served again once processes are back, and 60 % unserved fails a day. */
 const minRecoveredShare = 0.25;
 const maxUnservedShare = 0.6;
+/** More than is served while one group of three is refused. */
+const minServedShare = 0.9;
 const durationMs = 25_000;
 const lastSeconds = 5;
 const runTimeoutMs = 180_000;
@@ -52,6 +54,33 @@
   runTimeoutMs,
 );
 
+// An order that took effect and was not answered was repeated, and its group refused, for as long as answers were lost.
+test(
+  "real nodes serve a group whose new primary was promoted without an answer",
+  async () => {
+    const loss = { type: "loseStoreAnswers", count: 60 } as const;
+    const crash = { type: "crashPrimary", group: 0, forMs: 20_000 } as const;
+    const report = await runNodeSoak({
+      site: defaultSite,
+      seed: 1,
+      durationMs: 15_000,
+      faults: [
+        { atMs: 2900, fault: { type: "backend", command: loss } },
+        { atMs: 3000, fault: { type: "backend", command: crash } },
+      ],
+      scale: 0.5,
+      leadMs: 6000,
+      repository: process.cwd(),
+      onEvent: () => undefined,
+    });
+    expect(report).toMatchObject({ breaches: [], unexpectedEnds: 0 });
+    for (const second of report.served.seconds.slice(-lastSeconds)) {
+      expect(computeAnsweredShare(second)).toBeGreaterThanOrEqual(minServedShare);
+    }
+  },
+  runTimeoutMs,
+);
+
 test("equal seeds plan equal faults", () => {
   const plan = () => planFaults(4, defaultSite, 60_000, ["kill", "crash", "storeCut"], 6);
   expect(plan()).toEqual(plan());
