--- a/test/node/follower.test.ts
+++ b/test/node/follower.test.ts
@@ -1,4 +1,3 @@
-import { singleRegion } from "../../src/topology/index.js";
 import { expect, test } from "@jest/globals";
 import type { AnnouncedTarget } from "../../src/direct/index.js";
 import { DirectPeerClient } from "../../src/directpeer/index.js";
@@ -6,31 +5,12 @@
 import { emptyLeadership, LeadershipTracker, StallDetector } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
 import { createSystemClock } from "../../src/system/index.js";
-import type { NodeSettings, NodeStore } from "../../src/node/index.js";
+import type { NodeStore } from "../../src/node/index.js";
 import { StoreFollower } from "../../src/node/follower.js";
-import { strictBounds } from "../../src/rates/index.js";
 import { FakeClock, makeRandom, flushTasks } from "../fleet/fakes.js";
+import { address, makeSettings, makeTracker } from "./fixture.js";
 
-const address = { host: "10.0.0.1", port: 5000 };
-const settings: NodeSettings = {
-  vm: "vm-0",
-  dataCentre: "a",
-  callers: address,
-  readiness: address,
-  peers: address,
-  gateway: undefined,
-  power: 1,
-  dataCentres: 1,
-  topology: singleRegion,
-  seeds: [],
-  store: address,
-  promotionAddress: address,
-  graceMs: 6000,
-  targetDrainMs: 7000,
-  configurationApplyMs: 3000,
-  rateBounds: strictBounds,
-  storeReadsPerSecond: 2000,
-};
+const settings = makeSettings();
 
 const found = <T>(value: T) => Promise.resolve({ type: "found", value } as const);
 const done = () => Promise.resolve(true);
@@ -100,16 +80,7 @@
 test("a node that starts during an outage of the store is initialised soon after its return", async () => {
   const clock = new FakeClock();
   const store = new UnavailableStore(clock, 1000);
-  const tracker = new LeadershipTracker({
-    clock,
-    logger: silentLogger,
-    stallDetector: new StallDetector({ monotonic: () => clock.now(), wall: () => clock.now() }),
-    listTargets: () => [],
-    onStall: () => undefined,
-    onContactFailure: () => undefined,
-    onSuperseded: () => undefined,
-    onSilence: () => undefined,
-  });
+  const tracker = makeTracker(clock);
   const follower = new StoreFollower({
     settings: { ...settings, vm: "vm-1", gateway: address },
     store,
@@ -172,16 +143,7 @@
     targets: old,
     hasTargetListing: true,
   });
-  const tracker = new LeadershipTracker({
-    clock,
-    logger: silentLogger,
-    stallDetector: new StallDetector({ monotonic: () => clock.now(), wall: () => clock.now() }),
-    listTargets: () => [],
-    onStall: () => undefined,
-    onContactFailure: () => undefined,
-    onSuperseded: () => undefined,
-    onSilence: () => undefined,
-  });
+  const tracker = makeTracker(clock);
   const follower = new StoreFollower({
     settings: { ...settings, vm: "vm-1", gateway: address, seeds: [{ host: "10.0.0.9", port: 1 }] },
     store,
--- a/test/node/proxy-registry.test.ts
+++ b/test/node/proxy-registry.test.ts
@@ -3,30 +3,10 @@
 import { silentLogger } from "../../src/log/index.js";
 import { ProxyRegistry } from "../../src/node/proxy-registry.js";
 import type { NodeSettings } from "../../src/node/index.js";
-import { strictBounds } from "../../src/rates/index.js";
-import { singleRegion } from "../../src/topology/index.js";
 import { FakeClock, makeRandom } from "../fleet/fakes.js";
+import { address, makeSettings } from "./fixture.js";
 
-const address = { host: "10.0.0.1", port: 5000 };
-const settings: NodeSettings = {
-  vm: "vm-0",
-  dataCentre: "a",
-  callers: address,
-  readiness: address,
-  peers: address,
-  gateway: address,
-  power: 0.324,
-  dataCentres: 1,
-  topology: singleRegion,
-  seeds: [],
-  store: address,
-  promotionAddress: address,
-  graceMs: 6000,
-  targetDrainMs: 7000,
-  configurationApplyMs: 3000,
-  rateBounds: strictBounds,
-  storeReadsPerSecond: 2000,
-};
+const settings = makeSettings({ gateway: address, power: 0.324 });
 
 async function register(own: NodeSettings): Promise<readonly Proxy[]> {
   const written: Proxy[] = [];
