--- a/standin/direct/target.ts
+++ b/standin/direct/target.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server, type Socket } from "node:net";
 import type { Address, Disposable } from "../../src/model/index.js";
+import { TargetSlots } from "./slots.js";
 import { formatLogPosition, type StandinLog, type StandinMember } from "./group.js";
 
 /** A statement that a target executed. */
@@ -67,6 +68,8 @@
 
 type Answer = readonly string[];
 
+const defaultSlots = 2;
+
 /** A stand-in target with a text protocol, on a log that it shares with the other members of its group. */
 export class StandinLineTarget implements Disposable {
   readonly runs: StandinRun[] = [];
@@ -79,8 +82,7 @@
   readonly member: StandinMember;
   private server: Server | undefined;
   private readonly sockets = new Set<Socket>();
-  private runningCount = 0;
-  private readonly waiting: (() => void)[] = [];
+  private readonly slots: TargetSlots;
   /** Connections whose other end is gone without a word, and that are still counted. */
   private lingeringCount = 0;
   private lingerUntil = 0;
@@ -100,6 +102,7 @@
     private readonly options: StandinTargetOptions,
   ) {
     this.member = log.add(id, role);
+    this.slots = new TargetSlots(options.slots ?? defaultSlots, options.queue ?? 0);
   }
 
   /** The connections that count towards `maxConnections`. */
@@ -198,7 +201,7 @@
       return ["ERROR TOOMANYCON full"];
     }
     const { connectMs = 0 } = this.options;
-    if (connectMs > 0) await this.holdSlot(connectMs);
+    if (connectMs > 0) await this.slots.hold(connectMs);
     session.isStarted = true;
     session.team = team;
     return [this.formatReady(session)];
@@ -234,7 +237,7 @@
       this.faults.busy -= 1;
       return this.refuseAsBusy(session, "BUSY by order");
     }
-    if (!(await this.acquireSlot())) return this.refuseAsBusy(session, "BUSY no slot");
+    if (!(await this.slots.acquire())) return this.refuseAsBusy(session, "BUSY no slot");
     try {
       const { workMs: fixedMs = 0, getWorkMs } = this.options;
       const workMs = (getWorkMs?.(text) ?? fixedMs) * this.faults.slowness;
@@ -242,33 +245,8 @@
       const answer = this.execute(session, id, text);
       return this.faults.loseAnswer?.test(text) === true ? undefined : answer;
     } finally {
-      this.releaseSlot();
-    }
-  }
-
-  /** Takes a slot, if need be after waiting in the queue; false if that is full. */
-  private async acquireSlot(): Promise<boolean> {
-    const { slots = 2, queue = 0 } = this.options;
-    if (this.runningCount < slots) {
-      this.runningCount += 1;
-      return true;
+      this.slots.release();
     }
-    if (this.waiting.length >= queue) return false;
-    await new Promise<void>((resolve) => this.waiting.push(resolve));
-    return true;
-  }
-
-  /** Hands the slot to the next statement in the queue, or gives it up. */
-  private releaseSlot(): void {
-    const next = this.runningCount > (this.options.slots ?? 2) ? undefined : this.waiting.shift();
-    if (next === undefined) this.runningCount -= 1;
-    else next();
-  }
-
-  private async holdSlot(ms: number): Promise<void> {
-    this.runningCount += 1;
-    await new Promise((resolve) => setTimeout(resolve, ms));
-    this.releaseSlot();
   }
 
   private execute(session: LineSession, id: string, text: string): Answer {
@@ -360,7 +338,7 @@
 
   private formatStatus(): string {
     const { role, term, heldTerm } = this.member;
-    return `${role} ${term} ${formatLogPosition(this.member)} ${heldTerm} 0 ${this.runningCount} ${this.openConnections}`;
+    return `${role} ${term} ${formatLogPosition(this.member)} ${heldTerm} 0 ${this.slots.runningCount} ${this.openConnections}`;
   }
 
   private complete(session: LineSession, signature: string, ...rows: readonly string[]): Answer {
