--- a/test/caller/fake.ts
+++ b/test/caller/fake.ts
@@ -1,3 +1,4 @@
+import { afterEach } from "@jest/globals";
 import { Socket } from "node:net";
 import { setTimeout } from "node:timers/promises";
 import pg from "pg";
@@ -228,6 +229,27 @@
   });
 }
 
+/** A server for a fake group, with that group. */
+export type Running = Awaited<ReturnType<typeof startServer>> & { readonly group: FakeGroup };
+
+/** Starts servers for a test file and stops each one after its test; `find` gets the one that runs. */
+export function createServerStarter() {
+  let running: Running | undefined;
+  afterEach(async () => {
+    await running?.stop();
+    running = undefined;
+  });
+  const start = async (
+    reply?: (statement: string) => Reply,
+    options?: Partial<CallerServerOptions>,
+  ): Promise<Running> => {
+    const group = new FakeGroup(reply);
+    running = { group, ...(await startServer(group, options)) };
+    return running;
+  };
+  return { start, find: () => running };
+}
+
 function* splitMessages(bytes: Uint8Array) {
   const buffer = Buffer.from(bytes);
   for (let at = 0; at < buffer.length;) {
--- a/test/caller/protocol.test.ts
+++ b/test/caller/protocol.test.ts
@@ -1,40 +1,25 @@
-import { afterEach, expect, test } from "@jest/globals";
+import { expect, test } from "@jest/globals";
 import fc from "fast-check";
 import pgProtocol from "pg-protocol";
 import { setViolationHandler, type Outcome } from "../../src/model/index.js";
 import {
   createFailedOutcome,
-  FakeGroup,
+  createServerStarter,
   type Reply,
   sendRaw,
   serveAction,
-  startServer,
   startupMessage,
 } from "./fake.js";
 
 const { bind, close, describe, end, execute, flush, parse, query, sync } = pgProtocol.serialize;
 
-type Running = Awaited<ReturnType<typeof startServer>>;
-let running: Running | undefined;
-
-afterEach(async () => {
-  await running?.stop();
-  running = undefined;
-});
-
-async function start(
-  reply?: (statement: string) => Reply,
-  options?: Parameters<typeof startServer>[1],
-) {
-  const group = new FakeGroup(reply);
-  running = await startServer(group, options);
-  return { group, ...running };
-}
+const { start, find } = createServerStarter();
 
 const startup = startupMessage({ user: "acme", database: "g" });
 
 /** Sends messages after the start-up and returns the types of the replies, split at each `Z`. */
 async function sendMessages(messages: readonly Uint8Array[]): Promise<readonly string[]> {
+  const running = find();
   if (running === undefined) throw new Error("no server");
   const answer = await sendRaw(running.address, startup, Buffer.concat([...messages, end()]));
   let types = "";
--- a/test/caller/server.test.ts
+++ b/test/caller/server.test.ts
@@ -1,29 +1,14 @@
-import { afterEach, expect, test } from "@jest/globals";
+import { expect, test } from "@jest/globals";
 import {
   createFailedOutcome,
   FakeGroup,
   createMark,
-  type Reply,
+  createServerStarter,
   serveAction,
   startServer,
 } from "./fake.js";
 
-type Running = Awaited<ReturnType<typeof startServer>>;
-let running: Running | undefined;
-
-afterEach(async () => {
-  await running?.stop();
-  running = undefined;
-});
-
-async function start(
-  reply?: (statement: string) => Reply,
-  options?: Parameters<typeof startServer>[1],
-) {
-  const group = new FakeGroup(reply);
-  running = await startServer(group, options);
-  return { group, ...running };
-}
+const { start } = createServerStarter();
 
 const rows = { rows: ["one", "two"] };
 
--- a/test/node/follower.test.ts
+++ b/test/node/follower.test.ts
@@ -2,13 +2,12 @@
 import type { AnnouncedTarget } from "../../src/direct/index.js";
 import { DirectPeerClient } from "../../src/directpeer/index.js";
 import { encodeSnapshot, initialFeedState } from "../../src/feed/index.js";
-import { emptyLeadership, LeadershipTracker, StallDetector } from "../../src/leadership/index.js";
+import { emptyLeadership } from "../../src/leadership/index.js";
 import { silentLogger } from "../../src/log/index.js";
 import { createSystemClock } from "../../src/system/index.js";
 import type { NodeStore } from "../../src/node/index.js";
-import { StoreFollower } from "../../src/node/follower.js";
-import { FakeClock, makeRandom, flushTasks } from "../fleet/fakes.js";
-import { address, makeSettings, makeTracker } from "./fixture.js";
+import { FakeClock, flushTasks } from "../fleet/fakes.js";
+import { address, makeFollower, makeSettings, makeTracker } from "./fixture.js";
 
 const settings = makeSettings();
 
@@ -81,16 +80,11 @@
   const clock = new FakeClock();
   const store = new UnavailableStore(clock, 1000);
   const tracker = makeTracker(clock);
-  const follower = new StoreFollower({
+  const follower = makeFollower({
     settings: { ...settings, vm: "vm-1", gateway: address },
     store,
-    peers: new DirectPeerClient("vm-1", silentLogger, createSystemClock()),
     tracker,
     clock,
-    random: makeRandom(1),
-    logger: silentLogger,
-    onServingConfig: () => undefined,
-    onPoll: () => undefined,
   });
   void follower.run();
   await clock.advance(1200);
@@ -144,16 +138,12 @@
     hasTargetListing: true,
   });
   const tracker = makeTracker(clock);
-  const follower = new StoreFollower({
+  const follower = makeFollower({
     settings: { ...settings, vm: "vm-1", gateway: address, seeds: [{ host: "10.0.0.9", port: 1 }] },
     store,
     peers: new SeedPeers(() => JSON.stringify({ scene, proxies: full })),
     tracker,
     clock,
-    random: makeRandom(1),
-    logger: silentLogger,
-    onServingConfig: () => undefined,
-    onPoll: () => undefined,
   });
   const list = () => follower.servingConfig.groups.get("ledger")?.targets.map(({ name }) => name);
   void follower.run();
@@ -174,29 +164,15 @@
   const clock = new FakeClock();
   const store = new CountingStore();
   let wall = 0;
-  const tracker = new LeadershipTracker({
-    clock,
-    logger: silentLogger,
-    stallDetector: new StallDetector({
-      monotonic: () => clock.now(),
-      wall: () => clock.now() + wall,
-    }),
-    listTargets: () => [],
+  const tracker = makeTracker(clock, {
+    wall: () => clock.now() + wall,
     onStall: () => follower.wake(),
-    onContactFailure: () => undefined,
-    onSuperseded: () => undefined,
-    onSilence: () => undefined,
   });
-  const follower = new StoreFollower({
+  const follower = makeFollower({
     settings,
     store,
-    peers: new DirectPeerClient("vm-0", silentLogger, createSystemClock()),
     tracker,
     clock,
-    random: makeRandom(1),
-    logger: silentLogger,
-    onServingConfig: () => undefined,
-    onPoll: () => undefined,
   });
   void follower.run();
   await clock.advance(300);
