Report what a soak's figures depend on besides the nodes

The last line of a run has how late the callers and the stand-ins got to run, and what part of the processors was busy or stolen by the hypervisor.

--- a/standin/soak/nodes/backend-main.ts
+++ b/standin/soak/nodes/backend-main.ts
@@ -1,5 +1,6 @@
 import { Backends } from "./backends.js";
 import type { BackendAnswer, BackendRequest } from "./commands.js";
+import { LoopDelayMonitor } from "./loop-delays.js";
 
 /*
  * The process with the store and the targets. It is driven by the messages of the process that started it,
@@ -7,6 +8,7 @@
  */
 
 let backends: Backends | undefined;
+const delays = new LoopDelayMonitor();
 
 process.on("message", (request: BackendRequest) => void handle(request));
 process.on("disconnect", () => process.exit(0));
@@ -35,6 +37,7 @@
         type: "writes",
         writes: backends?.collectWrites() ?? { kept: [], rolledBack: [] },
         sentBytes: backends?.listSentBytes() ?? {},
+        delays: delays.measure(),
       });
   }
 }
--- a/standin/soak/nodes/commands.ts
+++ b/standin/soak/nodes/commands.ts
@@ -1,4 +1,5 @@
 import type { Address } from "../../../src/model/index.js";
+import type { LoopDelays } from "./loop-delays.js";
 import type { Detours, RegionAddress } from "./region-network.js";
 import type { SoakSite } from "./site.js";
 
@@ -111,4 +112,5 @@
       readonly type: "writes";
       readonly writes: StoredWrites;
       readonly sentBytes: Readonly<Record<string, number>>;
+      readonly delays: LoopDelays;
     };
--- a/standin/soak/nodes/index.ts
+++ b/standin/soak/nodes/index.ts
@@ -6,6 +6,8 @@
 export { Balancer } from "./balancer.js";
 export { listBelowFloor } from "./gate.js";
 export { Load } from "./load.js";
+export { LoopDelayMonitor } from "./loop-delays.js";
+export { MachineLoadMonitor } from "./machine-load.js";
 export { RegionLink } from "./region-link.js";
 export { RegionRelay } from "./region-relay.js";
 export { listBreaches, runNodeSoak, type NodeSoakOptions, type NodeSoakReport } from "./run.js";
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -13,6 +13,8 @@
 import { FaultRunner } from "./fault-runner.js";
 import { listBelowFloor } from "./gate.js";
 import { Load } from "./load.js";
+import { LoopDelayMonitor, type LoopDelays } from "./loop-delays.js";
+import { MachineLoadMonitor, type MachineLoad } from "./machine-load.js";
 import { NodeProcess, type NodeCommand, type NodePlan } from "./node-process.js";
 import type { ToldWrite } from "./operation.js";
 import { ProcessorShare } from "./processor-share.js";
@@ -43,6 +45,15 @@
   readonly onEvent: (text: string) => void;
 }
 
+/** What a run's figures depend on besides the nodes, while there was traffic. */
+export interface RunConditions {
+  /** How late the callers got to run. */
+  readonly callers: LoopDelays;
+  /** How late the process with the store and the targets got to run, from its start on. */
+  readonly targets: LoopDelays;
+  readonly machine: MachineLoad;
+}
+
 /** The result of a run. */
 export interface NodeSoakReport {
   readonly served: ServedReport;
@@ -56,6 +67,7 @@
   readonly cutReads: readonly string[];
   /** The bytes sent from each region to each other one. */
   readonly sentBytes: Readonly<Record<string, number>>;
+  readonly conditions: RunConditions;
   /** How often processes of nodes ended without being told to. */
   readonly unexpectedEnds: number;
   /** When each node was first ready after the start, in milliseconds. */
@@ -121,11 +133,14 @@
     const readyAfterMs = await this.waitUntilReady(balancer, nodes.length, startedAt);
     options.onEvent(`ready after ${Math.round(readyAfterMs)} ms`);
     await sleep(Math.max(0, options.leadMs - readyAfterMs));
+    const delays = new LoopDelayMonitor();
+    const machineLoad = new MachineLoadMonitor();
     load.start();
     const lastFaultMs = await this.runFaults(nodes, load);
     await load.finish();
     await sleep(settleMs);
-    const { writes, sentBytes } = await this.backend.listWrites();
+    const [callers, machine] = [delays.measure(), machineLoad.measure()];
+    const { writes, sentBytes, delays: targets } = await this.backend.listWrites();
     const cutReads = checkCutReads(site, options.faults, load.results);
     const served = summariseServed(load.results);
     return {
@@ -135,6 +150,7 @@
       breaches: [...listBreaches(load.writes, writes), ...cutReads.breaches],
       cutReads: cutReads.lines,
       sentBytes,
+      conditions: { callers, targets, machine },
       unexpectedEnds: nodes.reduce((sum, node) => sum + node.unexpectedEnds, 0),
       readyAfterMs,
     };
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -54,8 +54,16 @@
   const share = computeAnsweredShare(report.served.total);
   const earned = computeEarnedShare(report.served.total);
   const recovered = computeAnsweredShare(report.recovered);
-  const { unexpectedEnds, sentBytes, belowFloor, breaches } = report;
-  const summary = { seed: flags.seed, share, earned, recovered, unexpectedEnds, sentBytes };
+  const { unexpectedEnds, sentBytes, conditions, belowFloor, breaches } = report;
+  const summary = {
+    seed: flags.seed,
+    share,
+    earned,
+    recovered,
+    unexpectedEnds,
+    sentBytes,
+    conditions,
+  };
   print(JSON.stringify(summary));
   process.exit(breaches.length + belowFloor.length + unexpectedEnds === 0 ? 0 : 1);
 }
