--- a/test/leadership/promotion.test.ts
+++ b/test/leadership/promotion.test.ts
@@ -31,8 +31,7 @@
   return tracker.findLeader("ledger");
 }
 
-// The platform carries the order out and its answer is lost, each time: the target leads its group and the group was
-// refused until an order was answered, since nothing but the answer counted.
+// The order is carried out and its answer lost, each time: its group was refused, since only the answer counted.
 test("a target that reports itself as primary after an unanswered order is served", async () => {
   const fixture = createGroup();
   fixture.promote = async () => {
@@ -69,8 +68,7 @@
   expect(fixture.promotionCount).toBeLessThan(20);
 });
 
-// The store fails after the order was sent, so its holder can't renew the lease. It used to end with the group refused
-// until the store was back, and to demote the target then.
+// Without the store the lease can't be renewed: the group was refused until it was back, and the target demoted then.
 test("a promotion that took effect is served while the store is unavailable", async () => {
   const fixture = createGroup();
   fixture.promote = () => {
