--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -61,11 +61,15 @@
   private readonly folder = mkdtempSync(join(tmpdir(), "radishwalk-review-"));
   private beat: NodeJS.Timeout | undefined;
   private sequence = 0;
+  private isStopped = false;
 
   private constructor(private readonly options: DeploymentOptions) {}
 
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const deployment = new Deployment(options);
+    for (const signal of ["SIGINT", "SIGTERM"] as const)
+      process.once(signal, () => process.exit(2));
+    process.once("exit", () => deployment.stop());
     try {
       await deployment.startAll();
       return deployment;
@@ -75,11 +79,13 @@
     }
   }
 
-  /** Ends every process that was started. */
+  /** Ends every process that was started; also called when this process ends. */
   stop(): void {
+    if (this.isStopped) return;
+    this.isStopped = true;
     clearInterval(this.beat);
-    for (const { process, storeLink, apiLink } of this.nodes) {
-      process.kill("SIGKILL");
+    for (const { process: child, storeLink, apiLink } of this.nodes) {
+      child.kill("SIGKILL");
       storeLink.stop();
       apiLink.stop();
     }
