--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -11,6 +11,9 @@
 /** The command of the deploy file, without the shell. */
 const command = ["target/radishwalk-node.cjs", "--metrics-port", "9464"];
 const zones = ["palermo", "barracas", "belgrano"];
+const couldNotRun = 2;
+/** A script ends by then, whatever happens. */
+const maxRunMs = 110_000;
 const heartbeatMs = 1200;
 const stepDownMs = 1000;
 
@@ -68,8 +71,13 @@
   static async start(options: DeploymentOptions): Promise<Deployment> {
     const deployment = new Deployment(options);
     for (const signal of ["SIGINT", "SIGTERM"] as const)
-      process.once(signal, () => process.exit(2));
+      process.once(signal, () => process.exit(couldNotRun));
     process.once("exit", () => deployment.stop());
+    process.once("uncaughtException", (error) => {
+      console.error(error);
+      process.exit(couldNotRun);
+    });
+    setTimeout(() => process.exit(couldNotRun), maxRunMs).unref();
     try {
       await deployment.startAll();
       return deployment;
