--- a/src/leadership/lease.ts
+++ b/src/leadership/lease.ts
@@ -13,6 +13,11 @@
 const silentHolderMs = 600;
 /** A holder whose last write is older than this renews the lease before it sends an order. */
 const renewAfterMs = 1500;
+/**
+ * An order is sent at most this long after the holder's last write. The connection for it may take long, or the process
+ * may be frozen meanwhile; its order would come after those of a successor.
+ */
+const maxOrderAgeMs = 3000;
 /**
  * How long a proxy waits before it replaces a primary that another proxy has installed, from when it saw the new
  * entry. Without the delay, two proxies could alternate, each replacing the primary that the other has just made.
@@ -153,10 +158,7 @@
   /** Gets the token for an order, renewing the lease if necessary; `undefined` if the lease is lost. */
   async renew(): Promise<number | undefined> {
     if (this.token === undefined) return undefined;
-    const isFresh = this.ports.clock.now() - this.lastWriteAt < renewAfterMs;
-    // The monotonic clock may stop while the process is suspended, and another proxy may take the lease meanwhile.
-    const isUnbroken = !this.tracker.hasStalledSince(this.lastWriteAt);
-    if (isFresh && isUnbroken && !this.isLost()) return this.token;
+    if (this.isUnlostFor(renewAfterMs)) return this.token;
     // The counter makes the document differ: writing an equal one would not change its version.
     const outcome = await this.write((document) => {
       const { holder } = document;
@@ -168,6 +170,11 @@
     return this.token;
   }
 
+  /** Whether an order with this token may still be sent: no other proxy can have acquired the lease yet. */
+  canSendOrder(token: number): boolean {
+    return token === this.token && this.isUnlostFor(maxOrderAgeMs);
+  }
+
   /** Records the target as primary. Releases the lease unless another group is still being changed. */
   async endChange(group: string, round: number, target: string): Promise<EditOutcome> {
     const outcome = await this.write((document) => {
@@ -184,6 +191,14 @@
     return outcome;
   }
 
+  /** Whether the last write is younger than `ms` and no other proxy is known to have acquired the lease since. */
+  private isUnlostFor(ms: number): boolean {
+    const isRecent = this.ports.clock.now() - this.lastWriteAt < ms;
+    // The monotonic clock may stop while the process is suspended, and another proxy may take the lease meanwhile.
+    const isUnbroken = !this.tracker.hasStalledSince(this.lastWriteAt);
+    return isRecent && isUnbroken && !this.isLost();
+  }
+
   private isLost(): boolean {
     const { holder } = this.tracker.leadership.document;
     return holder === undefined || !this.isOwnHolder(holder);
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -121,8 +121,15 @@
   readonly token: number;
 }
 
-/** Sends a promotion order. Never rejects. */
-export type Promoter = (order: PromoteOrder, timeoutMs: number) => Promise<PromoteResult>;
+/**
+ * Sends a promotion order. Never rejects. `canSend` is asked right before the first byte is sent. An order without an
+ * answer after `timeoutMs` is withdrawn: it is not carried out any more unless it has reached the platform by then.
+ */
+export type Promoter = (
+  order: PromoteOrder,
+  timeoutMs: number,
+  canSend: () => boolean,
+) => Promise<PromoteResult>;
 
 /** Dependencies of the leadership code. */
 export interface LeadershipPorts {
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -116,7 +116,9 @@
     const token = await this.lease.renew();
     if (token === undefined) return undefined;
     const order = { group, target, holder: this.ports.vm, token };
-    const result = await this.ports.promote(order, promoteTimeoutMs);
+    const result = await this.ports.promote(order, promoteTimeoutMs, () =>
+      this.lease.canSendOrder(token),
+    );
     this.ports.logger.write(leadershipEvents.promoteAnswered, { ...order, result });
     return result;
   }
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,4 +1,9 @@
 export { Node } from "./node.js";
 export { type NodeOptions } from "./options.js";
-export { type NodeAdapter, type NodeStore, type StoreStatus } from "./ports.js";
+export {
+  type NodeAdapter,
+  type NodeStore,
+  type PromotionClient,
+  type StoreStatus,
+} from "./ports.js";
 export { type NodeSettings } from "./settings.js";
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -155,7 +155,7 @@
         },
         peers,
         askTarget: (question, timeoutMs) => this.peerQuestions.ask(question, timeoutMs),
-        promote: adapter.promote,
+        promote: this.owned.add(adapter.promotions).promote,
         clock,
         random,
         logger,
--- a/src/node/ports.ts
+++ b/src/node/ports.ts
@@ -35,13 +35,18 @@
   setAddress(address: NodeSettings["store"]): void;
 }
 
+/** The client of the platform's API for promotions. Disposing it withdraws orders that have not arrived yet. */
+export interface PromotionClient extends Disposable {
+  readonly promote: Promoter;
+}
+
 /** What a platform's adapter supplies to a node. */
 export interface NodeAdapter {
   readonly store: NodeStore;
   readonly callerCodec: CallerCodec;
   readonly maxLineBytes: number;
   readonly dialer: TargetDialer;
-  readonly promote: Promoter;
+  readonly promotions: PromotionClient;
   /** Reads a target's answer to a status or demote command; undefined when it is malformed. */
   readonly parseReport: (reply: Reply) => TargetReport | undefined;
 }
--- a/src/platform/call.ts
+++ b/src/platform/call.ts
@@ -17,6 +17,8 @@
   readonly body?: string;
   readonly timeoutMs: number;
   readonly signal?: AbortSignal;
+  /** Whether the request is still valid; asked right before its first byte is sent. By default it is. */
+  readonly canSend?: () => boolean;
 }
 
 const minErrorStatus = 400;
@@ -69,6 +71,7 @@
       signal,
       ...(call.body === undefined ? {} : { body: call.body }),
       ...(call.headers === undefined ? {} : { headers: call.headers }),
+      ...(call.canSend === undefined ? {} : { canSend: call.canSend }),
     });
     return { type: "answered", status: statusCode, body: parseBody(text, statusCode) };
   } catch (error) {
--- a/src/platform/pool.ts
+++ b/src/platform/pool.ts
@@ -1,4 +1,5 @@
 import { Agent, request, type ClientRequest } from "node:http";
+import type { Socket } from "node:net";
 
 /** A request that is sent over a pool. Aborting the signal makes it reject. */
 export interface HttpRequest {
@@ -7,6 +8,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
   readonly signal: AbortSignal;
+  /** Asked once the connection is established, right before the first byte is sent; by default the request is sent. */
+  readonly canSend?: () => boolean;
 }
 
 /** A completely received answer; `text` is its body. */
@@ -15,25 +18,35 @@
   readonly text: string;
 }
 
-/** A pool of keep-alive connections to one origin. */
+/** A pool of connections to one origin. */
 export interface HttpPool {
-  /** Rejects with an `UnsentError` when the request is aborted before its connection is established. */
+  /** Rejects with an `UnsentError` when the request ends before its connection is established or may not be sent. */
   request(call: HttpRequest): Promise<HttpResponse>;
   /** Closes idle connections. Pending requests finish. */
   close(): void;
-  /** Closes all connections. */
+  /** Closes all connections. Pending requests that have not arrived will not arrive any more. */
   destroy(): void;
 }
 
-/** The request was aborted before its connection was established: no byte of it was sent. */
+/** The request ended before its connection was established, or was no longer valid then: no byte of it was sent. */
 export class UnsentError extends Error {
   override readonly name = "UnsentError";
 }
 
+/** Options of a pool. */
+export interface HttpPoolOptions {
+  /** Whether a connection is used for several requests. Default true. */
+  readonly keepAlive?: boolean;
+}
+
 /** Creates a pool of at most `connections` connections to an origin such as `http://10.0.0.1:8080`. */
-export function openHttpPool(origin: string, connections: number): HttpPool {
+export function openHttpPool(
+  origin: string,
+  connections: number,
+  { keepAlive = true }: HttpPoolOptions = {},
+): HttpPool {
   const agent = new Agent({
-    keepAlive: true,
+    keepAlive,
     maxSockets: connections,
     maxFreeSockets: connections,
   });
@@ -51,7 +64,10 @@
       }
     },
     close: () => closeIdleConnections(agent),
-    destroy: () => agent.destroy(),
+    destroy: () => {
+      resetBusyConnections(agent);
+      agent.destroy();
+    },
   };
 }
 
@@ -66,20 +82,50 @@
   }
 }
 
+/** Resets the connections of pending requests. */
+function resetBusyConnections(agent: Agent): void {
+  for (const sockets of Object.values(agent.sockets)) {
+    for (const socket of sockets ?? []) discardUnsentBytes(socket);
+  }
+}
+
+/**
+ * Ends a connection so that bytes which have not arrived yet never will. While a partition holds them up, a close
+ * would leave them on their way: an order that its sender has given up would be carried out seconds later, after
+ * those of its successor. Only a reset makes the kernel drop them.
+ */
+function discardUnsentBytes(socket: Socket): void {
+  if (socket.connecting) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 function sendRequest(clientRequest: ClientRequest, call: HttpRequest): Promise<HttpResponse> {
   return new Promise((resolve, reject) => {
-    let hasConnection = false;
-    const abort = () => {
-      const reason = call.signal.reason as Error;
-      clientRequest.destroy(hasConnection ? reason : new UnsentError(reason.message));
+    let hasSent = false;
+    const end = (reason: string) => {
+      if (!hasSent) {
+        clientRequest.destroy(new UnsentError(reason));
+        return;
+      }
+      if (clientRequest.socket !== null) discardUnsentBytes(clientRequest.socket);
+      clientRequest.destroy(new Error(reason));
     };
+    const abort = () => end((call.signal.reason as Error).message);
     const settle = (finish: () => void) => {
       call.signal.removeEventListener("abort", abort);
       finish();
     };
+    const send = () => {
+      if (call.canSend?.() === false) {
+        end("the request was no longer valid when its connection was established");
+        return;
+      }
+      hasSent = true;
+      clientRequest.end(call.body);
+    };
     clientRequest.on("socket", (socket) => {
-      if (!socket.connecting) hasConnection = true;
-      else socket.once("connect", () => (hasConnection = true));
+      if (socket.connecting) socket.once("connect", send);
+      else send();
     });
     clientRequest.on("error", (error) => settle(() => reject(error)));
     clientRequest.on("response", (response) => {
@@ -96,7 +142,6 @@
       clientRequest.setHeader(name, value);
     if (call.body !== undefined)
       clientRequest.setHeader("content-length", Buffer.byteLength(call.body));
-    clientRequest.end(call.body);
     if (call.signal.aborted) abort();
   });
 }
--- a/test/leadership/lease.test.ts
+++ b/test/leadership/lease.test.ts
@@ -49,6 +49,23 @@
   expect(await a.renew()).toBeUndefined();
 });
 
+// The connection for an order takes long, or the process is frozen meanwhile: the order would follow a successor's.
+test("an order is not sent once another proxy may hold the lease", async () => {
+  const fixture = new LeadershipFixture();
+  let suspendedMs = 0;
+  const a = fixture.makeProxy("a", () => fixture.clock.now() + suspendedMs).lease;
+  await a.beginChange("ledger", "i-0", 0);
+  const token = (await a.renew()) ?? 0;
+  expect(a.canSendOrder(token)).toBe(true);
+  expect(a.canSendOrder(token - 1)).toBe(false);
+  fixture.clock.time = 3500;
+  expect(a.canSendOrder(token)).toBe(false);
+  await a.renew();
+  expect(a.canSendOrder(token)).toBe(true);
+  suspendedMs = 7000;
+  expect(a.canSendOrder(token)).toBe(false);
+});
+
 // A proxy replaces a primary that several proxies can't reach, and the new primary is unreachable too. Without a delay,
 // another proxy would replace it at once, then the first one again: each would undo the other's change. The other
 // proxy has to wait; the first may continue alone.
