Take a refused connection for no answer, not for the end of a process (STALE)

A machine is cut off with resets while a primary leaves; the machine reads on at the old primary.

Cause: a refused connection to a peer counted as the end of its process. The change of primary then did not wait for that node's permit. A partition that resets refuses connections of a machine that runs, reaches the store and the targets, and has a permit for up to 1.6 s. The same conclusion let a lease be taken over 2.1 s after its holder's last write, and let a node that is cut off from all others replace a primary by itself.

Change: refused and reset connections are no answer, like silence, for the wait, the lease and the decision; the kind of result, its event 3116, its metric and the field of 3108 go. Why it suffices: what is left of a permit is waited for unless a process of that node has answered since the change was written down, and then no earlier one runs.

--- a/src/directpeer/client.ts
+++ b/src/directpeer/client.ts
@@ -18,7 +18,6 @@
 import { ResponseTimes, startStallTolerantTimer } from "../system/index.js";
 import type { TokenGrant } from "../rates/index.js";
 import { decodeLeadershipAnswer, decodeTargetAnswer, encodeLeadershipUpdate } from "./codec.js";
-import { isConnectionRefused } from "./refusal.js";
 
 /** A request for tokens of a team, in the fields of the message. */
 export interface TokenRequest {
@@ -97,7 +96,7 @@
 
   /** Fetches the scene that a peer knows, as JSON. */
   async fetchScene(address: Address, timeoutMs: number): Promise<string | undefined> {
-    const peer = { vm: `${address.host}:${address.port}`, address };
+    const peer = { vm: `${address.host}:${address.port}` };
     const result = await this.callPeer("fetchScene", peer, timeoutMs, (options) =>
       this.getClient(address).fetchScene({}, options),
     );
@@ -119,7 +118,7 @@
 
   private async callPeer<T>(
     method: string,
-    { vm, address }: Pick<Proxy, "vm" | "address">,
+    { vm }: Pick<Proxy, "vm">,
     usualTimeoutMs: number,
     call: (options: CallOptions) => Promise<T>,
     responseTimes = this.responseTimes,
@@ -136,7 +135,6 @@
       this.logFailure(vm, method, "no answer in time");
     } catch (error) {
       this.logFailure(vm, method, String(error));
-      if (isConnectionRefused(error, address)) return { type: "ended" };
     }
     return { type: "silent" };
   }
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -13,8 +13,6 @@
 const statementDrainMs = 60;
 /** Delay until the record of a new primary is written again after the store failed, in milliseconds. */
 const recordRetryMs = 400;
-/** How long a lease holder is given to answer, in milliseconds. */
-const holderTimeoutMs = 150;
 /** Delay until a group is checked again after its primary was kept, replaced or could not be replaced. */
 const recheckDelayMs = 400;
 /** The longest such pause after a primary has been kept several times in a row, in milliseconds. */
@@ -42,7 +40,6 @@
   private readonly leaderlessSince = new Map<string, number>();
   /** By group: where its primary was when last listed; the entry of one that is replaced is often gone. */
   private readonly lastPrimaries = new Map<string, ListedPrimary>();
-  private nextHolderCheckAt = -Infinity;
   private isStopped = false;
 
   constructor(
@@ -89,7 +86,6 @@
     const entry = this.tracker.leadership.document.groups[group];
     if (entry?.type === "changing" && this.tracker.findLeader(group).type !== "serving") {
       if (this.lease.canTakeOver()) this.startChange(group, entry.from, { type: "unlisted" });
-      else void this.checkHolder();
       return;
     }
     const oldTarget = this.tracker.findKnownPrimary(group);
@@ -102,24 +98,6 @@
     if (suspicion !== undefined) this.startChange(group, oldTarget, suspicion);
   }
 
-  /**
-   * Finds out whether the process of a silent lease holder has ended, so that its change need not wait until the lease
-   * is over. A refused connection shows that, unless the list of proxies is outdated.
-   */
-  private async checkHolder(): Promise<void> {
-    const holder = this.lease.findSilentHolder();
-    const { clock, peers, logger } = this.ports;
-    if (holder === undefined || clock.now() < this.nextHolderCheckAt) return;
-    this.nextHolderCheckAt = clock.now() + recheckDelayMs;
-    if (!(await this.ports.refreshProxies())) return;
-    const proxy = this.ports.listProxies().find(({ vm }) => vm === holder.vm);
-    if (proxy === undefined) return;
-    const { type } = await peers.share(proxy, this.tracker.latestUpdate, holderTimeoutMs);
-    if (type !== "ended") return;
-    this.lease.recordEnd(holder);
-    logger.write(leadershipEvents.proxiesEnded, { proxies: [holder.vm] });
-  }
-
   /** Handles a group whose primary failed before this process knew it; perhaps no remaining proxy knew it. */
   private checkLeaderlessGroup(group: string): void {
     const now = this.ports.clock.now();
@@ -244,8 +222,6 @@
     const changeStartedAt = this.ports.clock.now();
     const isListed = await this.ports.refreshProxies();
     const notified = await this.notifyOthers();
-    // A proxy on an outdated list may run at another address, so that a refused connection proves nothing.
-    if (isListed) this.recordEnded(notified);
     if (suspicion.type === "leaving") await this.ports.clock.sleep(statementDrainMs);
     const oldReport = await this.demoteOldPrimary(group, oldTarget);
     await waitForPermitExpiry(this.ports, this.tracker, changeStartedAt, notified, isListed);
@@ -266,18 +242,10 @@
     const outcome = await notifyProxies(this.ports, this.tracker, this.inquirer.listOtherProxies());
     const told = outcome.notifiedAt.length;
     const silent = outcome.unanswered.length;
-    const ended = outcome.ended.length;
-    this.ports.logger.write(leadershipEvents.proxiesNotified, { version, told, silent, ended });
+    this.ports.logger.write(leadershipEvents.proxiesNotified, { version, told, silent });
     return outcome;
   }
 
-  private recordEnded({ ended }: NotificationResult): void {
-    if (ended.length === 0) return;
-    const proxies = ended.map(({ proxy }) => proxy.vm);
-    this.ports.logger.write(leadershipEvents.proxiesEnded, { proxies });
-    this.ports.onProxiesEnded(ended.length);
-  }
-
   /** Demotes the old primary through any proxy that reaches it; resolves to its report, with the end of its log. */
   private async demoteOldPrimary(
     group: string,
@@ -306,10 +274,9 @@
     const notified = this.notifyOthers();
     await this.recordPrimary(group, round, target);
     await notified;
-    const { unanswered, ended } = await this.notifyOthers();
+    const { unanswered } = await this.notifyOthers();
     // Without the mark, every later change would wait for a proxy that has terminated.
-    const missed = [...unanswered, ...ended.map(({ proxy }) => proxy)];
-    await Promise.all(missed.map((proxy) => this.ports.markMissed(proxy)));
+    await Promise.all(unanswered.map((proxy) => this.ports.markMissed(proxy)));
   }
 
   /**
--- a/src/leadership/decide.ts
+++ b/src/leadership/decide.ts
@@ -6,7 +6,7 @@
 export interface Reachability {
   readonly reaching: number;
   readonly notReaching: number;
-  /** Proxies that did not answer and may run, unlike those that have ended, which are not counted. */
+  /** Proxies that did not answer and may run. */
   readonly silent: number;
 }
 
--- a/src/leadership/inquirer.ts
+++ b/src/leadership/inquirer.ts
@@ -114,7 +114,6 @@
   return { type: "answered", answer };
 }
 
-/** Ended proxies are not counted: they can't reach anything and are not on the other side of a partition. */
 function countReaching(results: readonly PeerResult<TargetAnswer>[]): Reachability {
   const known = results.flatMap((result) => findAnswer(result) ?? []);
   const reaching = known.filter(showsLeadingPrimary).length;
--- a/src/leadership/lease.ts
+++ b/src/leadership/lease.ts
@@ -9,8 +9,6 @@
  * for which the holder acts without a write, to allow for slow clocks and calls.
  */
 const takeOverAfterMs = 5000;
-/** A holder that has written nothing for longer than a usual change takes is asked whether it runs. */
-const silentHolderMs = 600;
 /** A holder whose last write is older than this renews the lease before it sends an order. */
 const renewAfterMs = 1500;
 /**
@@ -40,8 +38,6 @@
   private lastWriteAt = -Infinity;
   private seenVersion = 0;
   private seenAt = -Infinity;
-  /** The holder whose process is known to have ended, and since when. */
-  private ended: { readonly holder: LeaseHolder; readonly since: number } | undefined;
   private readonly createdAt: number;
   /** By group: the round of the serving primary, and when this proxy first saw it. */
   private readonly servingSince = new Map<
@@ -87,39 +83,18 @@
   }
 
   /**
-   * Whether the lease may be acquired: it is free or own, its holder has ended, or its holder has written nothing for
-   * `takeOverAfterMs`.
+   * Whether the lease may be acquired: it is free or own, its holder was an earlier process on this machine, or its
+   * holder has written nothing for `takeOverAfterMs`. Only one process runs on a machine, so that an earlier one has
+   * ended; a refused connection to another machine does not show that its process has.
    */
   canTakeOver(): boolean {
     const { holder } = this.tracker.leadership.document;
     if (holder === undefined || this.isOwnHolder(holder)) return true;
     const now = this.ports.clock.now();
-    const endedAt = this.findEnd(holder);
-    if (endedAt !== undefined && now - endedAt >= orderSettleMs) return true;
+    if (holder.vm === this.ports.vm && now - this.createdAt >= orderSettleMs) return true;
     return now - this.seenAt > takeOverAfterMs;
   }
 
-  /** The other proxy that holds the lease, if it has written nothing for a while and is not known to have ended. */
-  findSilentHolder(): LeaseHolder | undefined {
-    const { holder } = this.tracker.leadership.document;
-    if (holder === undefined || this.findEnd(holder) !== undefined) return undefined;
-    return this.ports.clock.now() - this.seenAt > silentHolderMs ? holder : undefined;
-  }
-
-  /** Records that a holder's process has ended. */
-  recordEnd(holder: LeaseHolder): void {
-    this.ended = { holder, since: this.ports.clock.now() };
-  }
-
-  /** Since when a holder's process has ended. One process runs on a machine, so an earlier one on this has. */
-  private findEnd(holder: LeaseHolder): number | undefined {
-    if (holder.vm === this.ports.vm) return this.createdAt;
-    const { ended } = this;
-    const isKnown =
-      ended?.holder.vm === holder.vm && ended.holder.incarnation === holder.incarnation;
-    return isKnown ? ended.since : undefined;
-  }
-
   /**
    * Acquires the lease and begins a change. Resolves to its round, or to `undefined` if another proxy holds the
    * lease or has changed the group.
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -56,10 +56,11 @@
 /** The outcome of a call to another proxy. */
 export type PeerResult<T> =
   | { readonly type: "answered"; readonly answer: T }
-  /** Nothing arrived in time: the proxy may run and use primaries. */
-  | { readonly type: "silent" }
-  /** Its machine refused the connection: no process listens at the listed address, so none there has a permit. */
-  | { readonly type: "ended" };
+  /**
+   * No answer arrived in time, or the connection was refused or reset. The proxy may run and use primaries: a partition
+   * may refuse and reset connections in the name of a machine that it cuts off.
+   */
+  | { readonly type: "silent" };
 
 /** The answer of a call, or `undefined` if there was none, for callers to which the reason makes no difference. */
 export function findAnswer<T>(result: PeerResult<T>): T | undefined {
@@ -149,8 +150,6 @@
   readonly refreshProxies: () => Promise<boolean>;
   /** Marks a proxy's entry as missed, unless the entry has changed since it was read. */
   readonly markMissed: (proxy: Proxy) => Promise<void>;
-  /** Called with the number of proxies that a change of primary finds to have ended. */
-  readonly onProxiesEnded: (count: number) => void;
   /** The registered proxies that hold a group's connections and so can tell whether its targets are reachable. */
   readonly listGroupProxies: (group: string) => readonly Proxy[];
   readonly listTargets: (group: string) => readonly AnnouncedTarget[];
--- a/src/leadership/tracker.ts
+++ b/src/leadership/tracker.ts
@@ -113,8 +113,8 @@
   }
 
   /**
-   * Drops the permit for good. Required before this process deregisters or closes its peer address, since changes of
-   * primary wait neither for an unlisted proxy nor for one that has ended.
+   * Drops the permit for good. Required before this process deregisters, since changes of primary do not wait for an
+   * unlisted proxy, and before it closes its peer address, at which they notify it.
    */
   revokePermit(): void {
     this.isRevoked = true;
--- a/src/log/events/leadership.ts
+++ b/src/log/events/leadership.ts
@@ -62,12 +62,6 @@
     level: "info",
     text: "The proxy notified the other proxies of the change; it waits until the permits of those that did not answer have expired.",
   },
-  proxiesEnded: {
-    id: 3116,
-    name: "proxiesEnded",
-    level: "info",
-    text: "The machines of listed proxies refused a connection, so their processes have ended; a change of primary waits for their permits only while another proxy is silent.",
-  },
   demoted: {
     id: 3109,
     name: "primaryDemoted",
--- a/src/metric/metrics.ts
+++ b/src/metric/metrics.ts
@@ -60,8 +60,6 @@
   recordStoreCall(operation: string, outcome: string): void;
   /** Counts a statement or message that this process sends to another region. */
   recordCrossing(kind: CrossingKind): void;
-  /** Counts listed proxies that a change of primary found to have ended. */
-  recordEndedProxies(count: number): void;
   recordViolation(invariant: Invariant): void;
   setConnections(group: string, state: ConnectionState, count: number): void;
   setRevision(revision: number): void;
@@ -118,7 +116,6 @@
   private readonly redirects: Counter<"group">;
   private readonly storeCalls: Counter<"operation" | "outcome">;
   private readonly crossings: Counter<"kind">;
-  private readonly endedProxies: Counter;
   private readonly violations: Counter<"invariant">;
   private readonly connections: Gauge<"group" | "state">;
   private readonly revision: Gauge;
@@ -182,9 +179,6 @@
     this.crossings = new Counter(
       define("region_crossings_total", "Requests sent to another region, by kind.", ["kind"]),
     );
-    this.endedProxies = new Counter(
-      define("ended_proxies_total", "Listed proxies that a change found to have ended.", []),
-    );
     this.violations = new Counter(
       define("invariant_violations_total", "Violations of invariants.", ["invariant"]),
     );
@@ -238,10 +232,6 @@
     this.crossings.inc({ kind });
   }
 
-  recordEndedProxies(count: number): void {
-    this.endedProxies.inc(count);
-  }
-
   recordViolation(invariant: Invariant): void {
     this.violations.inc({ invariant });
   }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -60,7 +60,7 @@
   constructor(private readonly options: NodeOptions) {
     const { settings, adapter, clock, random, logger } = options;
     this.peerServer = this.createPeerServer();
-    // Released last: peers take a process for ended once its peer address refuses connections.
+    // Released last: changes of primary have to reach this process while its permit is valid.
     if (this.peerServer !== undefined) this.owned.add(this.peerServer);
     this.metrics = createMetrics({ process: true });
     this.drainPlan = planDrain(settings.graceMs);
@@ -162,7 +162,6 @@
         listProxies: () => this.follower.registry.list(),
         refreshProxies: () => this.follower.registry.refresh(),
         markMissed: (proxy) => adapter.store.markMissed(proxy),
-        onProxiesEnded: (count) => this.metrics.recordEndedProxies(count),
         listGroupProxies: (group) => this.forwarding.listGroupProxies(group),
         listTargets: (group) => this.listTargets(group),
         listGroups: () => this.forwarding.listOwnGroups(),
@@ -216,8 +215,8 @@
     const { settings, logger, metrics } = this.options;
     await this.listenHealth(settings.readiness);
     if (metrics !== undefined) await this.listenHealth(metrics);
-    // Before the first request to the store or a peer: a process whose peer address refuses connections counts as
-    // ended, and a change of primary does not wait for a permit that it may have.
+    // Before the first request to the store or a peer, which may give a permit: changes of primary have to reach this
+    // process then, or wait until the permit has expired.
     await this.peerServer?.listen();
     await this.forwarding.listen(this.directPorts, this.groups);
     await this.server.listen();
--- a/test/node/stop.test.ts
+++ b/test/node/stop.test.ts
@@ -53,8 +53,8 @@
   return { seen, tracker, settings, client };
 }
 
-// Peers take a process for ended once its peer address refuses connections, and promote a new primary without waiting.
-// With a permit or a caller's connection left, it would read at the old primary what others have overwritten.
+// A drained process deregisters, and peers promote a new primary without waiting for it. With a permit or a caller's
+// connection left, it would read at the old primary what others have overwritten.
 test.each([false, true])(
   "the permit is void and nothing else is open when the peer address closes, drained: %s",
   async (isDraining) => {
@@ -72,7 +72,7 @@
   expect(tracker.isPermitted).toBe(false);
 });
 
-// A process that asks the store or a peer before it listens could get a permit while it counts as ended.
+// A process that asks the store or a peer before it listens could get a permit while no change can notify it.
 test("a node polls only once it listens at its peer address", async () => {
   const listen = jest.spyOn(DirectPeerServer.prototype, "listen");
   const run = jest.spyOn(StoreFollower.prototype, "run");
@@ -81,7 +81,7 @@
   expect(listen.mock.invocationCallOrder[0]).toBeLessThan(run.mock.invocationCallOrder[0] ?? 0);
 });
 
-// Another process may hold the address. A node that served without it would look ended while it uses primaries.
+// Another process may hold the address. A node that served without it would use primaries and hear of no change.
 test("a node that can't listen at its peer address does not serve", async () => {
   cluster = await Cluster.start({ nodes: 0 });
   const run = jest.spyOn(StoreFollower.prototype, "run");
