--- a/src/bin/proxy.ts
+++ b/src/bin/proxy.ts
@@ -6,7 +6,7 @@
 import { PinoLogger } from "../log/index.js";
 import { Proxy } from "../proxy/index.js";
 import { formatFault, loadProxySettings, type ProxySettings } from "../settings/index.js";
-import { createSystemClock, createSystemRandom } from "../system/index.js";
+import { createSystemClock, createSystemRandom, stopOnSignal } from "../system/index.js";
 
 const exitInvalidSettings = 2;
 const exitFailed = 1;
@@ -60,9 +60,7 @@
       random: createSystemRandom(),
       incarnation: openIncarnation(Date.now()),
     });
-    const stop = () => void stopProxy(proxy, settings, logger);
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
+    stopOnSignal(() => void stopProxy(proxy, settings, logger));
     await proxy.start();
   } catch (error) {
     logger.write(processEvents.unexpectedError, { reason: String(error) });
--- a/src/direct/callers.ts
+++ b/src/direct/callers.ts
@@ -96,9 +96,14 @@
     for (const caller of this.connections) caller.endIfRevoked();
   }
 
-  /** Rolls back open idle transactions when the time for draining is over. */
-  endTransactions(): void {
-    for (const caller of this.connections) caller.endTransaction();
+  /** Ends all sessions' work when the time for draining is over; see `DirectSession.endWork`. */
+  endWork(): void {
+    for (const caller of this.connections) caller.endWork();
+  }
+
+  /** Refuses the statements that still wait, right before the process ends. */
+  cancelWaiting(): void {
+    for (const caller of this.connections) caller.cancelWaiting();
   }
 }
 
@@ -164,8 +169,12 @@
     this.end();
   }
 
-  endTransaction(): void {
-    this.session?.endTransaction();
+  endWork(): void {
+    this.session?.endWork();
+  }
+
+  cancelWaiting(): void {
+    this.session?.cancelWaiting();
   }
 
   endIfRevoked(): void {
--- a/src/direct/session.ts
+++ b/src/direct/session.ts
@@ -15,6 +15,7 @@
 import type { DirectPorts, StatementSample } from "./ports.js";
 import { watchTransactionIdle } from "./idle.js";
 import { observeObjective } from "./levels.js";
+import { describeRefusal } from "./pause.js";
 import { identifyCaller, type CallerIdentity } from "./roster.js";
 import type { OpenTransaction, WorkRunner } from "./runner.js";
 import type { StatementResult } from "./autocommit.js";
@@ -35,6 +36,11 @@
 /** The error text for a caller whose key no team holds. */
 export const deniedReason = "no team holds this key";
 
+/** Why statements are refused and an open transaction is rolled back at the end of a drain. */
+const leavingReason = "this node is shutting down";
+/** Other nodes take callers at once, in milliseconds. */
+const leavingRetryMs = 0;
+
 /** The context for running a statement, or the refusal if none may run. */
 type ContextResult =
   | { readonly type: "found"; readonly context: SessionContext }
@@ -57,6 +63,10 @@
     { readonly handle: OpenTransaction; readonly context: SessionContext } | undefined;
   private stopIdleWatch: (() => void) | undefined;
   private isRunning = false;
+  /** Whether the time for draining is over. */
+  private isEnding = false;
+  /** Whether an open transaction was rolled back for that and the caller has not been told yet. */
+  private hasUntoldEnd = false;
 
   constructor(private readonly options: SessionOptions) {}
 
@@ -83,6 +93,7 @@
       return await this.dispatch(statement);
     } finally {
       this.isRunning = false;
+      if (this.isEnding) this.endTransaction();
       this.rollbackIfRevoked();
       this.startIdleTimer();
     }
@@ -104,10 +115,18 @@
     transaction.handle.rollback(transaction.context);
   }
 
-  /** Rolls back an open idle transaction when the time for draining is over; the session stays open. */
-  endTransaction(): void {
-    if (this.isRunning) return;
-    this.transaction?.handle.rollback(this.transaction.context);
+  /**
+   * Ends the session's work when the time for draining is over: rolls back an open transaction, after the statement that
+   * runs in it, and refuses later statements. The session stays open, so that its caller gets these answers.
+   */
+  endWork(): void {
+    this.isEnding = true;
+    if (!this.isRunning) this.endTransaction();
+  }
+
+  /** Refuses a statement that still waits for a connection or slot, right before the process ends. */
+  cancelWaiting(): void {
+    this.disconnect.abort();
   }
 
   /** Handles the caller's disconnection: cancels waiting statements and rolls back an open transaction. */
@@ -121,7 +140,10 @@
 
   private async dispatch(statement: Statement): Promise<Reply> {
     if (this.state === "failed" && statement.type !== "commit" && statement.type !== "rollback") {
-      return failLocally("malformed", "the transaction has failed; roll it back", "failed");
+      return this.failInFailed();
+    }
+    if (this.isEnding && this.transaction === undefined && runsAtTarget(statement)) {
+      return failLocally("busy", describeRefusal(leavingReason, leavingRetryMs), this.state);
     }
     switch (statement.type) {
       case "set":
@@ -143,6 +165,21 @@
     }
   }
 
+  private endTransaction(): void {
+    const { transaction } = this;
+    if (transaction?.handle.state !== "transaction") return;
+    transaction.handle.rollback(transaction.context);
+    this.hasUntoldEnd = true;
+  }
+
+  /** Fails a statement in a failed transaction. The first one after its end at a drain promises that nothing is kept. */
+  private failInFailed(): Reply {
+    if (!this.hasUntoldEnd)
+      return failLocally("malformed", "the transaction has failed; roll it back", "failed");
+    this.hasUntoldEnd = false;
+    return failLocally("aborted", `rolled back: ${leavingReason}`, "failed");
+  }
+
   private setValue(name: string, value: string): Reply {
     if (!this.values.has(name) && this.values.size >= maxSessionEntries) {
       return failLocally(
@@ -333,6 +370,11 @@
   }
 }
 
+/** Whether a statement begins work at a target, unlike those that this process answers by itself. */
+function runsAtTarget({ type }: Statement): boolean {
+  return type === "begin" || type === "access" || type === "execute";
+}
+
 function findOutcome(reply: Reply): StatementSample["outcome"] {
   if (reply.end.type === "complete") return "answered";
   const { code } = reply.end;
--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -89,11 +89,14 @@
     return this.calls.size + this.transactions.size;
   }
 
-  /** Rolls back transactions that are idle between two statements, once the time to end them has passed. */
-  rollBackIdleTransactions(): void {
-    for (const [id, { body }] of this.transactions) {
-      if (!body.isRunning) this.endTransaction(id);
-    }
+  /** Rolls back all transactions when the time for draining is over, each after the statement that runs in it. */
+  endTransactions(): void {
+    for (const id of [...this.transactions.keys()]) this.endTransaction(id);
+  }
+
+  /** Refuses the statements that still wait, right before the process ends. */
+  cancelWaiting(): void {
+    for (const abort of this.calls.values()) abort.abort();
   }
 
   /** Closes the connection and ends all calls and transactions on it. */
@@ -375,8 +378,8 @@
   /** Cancels running calls and rolls back open transactions at once. */
   private handleClose(reason: string): void {
     this.liveness.stop();
-    for (const abort of this.calls.values()) abort.abort();
-    for (const id of [...this.transactions.keys()]) this.endTransaction(id);
+    this.cancelWaiting();
+    this.endTransactions();
     this.ports.direct.logger.write(gatewayEvents.servedConnectionClosed, { reason });
     this.onEnd();
   }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -34,9 +34,14 @@
     return [...this.connections].reduce((sum, connection) => sum + connection.activeCount, 0);
   }
 
-  /** Rolls back transactions that are idle between two statements, once the time to end them has passed. */
-  rollBackIdleTransactions(): void {
-    for (const connection of this.connections) connection.rollBackIdleTransactions();
+  /** Rolls back all transactions when the time for draining is over, each after the statement that runs in it. */
+  endTransactions(): void {
+    for (const connection of this.connections) connection.endTransactions();
+  }
+
+  /** Refuses the statements that still wait, right before the process ends. */
+  cancelWaiting(): void {
+    for (const connection of this.connections) connection.cancelWaiting();
   }
 
   dispose(): void {
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -186,8 +186,13 @@
   }
 
   /** Rolls back the open transactions of other nodes, when their time in a shutdown is over. */
-  rollBackTransactions(): void {
-    this.server?.rollBackIdleTransactions();
+  endTransactions(): void {
+    this.server?.endTransactions();
+  }
+
+  /** Refuses the statements of other nodes that still wait here, right before the process ends. */
+  cancelWaiting(): void {
+    this.server?.cancelWaiting();
   }
 
   /** How this node's share of the connections to a group's targets in a data centre is determined. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -53,6 +53,7 @@
   private readonly server: LineServer;
   private readonly drainer: DrainRunner;
   private readonly drainPlan: DrainPlan;
+  private drained: Promise<void> | undefined;
   private gatewayRefreshAt = -Infinity;
   private readonly probing = new Set<string>();
   private primaryCheckTimer: NodeJS.Timeout | undefined;
@@ -228,12 +229,21 @@
   }
 
   /** Stops accepting callers and waits until nothing is in flight, within the platform's grace period. */
-  async drain(): Promise<void> {
+  drain(): Promise<void> {
+    this.drained ??= this.runDrain();
+    return this.drained;
+  }
+
+  private async runDrain(): Promise<void> {
     const { clock } = this.options;
+    const { endWorkAfterMs, cancelWaitingAfterMs } = this.drainPlan;
     const ended = this.drainer.drain();
-    await Promise.race([ended, clock.sleep(this.drainPlan.rollBackAfterMs)]);
-    this.callers.endTransactions();
-    this.forwarding.rollBackTransactions();
+    await Promise.race([ended, clock.sleep(endWorkAfterMs)]);
+    this.callers.endWork();
+    this.forwarding.endTransactions();
+    await Promise.race([ended, clock.sleep(cancelWaitingAfterMs - endWorkAfterMs)]);
+    this.callers.cancelWaiting();
+    this.forwarding.cancelWaiting();
     await ended;
     this.rates.stop();
     await this.follower.leave();
--- a/test/node/cluster.ts
+++ b/test/node/cluster.ts
@@ -331,8 +331,9 @@
 
   private settle(fallback?: string): void {
     const { waiting } = this;
-    const answer = this.answers[0] === undefined ? fallback : this.answers.shift();
-    if (waiting === undefined || answer === undefined) return;
+    if (waiting === undefined) return;
+    const answer = this.answers.shift() ?? fallback;
+    if (answer === undefined) return;
     this.waiting = undefined;
     waiting(answer);
   }
