Take only a failed attempt to connect for a request not sent

What callers could have seen: a write to the store that took effect, reported as not sent.

Cause: ECONNREFUSED, EHOSTUNREACH and ENETUNREACH counted as a failed attempt to connect wherever they came from. The last two also come from an established connection whose path breaks, after bytes were sent. Found while looking at every conclusion from a refused connection.

Change: the pool knows whether it has begun to send; a request that fails before that was not sent, any other is lost. The list of codes goes. Three cases of the new test failed before.

--- a/src/platform/call.ts
+++ b/src/platform/call.ts
@@ -25,14 +25,6 @@
 /** How long an aborted request may take to settle, in milliseconds. */
 const abortGraceMs = 5;
 
-/** Node.js error codes of a failed connection attempt, after which nothing was sent. */
-const connectFailures: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ENOTFOUND",
-]);
-
 /**
  * Sends one request. Never rejects, and resolves within its timeout plus 5 ms.
  *
@@ -93,8 +85,7 @@
 }
 
 function toFailureResult(error: unknown): HttpCallResult {
-  const { code, message } = error as { readonly code?: unknown; readonly message?: unknown };
-  const hasConnectFailed = typeof code === "string" && connectFailures.has(code);
-  const isUnsent = error instanceof UnsentError || hasConnectFailed;
-  return { type: isUnsent ? "notSent" : "lost", reason: String(message ?? error) };
+  const { message } = error as { readonly message?: unknown };
+  const type = error instanceof UnsentError ? "notSent" : "lost";
+  return { type, reason: String(message ?? error) };
 }
--- a/src/platform/pool.ts
+++ b/src/platform/pool.ts
@@ -20,7 +20,7 @@
 
 /** A pool of connections to one origin. */
 export interface HttpPool {
-  /** Rejects with an `UnsentError` when the request ends before its connection is established or may not be sent. */
+  /** Rejects with an `UnsentError` when the connection fails, or the request ends before it or may not be sent. */
   request(call: HttpRequest): Promise<HttpResponse>;
   /** Closes idle connections. Pending requests finish. */
   close(): void;
@@ -127,7 +127,9 @@
       if (socket.connecting) socket.once("connect", send);
       else send();
     });
-    clientRequest.on("error", (error) => settle(() => reject(error)));
+    clientRequest.on("error", (error) => {
+      settle(() => reject(hasSent ? error : new UnsentError(error.message)));
+    });
     clientRequest.on("response", (response) => {
       const chunks: Buffer[] = [];
       response.on("data", (chunk: Buffer) => chunks.push(chunk));
--- a/test/platform/call.test.ts
+++ b/test/platform/call.test.ts
@@ -11,3 +11,15 @@
   const call = { method: "GET", path: "/objects/a", timeoutMs: 30 } as const;
   expect(await sendHttpCall(pool, call)).toEqual({ type: "lost", reason: "no answer in time" });
 });
+
+// A path that breaks under an established connection gives these errors too, after the request was sent: a write that
+// may have taken effect was reported as not sent.
+test.each(["EHOSTUNREACH", "ENETUNREACH", "ECONNREFUSED"])(
+  "a request that fails with %s after it was sent counts as lost",
+  async (code) => {
+    const failure = Object.assign(new Error(code), { code, syscall: "read" });
+    const pool = { request: () => Promise.reject(failure) } as unknown as HttpPool;
+    const call = { method: "PUT", path: "/objects/a", body: "{}", timeoutMs: 30 } as const;
+    expect((await sendHttpCall(pool, call)).type).toBe("lost");
+  },
+);
