--- a/src/gateway/served.ts
+++ b/src/gateway/served.ts
@@ -3,12 +3,10 @@
 import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
 import {
   directRunner,
-  findReadRequirement,
   RedirectOffer,
   sharePositions,
   StatementTrace,
   watchTransactionIdle,
-  type DirectGroup,
   type OpenTransaction,
   type SessionContext,
   type StatementResult,
@@ -23,13 +21,13 @@
   type RunStep,
   type SessionPart,
 } from "../peer/gen/radishwalk/direct/v1/gateway_pb.js";
-import type { Team } from "../model/index.js";
 import { failLocally, findEffect, type Reply, type Work } from "../statement/index.js";
 import { decodeSession, decodeWork, encodeAnswer, type TransactionPart } from "./codec.js";
 import { FrameChannel } from "./channel.js";
 import { LivenessMonitor } from "./liveness.js";
 import { encodePositions } from "./position-codec.js";
 import type { LoadRole } from "./load-figures.js";
+import { findServedTeam, findStepRefusal } from "./served-admission.js";
 import type { ServedConnectionPorts } from "./served-ports.js";
 import { findRole } from "./statement-role.js";
 import { LoadReporter, type LoadSource } from "./load-source.js";
@@ -210,12 +208,12 @@
     }
     const name = session.database.group;
     const group = this.ports.groups.find(name);
-    const refusal = isHeld ? undefined : this.findRefusal(session, group, isRead);
+    const refusal = isHeld ? undefined : findStepRefusal(this.ports, session, group, isRead);
     if (group === undefined || refusal !== undefined) {
       this.refuse(call, refusal ?? `the group ${name} is unknown to this gateway`, part);
       return undefined;
     }
-    const team = this.findTeam(session.teamName);
+    const team = findServedTeam(this.ports, session.teamName);
     if (team === "unknown") {
       this.refuse(call, `the team ${session.teamName ?? ""} is unknown to this gateway`, part);
       return undefined;
@@ -231,32 +229,6 @@
     return { ...session, team, ports, group, disconnectSignal: abort.signal, trace, nextId };
   }
 
-  /**
-   * Why a step is refused; undefined while it is served. A read for which a replica with a known log position suffices
-   * may be served without a permit. Any other read would wait here for the permit, while another gateway can run it.
-   */
-  private findRefusal(
-    session: Pick<SessionContext, "database" | "lastCommit">,
-    group: DirectGroup | undefined,
-    isRead: boolean,
-  ): string | undefined {
-    const { direct, findRefusal, findReadRefusal } = this.ports;
-    // Queried before the required position is computed: a process that was suspended discards its positions by it.
-    const refusal = findRefusal(session.database.group);
-    if (refusal === undefined || group === undefined || !isRead) return refusal;
-    const requirement = findReadRequirement({ ...session, group }, direct.clock.now());
-    return requirement.type === "replica" ? findReadRefusal(session.database.group) : refusal;
-  }
-
-  /**
-   * Finds the team in this process's configuration. The forwarding node has already checked the caller's key;
-   * the team's limits are applied here, where its statements are sent to targets.
-   */
-  private findTeam(name: string | undefined): Team | "unknown" | undefined {
-    if (name === undefined) return undefined;
-    return this.ports.direct.getServingConfig().roster?.findByName(name) ?? "unknown";
-  }
-
   private findTransaction(
     { transaction: id, opens, isReadOnly }: TransactionPart,
     context: SessionContext,
