--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -102,6 +102,14 @@
     };
   }
 
+  /** Lets a proxy check its groups every 100 ms for a while. */
+  async checkFor(changer: PrimaryChanger, ms: number): Promise<void> {
+    for (const until = this.clock.time + ms; this.clock.time < until;) {
+      changer.checkGroups();
+      await this.clock.advance(100);
+    }
+  }
+
   /** A proxy in `states` that is running acknowledges the update and does not reach the primary. */
   private notify(proxy: Proxy, update: LeadershipUpdate): Promise<PeerResult<LeadershipAnswer>> {
     this.calls.push(proxy.vm);
--- a/test/leadership/ended-holder.test.ts
+++ b/test/leadership/holder.test.ts
@@ -17,12 +17,7 @@
   fixture.stored = { version: 5, document };
   const { changer, tracker } = fixture.makeProxy("a");
   tracker.adopt({ leadership: fixture.stored, promoted: [] });
-  const checkFor = async (ms: number) => {
-    for (const until = fixture.clock.time + ms; fixture.clock.time < until;) {
-      changer.checkGroups();
-      await fixture.clock.advance(100);
-    }
-  };
+  const checkFor = (ms: number) => fixture.checkFor(changer, ms);
   return { fixture, checkFor };
 }
 
--- a/test/leadership/promotion.test.ts
+++ b/test/leadership/promotion.test.ts
@@ -23,11 +23,7 @@
   const { changer, tracker } = fixture.makeProxy("a");
   tracker.noteProbeResult("ledger", "i-0", 0, false);
   fixture.clock.time = 400;
-  const endsAt = fixture.clock.time + forMs;
-  while (fixture.clock.time < endsAt) {
-    changer.checkGroups();
-    await fixture.clock.advance(100);
-  }
+  await fixture.checkFor(changer, forMs);
   return tracker.findLeader("ledger");
 }
 
