Give each process ports of its own in tests and stand-ins

What was seen: "real nodes serve a group after a promotion that takes longer than its order may" failed once in a whole run with unexpectedEnds 7: nodes of the stand-in fleet exited by themselves.

Cause: a port was free when it was found and was listened on later. Processes with adjacent ids, such as the test runner's workers, searched from offsets 97 ports apart, and a fourth soak in one file reached its neighbour's. A node whose port is taken exits at its start, again and again.

Evidence: the test beside a process that takes its ports for 1.5 s at a time: unexpectedEnds 36. Worker ids of a run: 18297 to 18300.

Change: a process claims blocks of 80 ports by listening on the first one of each, and finds ports in its own blocks.

--- a/standin/processes/port.ts
+++ b/standin/processes/port.ts
@@ -1,4 +1,4 @@
-import { createServer } from "node:net";
+import { createServer, type Server } from "node:net";
 
 /** The address that all processes of a system listen on. */
 export const host = "127.0.0.1";
@@ -7,29 +7,53 @@
 // connection before the program listens on it, and the program would exit.
 const firstPort = 10_000;
 const portCount = 20_000;
-const offsetPerProcess = 97;
+const blockSize = 80;
+const blockCount = portCount / blockSize;
 
-let offset = (process.pid * offsetPerProcess) % portCount;
+let nextBlock = process.pid % blockCount;
+let nextPort = 0;
+let blockEnd = 0;
 
-/** Finds a loopback port that is not in use; each call returns another one. */
+/**
+ * Finds a loopback port that is not in use; each call returns another one. It is in a block that only this process uses
+ * while it runs: a program listens on its port a while after it was found, and another process could take it meanwhile.
+ */
 export async function findFreePort(): Promise<number> {
   for (let tries = 0; tries < portCount; tries += 1) {
-    offset = (offset + 1) % portCount;
-    if (await canListen(firstPort + offset)) return firstPort + offset;
+    if (nextPort === blockEnd) await claimBlock();
+    const port = nextPort;
+    nextPort += 1;
+    if (await canListen(port)) return port;
   }
   throw new Error(`no port between ${firstPort} and ${firstPort + portCount - 1} is free`);
 }
 
-function canListen(port: number): Promise<boolean> {
+/** Claims a block of ports by listening on its first one for as long as this process runs. */
+async function claimBlock(): Promise<void> {
+  for (let tries = 0; tries < blockCount; tries += 1) {
+    const claim = firstPort + nextBlock * blockSize;
+    nextBlock = (nextBlock + 1) % blockCount;
+    const server = await listen(claim);
+    if (server === undefined) continue;
+    server.unref();
+    nextPort = claim + 1;
+    blockEnd = claim + blockSize;
+    return;
+  }
+  throw new Error(`all ${blockCount} blocks of ports are in use`);
+}
+
+async function canListen(port: number): Promise<boolean> {
+  const server = await listen(port);
+  if (server === undefined) return false;
+  await new Promise((resolve) => server.close(resolve));
+  return true;
+}
+
+function listen(port: number): Promise<Server | undefined> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", () => {
-      resolve(false);
-    });
-    server.listen(port, host, () => {
-      server.close(() => {
-        resolve(true);
-      });
-    });
+    server.once("error", () => resolve(undefined));
+    server.listen(port, host, () => resolve(server));
   });
 }
