Let a superseded primary of the rig become a replica of its successor

The fault is the rig's alone; the product's status requests and reads take the target as it says it is.

--- a/standin/direct/group.ts
+++ b/standin/direct/group.ts
@@ -107,6 +107,18 @@
     return (this.findPrimary() ?? newest)?.log ?? [];
   }
 
+  /**
+   * Makes a superseded primary a replica of its successor, as it does when it comes back from a crash or has been in
+   * touch with its successor for a while. What its log has that its successor's lacks is rolled back.
+   */
+  demoteSuperseded(member: StandinMember): void {
+    const primary = this.findPrimary();
+    if (member.role !== "primary" || primary === undefined || primary === member) return;
+    member.role = "replica";
+    member.heldTerm = Math.max(member.heldTerm, primary.term);
+    this.replicate();
+  }
+
   /** Makes a member the primary of a new term, with the log that it has. False when it does not exist. */
   promote(id: string): boolean {
     const member = this.members.get(id);
--- a/standin/soak/nodes/backend-group.ts
+++ b/standin/soak/nodes/backend-group.ts
@@ -22,6 +22,8 @@
 /** How long a target may get statements after the store has accepted that it leaves, in milliseconds. */
 export const drainTimeoutMs = 7000;
 const acceptPollMs = 20;
+/** A superseded primary becomes a replica within this time after it can reach its successor, in milliseconds. */
+const demoteAfterMs = 1000;
 
 /** The targets of one group and their log, with the faults that strike them. Times are in milliseconds. */
 export class BackendGroup implements Disposable {
@@ -49,6 +51,8 @@
   }
 
   async start(): Promise<void> {
+    const timer = setInterval(() => this.demoteSuperseded(), demoteAfterMs);
+    this.owned.defer(() => clearInterval(timer));
     const zones = this.site.targetZones ?? this.site.zones;
     for (let i = 0; i < this.site.targetsPerGroup; i += 1) {
       await this.addTarget(zones[i % zones.length] ?? "", i === 0 ? "primary" : "replica");
@@ -86,6 +90,7 @@
     await primary.target.crash();
     await sleep(forMs);
     await primary.target.restart();
+    this.log.demoteSuperseded(primary.target.member);
     primary.isRunning = true;
     this.onChange();
   }
@@ -173,6 +178,16 @@
     await Promise.all(replaced);
   }
 
+  private demoteSuperseded(): void {
+    const primary = this.log.findPrimary();
+    if (primary === undefined) return;
+    for (const { target, isRunning } of this.members) {
+      const { member } = target;
+      const isInTouch = this.log.isLinked(member, primary) && this.log.isLinked(primary, member);
+      if (isRunning && isInTouch) this.log.demoteSuperseded(member);
+    }
+  }
+
   private async replaceTarget(old: BackendTarget, lingerMs: number): Promise<void> {
     await this.addTarget(old.zone, "replica");
     this.log.replicate();
--- a/test/standin/line-target.test.ts
+++ b/test/standin/line-target.test.ts
@@ -73,3 +73,16 @@
   log.promote("c");
   expect(log.rolledBack.size).toBe(0);
 });
+
+// A crashed primary whose successor was promoted would otherwise come back as a primary that receives nothing.
+test("a superseded primary becomes a replica that receives its successor's log", () => {
+  const log = new StandinLog();
+  const old = log.add("i-0", "primary");
+  const successor = log.add("i-1", "replica");
+  log.promote("i-1");
+  log.commit(successor, [{ id: "w1", item: "a", data: "x" }]);
+  log.demoteSuperseded(successor);
+  log.demoteSuperseded(old);
+  expect(successor.role).toBe("primary");
+  expect(old).toMatchObject({ role: "replica", log: successor.log });
+});
