--- a/src/capacity/slots.ts
+++ b/src/capacity/slots.ts
@@ -9,11 +9,13 @@
   estimateWait,
   previewRequest,
   summariseAdmission,
+  summariseQueue,
   type Admission,
   type AdmissionEffect,
   type AdmissionEvent,
   type AdmissionRequest,
   type AdmissionSummary,
+  type QueueSummary,
   type RequestPreview,
   type RequestProfile,
   type SlotUse,
@@ -166,6 +168,11 @@
     return summariseAdmission(this.admission);
   }
 
+  /** Summarises the queue before some targets, for the log. */
+  summariseQueue(targets: readonly string[]): QueueSummary {
+    return summariseQueue(this.admission, targets, this.clock.now());
+  }
+
   dispose(): void {
     this.ticker.dispose();
     for (const id of this.waiters.listIds()) this.refuse(id, "draining", refusedRetryMs);
--- a/src/controller/admission/index.ts
+++ b/src/controller/admission/index.ts
@@ -22,6 +22,8 @@
   listWaitingOnlyFor,
   type SlotUse,
   summariseAdmission,
+  summariseQueue,
+  type QueueSummary,
 } from "./view.js";
 export { listResuming } from "./hold.js";
 export { previewRequest, type RequestPreview } from "./preview.js";
--- a/src/controller/admission/view.ts
+++ b/src/controller/admission/view.ts
@@ -82,3 +82,33 @@
     .filter(({ candidates }) => candidates.every((name) => name === target))
     .map(({ id }) => id);
 }
+
+/** What the wait for some targets' slots was estimated from, for the log. Times are in milliseconds. */
+export interface QueueSummary {
+  /** The requests that wait for any of the targets. */
+  readonly waiting: number;
+  /** The slots in use at the targets. */
+  readonly running: number;
+  /** The longest mean service time among the targets. */
+  readonly serviceMs: number;
+  /** How long the oldest of the running requests has held its slot; 0 if none runs. */
+  readonly heldMs: number;
+}
+
+/** Summarises the queue before some targets. */
+export function summariseQueue(
+  admission: Admission,
+  candidates: readonly string[],
+  at: number,
+): QueueSummary {
+  const isAmong = (name: string) => candidates.includes(name);
+  const waiting = [...listValues(admission.waiting)].filter((w) => w.candidates.some(isAmong));
+  const running = [...listValues(admission.running)].filter(({ target }) => isAmong(target));
+  const serviceTimes = candidates.map((name) => admission.targets[name]?.serviceMs ?? 0);
+  return {
+    waiting: waiting.length,
+    running: running.length,
+    serviceMs: Math.round(Math.max(0, ...serviceTimes)),
+    heldMs: Math.round(Math.max(0, ...running.map(({ startedAt }) => at - startedAt))),
+  };
+}
--- a/src/direct/attempt.ts
+++ b/src/direct/attempt.ts
@@ -80,6 +80,8 @@
   const result = await placement.link.link.run(command, timeoutMs);
   stopTimer();
   context.trace.addTargetTime(clock.now() - askedAt);
+  const isBusy = hasReportedBusy(result);
+  placement.noteCommand(clock.now() - askedAt, isBusy);
   const isAnswered = result.type === "answered";
   if (placement.role === "primary") {
     primaries.noteContact(
@@ -96,7 +98,7 @@
   placement.noteProgress();
   placement.group.noteResponseTime(placement.target, clock.now() - askedAt);
   placement.group.noteAnswer(placement.target);
-  if (hasReportedBusy(result)) placement.group.noteSaturated(placement.target);
+  if (isBusy) placement.group.noteSaturated(placement.target);
   notePosition(context, placement, result.reply.mark, askedAt);
   noteExpectation(context, placement, command, result);
   return result;
--- a/src/direct/autocommit.ts
+++ b/src/direct/autocommit.ts
@@ -10,11 +10,12 @@
 import { findReadRequirement, type ReadRequirement, type SessionContext } from "./context.js";
 import { directEvents } from "../log/events/direct.js";
 import type { RateClaim } from "../rates/index.js";
-import type { PlacedConnection, RefusedPlacement } from "./placement.js";
+import type { PlacedConnection } from "./placement.js";
 import { endAsRedirected } from "./redirect.js";
 import { classifyResult } from "./result-class.js";
 import { describeLevel } from "./levels.js";
 import { describeRefusal, pauseBeforeRetry } from "./pause.js";
+import { refuseStatement, type Refusal } from "./refusal.js";
 
 /** The answer to a statement, and the mark of its commit if it committed a write. */
 export interface StatementResult {
@@ -126,17 +127,8 @@
     : findReadRequirement(context, arrivedAt);
 }
 
-function refuse(
-  context: SessionContext,
-  work: Work,
-  { reason, retryAfterMs, waitedFor }: Omit<RefusedPlacement, "type">,
-): StatementResult {
-  const { session, trace, ports } = context;
-  trace.noteReason(reason);
-  const level = describeLevel(context.database.action);
-  const fields = { id: work.id, session, reason, retryAfterMs, waitedFor, ...level };
-  ports.logger.write(directEvents.refused, fields);
-  return { reply: failLocally("busy", describeRefusal(reason, retryAfterMs), "idle") };
+function refuse(context: SessionContext, work: Work, refused: Refusal): StatementResult {
+  return { reply: refuseStatement(context, refused, "idle", work.id) };
 }
 
 /** Runs the statement on a connection. Returns undefined if another attempt may follow. */
--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -17,6 +17,7 @@
 import { checkTimeoutMs, createPoolOptions } from "./pool-options.js";
 import type { DirectPorts } from "./ports.js";
 import type { RequiredMark } from "./replica-positions.js";
+import { longHoldMs, type SlotHold } from "./slot-hold.js";
 import { TrackedLink } from "./tracked-link.js";
 import type { TargetLink } from "../statement/index.js";
 import type { Distance } from "../topology/index.js";
@@ -201,6 +202,14 @@
     this.runningCounts.set(target, Math.max(0, (this.runningCounts.get(target) ?? 0) - 1));
   }
 
+  /** Logs what a slot was held for, if that was long. */
+  noteSlotHold(target: string, hold: SlotHold): void {
+    const { clock, logger } = this.ports;
+    const now = clock.now();
+    if (hold.measureMs(now) < longHoldMs) return;
+    logger.write(directEvents.slotHeld, { group: this.name, target, ...hold.describe(now) });
+  }
+
   noteAnswer(target: string): void {
     this.health.set(target, noteAnswer(this.findHealth(target)));
   }
--- a/src/direct/placed-connection.ts
+++ b/src/direct/placed-connection.ts
@@ -3,6 +3,7 @@
 import type { IdleTransaction } from "./idle-transactions.js";
 import type { PlacedConnection } from "./placement.js";
 import type { Expectation } from "./replica-positions.js";
+import type { SlotHold } from "./slot-hold.js";
 import type { TrackedLink } from "./tracked-link.js";
 
 /** What was expected of the answer to a placed statement. */
@@ -10,6 +11,8 @@
   readonly expectation: Expectation;
   /** Ends the try at a replica that is expected to lag. */
   readonly endProbe: (() => void) | undefined;
+  /** What its slot is held for. */
+  readonly hold: SlotHold;
 }
 
 /** Makes the connection of a statement that got a slot and a connection. */
@@ -18,7 +21,7 @@
   slot: Slot,
   role: "primary" | "replica",
   connection: HeldConnection<TrackedLink>,
-  { expectation, endProbe }: ExpectedAnswer,
+  { expectation, endProbe, hold }: ExpectedAnswer,
 ): PlacedConnection {
   const { target } = slot;
   group.noteStart(target);
@@ -39,6 +42,7 @@
     isHeld = false;
     finish();
     if (!slot.isPaused) group.noteEnd(target);
+    group.noteSlotHold(target, hold);
     slot.release();
     stopIdle();
     endProbe?.();
@@ -50,6 +54,7 @@
     link: connection.session,
     expectation,
     noteProgress: () => connection.noteProgress(),
+    noteCommand: (ms, isBusy) => hold.addCommand(ms, isBusy),
     get isIdle() {
       return isHeld && slot.isPaused;
     },
--- a/src/direct/placement.ts
+++ b/src/direct/placement.ts
@@ -1,4 +1,4 @@
-import { type AdmissionRequest } from "../controller/admission/index.js";
+import type { AdmissionRequest, QueueSummary } from "../controller/admission/index.js";
 import type { ResumeResult, SlotResult } from "../capacity/index.js";
 import type { Mark } from "../model/index.js";
 import {
@@ -21,6 +21,7 @@
 import { minRedirectMs, type RedirectCause, type RedirectOffer } from "./redirect.js";
 import type { Expectation, RequiredMark } from "./replica-positions.js";
 import { findProbe, findReplicaWaitMs, limitReplicaWait } from "./replica-wait.js";
+import { SlotHold } from "./slot-hold.js";
 import type { TrackedLink } from "./tracked-link.js";
 import type { Database } from "./serving-config.js";
 
@@ -50,6 +51,8 @@
   readonly expectation: Expectation;
   /** Records an answer, so that a long transaction's connection does not count as silent. */
   noteProgress(): void;
+  /** Records the time that a command took, and whether the target had no free slot for it. */
+  noteCommand(ms: number, isBusy: boolean): void;
   /** Whether it has given its slot back, because its transaction is idle between two statements. */
   readonly isIdle: boolean;
   /** Gives the slot back and keeps the connection, where slots are planned. */
@@ -73,6 +76,8 @@
       readonly retryAfterMs: number;
       /** The targets that it waited for; empty if it was refused without waiting for a slot. */
       readonly waitedFor: readonly string[];
+      /** The queue that it was refused by, as it is afterwards. */
+      readonly queue?: QueueSummary;
     }
   /** No connection to the target could be acquired; another target may be reachable. */
   | { readonly type: "unreachable"; readonly target: string; readonly reason: string }
@@ -123,16 +128,19 @@
     if (reason === "noPrimary")
       return { type: "unreachable", target: choice.names[0] ?? "", reason };
     const { retryAfterMs } = admitted;
-    return { type: "refused", reason, retryAfterMs, waitedFor: choice.names };
+    const queue = group.slots.summariseQueue(choice.names);
+    return { type: "refused", reason, retryAfterMs, waitedFor: choice.names, queue };
   }
   const { slot } = admitted;
+  const hold = new SlotHold(ports.clock.now());
   const expectation = findExpectation(group, request, choice.role, slot.target);
   const taken = await takeConnection(group, slot.target, request);
   if (taken.type === "refused") {
     slot.release();
     return { type: "unreachable", target: slot.target, reason: taken.reason };
   }
-  const expected = { expectation, endProbe };
+  hold.noteConnection(ports.clock.now());
+  const expected = { expectation, endProbe, hold };
   return {
     type: "placed",
     placement: makePlacedConnection(group, slot, choice.role, taken.connection, expected),
--- a/src/direct/transaction.ts
+++ b/src/direct/transaction.ts
@@ -11,9 +11,9 @@
 import { isStillPrimary, placeAttempt, sendCommand, supersededReason } from "./attempt.js";
 import { beginOnConnection, findPrepared, rollbackAndRelease } from "./begin.js";
 import { findReadRequirement, type SessionContext } from "./context.js";
-import { describeLevel } from "./levels.js";
-import { describeRefusal, pauseBeforeRetry } from "./pause.js";
-import type { PlacedConnection, RefusedPlacement } from "./placement.js";
+import { pauseBeforeRetry } from "./pause.js";
+import type { PlacedConnection } from "./placement.js";
+import { refuseStatement, type Refusal } from "./refusal.js";
 import { endAsRedirected } from "./redirect.js";
 import { disconnectedReason, displacedReason, giveSlotBack, waitForSlotTurn } from "./slot-turn.js";
 import type { OpenTransaction } from "./runner.js";
@@ -329,15 +329,9 @@
     return { ...this.abort(context, id, supersededReason), state: "idle" };
   }
 
-  private refuse(context: SessionContext, refused: Omit<RefusedPlacement, "type">): Reply {
-    const { logger } = context.ports;
-    const { reason, retryAfterMs, waitedFor } = refused;
-    const level = describeLevel(context.database.action);
-    const fields = { session: context.session, reason, retryAfterMs, waitedFor, ...level };
-    logger.write(directEvents.refused, fields);
-    this.phase = { type: "failed", reason };
-    context.trace.noteReason(reason);
-    return failLocally("busy", describeRefusal(reason, retryAfterMs), "failed");
+  private refuse(context: SessionContext, refused: Refusal): Reply {
+    this.phase = { type: "failed", reason: refused.reason };
+    return refuseStatement(context, refused, "failed");
   }
 
   private async sendCommit(
--- a/src/log/events/direct.ts
+++ b/src/log/events/direct.ts
@@ -12,7 +12,7 @@
     id: 2101,
     name: "statementRefused",
     level: "info",
-    text: "A statement was refused before it ran; the reason and the time after which to retry are given.",
+    text: "A statement was refused before it ran; the reason, the time after which to retry and the queue are given.",
   },
   timedOut: {
     id: 2102,
@@ -86,6 +86,12 @@
     level: "info",
     text: "A replica no longer counts as stalled: it reported a newer position, or what was known of it was discarded.",
   },
+  slotHeld: {
+    id: 2111,
+    name: "slotHeld",
+    level: "info",
+    text: "A statement or transaction held its slot for long; what the time was spent on is given.",
+  },
   linesDropped: {
     id: 2108,
     name: "logLinesDropped",
