--- a/src/direct/index.ts
+++ b/src/direct/index.ts
@@ -17,7 +17,7 @@
   type RedirectDestinations,
   RedirectOffer,
 } from "./redirect.js";
-export { type ShareRule } from "./share.js";
+export { buildEqualShare, type ShareRule } from "./share.js";
 export { directRunner } from "./direct.js";
 export { type OpenTransaction, type WorkRunner } from "./runner.js";
 export { type StatementResult } from "./autocommit.js";
--- a/src/direct/share.ts
+++ b/src/direct/share.ts
@@ -1,11 +1,19 @@
+import { hashPair } from "../policy/index.js";
 import type { AnnouncedTarget } from "./serving-config.js";
 
+/** The proxies that share a target's connections, by name. */
+export interface ShareMembers {
+  /** This proxy. */
+  readonly own: string;
+  readonly all: readonly string[];
+}
+
 /** The rule for a proxy's share of the connections to the targets of one data centre. */
 export type ShareRule =
   /** Other proxies hold the connections; this one uses the minimum only when it has to. */
   | { readonly type: "none" }
-  /** An equal share among `proxies` proxies. */
-  | { readonly type: "equal"; readonly proxies: number }
+  /** An equal share among `proxies` proxies; what is left over goes to some of `members`. */
+  | { readonly type: "equal"; readonly proxies: number; readonly members?: ShareMembers }
   /**
    * It is one of `proxies` chosen gateways. `isFirst` marks the one that proxies in that data centre prefer,
    * and `isActing` the first one that is not lost.
@@ -58,7 +66,7 @@
  */
 export function computeShare(
   connections: number,
-  target: Pick<AnnouncedTarget, "slots" | "announcedRole">,
+  target: Pick<AnnouncedTarget, "slots" | "announcedRole"> & { readonly name?: string },
   rule: ShareRule,
   isSlotPlanned = false,
 ): ConnectionShare {
@@ -69,7 +77,7 @@
     case "none":
       return minShare;
     case "equal":
-      return divideEqually(free, rule.proxies);
+      return divideEqually(free, rule.proxies, findRank(target.name ?? "", rule.members));
     case "chosen":
       return rule.isFirst
         ? computeFirstShare(free, rule.proxies, target)
@@ -77,6 +85,11 @@
   }
 }
 
+/** Builds the rule for an equal share among proxies, of which `own` is this one. */
+export function buildEqualShare(own: string, all: readonly string[]): ShareRule {
+  return { type: "equal", proxies: Math.max(1, all.length), members: { own, all } };
+}
+
 /** Whether two shares are the same. */
 export function hasSameShare(a: ConnectionShare, b: ConnectionShare): boolean {
   return a.base === b.base && a.max === b.max && a.slots === b.slots;
@@ -93,13 +106,30 @@
   return { base, max, slots: isActing ? Math.max(1, target.slots) + slotsInTransit : 1 };
 }
 
-function divideEqually(free: number, proxies: number): ConnectionShare {
-  const base = clampShare(free / (2 * Math.max(1, proxies)), maxEqualShare);
-  const all = clampShare(free / Math.max(1, proxies), maxEqualShare);
+/**
+ * The proxies below the rank `free % proxies` get one connection more, so that none of the limit is unused. With one
+ * connection each, a transaction whose caller is idle would keep a proxy's only slot at a target.
+ */
+function divideEqually(free: number, proxies: number, rank = Infinity): ConnectionShare {
+  const count = Math.max(1, proxies);
+  const base = clampShare(free / (2 * count), maxEqualShare);
+  const remainder = rank < Math.floor(free) % count ? 1 : 0;
+  const all = clampShare(free / count + remainder, maxEqualShare);
   const max = Math.max(base, Math.min(all, base + burstConnections));
   return { base, max, slots: max };
 }
 
+/** This proxy's place among those that share a target; each target orders them differently. Infinity if it isn't one. */
+function findRank(target: string, members: ShareMembers | undefined): number {
+  if (members?.all.includes(members.own) !== true) return Infinity;
+  const own = hashPair(target, members.own);
+  const isBefore = (vm: string) => {
+    const hash = hashPair(target, vm);
+    return hash > own || (hash === own && vm < members.own);
+  };
+  return members.all.filter(isBefore).length;
+}
+
 /** The preferred gateway's share: half of the limit, less the shares of the gateways that replace it if it fails. */
 function computeFirstShare(
   free: number,
--- a/src/gateway/router.ts
+++ b/src/gateway/router.ts
@@ -4,6 +4,7 @@
   RedirectDestinations,
   ShareRule,
 } from "../direct/index.js";
+import { buildEqualShare } from "../direct/index.js";
 import type { Proxy } from "../leadership/index.js";
 import { chooseGateways, isGateway, listGateways, type GatewayPlan } from "./choose.js";
 import type { EntryLoads, EntryRefusal } from "./entry-loads.js";
@@ -191,8 +192,13 @@
   findHolding(group: string, dataCentre: string): ShareRule {
     if (!this.isGateway(group)) return { type: "none" };
     const plan = this.findPlan(group);
-    const proxies = Math.max(1, this.listGroupGateways(group).length);
-    if (plan.isEveryProxyGateway) return { type: "equal", proxies };
+    const gateways = this.listGroupGateways(group);
+    if (plan.isEveryProxyGateway)
+      return buildEqualShare(
+        this.ports.vm,
+        gateways.map(({ vm }) => vm),
+      );
+    const proxies = Math.max(1, gateways.length);
     const first = plan.byDataCentre.get(dataCentre)?.[0];
     const order = orderSlotGateways(plan, dataCentre, this.ports.topology);
     const acting = order.find(({ vm }) => !this.isLost(vm));
--- a/src/node/forwarding.ts
+++ b/src/node/forwarding.ts
@@ -6,7 +6,7 @@
   PrimaryState,
   WorkRunner,
 } from "../direct/index.js";
-import { directRunner, hasLevels, type AnnouncedGroup } from "../direct/index.js";
+import { buildEqualShare, directRunner, hasLevels, type AnnouncedGroup } from "../direct/index.js";
 import {
   EntryLoads,
   GatewayConnections,
@@ -198,7 +198,10 @@
   /** How this node's share of the connections to a group's targets in a data centre is determined. */
   findShareRule(group: string, dataCentre: string): ShareRule {
     if (this.isEnabled) return this.router.findHolding(group, dataCentre);
-    return { type: "equal", proxies: Math.max(1, this.ports.listProxies().length) };
+    return buildEqualShare(
+      this.ports.settings.vm,
+      this.ports.listProxies().map(({ vm }) => vm),
+    );
   }
 
   /** The proxies that hold connections to a group's targets. */
