--- a/src/direct/group.ts
+++ b/src/direct/group.ts
@@ -5,14 +5,7 @@
 import type { CandidateTarget } from "./candidates.js";
 import { CrossingTimes } from "./crossing.js";
 import { GroupPositions } from "./group-positions.js";
-import {
-  noteAnswer,
-  noteLagging,
-  noteFailure,
-  noteSaturated,
-  healthyTarget,
-  type TargetHealth,
-} from "./health.js";
+import { HealthTable } from "./health-table.js";
 import { IdleTransactions } from "./idle-transactions.js";
 import { checkTimeoutMs, createPoolOptions } from "./pool-options.js";
 import type { DirectPorts } from "./ports.js";
@@ -46,7 +39,7 @@
   readonly positions: GroupPositions;
   private readonly disposables = new DisposableStore();
   private readonly pools = new Map<string, TargetPool<TrackedLink>>();
-  private readonly health = new Map<string, TargetHealth>();
+  private readonly health: HealthTable;
   private readonly runningCounts = new Map<string, number>();
   private targets = new Map<string, AnnouncedTarget>();
   private isPlanned = false;
@@ -61,6 +54,7 @@
       new SlotQueue(ports.clock, (wait) => ports.onSlotWait?.(this.name, wait)),
     );
     this.crossingTimes = new CrossingTimes(() => ports.clock.now());
+    this.health = new HealthTable(ports.clock);
     this.idle = this.disposables.add(
       new IdleTransactions(ports.clock, (target) => this.countWaitingForConnection(target)),
     );
@@ -115,7 +109,7 @@
       hasDrained: this.ports.hasDrained(target.name),
       isLocal: target.dataCentre === this.ports.dataCentre,
       distance: this.measureDistance(target),
-      health: this.findHealth(target.name),
+      health: this.health.find(target.name),
       running: this.countRunning(target.name),
       hasIdle: this.hasIdleConnection(target.name, team),
       slots: this.findShare(target.name).slots,
@@ -211,21 +205,21 @@
   }
 
   noteAnswer(target: string): void {
-    this.health.set(target, noteAnswer(this.findHealth(target)));
+    this.health.noteAnswer(target);
   }
 
   /** Records that a target had no free slot. */
   noteSaturated(target: string): void {
     this.pools.get(target)?.noteSaturated();
-    this.health.set(target, noteSaturated(this.findHealth(target), this.ports.clock.now()));
+    this.health.noteSaturated(target);
   }
 
   noteFailure(target: string): void {
-    this.health.set(target, noteFailure(this.findHealth(target), this.ports.clock.now()));
+    this.health.noteFailure(target);
   }
 
   noteLagging(target: string): void {
-    this.health.set(target, noteLagging(this.findHealth(target), this.ports.clock.now()));
+    this.health.noteLagging(target);
   }
 
   /** Records the end of the primary's log as reported in the answer to a command sent at `askedAt`. */
@@ -282,10 +276,6 @@
     return Math.max(running, this.findShare(target).slots);
   }
 
-  private findHealth(target: string): TargetHealth {
-    return this.health.get(target) ?? healthyTarget;
-  }
-
   private findShare(target: string): ConnectionShare {
     return this.shares.get(target) ?? minShare;
   }
@@ -397,7 +387,7 @@
    */
   private forgetTarget(name: string): void {
     this.closePool(name);
-    this.health.delete(name);
+    this.health.forget(name);
     this.positions.forgetReplica(name);
   }
 }
