--- a/standin/soak/main.ts
+++ b/standin/soak/main.ts
@@ -32,6 +32,8 @@
   .option("--share", "Give each node the site's share of a core (side platform)", {
     default: false,
   })
+  .option("--plan <name>", "Play a fixed plan of faults in place of drawn ones (side platform)")
+  .option("--busy <n>", "Processes beside it that only compute (side platform)", { default: 0 })
   .option("--log <file>", "Write the lines of all nodes to a file (side platform)")
   .option("--minutes <n>", "Start new rounds for this long", { default: 1 })
   .option("--rounds <n>", "Run this number of rounds instead")
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -20,6 +20,7 @@
 import type { ToldWrite } from "./operation.js";
 import { ProcessorShare } from "./processor-share.js";
 import { findRegion, type SoakSite } from "./site.js";
+import { findSlowRecovery, measureRecovery, type Recovery } from "./recovery.js";
 import { summariseServed, summariseSince, type ServedReport, type ServedShare } from "./tally.js";
 
 /** What strikes all nodes at the end, right after a configuration was written. */
@@ -58,8 +59,10 @@
 /** The result of a run. */
 export interface NodeSoakReport {
   readonly served: ServedReport;
-  /** What has earned less than its floor. */
+  /** What has earned less than its floor, or was not earned again in time. */
   readonly belowFloor: readonly string[];
+  /** How long after the last planned fault the run earned again what it did before the first. */
+  readonly recovery: Recovery;
   /** What was asked for when the nodes should have recovered from the last fault. */
   readonly recovered: ServedShare;
   /** Promises of the pages that were broken, each described in a line. */
@@ -78,6 +81,7 @@
 }
 
 const host = "127.0.0.1";
+const msPerSecond = 1000;
 const longestStartMs = 60_000;
 const pollMs = 50;
 /** The users' rules: nodes have recovered this long after they are back, in milliseconds. */
@@ -154,9 +158,15 @@
     });
     const cutReads = checkCutReads(site, options.faults, load.results);
     const served = summariseServed(load.results);
+    const recovery = this.measureRecovery(served);
+    const slowRecovery = findSlowRecovery(recovery, recoveryMs);
     return {
       served,
-      belowFloor: listBelowFloor(served, site),
+      belowFloor: [
+        ...listBelowFloor(served, site),
+        ...(slowRecovery === undefined ? [] : [slowRecovery]),
+      ],
+      recovery,
       recovered: summariseSince(load.results, lastFaultMs + recoveryMs),
       breaches: [...listBreaches(load.writes, writes), ...cutReads.breaches, ...drainBreaches],
       lateArrivals: lateArrivals.length,
@@ -168,6 +178,16 @@
     };
   }
 
+  /** A final fault has a recovery of its own, which is judged by `recovered`. */
+  private measureRecovery({ seconds }: ServedReport): Recovery {
+    const { faults, finalFault, durationMs } = this.options;
+    const isBeforeFinal = ({ name }: ServedShare) => Number(name) * msPerSecond < durationMs;
+    return measureRecovery(
+      finalFault === undefined ? seconds : seconds.filter(isBeforeFinal),
+      faults,
+    );
+  }
+
   /** Runs all faults beside the traffic; resolves at its end, to when the last fault was over. */
   private async runFaults(nodes: readonly NodeProcess[], load: Load): Promise<number> {
     const { options, backend, children, cuts } = this;
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -1,8 +1,15 @@
 import { parseFaultNames, UsageError } from "../usage.js";
 import { buildBundle } from "./bundle.js";
+import type { TimedFault } from "./fault.js";
 import { listFaultNames, planFaults } from "./fault-plan.js";
+import {
+  createFixedPlan,
+  fixedPlanNames,
+  planNeighbours,
+  type FixedPlanName,
+} from "./fixed-plans.js";
 import { runNodeSoak, type FinalFault } from "./run.js";
-import { defaultSite, readSite } from "./site.js";
+import { defaultSite, readSite, type SoakSite } from "./site.js";
 import { computeAnsweredShare, computeEarnedShare, formatServed } from "./tally.js";
 
 /** Flags of the soak of the nodes on the users' platform. */
@@ -17,6 +24,8 @@
   readonly log?: string;
   readonly final?: string;
   readonly share: boolean;
+  readonly plan?: string;
+  readonly busy: number;
 }
 
 const msPerSecond = 1000;
@@ -29,10 +38,10 @@
 ): Promise<void> {
   const site = flags.site === undefined ? defaultSite : readSite(flags.site);
   const durationMs = flags.minutes * msPerMinute;
-  const known = listFaultNames(site);
-  const { faults: wanted = known.join(",") } = flags;
-  const names = wanted === "none" ? [] : parseFaultNames(wanted, known);
-  const faults = planFaults(flags.seed, site, durationMs, names, flags.count);
+  const faults = [
+    ...planNeighbours(flags.busy, flags.lead * msPerSecond + durationMs),
+    ...planRun(flags, site, durationMs),
+  ];
   buildBundle(process.cwd());
   const report = await runNodeSoak({
     site,
@@ -54,12 +63,14 @@
   const share = computeAnsweredShare(report.served.total);
   const earned = computeEarnedShare(report.served.total);
   const recovered = computeAnsweredShare(report.recovered);
-  const { unexpectedEnds, sentBytes, conditions, belowFloor, breaches, lateArrivals } = report;
+  const { unexpectedEnds, sentBytes, conditions, belowFloor, breaches, lateArrivals, recovery } =
+    report;
   const summary = {
     seed: flags.seed,
     share,
     earned,
     recovered,
+    recovery,
     unexpectedEnds,
     lateArrivals,
     sentBytes,
@@ -69,6 +80,26 @@
   process.exit(breaches.length + belowFloor.length + unexpectedEnds === 0 ? 0 : 1);
 }
 
+/** A plan that is named, or faults drawn by the seed. */
+function planRun(
+  { plan, faults, seed, count }: NodesSideFlags,
+  site: SoakSite,
+  durationMs: number,
+): readonly TimedFault[] {
+  if (plan !== undefined) return createFixedPlan(parsePlanName(plan), site);
+  const known = listFaultNames(site);
+  const wanted = faults ?? known.join(",");
+  const names = wanted === "none" ? [] : parseFaultNames(wanted, known);
+  return planFaults(seed, site, durationMs, names, count);
+}
+
+function parsePlanName(text: string): FixedPlanName {
+  const name = fixedPlanNames.find((known) => known === text);
+  if (name === undefined)
+    throw new UsageError(`--plan: must be ${fixedPlanNames.join(" or ")}: ${text}`);
+  return name;
+}
+
 function parseFinalFault(text: string): FinalFault {
   if (text === "kill" || text === "power") return text;
   throw new UsageError(`--final: must be kill or power: ${text}`);
