--- a/standin/soak/nodes/fixed-plans.ts
+++ b/standin/soak/nodes/fixed-plans.ts
@@ -26,11 +26,6 @@
   }
 }
 
-/** Other processes that only compute, at the nodes' priority, for as long as there is traffic. */
-export function planNeighbours(processes: number, forMs: number): readonly TimedFault[] {
-  return processes === 0 ? [] : [{ atMs: 0, fault: { type: "busyProcessor", processes, forMs } }];
-}
-
 function loseAllPower({ nodesPerZone }: SoakSite): TimedFault {
   const count = nodesPerZone.reduce((sum, nodes) => sum + nodes, 0);
   const nodes = Array.from({ length: count }, (_, index) => index);
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -36,6 +36,8 @@
   readonly scale: number;
   /** The pause between the start of the nodes and that of the traffic. */
   readonly leadMs: number;
+  /** How many processes run beside the nodes that only compute, from their start on. */
+  readonly neighbours?: number;
   /** What strikes all nodes after `durationMs`; traffic goes on until they should have recovered. */
   readonly finalFault?: FinalFault;
   /** Whether each node has no more than the site's share of a core. */
@@ -134,6 +136,7 @@
     const random = createRandomStream(seed, 1);
     const load = owned.add(new Load({ site, nodes, balancer, random, scale }));
     const startedAt = performance.now();
+    this.startNeighbours();
     for (const node of nodes) node.start();
     owned.defer(() => {
       for (const node of nodes) node.stop();
@@ -178,6 +181,15 @@
     };
   }
 
+  /** They end with the run. */
+  private startNeighbours(): void {
+    const { neighbours = 0, leadMs, durationMs } = this.options;
+    const longestMs = longestStartMs + leadMs + durationMs;
+    for (let i = 0; i < neighbours; i += 1) {
+      this.children.start(`neighbour-${i}`, "../soak/nodes/busy.js", [String(longestMs)]);
+    }
+  }
+
   /** A final fault has a recovery of its own, which is judged by `recovered`. */
   private measureRecovery({ seconds }: ServedReport): Recovery {
     const { faults, finalFault, durationMs } = this.options;
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -2,12 +2,7 @@
 import { buildBundle } from "./bundle.js";
 import type { TimedFault } from "./fault.js";
 import { listFaultNames, planFaults } from "./fault-plan.js";
-import {
-  createFixedPlan,
-  fixedPlanNames,
-  planNeighbours,
-  type FixedPlanName,
-} from "./fixed-plans.js";
+import { createFixedPlan, fixedPlanNames, type FixedPlanName } from "./fixed-plans.js";
 import { runNodeSoak, type FinalFault } from "./run.js";
 import { defaultSite, readSite, type SoakSite } from "./site.js";
 import { computeAnsweredShare, computeEarnedShare, formatServed } from "./tally.js";
@@ -38,10 +33,7 @@
 ): Promise<void> {
   const site = flags.site === undefined ? defaultSite : readSite(flags.site);
   const durationMs = flags.minutes * msPerMinute;
-  const faults = [
-    ...planNeighbours(flags.busy, flags.lead * msPerSecond + durationMs),
-    ...planRun(flags, site, durationMs),
-  ];
+  const faults = planRun(flags, site, durationMs);
   buildBundle(process.cwd());
   const report = await runNodeSoak({
     site,
@@ -50,6 +42,7 @@
     faults,
     scale: flags.scale,
     leadMs: flags.lead * msPerSecond,
+    neighbours: flags.busy,
     repository: process.cwd(),
     onEvent: print,
     isShareLimited: flags.share,
