--- a/src/direct/candidates.ts
+++ b/src/direct/candidates.ts
@@ -1,6 +1,5 @@
 import { assumedCrossingMs, type Distance } from "../topology/index.js";
 import {
-  canReadFromIdlePrimary,
   canReadFromLocalPrimary,
   findLagMs,
   isEligible,
@@ -82,8 +81,8 @@
 
 /**
  * Chooses the targets that may take a statement. Reads prefer replicas, since writes need the primary's
- * slots. They use the primary when no replica is eligible, when it is idle and in this data centre while
- * no local replica is idle, or when it is idle while this proxy has no free slot at any replica.
+ * slots. They use the primary when no replica is eligible, or when it is idle and in this data centre while
+ * no local replica is idle.
  */
 export function chooseCandidates(
   constraints: PlacementConstraints,
@@ -111,12 +110,6 @@
   if (localPrimary !== undefined && !hasIdleLocalReplica) {
     return { type: "targets", role: "primary", names: [localPrimary.name] };
   }
-  const areReplicasFull = replicas.length > 0 && replicas.every((v) => v.running >= v.slots);
-  const idlePrimary = candidates.find(
-    (v) => v.name === primaryName && canReadFromIdlePrimary(v, constraints, now),
-  );
-  if (areReplicasFull && idlePrimary !== undefined)
-    return { type: "targets", role: "primary", names: [idlePrimary.name] };
   if (replicas.length > 0)
     return { type: "targets", role: "replica", names: pickLeastLoaded(replicas, random) };
   return choosePrimaryOrAnyReplica(constraints, primary, candidates, now, random);
--- a/src/direct/eligibility.ts
+++ b/src/direct/eligibility.ts
@@ -51,19 +51,7 @@
   constraints: PlacementConstraints,
   now: number,
 ): boolean {
-  return candidate.isLocal && canReadFromIdlePrimary(candidate, constraints, now);
-}
-
-/**
- * The same for a primary in any data centre. It answers the load of reads that have one replica left while the others are
- * away: they would queue there, and be refused, while the primary has free slots.
- */
-export function canReadFromIdlePrimary(
-  candidate: CandidateTarget,
-  constraints: PlacementConstraints,
-  now: number,
-): boolean {
-  if (constraints.isBackground || candidate.running > 0) return false;
+  if (constraints.isBackground || !candidate.isLocal || candidate.running > 0) return false;
   return (
     isEligible(candidate, { ...constraints, hasRequiredMark: false }, now) &&
     now >= candidate.health.saturatedUntil
