--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -18,6 +18,11 @@
 const minOrderPauseMs = 100;
 const maxOrderPauseMs = 400;
 const servingTimeoutMs = 4000;
+/**
+ * An accepted order has taken effect by then, if it has one: for a target that is the platform's primary already,
+ * nothing changes.
+ */
+const effectTimeoutMs = 1500;
 const servingPollMs = 25;
 /** How many chosen targets may turn out not to run before a change is given up. */
 const maxCandidates = 3;
@@ -101,7 +106,7 @@
     let pauseMs = minOrderPauseMs;
     while (clock.now() < until) {
       const result = await this.sendOrder(group, candidate.target);
-      if (result?.type === "accepted") return this.waitUntilServing(group, candidate.target);
+      if (result?.type === "accepted") return this.waitUntilServing(group, candidate);
       if (result?.type === "refused") return { type: "refused" };
       if (result?.type === "unknown") this.unanswered.set(group, { round, candidate });
       if (await this.waitForEffect(group, candidate, pauseMs)) return { type: "leading" };
@@ -147,12 +152,20 @@
     return now?.role === "primary" && now.round > report.round;
   }
 
-  private async waitUntilServing(group: string, target: string): Promise<PromotionOutcome> {
+  /**
+   * Waits for the effect of an accepted order. A target that called itself primary before counts only once it leads a
+   * newer round, or once nothing has changed for as long as an order may take: an older primary that was cut off
+   * would otherwise be used before its promotion, and commit in a round that is over.
+   */
+  private async waitUntilServing(group: string, candidate: Candidate): Promise<PromotionOutcome> {
     const { clock } = this.ports;
-    const until = clock.now() + servingTimeoutMs;
-    while (clock.now() < until) {
-      const report = await this.askTarget(group, target);
-      if (report?.role === "primary") return { type: "leading" };
+    const acceptedAt = clock.now();
+    while (clock.now() - acceptedAt < servingTimeoutMs) {
+      const askedAt = clock.now();
+      const now = await this.askTarget(group, candidate.target);
+      const isOver = askedAt - acceptedAt >= effectTimeoutMs;
+      if (now?.role === "primary" && (isOver || showsPromotion(now, candidate.report)))
+        return { type: "leading" };
       await clock.sleep(servingPollMs);
     }
     return { type: "givenUp", reason: "the promoted target does not report itself as primary" };
@@ -203,6 +216,11 @@
   }
 }
 
+/** Whether a primary's report shows that it was promoted since an earlier report. */
+function showsPromotion(now: TargetReport, before: TargetReport): boolean {
+  return before.role === "replica" || now.round > before.round;
+}
+
 /** Formats a report's role, position and round for the log. */
 export function formatReport({ role, received, round }: TargetReport): string {
   return `${role} ${received.term.round}.${received.offset} of ${round}`;
--- a/test/leadership/promotion.test.ts
+++ b/test/leadership/promotion.test.ts
@@ -88,3 +88,37 @@
   fixture.promote = () => Promise.resolve(lost);
   expect(await replacePrimary(fixture, 4000)).toMatchObject({ type: "changing" });
 });
+
+// An older primary that was cut off was used from the answer on, and committed in a round that was over (ONE).
+test("an accepted order for a target that called itself primary counts once it leads a newer round", async () => {
+  const fixture = createGroup();
+  fixture.replicaAnswer = createReport("primary", 1);
+  let isPromoted = false;
+  fixture.promote = () => {
+    void fixture.clock.sleep(promoteMs).then(() => {
+      isPromoted = true;
+      fixture.replicaAnswer = createReport("primary", 3);
+    });
+    return Promise.resolve({ type: "accepted" });
+  };
+  const { changer, tracker } = fixture.makeProxy("a");
+  tracker.noteProbeResult("ledger", "i-0", 0, false);
+  fixture.clock.time = 400;
+  const isServed = () => tracker.findKnownPrimary("ledger") === "i-1";
+  for (let step = 0; step < 100 && !isServed(); step += 1) {
+    changer.checkGroups();
+    await fixture.clock.advance(10);
+  }
+  expect(isServed()).toBe(true);
+  expect(isPromoted).toBe(true);
+});
+
+// The holder of an earlier change ended after its promotion; an order for the platform's primary changes nothing.
+test("a target that was primary already and stays so in the same round is served in the end", async () => {
+  const fixture = createGroup();
+  fixture.replicaAnswer = createReport("primary", 2);
+  expect(await replacePrimary(fixture, 1000)).toMatchObject({ type: "changing" });
+  await fixture.clock.advance(2000);
+  const entry = fixture.stored?.document.groups.ledger;
+  expect(entry).toMatchObject({ type: "serving", target: "i-1" });
+});
