--- a/src/direct/serving-config.ts
+++ b/src/direct/serving-config.ts
@@ -23,6 +23,8 @@
   /** The connection limit of each target, shared by all proxies. */
   readonly connections: number;
   readonly targets: readonly AnnouncedTarget[];
+  /** Whether the primary acknowledges a commit only once a replica has received it. */
+  readonly isSynchronous?: boolean;
 }
 
 /** The configuration that a proxy serves by: databases, the groups behind them, teams and limits. */
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -8,6 +8,11 @@
   readonly databases: ReadonlyMap<string, Database>;
   /** By group: how many connections each target accepts from all proxies together. */
   readonly connections: ReadonlyMap<string, number>;
+  /**
+   * The groups whose primary acknowledges a commit only once a replica has received it. Absent in the data of a peer of
+   * another build; no group counts as such then.
+   */
+  readonly synchronousGroups?: ReadonlySet<string>;
   readonly transactionIdleMs: number;
   readonly lineTimeoutMs: number;
   /** Undefined when the configuration has no teams. */
--- a/src/feed/snapshot.ts
+++ b/src/feed/snapshot.ts
@@ -9,6 +9,7 @@
     readonly revision: number;
     readonly databases: readonly Database[];
     readonly connections: readonly (readonly [string, number])[];
+    readonly synchronousGroups?: readonly string[];
     readonly transactionIdleMs: number;
     readonly lineTimeoutMs: number;
     readonly teams?: readonly Team[];
@@ -28,6 +29,7 @@
       revision,
       databases: [...databases.values()],
       connections: [...connections],
+      ...(routes.synchronousGroups && { synchronousGroups: [...routes.synchronousGroups] }),
       transactionIdleMs,
       lineTimeoutMs,
       ...(roster === undefined ? {} : { teams: roster.teams }),
@@ -44,11 +46,12 @@
   if (text === "") return undefined;
   try {
     const { routes, targets } = JSON.parse(text) as Snapshot;
-    const { databases, connections, teams, ...rest } = routes;
+    const { databases, connections, synchronousGroups, teams, ...rest } = routes;
     const table: RouteTable = {
       ...rest,
       databases: new Map(databases.map((database) => [database.name, database])),
       connections: new Map(connections),
+      ...(synchronousGroups === undefined ? {} : { synchronousGroups: new Set(synchronousGroups) }),
       ...(teams === undefined ? {} : { roster: new TeamRoster(teams) }),
     };
     return { routes: table, targets };
--- a/src/feed/state.ts
+++ b/src/feed/state.ts
@@ -52,14 +52,17 @@
 
 /**
  * Adopts a configuration unless a newer one is known, so that a stale answer never reverts it. Of the same
- * revision it adopts one with levels if the known one has none: that one came from a peer of a build that
- * does not know levels.
+ * revision it adopts one with levels, or with synchronous groups, if the known one says nothing of them: that one
+ * came from a peer of a build that does not know them.
  */
 export function applyRoutes(state: FeedState, routes: RouteTable): FeedState {
   const known = state.routes;
   const isNewer = routes.revision > (known?.revision ?? 0);
-  const addsLevels = routes.revision === known?.revision && hasLevels(routes) && !hasLevels(known);
-  return isNewer || addsLevels ? { ...state, routes } : state;
+  const isSame = routes.revision === known?.revision;
+  const addsLevels = isSame && hasLevels(routes) && !hasLevels(known);
+  const addsSynchronous =
+    isSame && routes.synchronousGroups !== undefined && known.synchronousGroups === undefined;
+  return isNewer || addsLevels || addsSynchronous ? { ...state, routes } : state;
 }
 
 /**
@@ -138,7 +141,11 @@
     groups: new Map(
       [...groups].map(([name, list]) => {
         const connections = routes.connections.get(name) ?? 1;
-        return [name, { name, connections, targets: list }];
+        const isSynchronous = routes.synchronousGroups?.has(name) === true;
+        return [
+          name,
+          { name, connections, targets: list, ...(isSynchronous && { isSynchronous }) },
+        ];
       }),
     ),
     transactionIdleMs: routes.transactionIdleMs,
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -5,7 +5,8 @@
 import { TargetInquirer } from "./inquirer.js";
 import type { LeadershipTracker } from "./tracker.js";
 import type { LeadershipPorts } from "./ports.js";
-import { formatReport, PrimaryPromoter } from "./promotion.js";
+import { CandidateChooser, formatReport, type ChangeUnderWay } from "./chooser.js";
+import { PrimaryPromoter } from "./promotion.js";
 import { findSuspicion, type Suspicion } from "./suspicion.js";
 import { notifyProxies, waitForPermitExpiry, type NotificationResult } from "./notification.js";
 
@@ -36,6 +37,7 @@
   private readonly nextCheckAt = new Map<string, number>();
   private readonly lease: ChangeLease;
   private readonly inquirer: TargetInquirer;
+  private readonly chooser: CandidateChooser;
   private readonly promoter: PrimaryPromoter;
   private readonly leaderlessSince = new Map<string, number>();
   /** By group: where its primary was when last listed; the entry of one that is replaced is often gone. */
@@ -48,7 +50,8 @@
   ) {
     this.lease = new ChangeLease(ports, tracker);
     this.inquirer = new TargetInquirer(ports);
-    this.promoter = new PrimaryPromoter(ports, tracker, this.lease, this.inquirer);
+    this.chooser = new CandidateChooser(ports, this.inquirer);
+    this.promoter = new PrimaryPromoter(ports, this.lease, this.inquirer, this.chooser);
   }
 
   /** Checks every group; changes run in the background. */
@@ -158,10 +161,11 @@
       : await this.measureReachability(group, oldTarget, suspicion);
     if (reach !== undefined) {
       const decision = decideChange(suspicion, reach);
-      const isJudged =
-        decision.type === "keep" || (await this.canJudge(group, oldTarget, suspicion));
-      const reason = isJudged ? decision.reason : "no other target of the group answers either";
-      if (decision.type === "keep" || !isJudged) {
+      const reason =
+        decision.type === "keep"
+          ? decision.reason
+          : await this.findReasonToKeep(group, oldTarget, suspicion);
+      if (reason !== undefined) {
         logger.write(leadershipEvents.primaryKept, { group, target: oldTarget, reason });
         this.noteKept(group);
         return;
@@ -170,7 +174,7 @@
     this.kept.delete(group);
     const round = await this.lease.beginChange(group, oldTarget, seen?.round ?? 0);
     if (round === undefined) return;
-    const target = await this.executeChange(group, round, oldTarget, suspicion);
+    const target = await this.executeChange({ group, round, oldTarget }, suspicion);
     if (target === undefined) return;
     await this.finishChange(group, round, target);
     const ms = Math.round(clock.now() - startedAt);
@@ -185,6 +189,20 @@
     return true;
   }
 
+  /** Why a primary that should be replaced is kept for now all the same; `undefined` if it is replaced. */
+  private async findReasonToKeep(
+    group: string,
+    oldTarget: string,
+    suspicion: Suspicion,
+  ): Promise<string | undefined> {
+    if (!(await this.canJudge(group, oldTarget, suspicion)))
+      return "no other target of the group answers either";
+    if (suspicion.type !== "leaving" || !this.ports.isSynchronous(group)) return undefined;
+    return (await this.chooser.hasCompleteSuccessor(group, oldTarget))
+      ? undefined
+      : "no target that stays has received all of its log";
+  }
+
   /**
    * Whether this proxy can judge an unreachable primary: another target of the group must answer it. While
    * processors are busy, the answers of all targets come late. Replacing every primary then would interrupt all
@@ -214,11 +232,10 @@
 
   /** Carries out a change; resolves to the new primary, or to `undefined` if the change was given up. */
   private async executeChange(
-    group: string,
-    round: number,
-    oldTarget: string,
+    change: Omit<ChangeUnderWay, "oldDataCentre" | "oldReport">,
     suspicion: Suspicion,
   ): Promise<string | undefined> {
+    const { group, oldTarget } = change;
     const changeStartedAt = this.ports.clock.now();
     const isListed = await this.ports.refreshProxies();
     const notified = await this.notifyOthers();
@@ -227,13 +244,7 @@
     await waitForPermitExpiry(this.ports, this.tracker, changeStartedAt, notified, isListed);
     const last = this.lastPrimaries.get(group);
     const oldDataCentre = last?.target === oldTarget ? last.dataCentre : undefined;
-    return this.promoter.promoteBestCandidate({
-      group,
-      round,
-      oldTarget,
-      oldDataCentre,
-      oldReport,
-    });
+    return this.promoter.promoteBestCandidate({ ...change, oldDataCentre, oldReport });
   }
 
   /** Sends the leadership state to all other proxies, so that they stop using an old primary. */
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -153,6 +153,8 @@
   /** The registered proxies that hold a group's connections and so can tell whether its targets are reachable. */
   readonly listGroupProxies: (group: string) => readonly Proxy[];
   readonly listTargets: (group: string) => readonly AnnouncedTarget[];
+  /** Whether a group's primary acknowledges a commit only once a replica has received it. */
+  readonly isSynchronous: (group: string) => boolean;
   /** The groups whose primaries this proxy monitors: those whose connections it holds. */
   readonly listGroups: () => readonly string[];
 }
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -1,15 +1,11 @@
 import { leadershipEvents } from "../log/events/leadership.js";
-import { compareMarkOrder } from "../model/index.js";
 import type { TargetReport } from "../statement/index.js";
-import { chooseCandidate, type Candidate } from "./decide.js";
+import type { CandidateChooser, ChangeUnderWay } from "./chooser.js";
+import type { Candidate } from "./decide.js";
 import type { TargetInquirer } from "./inquirer.js";
 import type { ChangeLease } from "./lease.js";
 import type { LeadershipPorts, PromoteResult } from "./ports.js";
-import type { LeadershipTracker } from "./tracker.js";
 
-/** A replica receives the rest of the old primary's log within a few times its lag of 60 to 150 ms. */
-const catchUpTimeoutMs = 1500;
-const catchUpPollMs = 25;
 /** The platform needs some hundred milliseconds for a promotion, sometimes a second. */
 const promoteTimeoutMs = 1500;
 /** How long orders to promote one target are repeated while it is unclear whether they take effect. */
@@ -27,17 +23,6 @@
 /** How many chosen targets may turn out not to run before a change is given up. */
 const maxCandidates = 3;
 
-/** The change that a promotion belongs to. */
-export interface ChangeUnderWay {
-  readonly group: string;
-  readonly round: number;
-  readonly oldTarget: string;
-  /** The data centre of the old primary, if it is known. */
-  readonly oldDataCentre: string | undefined;
-  /** The old primary's report when it was demoted; `undefined` if no proxy reached it. */
-  readonly oldReport: TargetReport | undefined;
-}
-
 /** The end of the orders to promote one target. */
 type PromotionOutcome =
   | { readonly type: "leading" }
@@ -51,30 +36,27 @@
   readonly candidate: Candidate;
 }
 
-type PrimaryPromoterPorts = Pick<
-  LeadershipPorts,
-  "vm" | "topology" | "promote" | "clock" | "logger" | "listTargets"
->;
+type PrimaryPromoterPorts = Pick<LeadershipPorts, "vm" | "promote" | "clock" | "logger">;
 
-/** Chooses the target that becomes primary, has the platform promote it, and finds out whether that took effect. */
+/** Has the platform promote the target that is chosen to become primary, and finds out whether that took effect. */
 export class PrimaryPromoter {
   /** By group: the last order without an answer. */
   private readonly unanswered = new Map<string, UnansweredOrder>();
 
   constructor(
     private readonly ports: PrimaryPromoterPorts,
-    private readonly tracker: LeadershipTracker,
     private readonly lease: ChangeLease,
     private readonly inquirer: TargetInquirer,
+    private readonly chooser: CandidateChooser,
   ) {}
 
   /** Promotes the best running target and resolves to it, or to `undefined` if none became primary. */
   async promoteBestCandidate(change: ChangeUnderWay): Promise<string | undefined> {
     let reason = "no target could be promoted";
     for (let attempt = 0; attempt < maxCandidates; attempt += 1) {
-      const candidate = await this.chooseTarget(change);
+      const candidate = await this.chooser.choose(change);
       if (candidate === undefined) {
-        reason = "no target answers";
+        reason = "no target that may be promoted answers";
         break;
       }
       const outcome = await this.promote(change, candidate);
@@ -171,46 +153,6 @@
     return { type: "givenUp", reason: "the promoted target does not report itself as primary" };
   }
 
-  /** Chooses a target, after waiting until one has the old primary's whole log, if the end of that log is known. */
-  private async chooseTarget(change: ChangeUnderWay): Promise<Candidate | undefined> {
-    const { clock, logger } = this.ports;
-    const { group, oldTarget, oldReport } = change;
-    const until = clock.now() + catchUpTimeoutMs;
-    for (;;) {
-      const candidates = await this.listCandidates(change);
-      const chosen = chooseCandidate(candidates, oldTarget);
-      const isWhole =
-        oldReport === undefined ||
-        (chosen !== undefined && compareMarkOrder(chosen.report.received, oldReport.received) >= 0);
-      if (isWhole || clock.now() >= until) {
-        const positions = candidates.map((c) => `${c.target} ${formatReport(c.report)}`);
-        const target = chosen?.target ?? null;
-        logger.write(leadershipEvents.candidateChosen, { group, target, positions });
-        return chosen;
-      }
-      await clock.sleep(catchUpPollMs);
-    }
-  }
-
-  /** Asks the targets that may become primary. An old primary that no proxy reached is skipped. */
-  private async listCandidates(change: ChangeUnderWay): Promise<readonly Candidate[]> {
-    const { group, oldTarget, oldReport } = change;
-    const silent = oldReport === undefined ? oldTarget : undefined;
-    const targets = this.ports.listTargets(group).filter(({ name }) => name !== silent);
-    const asked = targets.map(async ({ name, isLeaving, dataCentre }) => {
-      const report = await this.askTarget(group, name);
-      if (report === undefined) return [];
-      const isRemote = this.isRemote(change, dataCentre);
-      return [{ target: name, isLeaving: isLeaving === true, report, isRemote }];
-    });
-    return (await Promise.all(asked)).flat();
-  }
-
-  private isRemote({ oldDataCentre }: ChangeUnderWay, dataCentre: string): boolean {
-    if (oldDataCentre === undefined) return false;
-    return this.ports.topology.measureDistance(oldDataCentre, dataCentre) === "remote";
-  }
-
   private askTarget(group: string, target: string): Promise<TargetReport | undefined> {
     return this.inquirer.askWithFallback({ group, target, demoteRound: undefined });
   }
@@ -220,8 +162,3 @@
 function showsPromotion(now: TargetReport, before: TargetReport): boolean {
   return before.role === "replica" || now.round > before.round;
 }
-
-/** Formats a report's role, position and round for the log. */
-export function formatReport({ role, received, round }: TargetReport): string {
-  return `${role} ${received.term.round}.${received.offset} of ${round}`;
-}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -165,6 +165,8 @@
         markMissed: (proxy) => adapter.store.markMissed(proxy),
         listGroupProxies: (group) => this.forwarding.listGroupProxies(group),
         listTargets: (group) => this.listTargets(group),
+        isSynchronous: (group) =>
+          this.follower.servingConfig.groups.get(group)?.isSynchronous === true,
         listGroups: () => this.forwarding.listOwnGroups(),
       },
       this.tracker,
--- a/test/feed/feed.test.ts
+++ b/test/feed/feed.test.ts
@@ -86,3 +86,14 @@
   expect(listTargetsOfUnknownGroups(state)).toEqual([{ name: "x", field: "group" }]);
   expect(listNames(state)).toEqual(["a"]);
 });
+
+// A peer of a build that doesn't know synchronous groups says nothing of them; the store's copy of the revision does.
+test("synchronous groups are passed on to peers, and added to a copy that lacks them", () => {
+  const table = { ...routes(1), synchronousGroups: new Set(["g"]) };
+  const known = applyRoutes(initialFeedState, table);
+  expect(decodeSnapshot(encodeSnapshot(known))?.routes).toEqual(table);
+  const copied = applyRoutes(initialFeedState, routes(1));
+  expect(buildServingConfig(copied).groups.get("g")?.isSynchronous).toBeUndefined();
+  expect(buildServingConfig(applyRoutes(copied, table)).groups.get("g")?.isSynchronous).toBe(true);
+  expect(applyRoutes(known, routes(1))).toBe(known);
+});
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -13,6 +13,7 @@
   type TargetAnswer,
   type VersionedLeadership,
 } from "../../src/leadership/index.js";
+import type { AnnouncedTarget } from "../../src/direct/index.js";
 import type { LogEvent, LogFields } from "../../src/log/index.js";
 import type { StoreRead, StoreWrite } from "../../src/model/index.js";
 import { singleRegion } from "../../src/topology/index.js";
@@ -36,7 +37,7 @@
   readonly promoted: string[] = [];
   topology = singleRegion;
   /** Replaces the group's targets; they answer status requests as `replicaAnswer` says. */
-  otherTargets: readonly { readonly name: string; readonly dataCentre: string }[] = [];
+  otherTargets: readonly (Partial<AnnouncedTarget> & { readonly name: string })[] = [];
   /** Whether the entry of the primary `i-0` is still in the listing. */
   isPrimaryListed = true;
   /** Whether the list of proxies can be read for a change. */
@@ -48,6 +49,11 @@
   /** The proxies that were called, in order. */
   readonly calls: string[] = [];
   readonly missed: string[] = [];
+  /** Whether a commit is acknowledged only once a replica has received it. */
+  isSynchronous = false;
+  isPrimaryLeaving = false;
+  /** Answers of single targets to status requests, by name. */
+  readonly answers = new Map<string, TargetAnswer>();
   private version = 10;
 
   makeProxy(vm: string, wall: () => number = () => this.clock.now()) {
@@ -79,7 +85,7 @@
         askTarget: (proxy) => this.askThrough(proxy),
       },
       askTarget: ({ target }) =>
-        Promise.resolve(target === "i-0" ? this.targetAnswer : this.getReplicaAnswer()),
+        Promise.resolve(this.answers.get(target) ?? this.getUsualAnswer(target)),
       promote: ({ target }) => {
         this.promotionCount += 1;
         this.promoted.push(target);
@@ -93,6 +99,7 @@
       refreshProxies: () => Promise.resolve(this.isProxyListReadable),
       markMissed: (proxy) => Promise.resolve(void this.missed.push(proxy.vm)),
       listTargets: () => this.listTargets(),
+      isSynchronous: () => this.isSynchronous,
       listGroups: () => ["ledger"],
     };
     return {
@@ -125,12 +132,12 @@
     return Promise.resolve(type === "answered" ? { type, answer: { type: "silent" } } : { type });
   }
 
-  private getReplicaAnswer(): TargetAnswer {
-    return this.replicaAnswer ?? { type: "silent" };
+  private getUsualAnswer(target: string): TargetAnswer {
+    return (target === "i-0" ? this.targetAnswer : this.replicaAnswer) ?? { type: "silent" };
   }
 
-  private listTargets() {
-    const listed = this.isPrimaryListed ? [primary] : [];
+  listTargets(): readonly AnnouncedTarget[] {
+    const listed = this.isPrimaryListed ? [{ ...primary, isLeaving: this.isPrimaryLeaving }] : [];
     if (this.replicaAnswer === undefined) return listed;
     if (this.otherTargets.length === 0) return [...listed, replica];
     return [...listed, ...this.otherTargets.map((change) => ({ ...replica, ...change }))];
--- a/test/platformside/codec.test.ts
+++ b/test/platformside/codec.test.ts
@@ -156,3 +156,13 @@
 ])("a configuration with %s is rejected", (_name, value) => {
   expect(decodeRouteTable(value)).toBeUndefined();
 });
+
+// A service's `sync-replicas` was read nowhere. An unknown value counts as set, since to wait costs less than a commit.
+test("the groups whose commits replicas acknowledge are decoded", () => {
+  const services = [0, undefined, 1, 2, "1", null].map((replicas, index) => ({
+    name: `s${index}`,
+    "sync-replicas": replicas,
+  }));
+  const table = decodeRouteTable({ version: 1, routes: [], services });
+  expect([...(table?.synchronousGroups ?? [])]).toEqual(["s2", "s3", "s4"]);
+});
