--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -55,6 +55,8 @@
 export interface GroupRecord {
   readonly group: string;
   readonly targets: readonly AnnouncedTarget[];
+  /** Targets that are no longer listed and may hold acknowledged commits that no other one has; only of synchronous groups. */
+  readonly former?: readonly AnnouncedTarget[];
   /** The version of the stored object; 0 before it exists. */
   readonly version: number;
 }
--- a/src/feed/group-record.ts
+++ b/src/feed/group-record.ts
@@ -1,24 +1,37 @@
 import type { AnnouncedTarget } from "../direct/index.js";
 import type { Json } from "../model/index.js";
 import type { GroupRecord, ListedTarget, TargetListing } from "./feed.js";
-import { isAddressReused, missingEntryGraceMs, type FeedState } from "./state.js";
+import { hasSameAddress, isAddressReused, missingEntryGraceMs, type FeedState } from "./state.js";
+
+/** The targets of a group's record. */
+export type RecordedTargets = Pick<GroupRecord, "targets" | "former">;
 
 /** Encodes a group's targets sorted by name, so that equal sets of targets give equal records. */
-export function encodeGroupTargets(targets: readonly AnnouncedTarget[]): Json {
-  const sorted = [...targets].sort((a, b) => (a.name < b.name ? -1 : 1));
-  return JSON.parse(JSON.stringify({ targets: sorted })) as Json;
+export function encodeGroupTargets({ targets, former = [] }: RecordedTargets): Json {
+  const value = {
+    targets: sortByName(targets),
+    ...(former.length === 0 ? {} : { former: sortByName(former) }),
+  };
+  return JSON.parse(JSON.stringify(value)) as Json;
+}
+
+function sortByName(targets: readonly AnnouncedTarget[]): readonly AnnouncedTarget[] {
+  return [...targets].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
 /** Decodes the output of `encodeGroupTargets`; undefined when the value is malformed. */
-export function decodeGroupTargets(value: Json): readonly AnnouncedTarget[] | undefined {
-  if (value === null || typeof value !== "object" || !("targets" in value)) return undefined;
-  const { targets } = value as { readonly targets: unknown };
-  if (!Array.isArray(targets)) return undefined;
-  const decoded = targets as readonly AnnouncedTarget[];
-  return decoded.every(hasTargetFields) ? decoded : undefined;
+export function decodeGroupTargets(value: Json): RecordedTargets | undefined {
+  const { targets, former = [] } = (value ?? {}) as Partial<Record<keyof RecordedTargets, unknown>>;
+  if (!isTargetList(targets) || !isTargetList(former)) return undefined;
+  return { targets, ...(former.length === 0 ? {} : { former }) };
 }
 
-function hasTargetFields({ name, address }: Partial<AnnouncedTarget>): boolean {
+function isTargetList(value: unknown): value is readonly AnnouncedTarget[] {
+  return Array.isArray(value) && value.every(hasTargetFields);
+}
+
+function hasTargetFields(value: unknown): boolean {
+  const { name, address } = (value ?? {}) as Partial<AnnouncedTarget>;
   return (
     typeof name === "string" &&
     typeof address?.host === "string" &&
@@ -26,6 +39,26 @@
   );
 }
 
+/**
+ * Lists the recorded targets of a group that are not listed any more, and whose log no listed one has taken over: that of
+ * a target that left is transferred to the next one at its address.
+ */
+export function listFormerTargets(
+  { targets, former = [] }: RecordedTargets,
+  listed: readonly AnnouncedTarget[],
+): readonly AnnouncedTarget[] {
+  const known = new Map([...former, ...targets].map((target) => [target.name, target]));
+  for (const { name } of listed) known.delete(name);
+  return [...known.values()].filter((target) => !isTakenOver(target, listed));
+}
+
+function isTakenOver(
+  { isLeaving, address }: AnnouncedTarget,
+  listed: readonly AnnouncedTarget[],
+): boolean {
+  return isLeaving === true && listed.some((other) => hasSameAddress(other.address, address));
+}
+
 /** Returns new records for the groups whose stored record differs from the targets listed now. */
 export function findOutdatedRecords(
   { routes, targets }: FeedState,
@@ -35,10 +68,11 @@
   const listed = new Map<string, AnnouncedTarget[]>();
   for (const group of routes?.connections.keys() ?? []) listed.set(group, []);
   for (const { group, target } of targets.values()) listed.get(group)?.push(target);
-  return [...listed].flatMap(([group, current]) => {
-    const record = byGroup.get(group);
-    const isSame = hasSameTargets(record?.targets ?? [], current);
-    return isSame ? [] : [{ group, targets: current, version: record?.version ?? 0 }];
+  return [...listed].flatMap(([group, targets]) => {
+    const record = byGroup.get(group) ?? { targets: [], version: 0 };
+    const isSynchronous = routes?.synchronousGroups?.has(group) === true;
+    const next = { targets, former: isSynchronous ? listFormerTargets(record, targets) : [] };
+    return hasSameTargets(record, next) ? [] : [{ group, ...next, version: record.version }];
   });
 }
 
@@ -69,6 +103,6 @@
   return { ...state, targets, graceEndsAt: Math.max(state.graceEndsAt, now + missingEntryGraceMs) };
 }
 
-function hasSameTargets(a: readonly AnnouncedTarget[], b: readonly AnnouncedTarget[]): boolean {
+function hasSameTargets(a: RecordedTargets, b: RecordedTargets): boolean {
   return JSON.stringify(encodeGroupTargets(a)) === JSON.stringify(encodeGroupTargets(b));
 }
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -23,6 +23,8 @@
   decodeGroupTargets,
   encodeGroupTargets,
   findOutdatedRecords,
+  listFormerTargets,
+  type RecordedTargets,
   restoreMissingTargets,
 } from "./group-record.js";
 export { decodeSnapshot, encodeSnapshot } from "./snapshot.js";
--- a/src/feed/state.ts
+++ b/src/feed/state.ts
@@ -1,5 +1,6 @@
 import type { AnnouncedTarget, ServingConfig } from "../direct/index.js";
 import { emptyServingConfig, hasLevels } from "../direct/index.js";
+import type { Address } from "../model/index.js";
 import { isOutdated, isPastDrain, trackDepartures, type Departures } from "./departure.js";
 import type { ListedTarget, InvalidEntry, RouteTable, TargetListing } from "./feed.js";
 
@@ -159,8 +160,10 @@
   { target }: ListedTarget,
   listed: readonly ListedTarget[],
 ): boolean {
-  const { host, port } = target.address;
-  return listed.some(
-    (other) => other.target.address.host === host && other.target.address.port === port,
-  );
+  return listed.some((other) => hasSameAddress(other.target.address, target.address));
+}
+
+/** Whether two addresses are equal. */
+export function hasSameAddress(a: Address, b: Address): boolean {
+  return a.host === b.host && a.port === b.port;
 }
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -1,3 +1,4 @@
+import type { AnnouncedTarget } from "../direct/index.js";
 import { leadershipEvents } from "../log/events/leadership.js";
 import type { TargetReport } from "../statement/index.js";
 import { decideChange, type Reachability } from "./decide.js";
@@ -6,6 +7,7 @@
 import type { LeadershipTracker } from "./tracker.js";
 import type { LeadershipPorts } from "./ports.js";
 import { CandidateChooser, formatReport, type ChangeUnderWay } from "./chooser.js";
+import { GroupMembers } from "./members.js";
 import { PrimaryPromoter } from "./promotion.js";
 import { findSuspicion, type Suspicion } from "./suspicion.js";
 import { notifyProxies, waitForPermitExpiry, type NotificationResult } from "./notification.js";
@@ -37,6 +39,7 @@
   private readonly nextCheckAt = new Map<string, number>();
   private readonly lease: ChangeLease;
   private readonly inquirer: TargetInquirer;
+  private readonly members: GroupMembers;
   private readonly chooser: CandidateChooser;
   private readonly promoter: PrimaryPromoter;
   private readonly leaderlessSince = new Map<string, number>();
@@ -50,7 +53,8 @@
   ) {
     this.lease = new ChangeLease(ports, tracker);
     this.inquirer = new TargetInquirer(ports);
-    this.chooser = new CandidateChooser(ports, this.inquirer);
+    this.members = new GroupMembers(ports, this.inquirer);
+    this.chooser = new CandidateChooser(ports, this.inquirer, this.members);
     this.promoter = new PrimaryPromoter(ports, this.lease, this.inquirer, this.chooser);
   }
 
@@ -60,10 +64,16 @@
     this.lease.observeDocument();
     for (const group of this.ports.listGroups()) {
       this.notePrimary(group);
+      if (this.ports.isSynchronous(group)) this.observeMembers(group);
       this.checkGroup(group);
     }
   }
 
+  /** Lists the targets of a synchronous group whose entries are gone and whose logs may still be needed. */
+  listFormerTargets(group: string): readonly AnnouncedTarget[] {
+    return this.members.listFormer(group);
+  }
+
   /** Prevents further changes; those under way continue. */
   stop(): void {
     this.isStopped = true;
@@ -81,6 +91,11 @@
     this.lastPrimaries.set(group, { target: listed.name, dataCentre: listed.dataCentre });
   }
 
+  private observeMembers(group: string): void {
+    const leader = this.changingGroups.has(group) ? undefined : this.tracker.findLeader(group);
+    this.members.observe(group, leader?.type === "serving" ? leader.target : undefined);
+  }
+
   private checkGroup(group: string): void {
     const { clock } = this.ports;
     const now = clock.now();
@@ -174,7 +189,10 @@
     this.kept.delete(group);
     const round = await this.lease.beginChange(group, oldTarget, seen?.round ?? 0);
     if (round === undefined) return;
-    const target = await this.executeChange({ group, round, oldTarget }, suspicion);
+    const isOldLogWhole = isResumed
+      ? this.promoter.hasLeftLogWhole(group, seen.round)
+      : suspicion.type !== "emptied";
+    const target = await this.executeChange({ group, round, oldTarget, isOldLogWhole }, suspicion);
     if (target === undefined) return;
     await this.finishChange(group, round, target);
     const ms = Math.round(clock.now() - startedAt);
--- a/src/leadership/index.ts
+++ b/src/leadership/index.ts
@@ -9,6 +9,7 @@
   type LeadershipDocument,
   type VersionedLeadership,
 } from "./document.js";
+export { listCompleteCandidates, type LogEvidence } from "./completeness.js";
 export { type Candidate, chooseCandidate, decideChange } from "./decide.js";
 export { LeadershipTracker } from "./tracker.js";
 export {
@@ -32,6 +33,7 @@
   type Promoter,
   type PromoteResult,
   type Proxy,
+  type TargetRecords,
   type TargetAnswer,
   type TargetAsker,
   type TargetQuestion,
--- a/src/leadership/ports.ts
+++ b/src/leadership/ports.ts
@@ -2,6 +2,7 @@
 import type { Address, Clock, Random, StoreRead, StoreWrite } from "../model/index.js";
 import type { TargetReport } from "../statement/index.js";
 import type { AnnouncedTarget } from "../direct/index.js";
+import type { RecordedTargets } from "../feed/index.js";
 import type { Topology } from "../topology/index.js";
 import type { LeadershipDocument, VersionedLeadership } from "./document.js";
 
@@ -132,6 +133,14 @@
   canSend: () => boolean,
 ) => Promise<PromoteResult>;
 
+/** The recorded targets of the groups, kept in the platform's store. Calls never reject. */
+export interface TargetRecords {
+  /** Reads a group's record; `undefined` if the store does not answer. A group without a record has no targets. */
+  read(group: string): Promise<RecordedTargets | undefined>;
+  /** Removes former targets from a group's record, unless it changes meanwhile. */
+  forget(group: string, targets: readonly string[]): Promise<void>;
+}
+
 /** Dependencies of the leadership code. */
 export interface LeadershipPorts {
   readonly vm: string;
@@ -153,6 +162,7 @@
   /** The registered proxies that hold a group's connections and so can tell whether its targets are reachable. */
   readonly listGroupProxies: (group: string) => readonly Proxy[];
   readonly listTargets: (group: string) => readonly AnnouncedTarget[];
+  readonly records: TargetRecords;
   /** Whether a group's primary acknowledges a commit only once a replica has received it. */
   readonly isSynchronous: (group: string) => boolean;
   /** The groups whose primaries this proxy monitors: those whose connections it holds. */
--- a/src/leadership/promotion.ts
+++ b/src/leadership/promotion.ts
@@ -42,6 +42,8 @@
 export class PrimaryPromoter {
   /** By group: the last order without an answer. */
   private readonly unanswered = new Map<string, UnansweredOrder>();
+  /** By group: the round of a change that ended without any order, while the old primary's log was whole. */
+  private readonly wholeLogRounds = new Map<string, number>();
 
   constructor(
     private readonly ports: PrimaryPromoterPorts,
@@ -57,6 +59,8 @@
       const candidate = await this.chooser.choose(change);
       if (candidate === undefined) {
         reason = "no target that may be promoted answers";
+        if (attempt === 0 && change.isOldLogWhole)
+          this.wholeLogRounds.set(change.group, change.round);
         break;
       }
       const outcome = await this.promote(change, candidate);
@@ -69,6 +73,11 @@
     return undefined;
   }
 
+  /** Whether this process gave up a change of this round before any order, so that the old primary's log is still whole. */
+  hasLeftLogWhole(group: string, round: number): boolean {
+    return this.wholeLogRounds.get(group) === round;
+  }
+
   /** Finds the target whose promotion in this round took effect although its order was not answered. */
   async findPromoted(group: string, round: number): Promise<string | undefined> {
     const order = this.unanswered.get(group);
--- a/src/log/events/leadership.ts
+++ b/src/log/events/leadership.ts
@@ -80,6 +80,18 @@
     level: "info",
     text: "The order to promote a target ended; the result is given, which may be that the platform did not answer.",
   },
+  candidateMissing: {
+    id: 3117,
+    name: "primaryNotChosen",
+    level: "warn",
+    text: "No target is known to have every acknowledged commit, so that none is promoted yet; the positions of the targets that answered and the names of those that did not are given.",
+  },
+  formerTargetsCovered: {
+    id: 3118,
+    name: "formerTargetsCovered",
+    level: "info",
+    text: "A replica has received all that the primary had after these targets were gone; a change of primary doesn't wait for them any more.",
+  },
   changeDone: {
     id: 3112,
     name: "primaryChangeDone",
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -22,6 +22,7 @@
 import { Forwarding } from "./forwarding.js";
 import type { NodeOptions } from "./options.js";
 import { PeerQuestions } from "./peer-questions.js";
+import { StoredTargetRecords } from "./target-records.js";
 import { TargetStatusClient } from "./target-status.js";
 import { ProxyLivenessMonitor } from "./proxy-liveness.js";
 import { planDrain, type DrainPlan } from "./drain.js";
@@ -80,7 +81,10 @@
       adapter,
       clock,
       logger,
-      listTargets: (group) => this.listTargets(group),
+      listTargets: (group) => [
+        ...this.listTargets(group),
+        ...this.changer.listFormerTargets(group),
+      ],
       hasReached: (group, target, since) => this.tracker.hasReached(group, target, since),
     });
     this.peerQuestions = new PeerQuestions({
@@ -165,6 +169,7 @@
         markMissed: (proxy) => adapter.store.markMissed(proxy),
         listGroupProxies: (group) => this.forwarding.listGroupProxies(group),
         listTargets: (group) => this.listTargets(group),
+        records: new StoredTargetRecords(adapter.store),
         isSynchronous: (group) =>
           this.follower.servingConfig.groups.get(group)?.isSynchronous === true,
         listGroups: () => this.forwarding.listOwnGroups(),
--- a/src/node/recorder.ts
+++ b/src/node/recorder.ts
@@ -70,7 +70,7 @@
       written.type === "written"
         ? [
             ...this.records.filter((record) => record.group !== group),
-            { group, targets, version: written.object.version },
+            { ...change, version: written.object.version },
           ]
         : undefined;
   }
--- a/test/feed/group-record.test.ts
+++ b/test/feed/group-record.test.ts
@@ -79,9 +79,34 @@
 
 test("a record is decoded as it was encoded, and a malformed one is not decoded", () => {
   const { targets } = record(listed("a", 1, { startedAt: 7 }));
-  expect(decodeGroupTargets(encodeGroupTargets(targets))).toEqual(targets);
+  expect(decodeGroupTargets(encodeGroupTargets({ targets }))).toEqual({ targets });
   const stray = { targets: [{ name: "a", address: { host: "h" } }] };
-  for (const value of [null, 3, "x", {}, { targets: 3 }, { targets: [{ name: 4 }] }, stray]) {
+  for (const value of [
+    null,
+    3,
+    "x",
+    {},
+    { targets: 3 },
+    { targets: [{ name: 4 }] },
+    { targets: [null] },
+    stray,
+  ]) {
     expect(decodeGroupTargets(value)).toBeUndefined();
   }
 });
+
+// Once a crashed replica's entry has expired, nothing but the record tells a new process that it may have commits.
+test("the record of a synchronous group keeps targets that are gone, except those whose log was taken over", () => {
+  const current = start([listed("a", 1)], []);
+  const synchronous = {
+    ...current,
+    routes: { ...routes, synchronousGroups: new Set(["g"]) },
+  };
+  const known = record(listed("a", 1), listed("gone", 2), listed("moved", 1, { isLeaving: true }));
+  const [change] = findOutdatedRecords(synchronous, [known]);
+  expect(change?.former?.map(({ name }) => name)).toEqual(["gone"]);
+  const written = { ...known, ...change, version: 4 };
+  expect(findOutdatedRecords(synchronous, [written])).toEqual([]);
+  expect(decodeGroupTargets(encodeGroupTargets(written))?.former).toEqual(written.former);
+  expect(findOutdatedRecords(current, [known])[0]?.former).toEqual([]);
+});
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -14,6 +14,7 @@
   type VersionedLeadership,
 } from "../../src/leadership/index.js";
 import type { AnnouncedTarget } from "../../src/direct/index.js";
+import type { RecordedTargets } from "../../src/feed/index.js";
 import type { LogEvent, LogFields } from "../../src/log/index.js";
 import type { StoreRead, StoreWrite } from "../../src/model/index.js";
 import { singleRegion } from "../../src/topology/index.js";
@@ -51,7 +52,11 @@
   readonly missed: string[] = [];
   /** Whether a commit is acknowledged only once a replica has received it. */
   isSynchronous = false;
+  recorded: RecordedTargets = { targets: [] };
+  isRecordReadable = true;
   isPrimaryLeaving = false;
+  /** The former targets that were removed from the record, in order. */
+  readonly forgotten: string[] = [];
   /** Answers of single targets to status requests, by name. */
   readonly answers = new Map<string, TargetAnswer>();
   private version = 10;
@@ -99,6 +104,10 @@
       refreshProxies: () => Promise.resolve(this.isProxyListReadable),
       markMissed: (proxy) => Promise.resolve(void this.missed.push(proxy.vm)),
       listTargets: () => this.listTargets(),
+      records: {
+        read: () => Promise.resolve(this.isRecordReadable ? this.recorded : undefined),
+        forget: (_group, names) => Promise.resolve(void this.forgotten.push(...names)),
+      },
       isSynchronous: () => this.isSynchronous,
       listGroups: () => ["ledger"],
     };
