--- a/src/directpeer/client.ts
+++ b/src/directpeer/client.ts
@@ -40,7 +40,7 @@
  */
 const remoteExtraMs = 2 * assumedCrossingMs;
 
-/** Calls to peers. Each ends within its timeout. */
+/** Calls to peers. Each ends within its timeout. An answer that can't be decoded counts as none. */
 export class DirectPeerClient implements LeadershipPeers {
   private readonly clients = new Map<string, Client<typeof DirectPeer>>();
 
@@ -64,10 +64,9 @@
     timeoutMs: number,
   ): Promise<PeerResult<LeadershipAnswer>> {
     const request = { vm: this.vm, ...encodeLeadershipUpdate(word) };
-    const result = await this.callProxy("share", proxy, timeoutMs, (options) =>
-      this.getClient(proxy.address).share(request, options),
+    return this.callProxy("share", proxy, timeoutMs, async (options) =>
+      decodeLeadershipAnswer(await this.getClient(proxy.address).share(request, options)),
     );
-    return mapAnswer(result, decodeLeadershipAnswer);
   }
 
   async askTarget(
@@ -76,10 +75,9 @@
     timeoutMs: number,
   ): Promise<PeerResult<TargetAnswer>> {
     const request = { group, target, ...(demoteRound === undefined ? {} : { demoteRound }) };
-    const result = await this.callProxy("askTarget", proxy, timeoutMs, (options) =>
-      this.getClient(proxy.address).askTarget(request, options),
+    return this.callProxy("askTarget", proxy, timeoutMs, async (options) =>
+      decodeTargetAnswer(await this.getClient(proxy.address).askTarget(request, options)),
     );
-    return mapAnswer(result, decodeTargetAnswer);
   }
 
   /** Requests tokens of a team. If the answer is lost, so are its tokens, and they let nothing run. */
@@ -88,7 +86,7 @@
     request: TokenRequest,
     timeoutMs: number,
   ): Promise<TokenGrant | undefined> {
-    const result = await this.callProxy("takeTokens", proxy, timeoutMs, (options) =>
+    const result = await this.callProxy("takeTokens", proxy, timeoutMs, async (options) =>
       this.getClient(proxy.address).takeTokens(request, options),
     );
     return findAnswer(result);
@@ -97,7 +95,7 @@
   /** Fetches the scene that a peer knows, as JSON. */
   async fetchScene(address: Address, timeoutMs: number): Promise<string | undefined> {
     const peer = { vm: `${address.host}:${address.port}` };
-    const result = await this.callPeer("fetchScene", peer, timeoutMs, (options) =>
+    const result = await this.callPeer("fetchScene", peer, timeoutMs, async (options) =>
       this.getClient(address).fetchScene({}, options),
     );
     return findAnswer(result)?.snapshot;
@@ -155,7 +153,3 @@
     return client;
   }
 }
-
-function mapAnswer<T, U>(result: PeerResult<T>, decode: (answer: T) => U): PeerResult<U> {
-  return result.type === "answered" ? { type: "answered", answer: decode(result.answer) } : result;
-}
--- a/src/leadership/changer.ts
+++ b/src/leadership/changer.ts
@@ -62,10 +62,17 @@
   checkGroups(): void {
     if (this.isStopped) return;
     this.lease.observeDocument();
-    for (const group of this.ports.listGroups()) {
+    for (const group of this.ports.listGroups()) this.checkSafely(group);
+  }
+
+  /** Checks one group, so that an unexpected error there doesn't keep the others from being checked. */
+  private checkSafely(group: string): void {
+    try {
       this.notePrimary(group);
       if (this.ports.isSynchronous(group)) this.observeMembers(group);
       this.checkGroup(group);
+    } catch (error) {
+      this.ports.logger.write(leadershipEvents.changePrevented, { group, reason: String(error) });
     }
   }
 
--- a/src/log/events/node.ts
+++ b/src/log/events/node.ts
@@ -38,6 +38,12 @@
     level: "warn",
     text: "The configuration could not be read or is invalid; the last valid one stays in force.",
   },
+  pollFailed: {
+    id: 5225,
+    name: "pollFailed",
+    level: "error",
+    text: "An unexpected error ended a poll of the store or what follows it; the next one is made as usual.",
+  },
   proxiesListed: {
     id: 5209,
     name: "proxiesListed",
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -95,16 +95,29 @@
   async run(): Promise<void> {
     const { clock, random } = this.ports;
     while (!this.isStopped) {
-      this.isFollowing = await this.pollThroughProxy();
-      const isAnswered = this.isFollowing || (await this.pollStoreOrSeeds());
+      this.isFollowing = await this.attempt(() => this.pollThroughProxy());
+      const isAnswered = this.isFollowing || (await this.attempt(() => this.pollStoreOrSeeds()));
       if (isAnswered) this.lastHeardAt = clock.now();
-      this.ports.onPoll();
+      await this.attempt(() => this.ports.onPoll());
       const delayMs = this.computePollDelayMs(isAnswered);
       const pauseMs = delayMs * (1 - jitterShare + 2 * jitterShare * random.draw());
       await Promise.race([clock.sleep(pauseMs), this.waitForWake()]);
     }
   }
 
+  /**
+   * Runs a step of a poll; false if it throws. An error that nobody expected would otherwise end the polling for good, and
+   * with it all changes of primary, while callers are still accepted.
+   */
+  private async attempt(step: () => unknown): Promise<boolean> {
+    try {
+      return (await step()) === true;
+    } catch (error) {
+      this.ports.logger.write(nodeEvents.pollFailed, { reason: String(error) });
+      return false;
+    }
+  }
+
   /** Ends polling after the poll or pause in progress. */
   stop(): void {
     this.isStopped = true;
--- a/test/leadership/changer.test.ts
+++ b/test/leadership/changer.test.ts
@@ -137,3 +137,17 @@
   await fixture.clock.advance(8000);
   expect(fixture.promoted[0]).toBe("i-2");
 });
+
+// An unexpected error in the check of one group must not keep all others at a failed primary.
+test("a group that can't be checked doesn't keep another one's primary from being replaced", async () => {
+  const fixture = new LeadershipFixture();
+  fixture.groups = ["odd", "ledger"];
+  const received = { term: { round: 1, vm: "" }, offset: 4 };
+  const report = { role: "replica", received, round: 1, lagMs: 0 } as const;
+  fixture.replicaAnswer = { type: "report", report };
+  const { changer, tracker } = fixture.makeProxy("a");
+  tracker.noteProbeResult("ledger", "i-0", 0, false);
+  fixture.clock.time = 400;
+  await fixture.checkFor(changer, 1000);
+  expect(fixture.promoted).toEqual(["i-1"]);
+});
--- a/test/leadership/fixture.ts
+++ b/test/leadership/fixture.ts
@@ -50,6 +50,7 @@
   /** The proxies that were called, in order. */
   readonly calls: string[] = [];
   readonly missed: string[] = [];
+  groups: readonly string[] = ["ledger"];
   /** Whether a commit is acknowledged only once a replica has received it. */
   isSynchronous = false;
   recorded: RecordedTargets = { targets: [] };
@@ -108,8 +109,11 @@
         read: () => Promise.resolve(this.isRecordReadable ? this.recorded : undefined),
         forget: (_group, names) => Promise.resolve(void this.forgotten.push(...names)),
       },
-      isSynchronous: () => this.isSynchronous,
-      listGroups: () => ["ledger"],
+      isSynchronous: (group) => {
+        if (group !== "ledger") throw new Error(`${group} can't be checked`);
+        return this.isSynchronous;
+      },
+      listGroups: () => this.groups,
     };
     return {
       lease: new ChangeLease(ports, tracker),
--- a/test/node/follower.test.ts
+++ b/test/node/follower.test.ts
@@ -186,3 +186,26 @@
   expect(tracker.confirmedAt).toBeDefined();
   follower.stop();
 });
+
+// One exception ended the polling of a node for good: it adopted nothing more and lost its permit.
+test("a poll goes on after an error that nobody expected, and so does what follows it", async () => {
+  const clock = new FakeClock();
+  const store = new CountingStore();
+  const { readTargets } = store;
+  store.readTargets = () => {
+    if (store.polls <= 2) throw new RangeError("Maximum call stack size exceeded");
+    return readTargets();
+  };
+  let followUps = 0;
+  const onPoll = () => {
+    followUps += 1;
+    throw new Error("unexpected");
+  };
+  const follower = makeFollower({ settings, store, tracker: makeTracker(clock), clock, onPoll });
+  void follower.run();
+  await clock.advance(5000);
+  expect(follower.isInitialised).toBe(true);
+  expect(store.polls).toBeGreaterThan(4);
+  expect(followUps).toBeGreaterThan(4);
+  follower.stop();
+});
