--- a/src/feed/group-record.ts
+++ b/src/feed/group-record.ts
@@ -1,8 +1,10 @@
 import type { AnnouncedTarget } from "../direct/index.js";
-import type { Json } from "../model/index.js";
+import type { Address, Json } from "../model/index.js";
 import type { GroupRecord, ListedTarget, TargetListing } from "./feed.js";
 import { hasSameAddress, isAddressReused, missingEntryGraceMs, type FeedState } from "./state.js";
 
+const maxPort = 65_535;
+
 /** The targets of a group's record. */
 export type RecordedTargets = Pick<GroupRecord, "targets" | "former">;
 
@@ -19,24 +21,47 @@
   return [...targets].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
-/** Decodes the output of `encodeGroupTargets`; undefined when the value is malformed. */
+/**
+ * Decodes the output of `encodeGroupTargets`; undefined when the value is malformed. Only known fields are taken over,
+ * because an unknown one may be nested too deeply to be encoded again.
+ */
 export function decodeGroupTargets(value: Json): RecordedTargets | undefined {
   const { targets, former = [] } = (value ?? {}) as Partial<Record<keyof RecordedTargets, unknown>>;
-  if (!isTargetList(targets) || !isTargetList(former)) return undefined;
-  return { targets, ...(former.length === 0 ? {} : { former }) };
+  const decoded = decodeTargets(targets);
+  const decodedFormer = decodeTargets(former);
+  if (decoded === undefined || decodedFormer === undefined) return undefined;
+  return { targets: decoded, ...(decodedFormer.length === 0 ? {} : { former: decodedFormer }) };
+}
+
+function decodeTargets(value: unknown): readonly AnnouncedTarget[] | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const decoded = value.flatMap((target: unknown) => decodeTarget(target) ?? []);
+  return decoded.length === value.length ? decoded : undefined;
+}
+
+function decodeTarget(value: unknown): AnnouncedTarget | undefined {
+  const fields = (value ?? {}) as Partial<AnnouncedTarget>;
+  const { name, address, dataCentre, slots, connections, startedAt } = fields;
+  if (typeof name !== "string" || !isAddress(address)) return undefined;
+  return {
+    name,
+    address: { host: address.host, port: address.port },
+    dataCentre: typeof dataCentre === "string" ? dataCentre : "",
+    slots: isCount(slots) ? slots : 1,
+    connections: isCount(connections) ? connections : 1,
+    announcedRole: fields.announcedRole === "primary" ? "primary" : "replica",
+    ...(typeof fields.isLeaving === "boolean" ? { isLeaving: fields.isLeaving } : {}),
+    ...(isCount(startedAt) ? { startedAt } : {}),
+  };
 }
 
-function isTargetList(value: unknown): value is readonly AnnouncedTarget[] {
-  return Array.isArray(value) && value.every(hasTargetFields);
+function isAddress(value: unknown): value is Address {
+  const { host, port } = (value ?? {}) as Partial<Address>;
+  return typeof host === "string" && isCount(port) && port > 0 && port <= maxPort;
 }
 
-function hasTargetFields(value: unknown): boolean {
-  const { name, address } = (value ?? {}) as Partial<AnnouncedTarget>;
-  return (
-    typeof name === "string" &&
-    typeof address?.host === "string" &&
-    typeof address.port === "number"
-  );
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0;
 }
 
 /**
--- a/standin/direct/store.ts
+++ b/standin/direct/store.ts
@@ -8,6 +8,20 @@
   readonly spec: unknown;
 }
 
+/** JSON text in place of a value, which may be nested too deeply to be encoded here. */
+class RawJson {
+  constructor(readonly text: string) {}
+}
+
+/** Encodes an answer; each raw text stands where its value would. */
+function encodeAnswer(answer: unknown): string {
+  const texts: string[] = [];
+  const mark = (value: unknown) =>
+    value instanceof RawJson ? `raw-${texts.push(value.text) - 1}-json` : value;
+  const encoded = JSON.stringify(answer, (_key, value: unknown) => mark(value));
+  return encoded.replace(/"raw-(\d+)-json"/g, (_match, index) => texts[Number(index)] ?? "null");
+}
+
 /** A promotion request that the platform API received. */
 export interface StandinOrder {
   readonly service: string;
@@ -97,6 +111,11 @@
     this.getEntries(kind).set(name, { meta: { name, revision: this.revision }, spec });
   }
 
+  /** Writes an entry whose `spec` is this JSON text, as a foreign writer might. */
+  setRaw(kind: string, name: string, text: string): void {
+    this.set(kind, name, new RawJson(text));
+  }
+
   remove(kind: string, name: string): void {
     this.revision += 1;
     this.getEntries(kind).delete(name);
@@ -146,7 +165,7 @@
       return;
     }
     response.writeHead(status, { "content-type": "application/json" });
-    response.end(JSON.stringify(answer));
+    response.end(encodeAnswer(answer));
   }
 
   /** Counts a call; false when those of the second are used up. */
--- a/test/feed/group-record.test.ts
+++ b/test/feed/group-record.test.ts
@@ -12,6 +12,7 @@
   type GroupRecord,
   type ListedTarget,
 } from "../../src/feed/index.js";
+import type { Json } from "../../src/model/index.js";
 import { listed } from "./builders.js";
 
 const routes = {
@@ -95,6 +96,17 @@
   }
 });
 
+// A foreign field that is nested too deeply was taken over, and could not be encoded for a peer or for the record.
+test("only the known fields of a recorded target are taken over", () => {
+  const { targets } = record(listed("a", 1, { isLeaving: true }));
+  const depth = 100_000;
+  const extra = JSON.parse("[".repeat(depth) + "]".repeat(depth)) as Json;
+  const value = { targets: [{ ...targets[0], extra }] } as unknown as Json;
+  expect(decodeGroupTargets(value)).toEqual({ targets });
+  const outOfRange = { ...targets[0], address: { host: "h", port: 65_536 } };
+  expect(decodeGroupTargets({ targets: [outOfRange] })).toBeUndefined();
+});
+
 // Once a crashed replica's entry has expired, nothing but the record tells a new process that it may have commits.
 test("the record of a synchronous group keeps targets that are gone, except those whose log was taken over", () => {
   const current = start([listed("a", 1)], []);
--- /dev/null
+++ b/test/node/odd-entries.test.ts
@@ -0,0 +1,82 @@
+import { afterEach, expect, test } from "@jest/globals";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Cluster, service, waitUntil } from "./cluster.js";
+
+/** Deeper than what can be encoded as JSON without an overflow of the stack. */
+const depth = 100_000;
+const nested = "[".repeat(depth) + "]".repeat(depth);
+/** All nodes have read what was written by then, in milliseconds. */
+const readMs = 1500;
+/** The listing of a node that doesn't follow the store counts as outdated by then, in milliseconds. */
+const outdatedMs = 4000;
+const targetDrainMs = 3000;
+const routeFields = `"service":"${service}","type":"primary","target-latency-ms":200`;
+
+let cluster: Cluster;
+
+afterEach(() => cluster.dispose());
+
+async function startCluster(): Promise<void> {
+  cluster = await Cluster.start({ nodes: 2, targetDrainMs });
+  await waitUntil(() => cluster.isListed());
+  const client = await cluster.open("primary");
+  await client.queryUntilServed("WRITE cello taken");
+}
+
+function setConfiguration(routes: string): void {
+  const services = `[{"name":"${service}","max-conns":16}]`;
+  const text = `{"version":50,"routes":[${routes}],"services":${services},"limits":{}}`;
+  cluster.store.setRaw("config", "main", text);
+}
+
+/** An object that another writer left in the store. */
+const oddObjects: readonly { readonly name: string; readonly write: () => void }[] = [
+  {
+    name: "a proxy whose power is deeply nested",
+    write: () => {
+      const address = '{"host":"127.0.0.1","port":9}';
+      const text = `{"address":${address},"power":${nested},"link-mbps":${nested}}`;
+      cluster.store.setRaw("radishwalk-proxies", "stray", text);
+    },
+  },
+  {
+    name: "a recorded target with a deeply nested field",
+    write: () => {
+      const target = `{"name":"x","address":{"host":"127.0.0.1","port":9},"extra":${nested}}`;
+      cluster.store.setRaw("radishwalk-targets", "other", `{"targets":[${target},null]}`);
+    },
+  },
+  {
+    name: "a configuration with a deeply nested priority",
+    write: () => {
+      setConfiguration(
+        `{"name":"r","host":"primary","timeout-ms":800,"priority":${nested},${routeFields}}`,
+      );
+    },
+  },
+  {
+    name: "targets with odd fields",
+    write: () => {
+      const fields = `"service":"${service}","zone":"a","version":"v","state":"ready"`;
+      const rest = '"capacity":1e999,"cold-remaining-ms":0,"db-role":"primary","sequence":1';
+      const entry = `{${fields},${rest},"address":"127.0.0.1:99999","meta":${nested}}`;
+      cluster.store.setRaw("servers", "stray", entry);
+      cluster.store.setRaw("servers", "i-9\r\nQUERY - RESET", "null");
+    },
+  },
+];
+
+// Nodes stopped following the store, or took their own listing for outdated, because of one object that they can't use.
+test.each(oddObjects)("primaries are replaced and used beside $name", async ({ write }) => {
+  await startCluster();
+  write();
+  await sleep(readMs);
+  cluster.announce(cluster.target(0), "draining");
+  await waitUntil(() => cluster.log.findPrimary()?.id !== "i-0");
+  await sleep(outdatedMs);
+  for (const node of [0, 1]) {
+    const client = await cluster.open("primary", node);
+    expect(await client.queryUntilServed("WRITE cello kept")).toMatch(/^COMPLETE/);
+  }
+  expect(cluster.lines.filter(({ event }) => event.name === "pollFailed")).toEqual([]);
+});
