--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -61,9 +61,15 @@
   readonly version: number;
 }
 
+/** The result of reading the configuration. */
+export type RoutesRead =
+  | StoreRead<RouteTable>
+  /** It was read, and can't be used; it stays so until the operators change it. */
+  | { readonly type: "invalid"; readonly reason: string };
+
 /** Access to the configuration and the targets in the platform's store. No call rejects. */
 export interface PlatformFeed {
-  readRoutes(): Promise<StoreRead<RouteTable>>;
+  readRoutes(): Promise<RoutesRead>;
   readTargets(): Promise<StoreRead<TargetListing>>;
   /** Reads the recorded targets of all groups. */
   readGroupRecords(): Promise<StoreRead<readonly GroupRecord[]>>;
--- a/src/feed/index.ts
+++ b/src/feed/index.ts
@@ -5,6 +5,7 @@
   type InvalidEntry,
   type LevelFault,
   type RouteTable,
+  type RoutesRead,
   type TargetListing,
 } from "./feed.js";
 export {
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -1,10 +1,9 @@
 import type { ServingConfig } from "../direct/index.js";
-import type { RouteTable } from "../feed/index.js";
+import type { RoutesRead } from "../feed/index.js";
 import { countListedProxyQuota } from "../gateway/index.js";
 import type { LeadershipAnswer, Proxy } from "../leadership/index.js";
 import { leadershipEvents } from "../log/events/leadership.js";
 import { nodeEvents } from "../log/events/node.js";
-import type { StoreRead } from "../model/index.js";
 import { PeerConfirmer, peerTimeoutMs } from "./confirmer.js";
 import { ProxyRegistry } from "./proxy-registry.js";
 import { computePollDelayMs } from "./poll-delay.js";
@@ -317,6 +316,8 @@
       return false;
     }
     if (routes?.type === "absent") return false;
+    // The peers' last valid configuration is used, as one that the store gives instead can't be.
+    if (routes?.type === "invalid") await this.fetchFromSeeds();
     if (this.isStoreUnavailable) logger.write(leadershipEvents.storeContactRegained, {});
     this.isStoreUnavailable = false;
     this.configTracker.recordStoreAnswer(askedAt);
@@ -340,15 +341,18 @@
   }
 
   /** Reads the configuration if none is known yet; it is needed before anything else. */
-  private readFirstRoutes(): Promise<StoreRead<RouteTable> | undefined> {
+  private readFirstRoutes(): Promise<RoutesRead | undefined> {
     if (this.configTracker.hasRoutes) return Promise.resolve(undefined);
     return this.ports.store.readRoutes();
   }
 
-  /** Reads everything again if anything has changed; false when the proxies could not be listed. */
+  /**
+   * Reads everything again if anything has changed; false when the proxies could not be listed. An invalid configuration
+   * counts as read: otherwise the listing of the targets would count as outdated for as long as it stands.
+   */
   private async readChanges(
     { revision }: StoreStatus,
-    firstRoutes: StoreRead<RouteTable> | undefined,
+    firstRoutes: RoutesRead | undefined,
   ): Promise<boolean> {
     const isSettled = this.registry.isRegistered() || !this.isRegistrationDue();
     const isSame = revision === this.readRevision && this.isInitialised && isSettled;
@@ -361,7 +365,7 @@
       this.configTracker.loadRecords(),
     ]);
     if (routes.type === "found") this.configTracker.updateRoutes(routes.value);
-    if (routes.type === "unavailable") {
+    if (routes.type === "unavailable" || routes.type === "invalid") {
       this.ports.logger.write(nodeEvents.configurationUnreadable, { reason: routes.reason });
     }
     if (targets.type === "found") this.configTracker.updateTargets(targets.value);
--- a/test/node/odd-entries.test.ts
+++ b/test/node/odd-entries.test.ts
@@ -54,6 +54,7 @@
       );
     },
   },
+  { name: "a configuration with a route that is null", write: () => setConfiguration("null") },
   {
     name: "targets with odd fields",
     write: () => {
@@ -80,3 +81,12 @@
   }
   expect(cluster.lines.filter(({ event }) => event.name === "pollFailed")).toEqual([]);
 });
+
+// A process that starts beside such a configuration has none of its own, and was refused for as long as it stood.
+test("a node that starts beside a configuration that can't be decoded uses the one of its peers", async () => {
+  await startCluster();
+  setConfiguration("null");
+  await cluster.addNode("vm-2");
+  const client = await cluster.open("primary", 2);
+  expect(await client.queryUntilServed("WRITE cello kept")).toMatch(/^COMPLETE/);
+});
