--- a/src/leadership/document.ts
+++ b/src/leadership/document.ts
@@ -75,7 +75,8 @@
 
 function decodeGroup(value: unknown): GroupLeadership | undefined {
   const { type, round, target, from, by } = (value ?? {}) as Readonly<Record<string, unknown>>;
-  if (typeof round !== "number") return undefined;
+  // A larger round could not be counted on from, and the next document would not be readable.
+  if (typeof round !== "number" || !Number.isSafeInteger(round)) return undefined;
   if (type === "serving" && typeof target === "string") {
     return { type, round, target, ...(typeof by === "string" ? { by } : {}) };
   }
--- a/test/node/odd-entries.test.ts
+++ b/test/node/odd-entries.test.ts
@@ -39,6 +39,13 @@
       cluster.store.setRaw("radishwalk-proxies", "stray", text);
     },
   },
+  {
+    name: "proxies at ports that can't be",
+    write: () => {
+      for (const port of [0, -1, 65_536, 99_999, 1.5])
+        cluster.store.set("radishwalk-proxies", `stray${port}`, { address: { host: "h", port } });
+    },
+  },
   {
     name: "a recorded target with a deeply nested field",
     write: () => {
@@ -90,3 +97,19 @@
   const client = await cluster.open("primary", 2);
   expect(await client.queryUntilServed("WRITE cello kept")).toMatch(/^COMPLETE/);
 });
+
+// Node's timers fire at once when their time is above 2^31 - 1 ms, so that statements ended before their answers.
+test("a timeout that no timer can measure doesn't end statements at once", async () => {
+  cluster = await Cluster.start({ workMs: 30 });
+  setConfiguration(
+    ["timeout-ms", "max-staleness-ms"].reduce(
+      (fields, name) => `${fields},"${name}":3000000000`,
+      `{"name":"r","host":"primary",${routeFields}`,
+    ) + "}",
+  );
+  await waitUntil(() => cluster.lines.some(({ fields }) => fields.revision === 50));
+  const client = await cluster.open("primary");
+  await client.queryUntilServed("WRITE cello taken");
+  for (let count = 0; count < 10; count += 1)
+    expect(await client.query(`WRITE cello ${count}`)).toMatch(/^COMPLETE/);
+});
--- a/test/platformside/codec.test.ts
+++ b/test/platformside/codec.test.ts
@@ -2,9 +2,11 @@
 import fc from "fast-check";
 import { callerCodec } from "../../platform/callers.js";
 import { parseSettings } from "../../platform/settings.js";
+import { decodeTargetEntry } from "../../platform/entries.js";
 import { decodeRouteTable } from "../../platform/feed.js";
 import { parseReport, targetCodec } from "../../platform/targets.js";
 import { formatPosition, parsePosition } from "../../platform/protocol.js";
+import { decodeLeadership } from "../../src/leadership/index.js";
 import type { Reply, TargetCommand } from "../../src/statement/index.js";
 
 const word = fc.stringMatching(/^[a-z0-9_]{1,12}$/);
@@ -166,3 +168,30 @@
   const table = decodeRouteTable({ version: 1, routes: [], services });
   expect([...(table?.synchronousGroups ?? [])]).toEqual(["s2", "s3", "s4"]);
 });
+
+// Numbers that are valid JSON or digits, and too large to be exact, were taken over and counted on from.
+test("numbers that can't be exact are not taken over", () => {
+  const table = { routes: [], services: [] };
+  for (const version of [1e300, 1.5, -1])
+    expect(decodeRouteTable({ ...table, version })).toBeUndefined();
+  expect(parsePosition(`1.${"9".repeat(400)}`)).toBeUndefined();
+  expect(parsePosition("1.9")).toEqual({ term: { round: 1, vm: "" }, offset: 9 });
+  const reply = (row: string) => ({
+    rows: [row],
+    end: { type: "complete", signature: "s" } as const,
+    state: "idle" as const,
+  });
+  expect(parseReport(reply("replica 3 3.9 1e999 12"))).toBeUndefined();
+  expect(parseReport(reply("replica 3 3.9 4 12"))).toMatchObject({ round: 4 });
+  const groups = { g: { type: "serving", round: 1e300, target: "i-1" } };
+  expect(decodeLeadership({ groups })).toBeUndefined();
+});
+
+// The id stands in the line that opens a connection to the target.
+test("an entry whose name is more than a word is refused", () => {
+  const object = { kind: "servers", name: "i-1\r\nQUERY - RESET", version: 1, value: null };
+  expect(decodeTargetEntry(object)).toEqual({
+    type: "refused",
+    entry: { name: object.name, field: "name" },
+  });
+});
