--- a/src/node/confirmer.ts
+++ b/src/node/confirmer.ts
@@ -116,3 +116,14 @@
     }
   }
 }
+
+/** The answer with the highest store revision. */
+export function findNewestAnswer(
+  answers: readonly LeadershipAnswer[],
+): LeadershipAnswer | undefined {
+  return answers.reduce<LeadershipAnswer | undefined>(
+    (newest, answer) =>
+      (answer.storeRevision ?? -1) > (newest?.storeRevision ?? -1) ? answer : newest,
+    undefined,
+  );
+}
--- a/src/node/follower.ts
+++ b/src/node/follower.ts
@@ -1,12 +1,13 @@
 import type { ServingConfig } from "../direct/index.js";
 import type { RoutesRead } from "../feed/index.js";
 import { countListedProxyQuota } from "../gateway/index.js";
-import type { LeadershipAnswer, Proxy } from "../leadership/index.js";
+import type { Proxy } from "../leadership/index.js";
 import { leadershipEvents } from "../log/events/leadership.js";
 import { nodeEvents } from "../log/events/node.js";
-import { PeerConfirmer, peerTimeoutMs } from "./confirmer.js";
+import { findNewestAnswer, PeerConfirmer, peerTimeoutMs } from "./confirmer.js";
 import { ProxyRegistry } from "./proxy-registry.js";
 import { computePollDelayMs } from "./poll-delay.js";
+import { createStepRunner, type StepRunner } from "./poll-step.js";
 import type { StoreStatus } from "./ports.js";
 import type { StoreFollowerPorts, StorePoll } from "./follower-ports.js";
 import { ReaderClient, type PollResult } from "./reader.js";
@@ -35,6 +36,7 @@
   readonly registry: ProxyRegistry;
   private readonly configTracker: ServingConfigTracker;
   private readonly confirmer: PeerConfirmer;
+  private readonly runStep: StepRunner;
   private readonly reader: ReaderClient;
   private latestPoll: StorePoll | undefined;
   /** Whether the last poll was answered by another proxy. */
@@ -47,6 +49,7 @@
   constructor(private readonly ports: StoreFollowerPorts) {
     this.registry = new ProxyRegistry(ports);
     this.configTracker = new ServingConfigTracker(ports);
+    this.runStep = createStepRunner(ports.logger);
     const { vm, dataCentre, topology } = ports.settings;
     const { peers, clock, tracker, random } = ports;
     this.reader = new ReaderClient({ vm, dataCentre, topology, peers, clock });
@@ -94,29 +97,16 @@
   async run(): Promise<void> {
     const { clock, random } = this.ports;
     while (!this.isStopped) {
-      this.isFollowing = await this.attempt(() => this.pollThroughProxy());
-      const isAnswered = this.isFollowing || (await this.attempt(() => this.pollStoreOrSeeds()));
+      this.isFollowing = await this.runStep(() => this.pollThroughProxy());
+      const isAnswered = this.isFollowing || (await this.runStep(() => this.pollStoreOrSeeds()));
       if (isAnswered) this.lastHeardAt = clock.now();
-      await this.attempt(() => this.ports.onPoll());
+      await this.runStep(() => this.ports.onPoll());
       const delayMs = this.computePollDelayMs(isAnswered);
       const pauseMs = delayMs * (1 - jitterShare + 2 * jitterShare * random.draw());
       await Promise.race([clock.sleep(pauseMs), this.waitForWake()]);
     }
   }
 
-  /**
-   * Runs a step of a poll; false if it throws. An error that nobody expected would otherwise end the polling for good, and
-   * with it all changes of primary, while callers are still accepted.
-   */
-  private async attempt(step: () => unknown): Promise<boolean> {
-    try {
-      return (await step()) === true;
-    } catch (error) {
-      this.ports.logger.write(nodeEvents.pollFailed, { reason: String(error) });
-      return false;
-    }
-  }
-
   /** Ends polling after the poll or pause in progress. */
   stop(): void {
     this.isStopped = true;
@@ -402,15 +392,6 @@
   }
 }
 
-/** The answer with the highest store revision. */
-function findNewestAnswer(answers: readonly LeadershipAnswer[]): LeadershipAnswer | undefined {
-  return answers.reduce<LeadershipAnswer | undefined>(
-    (newest, answer) =>
-      (answer.storeRevision ?? -1) > (newest?.storeRevision ?? -1) ? answer : newest,
-    undefined,
-  );
-}
-
 function describe(read: { readonly type: string; readonly reason?: string }): string {
   return read.reason ?? read.type;
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -20,6 +20,7 @@
 import { DisposableStore, type Address } from "../model/index.js";
 import { StoreFollower } from "./follower.js";
 import { Forwarding } from "./forwarding.js";
+import { buildLeadershipAnswer } from "./leadership-answer.js";
 import type { NodeOptions } from "./options.js";
 import { PeerQuestions } from "./peer-questions.js";
 import { StoredTargetRecords } from "./target-records.js";
@@ -331,16 +332,8 @@
     this.tracker.adopt(update);
     this.proxyLiveness.recordContact(from);
     const { clock, settings } = this.options;
-    const findAge = (at: number | undefined) => (at === undefined ? undefined : clock.now() - at);
-    return {
-      ...this.tracker.latestUpdate,
-      vm: settings.vm,
-      listsAsker: this.follower.registry.hasListed(from),
-      confirmedAgoMs: findAge(this.tracker.confirmedAt),
-      storeAgoMs: findAge(this.tracker.lastAnsweredStoreQueryAt),
-      storeRevision: this.follower.lastPoll?.revision,
-      lookedAgoMs: findAge(this.follower.lastPoll?.requestedAt),
-    };
+    const { tracker, follower } = this;
+    return buildLeadershipAnswer({ vm: settings.vm, clock, tracker, follower }, from);
   }
 
   private applyServingConfig(config: ServingConfig): void {
