--- a/standin/direct/group.ts
+++ b/standin/direct/group.ts
@@ -25,8 +25,12 @@
   isCopying = true;
   /** The writes that promotions have rolled back: the log of the target promoted lacked them. */
   readonly rolledBack = new Set<string>();
+  /** The writes that a superseded primary has committed, with its id, in order. */
+  readonly superseded: { readonly id: string; readonly member: string; readonly at: number }[] = [];
   /** How long after a commit the replicas receive it, in milliseconds. */
   lagMs = 0;
+  /** How many replicas must have received a commit before it is acknowledged. */
+  syncReplicas = 0;
   /** Whether a replica receives what a primary commits now. */
   isLinked: (primary: StandinMember, replica: StandinMember) => boolean = () => true;
 
@@ -50,9 +54,21 @@
     const commit = { term: member.term, number: member.log.length + 1, writes };
     const log = [...member.log, commit];
     member.log = log;
+    if (this.findPrimary() !== member) this.recordSuperseded(member, writes);
     if (this.isCopying) this.replicate();
   }
 
+  /** Whether enough replicas have received the last commit of a primary, or of a log that was as long. */
+  isReceived({ id, term }: StandinMember, length: number): boolean {
+    const others = [...this.members.values()].filter((member) => member.id !== id);
+    const received = others.filter((member) => member.term === term && member.log.length >= length);
+    return received.length >= this.syncReplicas;
+  }
+
+  private recordSuperseded(member: StandinMember, writes: StandinCommit["writes"]): void {
+    for (const { id } of writes) this.superseded.push({ id, member: member.id, at: Date.now() });
+  }
+
   /** Sends the log of the primary to all replicas, which receive it after their lags. */
   replicate(): void {
     const primary = this.findPrimary();
--- a/standin/direct/target.ts
+++ b/standin/direct/target.ts
@@ -53,6 +53,8 @@
 type Answer = readonly string[];
 
 const defaultSlots = 2;
+/** How often a commit that waits for its replicas looks for them, in milliseconds. */
+const receivedPollMs = 2;
 /** The id of statements that no caller sent. */
 const systemId = "-";
 
@@ -202,7 +204,13 @@
     if (session.hasFailed && verb !== "ROLLBACK" && verb !== "COMMIT") {
       return this.fail(session, "MALFORMED the transaction has failed");
     }
-    if (/^(READ|WRITE|EXECUTE|COMMIT|STATUS)$/.test(verb)) return this.runInSlot(session, id, text);
+    if (/^(READ|WRITE|EXECUTE|COMMIT|STATUS)$/.test(verb)) {
+      const before = this.member.log.length;
+      const answer = await this.runInSlot(session, id, text);
+      const after = this.member.log.length;
+      const isWaiting = this.log.syncReplicas > 0 && verb !== "STATUS" && after > before;
+      return !isWaiting || (await this.waitUntilReceived(after)) ? answer : undefined;
+    }
     return this.runWithoutSlot(session, text);
   }
 
@@ -233,6 +241,17 @@
     }
   }
 
+  /** Waits until the log is received by as many replicas as acknowledge a commit; false if this target ended first. */
+  private async waitUntilReceived(length: number): Promise<boolean> {
+    const { server, member } = this;
+    const { term } = member;
+    while (!this.log.isReceived({ ...member, term }, length)) {
+      if (this.server !== server || member.role !== "primary") return false;
+      await new Promise((resolve) => setTimeout(resolve, receivedPollMs));
+    }
+    return true;
+  }
+
   private execute(session: LineSession, id: string, text: string): Answer {
     const [verb = "", ...rest] = text.split(" ");
     if (verb === "STATUS") return this.complete(session, "-", this.formatStatus());
--- a/standin/soak/main.ts
+++ b/standin/soak/main.ts
@@ -33,6 +33,7 @@
     default: false,
   })
   .option("--plan <name>", "Play a fixed plan of faults in place of drawn ones (side platform)")
+  .option("--sync", "Set sync-replicas to 1 (side platform)", { default: false })
   .option("--busy <n>", "Processes beside it that only compute (side platform)", { default: 0 })
   .option("--log <file>", "Write the lines of all nodes to a file (side platform)")
   .option("--minutes <n>", "Start new rounds for this long", { default: 1 })
--- a/standin/soak/nodes/backend-group.ts
+++ b/standin/soak/nodes/backend-group.ts
@@ -2,8 +2,9 @@
 import { DisposableStore, type Address, type Disposable } from "../../../src/model/index.js";
 import { StandinLineTarget, StandinLog, type StandinMember } from "../../direct/index.js";
 import { FaultyLink } from "../../link.js";
-import type { BackendCommand, LagCommand } from "./commands.js";
+import type { BackendCommand, LagCommand, SupersededWrite } from "./commands.js";
 import { formatGroup, type SoakSite } from "./site.js";
+import { thawSlackMs } from "./superseded-check.js";
 
 /** A target of a group, as the store's entries and the nodes see it. */
 export interface BackendTarget {
@@ -22,6 +23,11 @@
 /** How long a target may get statements after the store has accepted that it leaves, in milliseconds. */
 export const drainTimeoutMs = 7000;
 const acceptPollMs = 20;
+/** How long before the end of a cut the other targets crash, and for how long, in milliseconds. */
+const crashBeforeHealMs = 300;
+const aloneMs = 4500;
+/** How long a replica receives nothing before the others crash, in milliseconds. */
+const deafMs = 2000;
 /** A superseded primary becomes a replica within this time after it can reach its successor, in milliseconds. */
 const demoteAfterMs = 1000;
 
@@ -34,6 +40,8 @@
   private started = 0;
   /** The ids of primaries that no replica receives from. */
   private readonly isolated = new Set<string>();
+  /** By target: until when what nodes sent to it was last held up, in milliseconds since the epoch. */
+  private readonly heldUntil = new Map<string, number>();
 
   constructor(
     private readonly site: SoakSite,
@@ -46,6 +54,7 @@
   ) {
     this.name = formatGroup(index);
     this.log.lagMs = site.lagMs;
+    this.log.syncReplicas = site.syncReplicas;
     this.log.isLinked = (from, to) =>
       !this.isolated.has(from.id) && isLinked(this.findZone(from), this.findZone(to));
   }
@@ -72,35 +81,77 @@
     return this.members.find(({ target }) => target.id === id);
   }
 
-  /** Promotes a running target after the site's time; false if it does not run. */
+  /** Orders the promotion of a running target, which takes effect after the site's time; false if it does not run. */
   async promote(id: string): Promise<boolean> {
     const named = this.members.find(({ target }) => target.id === id);
     if (named?.isRunning !== true) return false;
-    await sleep(this.site.promoteMs);
-    this.log.promote(id);
-    this.onChange();
+    const { promoteMs, promoteAnswerMs } = this.site;
+    setTimeout(() => this.finishPromotion(named), promoteMs);
+    await sleep(promoteAnswerMs);
     return true;
   }
 
+  private finishPromotion({ target, isRunning }: BackendTarget): void {
+    if (!isRunning) return;
+    this.log.promote(target.id);
+    this.onChange();
+  }
+
   /** Ends the primary as a crash does, and starts it again with its log. */
   async crashPrimary(forMs: number): Promise<void> {
     const primary = this.findPrimary();
-    if (primary?.isRunning !== true) return;
-    primary.isRunning = false;
-    await primary.target.crash();
+    if (primary !== undefined) await this.crash(primary, forMs);
+  }
+
+  private async crash(crashed: BackendTarget, forMs: number): Promise<void> {
+    if (!crashed.isRunning) return;
+    crashed.isRunning = false;
+    await crashed.target.crash();
     await sleep(forMs);
-    await primary.target.restart();
-    this.log.demoteSuperseded(primary.target.member);
-    primary.isRunning = true;
+    await crashed.target.restart();
+    this.log.demoteSuperseded(crashed.target.member);
+    crashed.isRunning = true;
     this.onChange();
   }
 
+  /** Cuts the primary off; the other targets crash just before the cut is over, so that it comes back alone. */
+  async isolatePrimary(forMs: number): Promise<void> {
+    const primary = this.findPrimary();
+    const cut = this.darkenPrimary(forMs);
+    await sleep(Math.max(0, forMs - crashBeforeHealMs));
+    const others = this.members.filter((member) => member !== primary);
+    await Promise.all([cut, ...others.map((member) => this.crash(member, aloneMs))]);
+  }
+
+  /** One replica receives nothing; the primary and the other replicas crash meanwhile, and these are back first. */
+  async crashAllButDeaf(forMs: number): Promise<void> {
+    const [deaf, ...others] = this.members.filter((member) => member !== this.findPrimary());
+    if (deaf === undefined) return;
+    deaf.target.member.isReceiving = false;
+    await sleep(deafMs);
+    await Promise.all([
+      this.crashPrimary(forMs),
+      ...others.map((member) => this.crash(member, forMs / 2)),
+    ]);
+    deaf.target.member.isReceiving = true;
+    this.log.replicate();
+  }
+
   /** Cuts the primary off from all nodes: its connections stay open. */
   async silencePrimary(forMs: number): Promise<void> {
-    const link = this.findPrimary()?.link;
-    link?.setFlow("hold", "hold");
+    const primary = this.findPrimary();
+    if (primary === undefined) return;
+    this.heldUntil.set(primary.target.id, Date.now() + forMs);
+    primary.link.setFlow("hold", "hold");
     await sleep(forMs);
-    link?.clearFaults();
+    primary.link.clearFaults();
+  }
+
+  /** The writes that superseded primaries committed, except what was held up on its way to them. */
+  listSuperseded(): readonly SupersededWrite[] {
+    const isHeld = ({ member, at }: SupersededWrite) =>
+      at < (this.heldUntil.get(member) ?? -Infinity) + thawSlackMs;
+    return this.log.superseded.filter((write) => !isHeld(write));
   }
 
   /** Takes the primary's power: its connections stay open, its heartbeats end and no replica receives from it. */
@@ -180,7 +231,7 @@
 
   private demoteSuperseded(): void {
     const primary = this.log.findPrimary();
-    if (primary === undefined) return;
+    if (primary === undefined || this.findPrimary()?.isRunning !== true) return;
     for (const { target, isRunning } of this.members) {
       const { member } = target;
       const isInTouch = this.log.isLinked(member, primary) && this.log.isLinked(primary, member);
--- a/standin/soak/nodes/backend-main.ts
+++ b/standin/soak/nodes/backend-main.ts
@@ -36,7 +36,7 @@
     case "listWrites":
       send({
         type: "writes",
-        writes: backends?.collectWrites() ?? { kept: [], rolledBack: [] },
+        writes: backends?.collectWrites() ?? { kept: [], rolledBack: [], superseded: [] },
         lateArrivals: backends?.lateArrivals ?? [],
         sentBytes: backends?.listSentBytes() ?? {},
         delays: delays.measure(),
--- a/standin/soak/nodes/backends.ts
+++ b/standin/soak/nodes/backends.ts
@@ -11,6 +11,7 @@
 import type { BackendCommand, LateArrival, ListedTarget, StoredWrites } from "./commands.js";
 import { buildConfiguration } from "./configuration.js";
 import { ContactLog } from "./contact.js";
+import { listOddObjects, malformedConfiguration } from "./odd-objects.js";
 import { RegionNetwork, type Detours, type RegionAddress } from "./region-network.js";
 import { findRegion, type SoakSite } from "./site.js";
 
@@ -149,6 +150,12 @@
         return this.findGroup(command)?.cutPrimaryFromReplicas(command.forMs);
       case "cutPrimaryFromStore":
         return this.findGroup(command)?.cutPrimaryFromStore(command.forMs);
+      case "isolatePrimary":
+        return this.findGroup(command)?.isolatePrimary(command.forMs);
+      case "crashAllButDeaf":
+        return this.findGroup(command)?.crashAllButDeaf(command.forMs);
+      case "writeOddObjects":
+        return this.writeOddObjects(command.forMs);
       case "lagReplicas":
         return this.findGroup(command)?.lagReplicas(command);
       case "slowTargets":
@@ -175,6 +182,7 @@
         log.findNewest().flatMap(({ writes }) => writes.map(({ id }) => id)),
       ),
       rolledBack: logs.flatMap((log) => [...log.rolledBack]),
+      superseded: this.groups.flatMap((group) => group.listSuperseded()),
     };
   }
 
@@ -213,6 +221,15 @@
     }
   }
 
+  private async writeOddObjects(forMs: number): Promise<void> {
+    const objects = listOddObjects(this.groups[0]?.name ?? "");
+    for (const { kind, name, text } of objects) this.store.setRaw(kind, name, text);
+    this.store.setRaw("config", "main", malformedConfiguration);
+    await sleep(forMs);
+    for (const { kind, name } of objects) this.store.remove(kind, name);
+    this.writeConfiguration();
+  }
+
   private writeConfiguration(): void {
     this.version += 1 + (this.version % 3);
     const configuration = buildConfiguration(this.site, this.version, this.extraRoutes);
--- a/standin/soak/nodes/commands.ts
+++ b/standin/soak/nodes/commands.ts
@@ -42,7 +42,11 @@
         | "darkenPrimary"
         | "losePrimaryAnswers"
         | "cutPrimaryFromReplicas"
-        | "cutPrimaryFromStore";
+        | "cutPrimaryFromStore"
+        /** The primary comes back from a cut when all others have just crashed. */
+        | "isolatePrimary"
+        /** One replica receives nothing, and all others crash. */
+        | "crashAllButDeaf";
       readonly group: number;
       readonly forMs: number;
     }
@@ -62,6 +66,8 @@
       /** How long a target still serves after its drain timeout. */
       readonly lingerMs: number;
     }
+  /** Another writer leaves objects in the store that can't be used, the configuration among them. */
+  | { readonly type: "writeOddObjects"; readonly forMs: number }
   /** Targets go on counting the connections that are closed in the next moment. */
   | { readonly type: "lingerConnections"; readonly forMs: number }
   /** The links between two regions pass nothing, and no replica follows a primary over them. */
@@ -89,6 +95,16 @@
 export interface StoredWrites {
   readonly kept: readonly string[];
   readonly rolledBack: readonly string[];
+  /** Those that a superseded primary committed. */
+  readonly superseded: readonly SupersededWrite[];
+}
+
+/** A write that a primary committed after another one had been promoted. */
+export interface SupersededWrite {
+  readonly id: string;
+  readonly member: string;
+  /** In milliseconds since the epoch. */
+  readonly at: number;
 }
 
 /** A statement that reached a target later than its drain timeout after the store accepted that it leaves. */
--- a/standin/soak/nodes/configuration.ts
+++ b/standin/soak/nodes/configuration.ts
@@ -27,7 +27,7 @@
   const services = groups.map((group) => ({
     name: formatGroup(group),
     "max-conns": site.connections,
-    "sync-replicas": 0,
+    "sync-replicas": site.syncReplicas,
   }));
   const limits = { "tx-idle-ms": txIdleMs, "header-timeout-ms": headerTimeoutMs };
   const tenants = site.teams.map(({ name, ratePerSecond, burst }) => ({
--- a/standin/soak/nodes/contact.ts
+++ b/standin/soak/nodes/contact.ts
@@ -16,8 +16,8 @@
     this.disruptions.push({ from, to: from + forMs });
   }
 
-  /** Whether there was no disruption from `contactMs` before a time up to it. */
-  isInTouch(at: number): boolean {
-    return !this.disruptions.some(({ from, to }) => from <= at && to > at - contactMs);
+  /** Whether there was no disruption from `forMs` before a time up to it. */
+  isInTouch(at: number, forMs = contactMs): boolean {
+    return !this.disruptions.some(({ from, to }) => from <= at && to > at - forMs);
   }
 }
--- a/standin/soak/nodes/index.ts
+++ b/standin/soak/nodes/index.ts
@@ -7,6 +7,7 @@
 export { describeTimedFault, type TimedFault } from "./fault.js";
 export { listFaultNames, nodeFaultNames, planFaults, type NodeFaultName } from "./fault-plan.js";
 export { createFixedPlan } from "./fixed-plans.js";
+export { listSupersededBreaches } from "./superseded-check.js";
 export { Balancer } from "./balancer.js";
 export { listBelowFloor } from "./gate.js";
 export { Load } from "./load.js";
--- a/standin/soak/nodes/machine-faults.ts
+++ b/standin/soak/nodes/machine-faults.ts
@@ -41,6 +41,9 @@
   "storeLateWrites",
   "configStorm",
   "bigConfig",
+  "isolatePrimary",
+  "crashAllButDeaf",
+  "oddObjects",
 ] as const;
 
 /** The name of such a fault. */
@@ -130,6 +133,12 @@
       return createRelease({ group, isPrimaryOnly: true, gapMs: 0 }, forMs);
     case "releaseAll":
       return createRelease({ group, isPrimaryOnly: false, gapMs: 1000 }, forMs);
+    case "isolatePrimary":
+      return createBackendFault({ type: "isolatePrimary", group, forMs });
+    case "crashAllButDeaf":
+      return createBackendFault({ type: "crashAllButDeaf", group, forMs });
+    case "oddObjects":
+      return createBackendFault({ type: "writeOddObjects", forMs });
     case "slowTargets":
       return createBackendFault({ type: "slowTargets", group, factor: 5, forMs });
     case "storeRefuse": {
--- a/standin/soak/nodes/run.ts
+++ b/standin/soak/nodes/run.ts
@@ -7,6 +7,7 @@
 import { createRandomStream } from "../random.js";
 import { BackendClient } from "./backend-client.js";
 import { Balancer } from "./balancer.js";
+import { contactMs } from "./contact.js";
 import { checkCutReads } from "./cut-reads.js";
 import type { StoredWrites } from "./commands.js";
 import type { TimedFault } from "./fault.js";
@@ -20,6 +21,7 @@
 import type { ToldWrite } from "./operation.js";
 import { ProcessorShare } from "./processor-share.js";
 import { findRegion, type SoakSite } from "./site.js";
+import { listSupersededBreaches, thawSlackMs } from "./superseded-check.js";
 import { findSlowRecovery, measureRecovery, type Recovery } from "./recovery.js";
 import { summariseServed, summariseSince, type ServedReport, type ServedShare } from "./tally.js";
 
@@ -153,11 +155,21 @@
     await sleep(settleMs);
     const [callers, machine] = [delays.measure(), machineLoad.measure()];
     const { writes, lateArrivals, sentBytes, delays: targets } = await this.backend.listWrites();
+    const findNodes = (statement: string) => [...(this.nodesByStatement.get(statement) ?? [])];
+    const wasInTouch = (name: string, at: number, forMs: number) =>
+      nodes
+        .filter(({ plan }) => plan.name === name)
+        .every((node) => node.contact.isInTouch(at, forMs));
     const drainBreaches = listDrainBreaches({
       arrivals: lateArrivals,
-      findNodes: (statement) => [...(this.nodesByStatement.get(statement) ?? [])],
-      isInTouch: (name, at) =>
-        nodes.filter(({ plan }) => plan.name === name).every((node) => node.contact.isInTouch(at)),
+      findNodes,
+      isInTouch: (name, at) => wasInTouch(name, at, contactMs),
+    });
+    const supersededBreaches = listSupersededBreaches({
+      writes: writes.superseded,
+      told: load.writes,
+      findNodes,
+      isUndisturbed: (name, at) => wasInTouch(name, at, thawSlackMs),
     });
     const cutReads = checkCutReads(site, options.faults, load.results);
     const served = summariseServed(load.results);
@@ -171,7 +183,12 @@
       ],
       recovery,
       recovered: summariseSince(load.results, lastFaultMs + recoveryMs),
-      breaches: [...listBreaches(load.writes, writes), ...cutReads.breaches, ...drainBreaches],
+      breaches: [
+        ...listBreaches(load.writes, writes, site.syncReplicas),
+        ...supersededBreaches,
+        ...cutReads.breaches,
+        ...drainBreaches,
+      ],
       lateArrivals: lateArrivals.length,
       cutReads: cutReads.lines,
       sentBytes,
@@ -317,16 +334,17 @@
 }
 
 /**
- * Compares what callers were told of their writes with the logs of the primaries. Replication is
- * asynchronous, so a promotion may roll back what was acknowledged before it.
+ * Compares what callers were told of their writes with the logs of the primaries. A promotion may roll back what was
+ * acknowledged before it, unless replicas had to receive it first.
  */
 export function listBreaches(
   told: readonly ToldWrite[],
-  { kept, rolledBack }: StoredWrites,
+  { kept, rolledBack }: Pick<StoredWrites, "kept" | "rolledBack">,
+  syncReplicas = 0,
 ): readonly string[] {
   const counts = new Map<string, number>();
   for (const id of kept) counts.set(id, (counts.get(id) ?? 0) + 1);
-  const lost = new Set(rolledBack);
+  const lost = new Set(syncReplicas === 0 ? rolledBack : []);
   return told.flatMap(({ id, told: answer }) => {
     const count = counts.get(id) ?? 0;
     if (count > 1) return [`write ${id} took effect ${count} times`];
--- a/standin/soak/nodes/side.ts
+++ b/standin/soak/nodes/side.ts
@@ -21,6 +21,8 @@
   readonly share: boolean;
   readonly plan?: string;
   readonly busy: number;
+  /** Whether commits are acknowledged only once a replica has received them, whatever the site says. */
+  readonly sync: boolean;
 }
 
 const msPerSecond = 1000;
@@ -31,7 +33,8 @@
   flags: NodesSideFlags,
   print: (text: string) => void,
 ): Promise<void> {
-  const site = flags.site === undefined ? defaultSite : readSite(flags.site);
+  const known = flags.site === undefined ? defaultSite : readSite(flags.site);
+  const site = flags.sync ? { ...known, syncReplicas: 1 } : known;
   const durationMs = flags.minutes * msPerMinute;
   const faults = planRun(flags, site, durationMs);
   buildBundle(process.cwd());
--- a/standin/soak/nodes/site.ts
+++ b/standin/soak/nodes/site.ts
@@ -52,7 +52,11 @@
   connections: z.number().int().positive(),
   connectMs: z.number().nonnegative().default(12),
   lagMs: z.number().nonnegative().default(60),
+  /** How many replicas must have received a commit before it is acknowledged. */
+  syncReplicas: z.number().int().nonnegative().default(0),
+  /** How long after its order a promotion takes effect, and after how long the order is answered. */
   promoteMs: z.number().nonnegative().default(300),
+  promoteAnswerMs: z.number().nonnegative().default(0),
   storeMs: z.number().nonnegative().default(4),
   storeReadsPerSecond: z.number().positive().default(2000),
   storeWritesPerSecond: z.number().positive().default(400),
--- a/test/soak/nodes.test.ts
+++ b/test/soak/nodes.test.ts
@@ -4,6 +4,7 @@
   computeAnsweredShare,
   defaultSite,
   listBreaches,
+  listSupersededBreaches,
   planFaults,
   runNodeSoak,
   summariseServed,
@@ -100,7 +101,7 @@
   async ({ promoteMs, others }) => {
     const command = { type: "crashPrimary", group: 0, forMs: 20_000 } as const;
     const report = await runNodeSoak({
-      site: { ...defaultSite, promoteMs },
+      site: { ...defaultSite, promoteMs, promoteAnswerMs: promoteMs },
       seed: 1,
       durationMs: 15_000,
       faults: [...others, { atMs: 3000, fault: { type: "backend", command } }],
@@ -140,6 +141,63 @@
   ]);
 });
 
+// With sync-replicas no promotion may roll back what was acknowledged.
+test("an acknowledged write that a promotion rolled back is reported where replicas acknowledge", () => {
+  const told = [{ id: "1", told: "kept" }] as const;
+  const writes = { kept: [], rolledBack: ["1"] };
+  expect(listBreaches(told, writes)).toEqual([]);
+  expect(listBreaches(told, writes, 1)).toEqual(["write 1 was acknowledged and is lost"]);
+});
+
+test("acknowledged writes that a superseded primary committed are reported, unless their node was disturbed", () => {
+  const told = [
+    { id: "1", told: "kept" },
+    { id: "2", told: "kept" },
+    { id: "3", told: "unknown" },
+  ] as const;
+  const breaches = listSupersededBreaches({
+    writes: told.map(({ id }) => ({ id, member: "i-0-0", at: 5 })),
+    told,
+    findNodes: (id) => (id === "2" ? ["frozen"] : ["node-0"]),
+    isUndisturbed: (node) => node !== "frozen",
+  });
+  expect(breaches).toEqual([
+    "write 1 was acknowledged and committed at i-0-0, which had been superseded",
+  ]);
+});
+
+const crashGroup: TimedFault = {
+  atMs: 5000,
+  fault: { type: "backend", command: { type: "crashPrimary", group: 0, forMs: 6000 } },
+};
+
+// What these faults showed in the review and the users' report: LOST, ONE, and nodes that stopped following the store.
+test.each([
+  { type: "crashAllButDeaf", syncReplicas: 1, others: [] },
+  { type: "isolatePrimary", syncReplicas: 0, others: [] },
+  { type: "writeOddObjects", syncReplicas: 0, others: [crashGroup] },
+] as const)(
+  "real nodes keep their promises through $type",
+  async ({ type, syncReplicas, others }) => {
+    const command = { type, group: 0, forMs: 6000 } as const;
+    const report = await runNodeSoak({
+      site: { ...defaultSite, syncReplicas },
+      seed: 1,
+      durationMs: 20_000,
+      faults: [{ atMs: 3000, fault: { type: "backend", command } }, ...others],
+      scale: 0.5,
+      leadMs: 6000,
+      repository: process.cwd(),
+      onEvent: () => undefined,
+    });
+    expect(report).toMatchObject({ breaches: [], unexpectedEnds: 0 });
+    for (const second of report.served.seconds.slice(-lastSeconds)) {
+      expect(computeAnsweredShare(second)).toBeGreaterThanOrEqual(minServedShare);
+    }
+  },
+  runTimeoutMs,
+);
+
 test("operations beyond a team's rate are not owed, and refused ones within it are counted", () => {
   const common = {
     kind: "reserve",
