--- a/test/soak/nodes.test.ts
+++ b/test/soak/nodes.test.ts
@@ -8,6 +8,7 @@
   planFaults,
   runNodeSoak,
   summariseServed,
+  type SoakSite,
   type TimedFault,
 } from "../../standin/soak/nodes/index.js";
 
@@ -56,6 +57,20 @@
   runTimeoutMs,
 );
 
+/** Runs the nodes at half of a site's traffic under planned faults. */
+function runPlanned(site: SoakSite, durationMs: number, faults: readonly TimedFault[]) {
+  return runNodeSoak({
+    site,
+    seed: 1,
+    durationMs,
+    faults,
+    scale: 0.5,
+    leadMs: 6000,
+    repository: process.cwd(),
+    onEvent: () => undefined,
+  });
+}
+
 /** The primary of a group leaves, and goes on serving for the rest of the run. */
 const releasePrimary = (group: number, atMs: number): TimedFault => {
   const release = { group, isPrimaryOnly: true, gapMs: 0, lingerMs: 20_000 } as const;
@@ -67,21 +82,12 @@
   "real nodes send nothing to a primary that has left while the holders of the lease are killed",
   async () => {
     const holders = { type: "killHolders", forMs: 14_000, downMs: 6000 } as const;
-    const report = await runNodeSoak({
-      site: defaultSite,
-      seed: 1,
-      durationMs: 16_000,
-      faults: [
-        { atMs: 900, fault: holders },
-        releasePrimary(0, 1000),
-        releasePrimary(1, 2500),
-        releasePrimary(2, 2600),
-      ],
-      scale: 0.5,
-      leadMs: 6000,
-      repository: process.cwd(),
-      onEvent: () => undefined,
-    });
+    const report = await runPlanned(defaultSite, 16_000, [
+      { atMs: 900, fault: holders },
+      releasePrimary(0, 1000),
+      releasePrimary(1, 2500),
+      releasePrimary(2, 2600),
+    ]);
     expect(report).toMatchObject({ breaches: [], unexpectedEnds: 0 });
   },
   runTimeoutMs,
@@ -100,16 +106,9 @@
   "real nodes serve a group after a promotion $name",
   async ({ promoteMs, others }) => {
     const command = { type: "crashPrimary", group: 0, forMs: 20_000 } as const;
-    const report = await runNodeSoak({
-      site: { ...defaultSite, promoteMs, promoteAnswerMs: promoteMs },
-      seed: 1,
-      durationMs: 15_000,
-      faults: [...others, { atMs: 3000, fault: { type: "backend", command } }],
-      scale: 0.5,
-      leadMs: 6000,
-      repository: process.cwd(),
-      onEvent: () => undefined,
-    });
+    const site = { ...defaultSite, promoteMs, promoteAnswerMs: promoteMs };
+    const crash: TimedFault = { atMs: 3000, fault: { type: "backend", command } };
+    const report = await runPlanned(site, 15_000, [...others, crash]);
     expect(report).toMatchObject({ breaches: [], unexpectedEnds: 0 });
     for (const second of report.served.seconds.slice(-lastSeconds)) {
       expect(computeAnsweredShare(second)).toBeGreaterThanOrEqual(minServedShare);
@@ -180,16 +179,8 @@
   "real nodes keep their promises through $type",
   async ({ type, syncReplicas, others }) => {
     const command = { type, group: 0, forMs: 6000 } as const;
-    const report = await runNodeSoak({
-      site: { ...defaultSite, syncReplicas },
-      seed: 1,
-      durationMs: 20_000,
-      faults: [{ atMs: 3000, fault: { type: "backend", command } }, ...others],
-      scale: 0.5,
-      leadMs: 6000,
-      repository: process.cwd(),
-      onEvent: () => undefined,
-    });
+    const fault: TimedFault = { atMs: 3000, fault: { type: "backend", command } };
+    const report = await runPlanned({ ...defaultSite, syncReplicas }, 20_000, [fault, ...others]);
     expect(report).toMatchObject({ breaches: [], unexpectedEnds: 0 });
     for (const second of report.served.seconds.slice(-lastSeconds)) {
       expect(computeAnsweredShare(second)).toBeGreaterThanOrEqual(minServedShare);
