--- a/test/leadership/synchronous.test.ts
+++ b/test/leadership/synchronous.test.ts
@@ -132,6 +132,19 @@
   expect(fixture.promoted).toEqual(["near"]);
 });
 
+// It restarted empty, so that any replica has as much as it, and the one with its commits is silent.
+test("the log of an old primary that lost commits is not taken for whole", async () => {
+  const fixture = createGroup(silent, createReport("replica", 4));
+  fixture.targetAnswer = createReport("primary", 0);
+  const { changer, tracker } = fixture.makeProxy("a");
+  tracker.noteLostLog("ledger", "i-0");
+  await fixture.checkFor(changer, 6000);
+  expect(fixture.promoted).toEqual([]);
+  fixture.answers.set("near", createReport("replica", 9));
+  await fixture.checkFor(changer, 5000);
+  expect(fixture.promoted).toEqual(["near"]);
+});
+
 // A lost machine must not keep its group from a change of primary for ever.
 test("a replica that is gone is not waited for once another one has all that the primary had since", async () => {
   const fixture = createGroup(silent, createReport("replica", 4));
